--- /dev/null
+++ b/src/message.rs
@@ -0,0 +1,96 @@
+//! Messages between daemons: a version byte, then `postcard`.
+
+use crate::journal::{ClaimAsk, ClaimKey, Claimed, Kept, Nonce};
+use crate::member::Record;
+use serde::{Deserialize, Serialize};
+
+/// Version that this daemon writes and the highest it knows. A newer one may add variants and
+/// trailing fields; what it cannot read it answers with [`Reply::NotUnderstood`].
+pub const VERSION: u8 = 1;
+
+/// A heartbeat, sent as a datagram.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender's record first, then others it heard of.
+    pub records: Vec<Record>,
+}
+
+/// A request on a stream of its own.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Request {
+    /// The configuration after this revision.
+    Fetch {
+        /// Revision that the asker has in force.
+        have: u64,
+    },
+    /// A claim on a key, asked of the daemon that writes its shard.
+    Claim(ClaimAsk),
+    /// The outcome of a claim.
+    Settle {
+        /// The key.
+        key: ClaimKey,
+        /// Its claim.
+        nonce: Nonce,
+        /// The answer; `None` gives the claim back.
+        kept: Option<Kept>,
+    },
+}
+
+/// One key of the configuration on its way to a peer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Item {
+    /// Its key.
+    pub key: String,
+    /// Its value; `None` where it was deleted.
+    pub value: Option<Vec<u8>>,
+    /// Revision of the change.
+    pub revision: u64,
+}
+
+/// An answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Reply {
+    /// Nothing newer.
+    UpToDate,
+    /// Changes after the asker's revision, in order.
+    Changes(Vec<Item>),
+    /// Everything, at this revision.
+    Whole {
+        /// The revision.
+        revision: u64,
+        /// All keys.
+        items: Vec<Item>,
+    },
+    /// The answer to a claim.
+    Claimed(Claimed),
+    /// Done.
+    Done,
+    /// The request is of a version that this daemon cannot read.
+    NotUnderstood,
+}
+
+/// Why bytes are not a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unreadable {
+    /// No bytes, or of a newer version with parts unknown here.
+    Version(u8),
+    /// Of a known version, and broken.
+    Broken,
+}
+
+/// Writes a message with its version byte.
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
+    let mut bytes = vec![VERSION];
+    bytes.extend(postcard::to_stdvec(message).expect("a message is plain data"));
+    bytes
+}
+
+/// Reads a message; unknown trailing parts of a newer version are left out.
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Unreadable> {
+    let (version, rest) = bytes.split_first().ok_or(Unreadable::Version(0))?;
+    match postcard::take_from_bytes::<T>(rest) {
+        Ok((message, trailing)) if trailing.is_empty() || *version > VERSION => Ok(message),
+        _ if *version > VERSION || *version == 0 => Err(Unreadable::Version(*version)),
+        _ => Err(Unreadable::Broken),
+    }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,231 @@
+//! Links between daemons over QUIC: one connection for each peer, datagrams and request streams.
+
+use crate::error::{Error, Result};
+use crate::message::{self, Heartbeat, Reply, Request, Unreadable};
+use crate::metrics::Metrics;
+use crate::tls::{Identity, NAME};
+use futures_util::future::BoxFuture;
+use quinn::{
+    ClientConfig, Connection, Endpoint, IdleTimeout, RecvStream, SendStream, ServerConfig,
+    TransportConfig, VarInt,
+};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::timeout;
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+const IDLE_LIMIT_MS: u32 = 15_000;
+/// Largest request or answer, in bytes.
+const MOST_BYTES: usize = 64 << 20;
+
+/// What a daemon does with what its peers send.
+pub trait Handler: Send + Sync + 'static {
+    /// A heartbeat came.
+    fn heartbeat(&self, heartbeat: Heartbeat);
+    /// A request came.
+    fn request(&self, request: Request) -> BoxFuture<'_, Reply>;
+}
+
+/// A peer that gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoAnswer;
+
+/// All links of one daemon.
+pub struct Peers {
+    endpoint: Endpoint,
+    links: Mutex<HashMap<SocketAddr, Connection>>,
+    cut: Mutex<HashSet<SocketAddr>>,
+    metrics: Arc<Metrics>,
+}
+
+impl Peers {
+    /// Listens on `addr`.
+    pub fn bind(addr: SocketAddr, identity: &Identity, metrics: Arc<Metrics>) -> Result<Peers> {
+        let mut transport = TransportConfig::default();
+        transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_LIMIT_MS))));
+        let transport = Arc::new(transport);
+        let mut server = ServerConfig::with_crypto(identity.server()?);
+        server.transport_config(transport.clone());
+        let mut client = ClientConfig::new(identity.client()?);
+        client.transport_config(transport);
+        let refused = |e: std::io::Error| Error::Listen {
+            addr: addr.to_string(),
+            reason: e.to_string(),
+        };
+        let mut endpoint = Endpoint::server(server, addr).map_err(refused)?;
+        endpoint.set_default_client_config(client);
+        Ok(Peers {
+            endpoint,
+            links: Mutex::default(),
+            cut: Mutex::default(),
+            metrics,
+        })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> Result<SocketAddr> {
+        self.endpoint.local_addr().map_err(|e| Error::Listen {
+            addr: "peer".into(),
+            reason: e.to_string(),
+        })
+    }
+
+    /// Takes connections from peers until the endpoint closes.
+    pub async fn serve(self: Arc<Self>, handler: Arc<dyn Handler>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let peers = self.clone();
+            let handler = handler.clone();
+            tokio::spawn(async move {
+                if let Ok(link) = incoming.await {
+                    peers.keep(link.clone());
+                    peers.read(link, handler).await;
+                }
+            });
+        }
+    }
+
+    /// Sends a heartbeat; losing it does no harm.
+    pub async fn heartbeat(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        heartbeat: &Heartbeat,
+        handler: &Arc<dyn Handler>,
+    ) {
+        let Some(link) = self.link(to, handler).await else {
+            return;
+        };
+        let bytes = message::encode(heartbeat);
+        self.count("out", bytes.len());
+        let _ = link.send_datagram(bytes.into());
+    }
+
+    /// Sends a request and waits for its answer.
+    pub async fn ask(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        request: &Request,
+        limit: Duration,
+        handler: &Arc<dyn Handler>,
+    ) -> Result<Reply, NoAnswer> {
+        let exchange = async {
+            let link = self.link(to, handler).await.ok_or(NoAnswer)?;
+            let (mut send, mut recv) = link.open_bi().await.map_err(drop_reason)?;
+            let bytes = message::encode(request);
+            self.count("out", bytes.len());
+            send.write_all(&bytes).await.map_err(drop_reason)?;
+            send.finish().map_err(drop_reason)?;
+            let answer = recv.read_to_end(MOST_BYTES).await.map_err(drop_reason)?;
+            self.count("in", answer.len());
+            message::decode(&answer).map_err(drop_reason)
+        };
+        timeout(limit, exchange).await.unwrap_or(Err(NoAnswer))
+    }
+
+    /// Cuts (or heals) the link to a peer, to bring about a partition.
+    pub fn cut(&self, addr: SocketAddr, cut: bool) {
+        let mut set = self.cut.lock().expect("cut");
+        if cut {
+            set.insert(addr);
+            if let Some(link) = self.links.lock().expect("links").remove(&addr) {
+                link.close(VarInt::from_u32(0), b"cut");
+            }
+        } else {
+            set.remove(&addr);
+        }
+    }
+
+    fn is_cut(&self, addr: SocketAddr) -> bool {
+        self.cut.lock().expect("cut").contains(&addr)
+    }
+
+    async fn link(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        handler: &Arc<dyn Handler>,
+    ) -> Option<Connection> {
+        if self.is_cut(to) {
+            return None;
+        }
+        let known = self.links.lock().expect("links").get(&to).cloned();
+        if let Some(link) = known.filter(|l| l.close_reason().is_none()) {
+            return Some(link);
+        }
+        let connecting = self.endpoint.connect(to, NAME).ok()?;
+        let link = timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()?;
+        self.keep(link.clone());
+        tokio::spawn(self.clone().read_owned(link.clone(), handler.clone()));
+        Some(link)
+    }
+
+    fn keep(&self, link: Connection) {
+        let mut links = self.links.lock().expect("links");
+        links.retain(|_, l| l.close_reason().is_none());
+        links.insert(link.remote_address(), link);
+    }
+
+    async fn read_owned(self: Arc<Self>, link: Connection, handler: Arc<dyn Handler>) {
+        self.read(link, handler).await;
+    }
+
+    /// Reads one connection until it closes.
+    async fn read(self: &Arc<Self>, link: Connection, handler: Arc<dyn Handler>) {
+        let from = link.remote_address();
+        loop {
+            tokio::select! {
+                datagram = link.read_datagram() => {
+                    let Ok(bytes) = datagram else { return };
+                    self.count("in", bytes.len());
+                    if let (false, Ok(heartbeat)) = (self.is_cut(from), message::decode::<Heartbeat>(&bytes)) {
+                        handler.heartbeat(heartbeat);
+                    }
+                }
+                stream = link.accept_bi() => {
+                    let Ok((send, recv)) = stream else { return };
+                    if !self.is_cut(from) {
+                        tokio::spawn(self.clone().answer(send, recv, handler.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        mut send: SendStream,
+        mut recv: RecvStream,
+        handler: Arc<dyn Handler>,
+    ) {
+        let Ok(bytes) = recv.read_to_end(MOST_BYTES).await else {
+            return;
+        };
+        self.count("in", bytes.len());
+        let reply = match message::decode::<Request>(&bytes) {
+            Ok(request) => handler.request(request).await,
+            Err(Unreadable::Version(_)) => Reply::NotUnderstood,
+            Err(Unreadable::Broken) => return,
+        };
+        let bytes = message::encode(&reply);
+        self.count("out", bytes.len());
+        if send.write_all(&bytes).await.is_ok() {
+            let _ = send.finish();
+            let _ = send.stopped().await;
+        }
+    }
+
+    fn count(&self, direction: &str, bytes: usize) {
+        self.metrics
+            .peer_messages
+            .with_label_values(&[direction])
+            .inc();
+        self.metrics
+            .peer_bytes
+            .with_label_values(&[direction])
+            .inc_by(bytes as u64);
+    }
+}
+
+fn drop_reason<E>(_: E) -> NoAnswer {
+    NoAnswer
+}
--- /dev/null
+++ b/src/show.rs
@@ -0,0 +1,61 @@
+//! Tables for the terminal.
+
+use crate::measure::{Figures, MEASURES, Verdict};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// The measures of one run, a column for each policy.
+pub fn figures(run: &BTreeMap<String, Figures>) -> String {
+    let mut text = String::new();
+    let names: Vec<&String> = run.keys().collect();
+    let _ = write!(text, "{:<28}", "measure");
+    for name in &names {
+        let _ = write!(text, "{name:>14}");
+    }
+    text.push('\n');
+    for measure in MEASURES {
+        let _ = write!(text, "{measure:<28}");
+        for name in &names {
+            let figure = run[*name].get(measure).copied().unwrap_or(0.0);
+            let _ = write!(text, "{figure:>14.1}");
+        }
+        text.push('\n');
+    }
+    text
+}
+
+/// The stated outcomes, a line each.
+pub fn verdicts(verdicts: &[Verdict]) -> String {
+    let mut text = String::new();
+    for v in verdicts {
+        let word = if v.holds { "holds" } else { "FAILS" };
+        let _ = writeln!(
+            text,
+            "{word}  {} of {}: {:.1}, stated {:.1}",
+            v.measure, v.policy, v.figure, v.bound
+        );
+    }
+    text
+}
+
+/// Rows under a heading, in columns as wide as needed.
+pub fn table(heading: &[&str], rows: &[Vec<String>]) -> String {
+    let width = |i: usize| {
+        let cells = rows.iter().filter_map(|r| r.get(i)).map(String::len);
+        cells.chain([heading[i].len()]).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..heading.len()).map(width).collect();
+    let line = |cells: Vec<&str>| {
+        let padded: Vec<String> = cells
+            .iter()
+            .zip(&widths)
+            .map(|(c, w)| format!("{c:<w$}"))
+            .collect();
+        format!("{}\n", padded.join("  ").trim_end())
+    };
+    let mut text = line(heading.to_vec());
+    for row in rows {
+        text.push_str(&line(row.iter().map(String::as_str).collect()));
+    }
+    text
+}
