--- a/src/adapter.rs
+++ b/src/adapter.rs
@@ -52,11 +52,7 @@
         path: &str,
     ) -> Option<(StatusCode, Bytes)> {
         let req = request(method, replica, path, Bytes::new());
-        let answer = self
-            .wire
-            .send(replica, req, NotSent::begin(), SHORT)
-            .await
-            .ok()?;
+        let answer = self.wire.send(replica, req, NotSent::begin(), SHORT).await.ok()?;
         let status = answer.status;
         let body = answer.whole(SMALL_BODY, SHORT).await.ok()?;
         Some((status, body))
@@ -70,14 +66,9 @@
     path: &str,
     body: Bytes,
 ) -> Request<Full<Bytes>> {
-    let builder = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", addr.to_string());
+    let builder = Request::builder().method(method).uri(path).header("host", addr.to_string());
     let builder = builder.header("content-type", "application/json");
-    builder
-        .body(Full::new(body))
-        .expect("checked method and path")
+    builder.body(Full::new(body)).expect("checked method and path")
 }
 
 impl Engine for HttpEngine {
@@ -94,10 +85,7 @@
             };
             let mut req = request(Method::POST, replica, path, dispatch.body.clone());
             let headers = req.headers_mut();
-            headers.insert(
-                GENERATION,
-                dispatch.generation.to_string().parse().expect("hex"),
-            );
+            headers.insert(GENERATION, dispatch.generation.to_string().parse().expect("hex"));
             headers.insert(PRIORITY, u64::from(dispatch.priority).into());
             headers.insert(ORPHAN_MS, dispatch.orphan_ms.into());
             let answer = match self.wire.send(replica, req, proof, HEAD_LIMIT).await {
@@ -174,10 +162,7 @@
     if status.is_client_error() {
         let body = answer.whole(SMALL_BODY, SHORT).await.unwrap_or_default();
         let message = String::from_utf8_lossy(&body).into_owned();
-        return OpenError::Rejected {
-            status: status.as_u16(),
-            message,
-        };
+        return OpenError::Rejected { status: status.as_u16(), message };
     }
     OpenError::Unknown
 }
@@ -217,19 +202,11 @@
 
 impl SseStream {
     fn new(answer: Answer) -> SseStream {
-        SseStream {
-            answer,
-            events: Events::default(),
-            accepted: false,
-        }
+        SseStream { answer, events: Events::default(), accepted: false }
     }
 
     fn cached(&self) -> u32 {
-        let header = self
-            .answer
-            .headers
-            .get(CACHED)
-            .and_then(|v| v.to_str().ok());
+        let header = self.answer.headers.get(CACHED).and_then(|v| v.to_str().ok());
         header.and_then(|v| v.parse().ok()).unwrap_or_default()
     }
 }
@@ -245,11 +222,7 @@
     };
     if let (Some(reason), Some(usage)) = (choice.finish_reason, chunk.usage) {
         let (prompt_tokens, output_tokens) = (usage.prompt_tokens, usage.completion_tokens);
-        let finish = Finish {
-            reason: reason.into(),
-            prompt_tokens,
-            output_tokens,
-        };
+        let finish = Finish { reason: reason.into(), prompt_tokens, output_tokens };
         return Ok(Some(EngineEvent::Finished(finish)));
     }
     let text = choice.text.or(choice.delta.and_then(|d| d.content));
@@ -259,11 +232,7 @@
     let (generation, index) = id.split_once(':').ok_or(Fault::Unknown)?;
     let generation = GenerationId::parse(generation).ok_or(Fault::Unknown)?;
     let index = index.parse().map_err(|_| Fault::Unknown)?;
-    Ok(Some(EngineEvent::Token(Token {
-        generation,
-        index,
-        text,
-    })))
+    Ok(Some(EngineEvent::Token(Token { generation, index, text })))
 }
 
 impl EngineStream for SseStream {
@@ -271,9 +240,7 @@
         Box::pin(async move {
             if !self.accepted {
                 self.accepted = true;
-                return Ok(Some(EngineEvent::Accepted {
-                    cached: self.cached(),
-                }));
+                return Ok(Some(EngineEvent::Accepted { cached: self.cached() }));
             }
             loop {
                 while let Some(event) = self.events.take() {
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -83,30 +83,18 @@
         let wrong = || Error::Usage {
             message: format!("`{addr}` is not an address such as 127.0.0.1:8080"),
         };
-        Ok(Admin {
-            addr: found.ok_or_else(wrong)?,
-            key: key.into(),
-            wire: Wire::default(),
-        })
+        Ok(Admin { addr: found.ok_or_else(wrong)?, key: key.into(), wire: Wire::default() })
     }
 
     async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Answer> {
         let mut req = request(method, self.addr, path, body);
-        let wrong = |_| Error::Usage {
-            message: "the key holds characters that a header cannot".into(),
-        };
-        req.headers_mut().insert(
-            "authorization",
-            format!("Bearer {}", self.key).parse().map_err(wrong)?,
-        );
-        let unreachable = |_| Error::Unreachable {
-            server: self.addr.to_string(),
-            reason: "no answer".into(),
-        };
-        self.wire
-            .send(self.addr, req, NotSent::begin(), LIMIT)
-            .await
-            .map_err(unreachable)
+        let wrong =
+            |_| Error::Usage { message: "the key holds characters that a header cannot".into() };
+        req.headers_mut()
+            .insert("authorization", format!("Bearer {}", self.key).parse().map_err(wrong)?);
+        let unreachable =
+            |_| Error::Unreachable { server: self.addr.to_string(), reason: "no answer".into() };
+        self.wire.send(self.addr, req, NotSent::begin(), LIMIT).await.map_err(unreachable)
     }
 
     async fn ask(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes> {
@@ -122,11 +110,7 @@
         }
         let said = serde_json::from_slice::<ErrorBody>(&bytes).map(|b| b.error.message);
         let message = said.unwrap_or_else(|_| String::from_utf8_lossy(&bytes).into_owned());
-        Err(Error::Refused {
-            server: self.addr.to_string(),
-            status: status.as_u16(),
-            message,
-        })
+        Err(Error::Refused { server: self.addr.to_string(), status: status.as_u16(), message })
     }
 
     fn parse<T: for<'de> Deserialize<'de>>(&self, bytes: &[u8]) -> Result<T> {
@@ -139,9 +123,7 @@
 
     /// One resource.
     pub async fn get(&self, kind: Kind, name: &str) -> Result<Resource> {
-        let bytes = self
-            .ask(Method::GET, &path(kind, name), Bytes::new())
-            .await?;
+        let bytes = self.ask(Method::GET, &path(kind, name), Bytes::new()).await?;
         self.parse(&bytes)
     }
 
@@ -176,11 +158,7 @@
             return Ok(Applied::Unchanged);
         }
         let diff = diff(&found, resource);
-        let revision = if dry {
-            0
-        } else {
-            self.replace(&found, resource).await?
-        };
+        let revision = if dry { 0 } else { self.replace(&found, resource).await? };
         Ok(Applied::Changed { revision, diff })
     }
 
@@ -205,23 +183,17 @@
 
     /// Deletes a resource.
     pub async fn delete(&self, kind: Kind, name: &str) -> Result<()> {
-        self.ask(Method::DELETE, &path(kind, name), Bytes::new())
-            .await
-            .map(drop)
+        self.ask(Method::DELETE, &path(kind, name), Bytes::new()).await.map(drop)
     }
 
     /// Exchanges the keys that seal event ids.
     pub async fn rotate_keys(&self) -> Result<()> {
-        self.ask(Method::POST, "/apis/tidestair/v1/rotate-keys", Bytes::new())
-            .await
-            .map(drop)
+        self.ask(Method::POST, "/apis/tidestair/v1/rotate-keys", Bytes::new()).await.map(drop)
     }
 
     /// The fleet as the daemon sees it.
     pub async fn status(&self) -> Result<FleetStatus> {
-        let bytes = self
-            .ask(Method::GET, "/apis/tidestair/v1/status", Bytes::new())
-            .await?;
+        let bytes = self.ask(Method::GET, "/apis/tidestair/v1/status", Bytes::new()).await?;
         self.parse(&bytes)
     }
 
@@ -278,14 +250,8 @@
         text.lines().map(str::to_string).collect()
     };
     let (old, new) = (lines(old), lines(new));
-    let gone = old
-        .iter()
-        .filter(|l| !new.contains(l))
-        .map(|l| format!("  - {}", l.trim()));
-    let come = new
-        .iter()
-        .filter(|l| !old.contains(l))
-        .map(|l| format!("  + {}", l.trim()));
+    let gone = old.iter().filter(|l| !new.contains(l)).map(|l| format!("  - {}", l.trim()));
+    let come = new.iter().filter(|l| !old.contains(l)).map(|l| format!("  + {}", l.trim()));
     gone.chain(come).collect::<Vec<_>>().join("\n")
 }
 
@@ -294,9 +260,7 @@
     let mut all = Vec::new();
     if from == Path::new("-") {
         let mut text = String::new();
-        std::io::stdin()
-            .read_to_string(&mut text)
-            .context(ReadSnafu { path: from })?;
+        std::io::stdin().read_to_string(&mut text).context(ReadSnafu { path: from })?;
         all.extend(parse_text(&text, "standard input")?);
     } else {
         for path in files(from)? {
@@ -325,17 +289,11 @@
 
 /// A text holds one resource, or an array of them.
 fn parse_text(text: &str, what: &str) -> Result<Vec<Resource>> {
-    let invalid = |problems| Error::Invalid {
-        what: what.into(),
-        problems,
-    };
+    let invalid = |problems| Error::Invalid { what: what.into(), problems };
     let value: Value = crate::check::read(text).map_err(invalid)?;
     let values = match value {
         Value::Array(values) => values,
         one => vec![one],
     };
-    values
-        .into_iter()
-        .map(|v| Resource::from_value(v).map_err(invalid))
-        .collect()
+    values.into_iter().map(|v| Resource::from_value(v).map_err(invalid)).collect()
 }
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -35,14 +35,7 @@
         400..=499 => "invalid_request_error",
         _ => "server_error",
     };
-    ErrorBody {
-        error: ErrorDetail {
-            message: &reason.message,
-            kind,
-            code: reason.code,
-            outcome,
-        },
-    }
+    ErrorBody { error: ErrorDetail { message: &reason.message, kind, code: reason.code, outcome } }
 }
 
 /// Answers with a failure and its outcome.
@@ -52,11 +45,9 @@
 
 /// Answers that a request was refused before anything ran.
 pub fn refuse(res: &mut Response, reason: &Reason, outcome: Outcome) {
-    res.headers_mut()
-        .insert(OUTCOME, HeaderValue::from_static(outcome.name()));
+    res.headers_mut().insert(OUTCOME, HeaderValue::from_static(outcome.name()));
     if let Some(ms) = reason.retry_ms {
-        res.headers_mut()
-            .insert("retry-after", ms.div_ceil(1_000).into());
+        res.headers_mut().insert("retry-after", ms.div_ceil(1_000).into());
         res.headers_mut().insert("retry-after-ms", ms.into());
     }
     let status = StatusCode::from_u16(reason.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
@@ -65,10 +56,7 @@
 
 /// Seconds since 1970.
 pub fn unix_secs() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_secs()
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
 }
 
 /// What all parts of one answer have in common.
--- a/src/app.rs
+++ b/src/app.rs
@@ -5,11 +5,15 @@
 use crate::engine::Engine;
 use crate::follow::InForce;
 use crate::gossip::Gossip;
+use crate::grant::{self, Keeper};
+use crate::message::PlaceAsk;
 use crate::metrics::Metrics;
+use crate::peer::Held;
 use crate::platform::Counted;
 use crate::pool::Pool;
 use crate::snapshot::Snapshot;
 use crate::wire::Wire;
+use futures_util::future::BoxFuture;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -84,13 +88,7 @@
         for (name, spec) in snapshot.engine_pools() {
             let pool = pools.entry(spec.model.clone()).or_insert_with(|| {
                 let seed = rand::random();
-                Arc::new(Pool::new(
-                    name,
-                    &self.config.hall,
-                    seed,
-                    self.metrics.clone(),
-                    now,
-                ))
+                Arc::new(Pool::new(name, &self.config.hall, seed, self.metrics.clone(), now))
             });
             pool.apply(spec, snapshot, now);
         }
@@ -110,21 +108,12 @@
 
     /// All pools.
     pub fn pools(&self) -> Vec<Arc<Pool>> {
-        self.pools
-            .lock()
-            .expect("pools")
-            .values()
-            .cloned()
-            .collect()
+        self.pools.lock().expect("pools").values().cloned().collect()
     }
 
     /// The replicas of a plain service.
     pub fn service(&self, service: &str) -> Option<Arc<Backends>> {
-        self.services
-            .lock()
-            .expect("services")
-            .get(service)
-            .cloned()
+        self.services.lock().expect("services").get(service).cloned()
     }
 
     /// Counts a request as open until the guard is dropped.
@@ -141,10 +130,7 @@
             return None;
         }
         *count += 1;
-        Some(OpenStream {
-            app: self.clone(),
-            workspace: workspace.into(),
-        })
+        Some(OpenStream { app: self.clone(), workspace: workspace.into() })
     }
 
     /// Requests open now.
@@ -177,6 +163,17 @@
     }
 }
 
+impl Keeper for App {
+    fn keep(&self, ask: PlaceAsk, held: Held) -> BoxFuture<'static, ()> {
+        let pool = self.pools().into_iter().find(|p| p.name() == ask.pool);
+        Box::pin(async move {
+            if let Some(pool) = pool {
+                grant::keep(pool, ask, held).await;
+            }
+        })
+    }
+}
+
 /// A request that is open.
 pub struct OpenRequest {
     app: Arc<App>,
--- a/src/backends.rs
+++ b/src/backends.rs
@@ -32,10 +32,7 @@
 impl Backends {
     /// No replicas yet.
     pub fn new(hall: &str) -> Backends {
-        Backends {
-            hall: hall.into(),
-            state: Mutex::default(),
-        }
+        Backends { hall: hall.into(), state: Mutex::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -74,18 +71,10 @@
         let rank = |(i, b): &(usize, &mut Backend)| {
             (!b.health.usable(now), b.open, !b.near, (i + turn) % count)
         };
-        let best = state
-            .backends
-            .iter_mut()
-            .filter(stays)
-            .enumerate()
-            .min_by_key(rank);
+        let best = state.backends.iter_mut().filter(stays).enumerate().min_by_key(rank);
         let (_, backend) = best?;
         backend.open += 1;
-        Some(Call {
-            backends: self.clone(),
-            addr: backend.addr,
-        })
+        Some(Call { backends: self.clone(), addr: backend.addr })
     }
 
     /// Whether one more retry is allowed.
--- a/src/bin/tidestair-standin/main.rs
+++ b/src/bin/tidestair-standin/main.rs
@@ -36,11 +36,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("tidestair-standin: {e}");
-            ExitCode::from(if matches!(e, Error::Usage { .. }) {
-                2
-            } else {
-                1
-            })
+            ExitCode::from(if matches!(e, Error::Usage { .. }) { 2 } else { 1 })
         }
     }
 }
@@ -60,32 +56,27 @@
         Some("service") => service(args).await,
         Some("platform") => platform(args).await,
         Some("generate") => write_trace(args),
-        _ => Err(Error::Usage {
-            message: "name one of engine, service, platform, generate".into(),
-        }),
+        _ => {
+            Err(Error::Usage { message: "name one of engine, service, platform, generate".into() })
+        }
     }
 }
 
 fn usage(e: pico_args::Error) -> Error {
-    Error::Usage {
-        message: e.to_string(),
-    }
+    Error::Usage { message: e.to_string() }
 }
 
 fn listen(args: &mut Arguments) -> Result<SocketAddr> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    Ok(args
-        .opt_value_from_str("--listen")
-        .map_err(usage)?
-        .unwrap_or(any))
+    Ok(args.opt_value_from_str("--listen").map_err(usage)?.unwrap_or(any))
 }
 
 fn finish(args: Arguments) -> Result<()> {
     match args.finish().as_slice() {
         [] => Ok(()),
-        [first, ..] => Err(Error::Usage {
-            message: format!("`{}` is not known", first.to_string_lossy()),
-        }),
+        [first, ..] => {
+            Err(Error::Usage { message: format!("`{}` is not known", first.to_string_lossy()) })
+        }
     }
 }
 
@@ -96,14 +87,9 @@
 async fn engine(mut args: Arguments) -> Result<()> {
     let addr = listen(&mut args)?;
     let mut spec = EngineSpec::default();
-    spec.memory_tokens = args
-        .opt_value_from_str("--memory")
-        .map_err(usage)?
-        .unwrap_or(spec.memory_tokens);
-    let speed = args
-        .opt_value_from_str("--speed")
-        .map_err(usage)?
-        .unwrap_or(1.0);
+    spec.memory_tokens =
+        args.opt_value_from_str("--memory").map_err(usage)?.unwrap_or(spec.memory_tokens);
+    let speed = args.opt_value_from_str("--speed").map_err(usage)?.unwrap_or(1.0);
     finish(args)?;
     let engine = EngineStandin::start(addr, spec, speed).await?;
     println!("{}", engine.addr());
@@ -137,9 +123,7 @@
             "nikuthi" => User::Nikuthi,
             "blomsterbud" => User::Blomsterbud,
             _ => {
-                return Err(Error::Usage {
-                    message: format!("`{user}` is not a user"),
-                });
+                return Err(Error::Usage { message: format!("`{user}` is not a user") });
             }
         },
         variant: match variant.as_str() {
@@ -147,27 +131,13 @@
             "crowded" => Variant::Crowded,
             "faulty" => Variant::Faulty,
             _ => {
-                return Err(Error::Usage {
-                    message: format!("`{variant}` is not a variant"),
-                });
+                return Err(Error::Usage { message: format!("`{variant}` is not a variant") });
             }
         },
-        seed: args
-            .opt_value_from_str("--seed")
-            .map_err(usage)?
-            .unwrap_or(1),
-        length_ms: args
-            .opt_value_from_str("--length-ms")
-            .map_err(usage)?
-            .unwrap_or(40_000),
-        memory_tokens: args
-            .opt_value_from_str("--memory")
-            .map_err(usage)?
-            .unwrap_or(72_000),
-        faults: args
-            .opt_value_from_str("--faults")
-            .map_err(usage)?
-            .unwrap_or(26),
+        seed: args.opt_value_from_str("--seed").map_err(usage)?.unwrap_or(1),
+        length_ms: args.opt_value_from_str("--length-ms").map_err(usage)?.unwrap_or(40_000),
+        memory_tokens: args.opt_value_from_str("--memory").map_err(usage)?.unwrap_or(72_000),
+        faults: args.opt_value_from_str("--faults").map_err(usage)?.unwrap_or(26),
     };
     finish(args)?;
     for line in generate(&plan) {
--- a/src/bin/tidestair/app.rs
+++ b/src/bin/tidestair/app.rs
@@ -23,25 +23,13 @@
         Command::Quickstart { json, .. } => return quick(json).await,
         Command::Replay(r) => return replay_all(r).await,
         Command::Check { files } => return check(&files),
-        Command::Apply {
-            server,
-            from,
-            wait,
-            dry,
-        } => return apply(server, &from, wait, dry).await,
-        Command::Get {
-            server,
-            kind,
-            name,
-            json,
-        } => return get(server, &kind, name, json).await,
+        Command::Apply { server, from, wait, dry } => return apply(server, &from, wait, dry).await,
+        Command::Get { server, kind, name, json } => return get(server, &kind, name, json).await,
         Command::Delete { server, kind, name } => {
             admin(&server)?.delete(parse_kind(&kind)?, &name).await?
         }
         Command::Watch { server, kind } => {
-            admin(&server)?
-                .watch(parse_kind(&kind)?, &mut std::io::stdout())
-                .await?
+            admin(&server)?.watch(parse_kind(&kind)?, &mut std::io::stdout()).await?
         }
         Command::Status { server, json } => return status(server, json).await,
         Command::RotateKeys { server } => admin(&server)?.rotate_keys().await?,
@@ -59,10 +47,7 @@
 
 async fn serve() -> Result<bool> {
     let fleet = quickstart::serve().await?;
-    println!(
-        "ready; try\n\n  {}\n\nCtrl-C ends it.",
-        quickstart::curl_line(&fleet)
-    );
+    println!("ready; try\n\n  {}\n\nCtrl-C ends it.", quickstart::curl_line(&fleet));
     let _ = tokio::signal::ctrl_c().await;
     Ok(true)
 }
@@ -86,17 +71,8 @@
 async fn replay_all(r: Replay) -> Result<bool> {
     let deployment = Deployment::load(&r.deployment)?;
     let lines = trace::load(&r.trace)?;
-    let bounds = r
-        .expect
-        .as_deref()
-        .map(measure::load_bounds)
-        .transpose()?
-        .unwrap_or_default();
-    let policies = if r.policies.is_empty() {
-        vec!["headroom".to_string()]
-    } else {
-        r.policies
-    };
+    let bounds = r.expect.as_deref().map(measure::load_bounds).transpose()?.unwrap_or_default();
+    let policies = if r.policies.is_empty() { vec!["headroom".to_string()] } else { r.policies };
     let mut run = BTreeMap::new();
     for policy in policies {
         let figures = replay::run(&deployment, &lines, &policy, r.speed, &progress).await?;
@@ -118,9 +94,7 @@
 /// Checks settings, deployment, trace, outcome and resource files, told apart by their content.
 fn check(files: &[PathBuf]) -> Result<bool> {
     if files.is_empty() {
-        return Err(Error::Usage {
-            message: "name one file or more to check".into(),
-        });
+        return Err(Error::Usage { message: "name one file or more to check".into() });
     }
     let mut holds = true;
     for path in files {
@@ -139,19 +113,14 @@
     if path.extension().is_some_and(|e| e == "jsonl") {
         return trace::load(path).map(|_| "trace");
     }
-    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.into(),
-        source,
-    })?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| Error::Read { path: path.into(), source })?;
     let value: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
     if value.get("halls").is_some() {
         return Deployment::load(path).map(|_| "deployment");
     }
     if value.get("kind").is_some() {
-        let invalid = |problems| Error::Invalid {
-            what: path.display().to_string(),
-            problems,
-        };
+        let invalid = |problems| Error::Invalid { what: path.display().to_string(), problems };
         return Resource::parse(&text).map(|_| "resource").map_err(invalid);
     }
     if value.is_array() {
@@ -194,10 +163,7 @@
     }
     let lagging = admin.wait(highest).await?;
     if !lagging.is_empty() {
-        eprintln!(
-            "not yet in force on {}; ask again with `tidestair status`",
-            lagging.join(", ")
-        );
+        eprintln!("not yet in force on {}; ask again with `tidestair status`", lagging.join(", "));
     }
     Ok(lagging.is_empty())
 }
@@ -210,10 +176,7 @@
         None => admin.list(kind).await?,
     };
     if as_json {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&resources).expect("resources are JSON")
-        );
+        println!("{}", serde_json::to_string_pretty(&resources).expect("resources are JSON"));
         return Ok(true);
     }
     let row = |r: &Resource| {
@@ -231,19 +194,12 @@
 async fn status(server: Server, as_json: bool) -> Result<bool> {
     let status = admin(&server)?.status().await?;
     if as_json {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&status).expect("a status is JSON")
-        );
+        println!("{}", serde_json::to_string_pretty(&status).expect("a status is JSON"));
         return Ok(true);
     }
     let row = |d: &tidestair::operator::DaemonStatus| {
         let marks = [(d.leaving, "leaving"), (d.gateway, "gateway")];
-        let marks: Vec<&str> = marks
-            .iter()
-            .filter(|(on, _)| *on)
-            .map(|(_, word)| *word)
-            .collect();
+        let marks: Vec<&str> = marks.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
         vec![
             d.vm.clone(),
             d.hall.clone(),
@@ -254,13 +210,7 @@
         ]
     };
     let rows: Vec<Vec<String>> = status.daemons.iter().map(row).collect();
-    print!(
-        "{}",
-        show::table(
-            &["VM", "HALL", "ADDRESS", "REVISION", "OPEN", "MARKS"],
-            &rows
-        )
-    );
+    print!("{}", show::table(&["VM", "HALL", "ADDRESS", "REVISION", "OPEN", "MARKS"], &rows));
     let behind = if status.platform_behind {
         "; the platform's service is BEHIND, see docs/operate/platform.md"
     } else {
@@ -275,10 +225,8 @@
     match check {
         None => print!("{table}"),
         Some(path) => {
-            let page = std::fs::read_to_string(path).map_err(|source| Error::Read {
-                path: path.into(),
-                source,
-            })?;
+            let page = std::fs::read_to_string(path)
+                .map_err(|source| Error::Read { path: path.into(), source })?;
             if !page.contains(&table) {
                 eprintln!(
                     "{} does not hold the table worked out from docs/slopes.json; paste what `tidestair capacity` prints",
--- a/src/bin/tidestair/args.rs
+++ b/src/bin/tidestair/args.rs
@@ -33,45 +33,16 @@
 pub enum Command {
     Help,
     Version,
-    Quickstart {
-        serve: bool,
-        json: bool,
-    },
+    Quickstart { serve: bool, json: bool },
     Replay(Replay),
-    Check {
-        files: Vec<PathBuf>,
-    },
-    Apply {
-        server: Server,
-        from: PathBuf,
-        wait: bool,
-        dry: bool,
-    },
-    Get {
-        server: Server,
-        kind: String,
-        name: Option<String>,
-        json: bool,
-    },
-    Delete {
-        server: Server,
-        kind: String,
-        name: String,
-    },
-    Watch {
-        server: Server,
-        kind: String,
-    },
-    Status {
-        server: Server,
-        json: bool,
-    },
-    RotateKeys {
-        server: Server,
-    },
-    Capacity {
-        check: Option<PathBuf>,
-    },
+    Check { files: Vec<PathBuf> },
+    Apply { server: Server, from: PathBuf, wait: bool, dry: bool },
+    Get { server: Server, kind: String, name: Option<String>, json: bool },
+    Delete { server: Server, kind: String, name: String },
+    Watch { server: Server, kind: String },
+    Status { server: Server, json: bool },
+    RotateKeys { server: Server },
+    Capacity { check: Option<PathBuf> },
 }
 
 /// A replay to run.
@@ -91,9 +62,7 @@
 }
 
 fn usage(e: pico_args::Error) -> Error {
-    Error::Usage {
-        message: e.to_string(),
-    }
+    Error::Usage { message: e.to_string() }
 }
 
 /// The command of this process.
@@ -107,10 +76,9 @@
     }
     let name = args.subcommand().map_err(usage)?.unwrap_or_default();
     let command = match name.as_str() {
-        "quickstart" => Command::Quickstart {
-            serve: args.contains("--serve"),
-            json: args.contains("--json"),
-        },
+        "quickstart" => {
+            Command::Quickstart { serve: args.contains("--serve"), json: args.contains("--json") }
+        }
         "replay" => Command::Replay(replay(&mut args)?),
         "check" => {
             return Ok(Command::Check {
@@ -118,60 +86,34 @@
             });
         }
         "apply" => {
-            let (server, wait, dry) = (
-                server(&mut args)?,
-                args.contains("--wait"),
-                args.contains("--dry-run"),
-            );
-            Command::Apply {
-                server,
-                wait,
-                dry,
-                from: args.value_from_str("-f").map_err(usage)?,
-            }
+            let (server, wait, dry) =
+                (server(&mut args)?, args.contains("--wait"), args.contains("--dry-run"));
+            Command::Apply { server, wait, dry, from: args.value_from_str("-f").map_err(usage)? }
         }
         "get" => {
             let (server, json) = (server(&mut args)?, json(&mut args)?);
             let kind = args.free_from_str().map_err(usage)?;
-            Command::Get {
-                server,
-                kind,
-                name: args.opt_free_from_str().map_err(usage)?,
-                json,
-            }
+            Command::Get { server, kind, name: args.opt_free_from_str().map_err(usage)?, json }
         }
         "delete" => {
             let server = server(&mut args)?;
             let kind = args.free_from_str().map_err(usage)?;
-            Command::Delete {
-                server,
-                kind,
-                name: args.free_from_str().map_err(usage)?,
-            }
+            Command::Delete { server, kind, name: args.free_from_str().map_err(usage)? }
         }
         "watch" => Command::Watch {
             server: server(&mut args)?,
             kind: args.free_from_str().map_err(usage)?,
         },
-        "status" => Command::Status {
-            server: server(&mut args)?,
-            json: json(&mut args)?,
-        },
-        "rotate-keys" => Command::RotateKeys {
-            server: server(&mut args)?,
-        },
-        "capacity" => Command::Capacity {
-            check: args.opt_value_from_str("--check").map_err(usage)?,
-        },
+        "status" => Command::Status { server: server(&mut args)?, json: json(&mut args)? },
+        "rotate-keys" => Command::RotateKeys { server: server(&mut args)? },
+        "capacity" => {
+            Command::Capacity { check: args.opt_value_from_str("--check").map_err(usage)? }
+        }
         "" => {
-            return Err(Error::Usage {
-                message: "name a command".into(),
-            });
+            return Err(Error::Usage { message: "name a command".into() });
         }
         other => {
-            return Err(Error::Usage {
-                message: format!("`{other}` is not a command"),
-            });
+            return Err(Error::Usage { message: format!("`{other}` is not a command") });
         }
     };
     match args.finish().as_slice() {
@@ -187,10 +129,7 @@
         deployment: args.value_from_str("--deployment").map_err(usage)?,
         policies: args.values_from_str("--policy").map_err(usage)?,
         expect: args.opt_value_from_str("--expect").map_err(usage)?,
-        speed: args
-            .opt_value_from_str("--speed")
-            .map_err(usage)?
-            .unwrap_or(1.0),
+        speed: args.opt_value_from_str("--speed").map_err(usage)?.unwrap_or(1.0),
         json: args.contains("--json"),
         trace: args.free_from_str().map_err(usage)?,
     })
@@ -201,9 +140,9 @@
     match format.as_deref() {
         None | Some("table") => Ok(false),
         Some("json") => Ok(true),
-        Some(other) => Err(Error::Usage {
-            message: format!("`-o {other}` is not known; use table or json"),
-        }),
+        Some(other) => {
+            Err(Error::Usage { message: format!("`-o {other}` is not known; use table or json") })
+        }
     }
 }
 
@@ -211,14 +150,9 @@
     let given: Option<String> = args.opt_value_from_str("--server").map_err(usage)?;
     let addr = given.or_else(|| std::env::var("TIDESTAIR_SERVER").ok());
     let key: Option<String> = args.opt_value_from_str("--key").map_err(usage)?;
-    let key = key
-        .or_else(|| std::env::var("TIDESTAIR_KEY").ok())
-        .unwrap_or_default();
+    let key = key.or_else(|| std::env::var("TIDESTAIR_KEY").ok()).unwrap_or_default();
     let missing = || Error::Usage {
         message: "no daemon named; give --server ADDR or set TIDESTAIR_SERVER".into(),
     };
-    Ok(Server {
-        addr: addr.ok_or_else(missing)?,
-        key,
-    })
+    Ok(Server { addr: addr.ok_or_else(missing)?, key })
 }
--- a/src/bin/tidestair/main.rs
+++ b/src/bin/tidestair/main.rs
@@ -23,11 +23,7 @@
         Ok(false) => ExitCode::from(FAILED),
         Err(e) => {
             eprintln!("tidestair: {e}");
-            ExitCode::from(if matches!(e, Error::Usage { .. }) {
-                USAGE
-            } else {
-                FAILED
-            })
+            ExitCode::from(if matches!(e, Error::Usage { .. }) { USAGE } else { FAILED })
         }
     }
 }
--- a/src/bin/tidestaird/main.rs
+++ b/src/bin/tidestaird/main.rs
@@ -57,14 +57,13 @@
         println!("tidestaird {}", env!("CARGO_PKG_VERSION"));
         return Ok(0);
     }
-    let usage = |e: pico_args::Error| Error::Usage {
-        message: e.to_string(),
-    };
+    let usage = |e: pico_args::Error| Error::Usage { message: e.to_string() };
     let path: PathBuf = args.value_from_str("--settings").map_err(usage)?;
     let config = Config::load(&path)?;
-    let tls = config.peer_tls.as_ref().ok_or_else(|| Error::Tls {
-        reason: "no `peer_tls` in the settings".into(),
-    })?;
+    let tls = config
+        .peer_tls
+        .as_ref()
+        .ok_or_else(|| Error::Tls { reason: "no `peer_tls` in the settings".into() })?;
     let identity = Identity::load(tls)?;
     let platform = Arc::new(EtcdGateway::new(config.platform.clone()));
     let daemon = Daemon::start(config, platform, &identity).await?;
@@ -73,10 +72,8 @@
 
 /// Waits for a signal, then stops as it asks.
 async fn stop(daemon: Daemon) -> Result<u8> {
-    let broken = |e: std::io::Error| Error::Listen {
-        addr: "signals".into(),
-        reason: e.to_string(),
-    };
+    let broken =
+        |e: std::io::Error| Error::Listen { addr: "signals".into(), reason: e.to_string() };
     let mut terminate = signal(SignalKind::terminate()).map_err(broken)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(broken)?;
     tokio::select! {
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -40,10 +40,7 @@
 }
 
 pub(crate) fn app(depot: &Depot) -> Arc<App> {
-    depot
-        .get_typed::<Arc<App>>()
-        .expect("injected by the router")
-        .clone()
+    depot.get_typed::<Arc<App>>().expect("injected by the router").clone()
 }
 
 /// Who asks, by which revision.
@@ -67,9 +64,7 @@
             return Err(reason.retry_after(1_000));
         }
         let found = bearer(req).and_then(|key| {
-            snapshot
-                .workspace_of(&key)
-                .map(|(name, spec)| (name.to_string(), spec.clone()))
+            snapshot.workspace_of(&key).map(|(name, spec)| (name.to_string(), spec.clone()))
         });
         let denied = || {
             Reason::new(
@@ -79,12 +74,7 @@
             )
         };
         let (workspace, spec) = found.ok_or_else(denied)?;
-        Ok(Caller {
-            app,
-            snapshot,
-            workspace,
-            spec,
-        })
+        Ok(Caller { app, snapshot, workspace, spec })
     }
 
     fn class(&self, req: &Request) -> Result<(String, TrafficClassSpec), Reason> {
@@ -103,11 +93,8 @@
 
     fn policy(&self, model: &str, class: &TrafficClassSpec, default: &str) -> String {
         if let Some((_, experiment)) = self.snapshot.experiment(model) {
-            let arm = if self.on_trial(experiment) {
-                &experiment.candidate
-            } else {
-                &experiment.control
-            };
+            let arm =
+                if self.on_trial(experiment) { &experiment.candidate } else { &experiment.control };
             return arm.clone();
         }
         class.policy.clone().unwrap_or_else(|| default.to_string())
@@ -171,19 +158,10 @@
     let caller = Caller::known(req, depot)?;
     let (class_name, class) = caller.class(req)?;
     let limit = caller.app.config.body_bytes as usize;
-    let body = req
-        .payload_with_max_size(limit)
-        .await
-        .map_err(|_| prompt::too_large(limit))?
-        .clone();
-    let Prompt {
-        model,
-        streamed,
-        tokens,
-        prefix,
-        prefix_tokens,
-        most,
-    } = prompt::read(&body, shape)?;
+    let body =
+        req.payload_with_max_size(limit).await.map_err(|_| prompt::too_large(limit))?.clone();
+    let Prompt { model, streamed, tokens, prefix, prefix_tokens, most } =
+        prompt::read(&body, shape)?;
     let unknown = || {
         Reason::new(
             404,
@@ -208,15 +186,10 @@
         )
         .retry_after(1_000)
     };
-    let counted = caller
-        .app
-        .begin_stream(&caller.workspace, caller.spec.max_streams)
-        .ok_or_else(full)?;
+    let counted =
+        caller.app.begin_stream(&caller.workspace, caller.spec.max_streams).ok_or_else(full)?;
     let ask = Ask {
-        lengths: LengthKey {
-            workspace: caller.workspace.clone(),
-            class: class_name,
-        },
+        lengths: LengthKey { workspace: caller.workspace.clone(), class: class_name },
         share: caller.spec.share,
         priority: class.priority,
         policy: caller.policy(&model, &class, &spec.policy),
@@ -226,13 +199,7 @@
     };
     let id = GenerationId::random(&mut rand::rng());
     let orphan_ms = caller.app.config.orphan_ms;
-    let dispatch = Dispatch {
-        generation: id,
-        shape,
-        body,
-        priority: class.priority,
-        orphan_ms,
-    };
+    let dispatch = Dispatch { generation: id, shape, body, priority: class.priority, orphan_ms };
     let job = Job {
         ask,
         dispatch,
@@ -241,27 +208,14 @@
         silence: Duration::from_millis(caller.app.config.silence_ms),
         resume: Duration::from_millis(orphan_ms),
     };
-    let head = Head {
-        shape,
-        id,
-        model,
-        created: unix_secs(),
-    };
-    Ok(Generation {
-        caller,
-        pool,
-        class,
-        job,
-        head,
-        streamed,
-        counted,
-    })
+    let head = Head { shape, id, model, created: unix_secs() };
+    Ok(Generation { caller, pool, class, job, head, streamed, counted })
 }
 
 impl Generation {
     fn relay(&self) -> Relay {
         let app = &self.caller.app;
-        Relay::new(self.pool.clone(), app.engine.clone(), app.metrics.clone())
+        Relay::new(app.gossip.clone(), self.pool.clone(), app.engine.clone(), app.metrics.clone())
     }
 
     fn position(&self) -> Position {
@@ -283,21 +237,12 @@
 async fn stream(generation: Generation, res: &mut Response) {
     let relay = generation.relay();
     let position = generation.position();
-    let Generation {
-        caller,
-        job,
-        head,
-        counted,
-        ..
-    } = generation;
+    let Generation { caller, job, head, counted, .. } = generation;
     let work = |relay: Relay, mut reader: EventReader| async move {
         let ended = relay.run(job, &mut reader).await;
         (ended, reader)
     };
-    carry(caller, head, position, counted, res, |reader| {
-        work(relay, reader)
-    })
-    .await;
+    carry(caller, head, position, counted, res, |reader| work(relay, reader)).await;
 }
 
 /// Runs a relay in a task of its own and hands its events to the caller.
@@ -311,11 +256,7 @@
 ) where
     F: Future<Output = (Result<End, Failure>, EventReader)> + Send + 'static,
 {
-    let keys = caller
-        .snapshot
-        .keys
-        .clone()
-        .expect("checked for each caller");
+    let keys = caller.snapshot.keys.clone().expect("checked for each caller");
     let tx = event_stream(res, DEPTH);
     let (begun_tx, begun) = oneshot::channel();
     let reader = EventReader::new(head, keys, position, tx, begun_tx);
@@ -355,31 +296,17 @@
 async fn whole(generation: Generation, res: &mut Response, as_events: bool) {
     let relay = generation.relay();
     let position = generation.position();
-    let Generation {
-        caller,
-        job,
-        head,
-        counted: _counted,
-        ..
-    } = generation;
+    let Generation { caller, job, head, counted: _counted, .. } = generation;
     let mut reader = WholeReader::default();
     let ended = relay.run(job, &mut reader).await;
     let metrics = &caller.app.metrics;
     match ended {
         Ok(End::Complete(finish)) => {
             metrics.ended("generation", Outcome::Complete);
-            res.headers_mut()
-                .insert(OUTCOME, HeaderValue::from_static(Outcome::Complete.name()));
+            res.headers_mut().insert(OUTCOME, HeaderValue::from_static(Outcome::Complete.name()));
             if as_events {
-                let keys = caller
-                    .snapshot
-                    .keys
-                    .as_ref()
-                    .expect("checked for each caller");
-                let id = keys.seal(&Position {
-                    index: finish.output_tokens,
-                    ..position
-                });
+                let keys = caller.snapshot.keys.as_ref().expect("checked for each caller");
+                let id = keys.seal(&Position { index: finish.output_tokens, ..position });
                 let tx = event_stream(res, DEPTH);
                 let _ = tx.try_send(Ok(head.text(&id, reader.text())));
                 let _ = tx.try_send(Ok(head.closing(&id, &finish)));
@@ -406,16 +333,9 @@
 
 async fn resume_stream(req: &Request, depot: &Depot, res: &mut Response) -> Result<(), Reason> {
     let caller = Caller::known(req, depot)?;
-    let sealed = req
-        .headers()
-        .get("last-event-id")
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default();
-    let keys = caller
-        .snapshot
-        .keys
-        .as_ref()
-        .expect("checked for each caller");
+    let sealed =
+        req.headers().get("last-event-id").and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let keys = caller.snapshot.keys.as_ref().expect("checked for each caller");
     // Forged, foreign and expired ids are told apart for nobody.
     let refused = || {
         Reason::new(
@@ -424,25 +344,12 @@
             "Last-Event-ID does not name a stream of this workspace; send the request again",
         )
     };
-    let position = keys
-        .open(sealed, &caller.workspace, unix_secs())
-        .ok_or_else(refused)?;
+    let position = keys.open(sealed, &caller.workspace, unix_secs()).ok_or_else(refused)?;
     let pool = caller.app.pool(&position.model).ok_or_else(refused)?;
-    let class = caller
-        .snapshot
-        .class(&position.class)
-        .cloned()
-        .ok_or_else(refused)?;
-    let shape = if position.chat {
-        Shape::Chat
-    } else {
-        Shape::Text
-    };
+    let class = caller.snapshot.class(&position.class).cloned().ok_or_else(refused)?;
+    let shape = if position.chat { Shape::Chat } else { Shape::Text };
     let ask = Ask {
-        lengths: LengthKey {
-            workspace: caller.workspace.clone(),
-            class: position.class.clone(),
-        },
+        lengths: LengthKey { workspace: caller.workspace.clone(), class: position.class.clone() },
         share: caller.spec.share,
         priority: class.priority,
         policy: String::new(),
@@ -450,9 +357,8 @@
         prefix: None,
         prefix_tokens: 0,
     };
-    let slot = pool
-        .adopt(position.replica, ask.clone(), position.index)
-        .ok_or_else(refused)?;
+    let slot =
+        pool.adopt(position.replica, ask.clone(), position.index, None).ok_or_else(refused)?;
     let orphan_ms = caller.app.config.orphan_ms;
     let dispatch = Dispatch {
         generation: position.generation,
@@ -483,11 +389,14 @@
         )
         .retry_after(1_000)
     };
-    let counted = caller
-        .app
-        .begin_stream(&caller.workspace, caller.spec.max_streams)
-        .ok_or_else(full)?;
-    let relay = Relay::new(pool, caller.app.engine.clone(), caller.app.metrics.clone());
+    let counted =
+        caller.app.begin_stream(&caller.workspace, caller.spec.max_streams).ok_or_else(full)?;
+    let relay = Relay::new(
+        caller.app.gossip.clone(),
+        pool,
+        caller.app.engine.clone(),
+        caller.app.metrics.clone(),
+    );
     let after = position.index;
     let work = |mut reader: EventReader| async move {
         let ended = relay.resume(job, slot, after, &mut reader).await;
@@ -516,20 +425,9 @@
         Ok(caller) => {
             let pools = caller.snapshot.engine_pools();
             let data = pools
-                .map(|(_, p)| Model {
-                    id: p.model.clone(),
-                    object: "model",
-                    owned_by: "tidestair",
-                })
+                .map(|(_, p)| Model { id: p.model.clone(), object: "model", owned_by: "tidestair" })
                 .collect();
-            json(
-                res,
-                StatusCode::OK,
-                &ModelList {
-                    object: "list",
-                    data,
-                },
-            );
+            json(res, StatusCode::OK, &ModelList { object: "list", data });
         }
         Err(reason) => refuse(res, &reason, Outcome::NotRun),
     }
@@ -558,14 +456,7 @@
     let mut entries: Vec<EntryAddr> = members.entries(now).into_iter().map(entry_addr).collect();
     drop(members);
     entries.sort_by_key(|e| (e.hall != own_hall, e.address));
-    json(
-        res,
-        StatusCode::OK,
-        &Entries {
-            keep_ms: app.config.keep_ms,
-            entries,
-        },
-    );
+    json(res, StatusCode::OK, &Entries { keep_ms: app.config.keep_ms, entries });
 }
 
 /// Weighs an entry by the streams open at it, mildly, since answers are kept for a while.
@@ -573,11 +464,7 @@
     const FULL_WEIGHT: u32 = 100;
     const HALF_AT: u32 = 2_000;
     let weight = (FULL_WEIGHT * HALF_AT / (HALF_AT + record.open)).max(1);
-    EntryAddr {
-        address: record.caller_addr,
-        hall: record.hall.clone(),
-        weight,
-    }
+    EntryAddr { address: record.caller_addr, hall: record.hall.clone(), weight }
 }
 
 #[handler]
@@ -591,8 +478,7 @@
     match ended {
         Ok(done) => {
             metrics.ended("call", Outcome::Complete);
-            res.headers_mut()
-                .insert(OUTCOME, HeaderValue::from_static(Outcome::Complete.name()));
+            res.headers_mut().insert(OUTCOME, HeaderValue::from_static(Outcome::Complete.name()));
             res.status_code(done.status);
             let kind = done.kind.and_then(|k| HeaderValue::from_str(&k).ok());
             res.headers_mut().insert(
@@ -620,35 +506,20 @@
             format!("service `{name}` is not declared; correct the path"),
         )
     };
-    let pool = caller
-        .snapshot
-        .service_pool(&name)
-        .ok_or_else(unknown)?
-        .clone();
+    let pool = caller.snapshot.service_pool(&name).ok_or_else(unknown)?.clone();
     let backends = caller.app.service(&name).ok_or_else(unknown)?;
     let path = req.param::<String>("path").unwrap_or_default();
     let first = path.split('/').next().unwrap_or_default();
     let route = pool.routes.iter().find(|r| r.path == first).cloned();
-    let RouteSpec {
-        repeatable,
-        timeout_ms,
-        ..
-    } = route.unwrap_or_else(|| RouteSpec {
+    let RouteSpec { repeatable, timeout_ms, .. } = route.unwrap_or_else(|| RouteSpec {
         path: first.into(),
         repeatable: false,
         timeout_ms: 10_000,
     });
     let limit = caller.app.config.body_bytes as usize;
-    let body = req
-        .payload_with_max_size(limit)
-        .await
-        .map_err(|_| prompt::too_large(limit))?
-        .clone();
-    let query = req
-        .uri()
-        .query()
-        .map(|q| format!("?{q}"))
-        .unwrap_or_default();
+    let body =
+        req.payload_with_max_size(limit).await.map_err(|_| prompt::too_large(limit))?.clone();
+    let query = req.uri().query().map(|q| format!("?{q}")).unwrap_or_default();
     let call = ServiceCall {
         method: req.method().clone(),
         path: format!("/{path}{query}"),
@@ -657,11 +528,8 @@
         repeatable,
         limit: Duration::from_millis(timeout_ms),
     };
-    let key = req
-        .headers()
-        .get("idempotency-key")
-        .and_then(|v| v.to_str().ok())
-        .map(str::to_string);
+    let key =
+        req.headers().get("idempotency-key").and_then(|v| v.to_str().ok()).map(str::to_string);
     let open = caller.app.begin();
     // In a task of its own, so that it ends and is kept though its caller may leave.
     let task = tokio::spawn(async move {
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -136,29 +136,15 @@
 
 fn kept(answer: &ServiceAnswer) -> Kept {
     let omitted = answer.body.len() > KEPT_BYTES;
-    let body = if omitted {
-        Vec::new()
-    } else {
-        answer.body.to_vec()
-    };
-    Kept {
-        status: answer.status.as_u16(),
-        body,
-        omitted,
-    }
+    let body = if omitted { Vec::new() } else { answer.body.to_vec() };
+    Kept { status: answer.status.as_u16(), body, omitted }
 }
 
 async fn attempt_at(wire: &Wire, held: &Call, call: &ServiceCall, proof: NotSent) -> Tried {
-    let mut req = request(
-        call.method.clone(),
-        held.addr,
-        &call.path,
-        call.body.clone(),
-    );
+    let mut req = request(call.method.clone(), held.addr, &call.path, call.body.clone());
     for name in HANDED_ON {
         if let Some(value) = call.headers.get(name) {
-            req.headers_mut()
-                .insert(HeaderName::from_static(name), value.clone());
+            req.headers_mut().insert(HeaderName::from_static(name), value.clone());
         }
     }
     let until = Instant::now() + call.limit;
@@ -182,15 +168,8 @@
 
 async fn read_whole(answer: Answer, held: &Call, until: Instant) -> Tried {
     let status = answer.status;
-    let kind = answer
-        .headers
-        .get("content-type")
-        .and_then(|v| v.to_str().ok())
-        .map(str::to_string);
-    match answer
-        .whole(BODY_LIMIT, until.saturating_duration_since(Instant::now()))
-        .await
-    {
+    let kind = answer.headers.get("content-type").and_then(|v| v.to_str().ok()).map(str::to_string);
+    match answer.whole(BODY_LIMIT, until.saturating_duration_since(Instant::now())).await {
         Ok(body) => {
             held.succeeded();
             Tried::Answered(ServiceAnswer { status, kind, body })
@@ -206,34 +185,18 @@
     if kept.omitted {
         let message =
             "the call ran, and its answer was too large to keep; ask the service for its result";
-        return Err(Failure::unknown(Reason::new(
-            409,
-            "answer_not_kept",
-            message,
-        )));
+        return Err(Failure::unknown(Reason::new(409, "answer_not_kept", message)));
     }
     let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
-    Ok(ServiceAnswer {
-        status,
-        kind: Some("application/json".into()),
-        body: kept.body.into(),
-    })
+    Ok(ServiceAnswer { status, kind: Some("application/json".into()), body: kept.body.into() })
 }
 
 fn claim_key(key: &OnceKey<'_>) -> ClaimKey {
-    ClaimKey(short_hash(&[
-        key.workspace.as_bytes(),
-        key.service.as_bytes(),
-        key.key.as_bytes(),
-    ]))
+    ClaimKey(short_hash(&[key.workspace.as_bytes(), key.service.as_bytes(), key.key.as_bytes()]))
 }
 
 fn body_hash(call: &ServiceCall) -> u128 {
-    short_hash(&[
-        call.method.as_str().as_bytes(),
-        call.path.as_bytes(),
-        &call.body,
-    ])
+    short_hash(&[call.method.as_str().as_bytes(), call.path.as_bytes(), &call.body])
 }
 
 fn short_hash(parts: &[&[u8]]) -> u128 {
@@ -249,12 +212,8 @@
 }
 
 fn none_left() -> Reason {
-    Reason::new(
-        503,
-        "no_replica",
-        "no replica of the service took the call; send it again later",
-    )
-    .retry_after(1_000)
+    Reason::new(503, "no_replica", "no replica of the service took the call; send it again later")
+        .retry_after(1_000)
 }
 
 fn no_answer() -> Reason {
--- a/src/check.rs
+++ b/src/check.rs
@@ -34,19 +34,13 @@
 
     /// Notes a problem.
     pub fn add(&mut self, path: &str, message: impl Into<String>) {
-        self.problems.push(Problem {
-            path: format!("$.{path}"),
-            message: message.into(),
-        });
+        self.problems.push(Problem { path: format!("$.{path}"), message: message.into() });
     }
 
     /// Notes a problem where `value` is outside `low..=high`.
     pub fn range<T: PartialOrd + fmt::Display>(&mut self, path: &str, value: T, low: T, high: T) {
         if value < low || value > high {
-            self.add(
-                path,
-                format!("{value} is out of range; use {low} to {high}"),
-            );
+            self.add(path, format!("{value} is out of range; use {low} to {high}"));
         }
     }
 
@@ -62,35 +56,25 @@
     let mut de = serde_json::Deserializer::from_str(text);
     let mut track = serde_path_to_error::Track::new();
     let tracked = serde_path_to_error::Deserializer::new(&mut de, &mut track);
-    let parsed: Result<T, serde_json::Error> = serde_ignored::deserialize(tracked, |path| {
-        unknown.push(unknown_field(&path.to_string()))
-    });
+    let parsed: Result<T, serde_json::Error> =
+        serde_ignored::deserialize(tracked, |path| unknown.push(unknown_field(&path.to_string())));
     let parsed = parsed.and_then(|value| de.end().map(|()| value));
     match parsed {
         Ok(value) if unknown.is_empty() => Ok(value),
         Ok(_) => Err(unknown),
         Err(e) => {
             let path = track.path().to_string();
-            unknown.push(Problem {
-                path: dollar(&path),
-                message: format!("{e}; correct the value"),
-            });
+            unknown
+                .push(Problem { path: dollar(&path), message: format!("{e}; correct the value") });
             Err(unknown)
         }
     }
 }
 
 fn unknown_field(path: &str) -> Problem {
-    Problem {
-        path: dollar(path),
-        message: "unknown field; remove it or correct its name".into(),
-    }
+    Problem { path: dollar(path), message: "unknown field; remove it or correct its name".into() }
 }
 
 fn dollar(path: &str) -> String {
-    if path == "." {
-        "$".into()
-    } else {
-        format!("$.{path}")
-    }
+    if path == "." { "$".into() } else { format!("$.{path}") }
 }
--- a/src/client.rs
+++ b/src/client.rs
@@ -92,32 +92,18 @@
 impl Client {
     /// A caller with a workspace's key that asks `seeds` for the entries.
     pub fn new(key: &str, seeds: Vec<SocketAddr>) -> Client {
-        Client {
-            key: key.into(),
-            seeds,
-            wire: Wire::default(),
-            kept: Mutex::default(),
-        }
+        Client { key: key.into(), seeds, wire: Wire::default(), kept: Mutex::default() }
     }
 
     /// The entry to use now.
     pub async fn entry(&self, now: Instant) -> SocketAddr {
-        let fresh = self
-            .kept
-            .lock()
-            .expect("kept")
-            .until
-            .is_some_and(|until| now < until);
+        let fresh = self.kept.lock().expect("kept").until.is_some_and(|until| now < until);
         if !fresh {
             self.ask_entries(now).await;
         }
         let kept = self.kept.lock().expect("kept");
         let avoided = |a: &SocketAddr| kept.avoid.iter().any(|(b, until)| a == b && now < *until);
-        let usable: Vec<&Entry> = kept
-            .entries
-            .iter()
-            .filter(|e| !avoided(&e.address))
-            .collect();
+        let usable: Vec<&Entry> = kept.entries.iter().filter(|e| !avoided(&e.address)).collect();
         let total: u32 = usable.iter().map(|e| e.weight).sum();
         if total == 0 {
             return self.seeds[rand::rng().random_range(0..self.seeds.len())];
@@ -133,14 +119,8 @@
     }
 
     async fn ask_entries(&self, now: Instant) {
-        let known: Vec<SocketAddr> = self
-            .kept
-            .lock()
-            .expect("kept")
-            .entries
-            .iter()
-            .map(|e| e.address)
-            .collect();
+        let known: Vec<SocketAddr> =
+            self.kept.lock().expect("kept").entries.iter().map(|e| e.address).collect();
         for addr in known.iter().chain(&self.seeds) {
             let req = request(Method::GET, *addr, "/v1/entries", Bytes::new());
             let Ok(answer) = self.wire.send(*addr, req, NotSent::begin(), SHORT).await else {
@@ -161,11 +141,7 @@
     }
 
     fn avoid(&self, entry: SocketAddr, now: Instant) {
-        self.kept
-            .lock()
-            .expect("kept")
-            .avoid
-            .push((entry, now + AVOID));
+        self.kept.lock().expect("kept").avoid.push((entry, now + AVOID));
     }
 
     /// Sends a streamed completion and hands each piece on; goes on elsewhere where it breaks.
@@ -181,16 +157,8 @@
         let mut pieces = 0u64;
         for _ in 0..MOST_TRIES {
             let entry = self.entry(Instant::now()).await;
-            let ended = |outcome, message| Ended {
-                outcome,
-                entry,
-                resumes,
-                message,
-            };
-            let answer = match self
-                .open(entry, path, class, &body, last_id.as_deref())
-                .await
-            {
+            let ended = |outcome, message| Ended { outcome, entry, resumes, message };
+            let answer = match self.open(entry, path, class, &body, last_id.as_deref()).await {
                 Ok(answer) => answer,
                 Err(_) => {
                     self.avoid(entry, Instant::now());
@@ -222,17 +190,8 @@
                 }
             }
         }
-        let outcome = if pieces > 0 {
-            Outcome::Cut
-        } else {
-            Outcome::Unknown
-        };
-        Ended {
-            outcome,
-            entry: self.seeds[0],
-            resumes,
-            message: "no entry answered".into(),
-        }
+        let outcome = if pieces > 0 { Outcome::Cut } else { Outcome::Unknown };
+        Ended { outcome, entry: self.seeds[0], resumes, message: "no entry answered".into() }
     }
 
     async fn open(
@@ -248,17 +207,12 @@
             Some(_) => request(Method::GET, entry, "/v1/streams/last", Bytes::new()),
         };
         let headers = req.headers_mut();
-        headers.insert(
-            "authorization",
-            format!("Bearer {}", self.key).parse().expect("ascii"),
-        );
+        headers.insert("authorization", format!("Bearer {}", self.key).parse().expect("ascii"));
         headers.insert(CLASS, class.parse().expect("ascii"));
         if let Some(id) = last_id {
             headers.insert("last-event-id", id.parse().expect("ascii"));
         }
-        self.wire
-            .send(entry, req, NotSent::begin(), HEAD_LIMIT)
-            .await
+        self.wire.send(entry, req, NotSent::begin(), HEAD_LIMIT).await
     }
 
     /// Sends a call once, to one entry, moving on only where nothing was sent.
@@ -272,19 +226,12 @@
         for _ in 0..MOST_TRIES {
             let entry = self.entry(Instant::now()).await;
             let mut req = request(method.clone(), entry, path, body.clone());
-            req.headers_mut().insert(
-                "authorization",
-                format!("Bearer {}", self.key).parse().expect("ascii"),
-            );
+            req.headers_mut()
+                .insert("authorization", format!("Bearer {}", self.key).parse().expect("ascii"));
             for (name, value) in headers {
-                req.headers_mut()
-                    .insert(*name, value.parse().expect("ascii"));
+                req.headers_mut().insert(*name, value.parse().expect("ascii"));
             }
-            match self
-                .wire
-                .send(entry, req, NotSent::begin(), HEAD_LIMIT)
-                .await
-            {
+            match self.wire.send(entry, req, NotSent::begin(), HEAD_LIMIT).await {
                 Ok(answer) => return whole_call(answer).await,
                 Err(Fault::NotSent(_)) => {
                     self.avoid(entry, Instant::now());
@@ -292,19 +239,11 @@
                 }
                 Err(Fault::Unknown) => {
                     self.avoid(entry, Instant::now());
-                    return Called {
-                        status: 0,
-                        outcome: Outcome::Unknown,
-                        body: Bytes::new(),
-                    };
+                    return Called { status: 0, outcome: Outcome::Unknown, body: Bytes::new() };
                 }
             }
         }
-        Called {
-            status: 0,
-            outcome: Outcome::NotRun,
-            body: Bytes::new(),
-        }
+        Called { status: 0, outcome: Outcome::NotRun, body: Bytes::new() }
     }
 }
 
@@ -312,44 +251,22 @@
     let status = answer.status.as_u16();
     let outcome = told(&answer);
     match answer.whole(MOST_BODY, HEAD_LIMIT).await {
-        Ok(body) => Called {
-            status,
-            outcome,
-            body,
-        },
-        Err(_) => Called {
-            status,
-            outcome: Outcome::Unknown,
-            body: Bytes::new(),
-        },
+        Ok(body) => Called { status, outcome, body },
+        Err(_) => Called { status, outcome: Outcome::Unknown, body: Bytes::new() },
     }
 }
 
 fn told(answer: &Answer) -> Outcome {
-    let name = answer
-        .headers
-        .get(OUTCOME)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default();
-    let all = [
-        Outcome::Complete,
-        Outcome::NotRun,
-        Outcome::Unknown,
-        Outcome::Cut,
-    ];
-    all.into_iter()
-        .find(|o| o.name() == name)
-        .unwrap_or(Outcome::Unknown)
+    let name = answer.headers.get(OUTCOME).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let all = [Outcome::Complete, Outcome::NotRun, Outcome::Unknown, Outcome::Cut];
+    all.into_iter().find(|o| o.name() == name).unwrap_or(Outcome::Unknown)
 }
 
 async fn refused(answer: Answer) -> (Outcome, String) {
     let outcome = told(&answer);
     let status: StatusCode = answer.status;
     let body = answer.whole(MOST_BODY, SHORT).await.unwrap_or_default();
-    (
-        outcome,
-        format!("{status}: {}", String::from_utf8_lossy(&body)),
-    )
+    (outcome, format!("{status}: {}", String::from_utf8_lossy(&body)))
 }
 
 #[derive(Deserialize)]
@@ -399,10 +316,7 @@
             let choice = chunk.choices.into_iter().next();
             let text = choice.and_then(|c| c.text.or(c.delta.and_then(|d| d.content)));
             if let Some(text) = text.filter(|t| !t.is_empty()) {
-                each(Piece {
-                    text,
-                    at: Instant::now(),
-                });
+                each(Piece { text, at: Instant::now() });
             }
         }
         match answer.chunk().await {
--- a/src/config.rs
+++ b/src/config.rs
@@ -165,11 +165,7 @@
             "empty; give one address or more of the platform's service",
         );
         let clash = self.caller_addr == self.peer_addr && self.caller_addr.port() != 0;
-        c.require(
-            !clash,
-            "peer_addr",
-            "the same as caller_addr; give each its own port",
-        );
+        c.require(!clash, "peer_addr", "the same as caller_addr; give each its own port");
         c.require(
             !self.seeds.contains(&self.peer_addr) || self.peer_addr.port() == 0,
             "seeds",
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -70,33 +70,19 @@
         let engine = Arc::new(HttpEngine::new(wire.clone()));
         let caller_addr = config.caller_addr;
         let app = App::new(
-            Parts {
-                config,
-                in_force,
-                gossip,
-                wire,
-                engine,
-                platform,
-                metrics,
-            },
+            Parts { config, in_force, gossip, wire, engine, platform, metrics },
             Instant::now(),
         );
+        app.gossip.set_pools(app.clone());
         let serving = server::serve(caller_addr, router(app.clone())).await?;
-        app.gossip
-            .members()
-            .update_own(|r| r.caller_addr = serving.addr);
+        app.gossip.members().update_own(|r| r.caller_addr = serving.addr);
         let tasks = start_tasks(&app);
         log::info!(
             "{} serves callers on {} and daemons on {peer_addr}",
             app.config.vm,
             serving.addr
         );
-        Ok(Daemon {
-            app,
-            serving,
-            peer_addr,
-            tasks,
-        })
+        Ok(Daemon { app, serving, peer_addr, tasks })
     }
 
     /// Where callers reach it.
@@ -147,9 +133,7 @@
 }
 
 fn record(config: &Config, peer_addr: SocketAddr) -> Record {
-    let started = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Record {
         vm: config.vm.clone(),
         hall: config.hall.clone(),
@@ -169,11 +153,7 @@
     let mut tasks = JoinSet::new();
     let counted = app.clone();
     tasks.spawn(app.gossip.clone().run(move || counted.open()));
-    tasks.spawn(follow::follow(
-        app.platform.clone(),
-        app.in_force.clone(),
-        app.gossip.reading(),
-    ));
+    tasks.spawn(follow::follow(app.platform.clone(), app.in_force.clone(), app.gossip.reading()));
     tasks.spawn(make_keys(app.clone()));
     tasks.spawn(apply_revisions(app.clone()));
     tasks.spawn(poll::run(app.clone()));
@@ -211,10 +191,7 @@
             let keys = SealKeys::generate(&mut rand::rng());
             let value = serde_json::to_vec(&keys).expect("keys are JSON");
             // Losing the race is as good as winning it.
-            let _ = app
-                .platform
-                .swap(&key, Expect::Absent, Some(value), None)
-                .await;
+            let _ = app.platform.swap(&key, Expect::Absent, Some(value), None).await;
         }
         sleep(KEY_RETRY).await;
     }
@@ -240,11 +217,7 @@
     let app = caller::app(depot);
     let revision = app.in_force.get().revision;
     match app.unready() {
-        None => json(
-            res,
-            StatusCode::OK,
-            &value!({"status": "ready", "revision": revision}),
-        ),
+        None => json(res, StatusCode::OK, &value!({"status": "ready", "revision": revision})),
         Some(reason) => json(
             res,
             StatusCode::SERVICE_UNAVAILABLE,
@@ -255,7 +228,5 @@
 
 #[handler]
 async fn get_metrics(depot: &mut Depot, res: &mut Response) {
-    res.render(salvo::writing::Text::Plain(
-        caller::app(depot).metrics.render(),
-    ));
+    res.render(salvo::writing::Text::Plain(caller::app(depot).metrics.render()));
 }
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -91,10 +91,7 @@
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Deployment> {
         let text = std::fs::read_to_string(path).context(error::ReadSnafu { path })?;
-        let invalid = |problems| Error::Invalid {
-            what: path.display().to_string(),
-            problems,
-        };
+        let invalid = |problems| Error::Invalid { what: path.display().to_string(), problems };
         Deployment::parse(&text).map_err(invalid)
     }
 
@@ -102,21 +99,13 @@
     pub fn parse(text: &str) -> Result<Deployment, Vec<Problem>> {
         let deployment: Deployment = check::read(text)?;
         let problems = deployment.check();
-        if problems.is_empty() {
-            Ok(deployment)
-        } else {
-            Err(problems)
-        }
+        if problems.is_empty() { Ok(deployment) } else { Err(problems) }
     }
 
     fn check(&self) -> Vec<Problem> {
         let mut c = Checker::default();
         c.require(!self.vms.is_empty(), "vms", "empty; give one VM or more");
-        c.require(
-            !self.engines.replicas.is_empty(),
-            "engines.replicas",
-            "empty; give one or more",
-        );
+        c.require(!self.engines.replicas.is_empty(), "engines.replicas", "empty; give one or more");
         let mut hall = |path: String, placed: &Placed| {
             let known = self.halls.iter().any(|h| h.name == placed.hall);
             c.require(
--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -83,9 +83,7 @@
 }
 
 fn no_answer(reason: impl Into<String>) -> PlatformError {
-    PlatformError::NoAnswer {
-        reason: reason.into(),
-    }
+    PlatformError::NoAnswer { reason: reason.into() }
 }
 
 fn encode(text: &str) -> String {
@@ -109,32 +107,21 @@
     fn entry(self) -> Option<Entry> {
         let key = String::from_utf8(STANDARD.decode(self.key).ok()?).ok()?;
         let value = STANDARD.decode(self.value).ok()?;
-        Some(Entry {
-            key,
-            value,
-            revision: number(&self.mod_revision),
-        })
+        Some(Entry { key, value, revision: number(&self.mod_revision) })
     }
 }
 
 impl EtcdGateway {
     /// A client that tries `endpoints` in order.
     pub fn new(endpoints: Vec<SocketAddr>) -> EtcdGateway {
-        EtcdGateway {
-            endpoints,
-            wire: Wire::default(),
-        }
+        EtcdGateway { endpoints, wire: Wire::default() }
     }
 
     async fn send(&self, path: &str, body: &Value) -> PlatformResult<Answer> {
         let bytes = Bytes::from(body.to_string());
         for addr in &self.endpoints {
             let req = request(Method::POST, *addr, path, bytes.clone());
-            match self
-                .wire
-                .send(*addr, req, NotSent::begin(), CALL_LIMIT)
-                .await
-            {
+            match self.wire.send(*addr, req, NotSent::begin(), CALL_LIMIT).await {
                 Ok(answer) if answer.status.is_success() => return Ok(answer),
                 Ok(answer) if answer.status.as_u16() == 503 => continue,
                 Ok(answer) => return Err(no_answer(format!("status {}", answer.status))),
@@ -143,9 +130,7 @@
                 Err(Fault::Unknown) => return Err(no_answer("connection broke")),
             }
         }
-        Err(PlatformError::Unavailable {
-            reason: "no endpoint takes calls".into(),
-        })
+        Err(PlatformError::Unavailable { reason: "no endpoint takes calls".into() })
     }
 
     async fn post<T: for<'de> Deserialize<'de>>(
@@ -165,9 +150,8 @@
 impl Platform for EtcdGateway {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, PlatformResult<Option<Entry>>> {
         Box::pin(async move {
-            let answer: RangeAnswer = self
-                .post("/v3/kv/range", json!({"key": encode(key)}))
-                .await?;
+            let answer: RangeAnswer =
+                self.post("/v3/kv/range", json!({"key": encode(key)})).await?;
             Ok(answer.kvs.into_iter().next().and_then(Pair::entry))
         })
     }
@@ -204,16 +188,10 @@
                 }
                 None => json!({"request_delete_range": {"key": encode(key)}}),
             };
-            let answer: TxnAnswer = self
-                .post(
-                    "/v3/kv/txn",
-                    json!({"compare": [compare], "success": [write]}),
-                )
-                .await?;
+            let answer: TxnAnswer =
+                self.post("/v3/kv/txn", json!({"compare": [compare], "success": [write]})).await?;
             match answer.succeeded {
-                true => Ok(Swap::Won(number(
-                    &answer.header.unwrap_or_default().revision,
-                ))),
+                true => Ok(Swap::Won(number(&answer.header.unwrap_or_default().revision))),
                 false => Ok(Swap::Lost),
             }
         })
@@ -222,9 +200,7 @@
     fn grant(&self, ttl_ms: u64) -> BoxFuture<'_, PlatformResult<LeaseId>> {
         Box::pin(async move {
             let seconds = ttl_ms.div_ceil(1_000).to_string();
-            let answer: LeaseAnswer = self
-                .post("/v3/lease/grant", json!({"TTL": seconds}))
-                .await?;
+            let answer: LeaseAnswer = self.post("/v3/lease/grant", json!({"TTL": seconds})).await?;
             Ok(LeaseId(number(&answer.id)))
         })
     }
@@ -244,9 +220,7 @@
     ) -> BoxFuture<'a, PlatformResult<mpsc::Receiver<Vec<Change>>>> {
         Box::pin(async move {
             let create = json!({"key": encode(prefix), "range_end": range_end(prefix), "start_revision": (after + 1).to_string()});
-            let answer = self
-                .send("/v3/watch", &json!({"create_request": create}))
-                .await?;
+            let answer = self.send("/v3/watch", &json!({"create_request": create})).await?;
             let (tx, rx) = mpsc::channel(WATCH_DEPTH);
             tokio::spawn(read_watch(answer, tx));
             Ok(rx)
@@ -281,9 +255,5 @@
     let deleted = event.kind == "DELETE";
     let entry = event.kv.entry()?;
     let value = (!deleted).then_some(entry.value);
-    Some(Change {
-        key: entry.key,
-        value,
-        revision: entry.revision,
-    })
+    Some(Change { key: entry.key, value, revision: entry.revision })
 }
--- a/src/faults.rs
+++ b/src/faults.rs
@@ -113,11 +113,7 @@
 async fn partition(fleet: &Fleet, name: &str, time: Duration) {
     let vms = fleet.vms();
     let Some(vm) = vms.get(name) else { return };
-    let others = || {
-        vms.iter()
-            .filter(|(other, _)| *other != name)
-            .map(|(_, v)| v)
-    };
+    let others = || vms.iter().filter(|(other, _)| *other != name).map(|(_, v)| v);
     for cut in [true, false] {
         for other in others() {
             vm.cut(other.peer_addr, cut);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -48,10 +48,7 @@
         let mut engines = BTreeMap::new();
         for replica in &deployment.engines.replicas {
             let spec: EngineSpec = deployment.engines.spec.clone();
-            engines.insert(
-                replica.name.clone(),
-                EngineStandin::start(any, spec, speed).await?,
-            );
+            engines.insert(replica.name.clone(), EngineStandin::start(any, spec, speed).await?);
         }
         let mut services = BTreeMap::new();
         for replica in deployment.services.iter().flat_map(|s| &s.replicas) {
@@ -82,19 +79,14 @@
         let value = serde_json::to_vec(resource).expect("a resource is JSON");
         let found = self.kv.get(&key).await.context(PlatformSnafu)?;
         let expect = found.map_or(Expect::Absent, |e| Expect::Revision(e.revision));
-        self.kv
-            .swap(&key, expect, Some(value), None)
-            .await
-            .context(PlatformSnafu)?;
+        self.kv.swap(&key, expect, Some(value), None).await.context(PlatformSnafu)?;
         Ok(())
     }
 
     /// Starts (or replaces) a VM; it meets the others through the ones that run.
     pub async fn start_vm(&self, name: &str) -> Result<()> {
         let placed = self.deployment.vms.iter().find(|v| v.name == name);
-        let unknown = || Error::Usage {
-            message: format!("VM `{name}` is not in the deployment"),
-        };
+        let unknown = || Error::Usage { message: format!("VM `{name}` is not in the deployment") };
         let hall = &placed.ok_or_else(unknown)?.hall;
         let mut config = Config::local(name, hall);
         config.seeds = self.vms().values().map(|vm| vm.peer_addr).collect();
@@ -114,10 +106,7 @@
         }];
         let identity = Arc::new(self.authority.sign()?);
         let vm = Vm::start(config, Arc::new(self.kv.clone()), identity).await?;
-        self.vms
-            .lock()
-            .expect("vms")
-            .insert(name.into(), Arc::new(vm));
+        self.vms.lock().expect("vms").insert(name.into(), Arc::new(vm));
         Ok(())
     }
 
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -81,11 +81,8 @@
     pub fn apply(&self, changes: &[Change]) {
         let mut recent = self.recent.lock().expect("recent");
         let current = self.get();
-        let new: Vec<Change> = changes
-            .iter()
-            .filter(|c| c.revision > current.revision)
-            .cloned()
-            .collect();
+        let new: Vec<Change> =
+            changes.iter().filter(|c| c.revision > current.revision).cloned().collect();
         if !new.is_empty() && self.offer(current.apply(&new)) {
             recent.push(&new);
         }
@@ -93,24 +90,14 @@
 
     /// Takes changes from a peer that were asked for after the revision in force.
     pub fn take_changes(&self, items: Vec<Item>) {
-        let change = |i: Item| Change {
-            key: i.key,
-            value: i.value,
-            revision: i.revision,
-        };
+        let change = |i: Item| Change { key: i.key, value: i.value, revision: i.revision };
         let changes: Vec<Change> = items.into_iter().map(change).collect();
         self.apply(&changes);
     }
 
     /// Takes everything from a peer, if it is newer.
     pub fn take_whole(&self, revision: u64, items: Vec<Item>) {
-        let entry = |i: Item| {
-            Some(Entry {
-                key: i.key,
-                value: i.value?,
-                revision: i.revision,
-            })
-        };
+        let entry = |i: Item| Some(Entry { key: i.key, value: i.value?, revision: i.revision });
         let entries: Vec<Entry> = items.into_iter().filter_map(entry).collect();
         self.take(Snapshot::from_entries(&entries, revision));
     }
@@ -128,18 +115,10 @@
             return Reply::UpToDate;
         }
         if let Some(changes) = recent.after(have) {
-            let item = |c: Change| Item {
-                key: c.key,
-                value: c.value,
-                revision: c.revision,
-            };
+            let item = |c: Change| Item { key: c.key, value: c.value, revision: c.revision };
             return Reply::Changes(changes.into_iter().map(item).collect());
         }
-        let item = |e: Entry| Item {
-            key: e.key,
-            value: Some(e.value),
-            revision: e.revision,
-        };
+        let item = |e: Entry| Item { key: e.key, value: Some(e.value), revision: e.revision };
         Reply::Whole {
             revision: current.revision,
             items: current.to_entries().into_iter().map(item).collect(),
--- a/src/forecast.rs
+++ b/src/forecast.rs
@@ -1,5 +1,6 @@
 //! Forecasts of output lengths from decaying histograms.
 
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
 /// Buckets in each doubling of the length.
@@ -13,7 +14,7 @@
 const MOST_KEYS: usize = 4_096;
 
 /// Whose lengths are alike.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LengthKey {
     /// Workspace of the caller.
     pub workspace: String,
@@ -31,11 +32,7 @@
 
 impl Lengths {
     fn empty() -> Lengths {
-        Lengths {
-            counts: [0.0; BUCKETS],
-            total: 0.0,
-            seen: 0,
-        }
+        Lengths { counts: [0.0; BUCKETS], total: 0.0, seen: 0 }
     }
 
     /// What is assumed of a newcomer: a broad, heavy-tailed spread around 200 tokens.
@@ -122,17 +119,11 @@
     pub fn record(&mut self, key: &LengthKey, tokens: u32) {
         self.tick += 1;
         let tick = self.tick;
-        self.by_class
-            .entry(key.class.clone())
-            .or_insert_with(Lengths::empty)
-            .record(tokens, tick);
+        self.by_class.entry(key.class.clone()).or_insert_with(Lengths::empty).record(tokens, tick);
         if !self.by_key.contains_key(key) && self.by_key.len() >= MOST_KEYS {
             self.forget_oldest();
         }
-        self.by_key
-            .entry(key.clone())
-            .or_insert_with(Lengths::empty)
-            .record(tokens, tick);
+        self.by_key.entry(key.clone()).or_insert_with(Lengths::empty).record(tokens, tick);
     }
 
     /// The survival of lengths for a key, blended with its class and the prior.
@@ -154,22 +145,14 @@
         let weight: f32 = self.by_class.values().map(|l| l.total).sum();
         for (i, slot) in above.iter_mut().enumerate() {
             let tokens = start(i);
-            let seen: f32 = self
-                .by_class
-                .values()
-                .map(|l| l.above(tokens) * l.total)
-                .sum();
+            let seen: f32 = self.by_class.values().map(|l| l.above(tokens) * l.total).sum();
             *slot = (seen + self.prior.above(tokens) * PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT);
         }
         Survival { above }
     }
 
     fn forget_oldest(&mut self) {
-        let oldest = self
-            .by_key
-            .iter()
-            .min_by_key(|(_, l)| l.seen)
-            .map(|(key, _)| key.clone());
+        let oldest = self.by_key.iter().min_by_key(|(_, l)| l.seen).map(|(key, _)| key.clone());
         if let Some(key) = oldest {
             self.by_key.remove(&key);
         }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -1,16 +1,17 @@
 //! One daemon's share of the talk between daemons: heartbeats, configuration, claims.
 
 use crate::follow::InForce;
+use crate::grant::Keeper;
 use crate::journal::{ClaimAsk, Claimed, Journal, Kept, SHARDS};
 use crate::member::{Members, Record};
-use crate::message::{Heartbeat, Reply, Request};
+use crate::message::{Heartbeat, PlaceAsk, Reply, Request};
 use crate::metrics::Metrics;
-use crate::peer::{Handler, Peers};
+use crate::peer::{Handler, Held, NoAnswer, Peers};
 use futures_util::future::BoxFuture;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -32,6 +33,7 @@
     beat: Duration,
     fetching: AtomicBool,
     reading: watch::Sender<bool>,
+    pools: OnceLock<Arc<dyn Keeper>>,
     metrics: Arc<Metrics>,
 }
 
@@ -57,6 +59,7 @@
             beat,
             fetching: AtomicBool::new(false),
             reading,
+            pools: OnceLock::new(),
             metrics,
         })
     }
@@ -105,20 +108,14 @@
             members.tick(now);
             self.metrics.peers.set(members.alive(now).len() as i64 - 1);
             let reads = members.has_duty("reader", READERS, now);
-            self.reading
-                .send_if_modified(|on| std::mem::replace(on, reads) != reads);
+            self.reading.send_if_modified(|on| std::mem::replace(on, reads) != reads);
             let mut targets = members.targets(&mut rng, now);
             if (targets.is_empty() || members.own().beat % SEED_BEATS == 1)
                 && !self.seeds.is_empty()
             {
                 targets.push(self.seeds[rng.random_range(0..self.seeds.len())]);
             }
-            (
-                targets,
-                Heartbeat {
-                    records: members.rumors(&mut rng, now),
-                },
-            )
+            (targets, Heartbeat { records: members.rumors(&mut rng, now) })
         };
         for to in targets {
             // Each in its own task: a dead peer must not hold up the others.
@@ -139,10 +136,7 @@
     async fn fetch(self: Arc<Self>, from: SocketAddr) {
         let handler = self.handler();
         let have = self.in_force.get().revision;
-        let reply = self
-            .peers
-            .ask(from, &Request::Fetch { have }, FETCH_LIMIT, &handler)
-            .await;
+        let reply = self.peers.ask(from, &Request::Fetch { have }, FETCH_LIMIT, &handler).await;
         self.fetching.store(false, Ordering::Release);
         match reply {
             Ok(Reply::Changes(items)) => self.in_force.take_changes(items),
@@ -155,10 +149,7 @@
     pub async fn claim(self: &Arc<Self>, claim: ClaimAsk) -> Claimed {
         if let Some(holder) = self.shard_holder(claim) {
             let handler = self.handler();
-            let asked = self
-                .peers
-                .ask(holder, &Request::Claim(claim), CLAIM_LIMIT, &handler)
-                .await;
+            let asked = self.peers.ask(holder, &Request::Claim(claim), CLAIM_LIMIT, &handler).await;
             if let Ok(Reply::Claimed(claimed)) = asked
                 && claimed != Claimed::Unavailable
             {
@@ -173,26 +164,37 @@
     pub async fn settle(self: &Arc<Self>, claim: ClaimAsk, kept: Option<Kept>) {
         if let Some(holder) = self.shard_holder(claim) {
             let handler = self.handler();
-            let request = Request::Settle {
-                key: claim.key,
-                nonce: claim.nonce,
-                kept: kept.clone(),
-            };
-            if let Ok(Reply::Done) = self
-                .peers
-                .ask(holder, &request, CLAIM_LIMIT, &handler)
-                .await
-            {
+            let request =
+                Request::Settle { key: claim.key, nonce: claim.nonce, kept: kept.clone() };
+            if let Ok(Reply::Done) = self.peers.ask(holder, &request, CLAIM_LIMIT, &handler).await {
                 return;
             }
         }
         self.journal.settle(claim.key, claim.nonce, kept).await;
     }
 
+    /// The daemon that keeps a pool's queue; `None` where it is this one.
+    pub fn keeper(&self, pool: &str, now: Instant) -> Option<SocketAddr> {
+        let members = self.members();
+        let keeper = members.gateway_for(&format!("place/{pool}"), now);
+        (keeper.vm != members.own().vm).then_some(keeper.peer_addr)
+    }
+
+    /// Asks the keeper of a queue for a place; the stream stays open while it is used.
+    pub async fn hold(self: &Arc<Self>, to: SocketAddr, ask: PlaceAsk) -> Result<Held, NoAnswer> {
+        let handler = self.handler();
+        self.peers.hold(to, &Request::Place(ask), &handler).await
+    }
+
+    /// Sets who keeps queues here.
+    pub fn set_pools(&self, pools: Arc<dyn Keeper>) {
+        let _ = self.pools.set(pools);
+    }
+
     fn shard_holder(&self, claim: ClaimAsk) -> Option<SocketAddr> {
         let shard = claim.key.0 % SHARDS as u128;
         let members = self.members();
-        let holder = members.holder(&format!("claims/{shard}"), Instant::now());
+        let holder = members.gateway_for(&format!("claims/{shard}"), Instant::now());
         (holder.vm != members.own().vm).then_some(holder.peer_addr)
     }
 }
@@ -225,6 +227,8 @@
         Box::pin(async move {
             match request {
                 Request::Fetch { have } => self.0.in_force.since(have),
+                // Handed to `place` before it gets here.
+                Request::Place(_) => Reply::NotUnderstood,
                 Request::Claim(claim) => Reply::Claimed(self.0.journal.claim(claim).await),
                 Request::Settle { key, nonce, kept } => {
                     self.0.journal.settle(key, nonce, kept).await;
@@ -233,4 +237,11 @@
             }
         })
     }
+
+    fn place(&self, ask: PlaceAsk, held: Held) -> BoxFuture<'_, ()> {
+        match self.0.pools.get() {
+            Some(keeper) => keeper.keep(ask, held),
+            None => Box::pin(std::future::ready(())),
+        }
+    }
 }
--- a/src/headroom.rs
+++ b/src/headroom.rs
@@ -114,10 +114,7 @@
             return None;
         }
         // Once each, so that nobody is paused again and again.
-        let pausable = streams
-            .iter()
-            .copied()
-            .filter(|key| view.streams[*key].pauses == 0);
+        let pausable = streams.iter().copied().filter(|key| view.streams[*key].pauses == 0);
         pausable.min_by_key(|key| (view.streams[*key].priority, view.streams[*key].size()))
     }
 
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -81,20 +81,9 @@
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 enum Record {
-    Claim {
-        key: ClaimKey,
-        nonce: Nonce,
-        body: u128,
-    },
-    Settle {
-        key: ClaimKey,
-        nonce: Nonce,
-        kept: Kept,
-    },
-    Release {
-        key: ClaimKey,
-        nonce: Nonce,
-    },
+    Claim { key: ClaimKey, nonce: Nonce, body: u128 },
+    Settle { key: ClaimKey, nonce: Nonce, kept: Kept },
+    Release { key: ClaimKey, nonce: Nonce },
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -148,10 +137,7 @@
             tokio::spawn(shard.run(rx, interval));
             tx
         });
-        Journal {
-            shards: shards.collect(),
-            metrics,
-        }
+        Journal { shards: shards.collect(), metrics }
     }
 
     /// Claims a key. Dropping the answer releases a claim that was won.
@@ -162,10 +148,7 @@
             Ok(()) => rx.await.unwrap_or(Claimed::Unavailable),
             Err(_) => Claimed::Unavailable,
         };
-        self.metrics
-            .claims
-            .with_label_values(&[answer.name()])
-            .inc();
+        self.metrics.claims.with_label_values(&[answer.name()]).inc();
         answer
     }
 
@@ -242,9 +225,7 @@
     }
 
     async fn run(mut self, mut ops: mpsc::Receiver<Op>, interval: Duration) {
-        let mut last = Instant::now()
-            .checked_sub(interval)
-            .unwrap_or_else(Instant::now);
+        let mut last = Instant::now().checked_sub(interval).unwrap_or_else(Instant::now);
         let mut buffer = Vec::new();
         while ops.recv_many(&mut buffer, MOST_RECORDS).await > 0 {
             // Group commit: what comes while the interval runs shares the segment.
@@ -273,11 +254,7 @@
         if !self.loaded && self.catch_up().await.is_err() {
             return refuse(asks);
         }
-        let open = |a: &Ask| {
-            self.claims
-                .get(&a.claim.key)
-                .is_some_and(|c| c.kept.is_none())
-        };
+        let open = |a: &Ask| self.claims.get(&a.claim.key).is_some_and(|c| c.kept.is_none());
         if asks.iter().any(open) && self.catch_up().await.is_err() {
             return refuse(asks);
         }
@@ -305,22 +282,14 @@
         let mut drafted: HashMap<ClaimKey, u128> = HashMap::new();
         let mut forget_ms = now_ms;
         for ask in asks {
-            let ClaimAsk {
-                key,
-                nonce,
-                body,
-                retention_ms,
-            } = ask.claim;
+            let ClaimAsk { key, nonce, body, retention_ms } = ask.claim;
             if let Some(standing) = self.claims.get(&key) {
                 let _ = ask.reply.send(standing.answer(nonce, body));
                 continue;
             }
             if let Some(first) = drafted.get(&key) {
-                let _ = ask.reply.send(if *first == body {
-                    Claimed::Taken
-                } else {
-                    Claimed::Mismatch
-                });
+                let _ =
+                    ask.reply.send(if *first == body { Claimed::Taken } else { Claimed::Mismatch });
                 continue;
             }
             let until = now_ms + retention_ms;
@@ -329,14 +298,7 @@
             records.push(Record::Claim { key, nonce, body });
             winners.push(ask);
         }
-        (
-            Segment {
-                nonce: Nonce::random(),
-                forget_ms,
-                records,
-            },
-            winners,
-        )
+        (Segment { nonce: Nonce::random(), forget_ms, records }, winners)
     }
 
     fn reply(&mut self, winners: Vec<Ask>) {
@@ -355,9 +317,7 @@
         let key = self.segment_key(number);
         let give_up = Instant::now() + SETTLE;
         loop {
-            let swap = self
-                .platform
-                .swap(&key, Expect::Absent, Some(value.clone()), None);
+            let swap = self.platform.swap(&key, Expect::Absent, Some(value.clone()), None);
             match timeout(CALL_LIMIT, swap).await {
                 Ok(Ok(Swap::Won(_))) => return self.won(number, segment).await,
                 Ok(Ok(Swap::Lost)) => return self.read_taken(number, segment).await,
@@ -440,11 +400,7 @@
         self.floor = floor;
         self.next = floor;
         for entry in &range.entries {
-            let number = entry
-                .key
-                .rsplit('/')
-                .next()
-                .and_then(|n| n.parse::<u64>().ok());
+            let number = entry.key.rsplit('/').next().and_then(|n| n.parse::<u64>().ok());
             let segment = postcard::from_bytes::<Segment>(&entry.value).ok();
             if let (Some(number), Some(segment)) = (number.filter(|n| *n >= floor), segment) {
                 self.apply(number, &segment);
@@ -467,18 +423,10 @@
         for record in &segment.records {
             match record {
                 Record::Claim { key, nonce, body } => {
-                    let claim = Claim {
-                        nonce: *nonce,
-                        body: *body,
-                        kept: None,
-                        segment: number,
-                    };
+                    let claim = Claim { nonce: *nonce, body: *body, kept: None, segment: number };
                     self.claims.entry(*key).or_insert(claim);
                     if given_up {
-                        self.notes.push(Record::Release {
-                            key: *key,
-                            nonce: *nonce,
-                        });
+                        self.notes.push(Record::Release { key: *key, nonce: *nonce });
                     }
                 }
                 Record::Settle { key, nonce, kept } => {
@@ -487,11 +435,7 @@
                     }
                 }
                 Record::Release { key, nonce } => {
-                    if self
-                        .claims
-                        .get(key)
-                        .is_some_and(|c| c.nonce == *nonce && c.kept.is_none())
-                    {
+                    if self.claims.get(key).is_some_and(|c| c.nonce == *nonce && c.kept.is_none()) {
                         self.claims.remove(key);
                     }
                 }
@@ -518,10 +462,7 @@
             let Ok(Some(found)) = self.platform.get(&key).await else {
                 continue;
             };
-            let _ = self
-                .platform
-                .swap(&key, Expect::Revision(found.revision), None, None)
-                .await;
+            let _ = self.platform.swap(&key, Expect::Revision(found.revision), None, None).await;
         }
         self.floor = last + 1;
         self.forget = self.forget.split_off(&self.floor);
@@ -532,9 +473,7 @@
     async fn raise_floor(&self, floor: u64) -> Result<(), ()> {
         let key = self.floor_key();
         let found = self.platform.get(&key).await.map_err(drop)?;
-        let expect = found
-            .as_ref()
-            .map_or(Expect::Absent, |e| Expect::Revision(e.revision));
+        let expect = found.as_ref().map_or(Expect::Absent, |e| Expect::Revision(e.revision));
         let value = floor.to_string().into_bytes();
         match self.platform.swap(&key, expect, Some(value), None).await {
             Ok(Swap::Won(_)) => Ok(()),
@@ -553,10 +492,8 @@
 
     async fn read_segment(&self, number: u64) -> Result<Option<Segment>, ()> {
         let key = self.segment_key(number);
-        let found = timeout(CALL_LIMIT, self.platform.get(&key))
-            .await
-            .map_err(drop)?
-            .map_err(drop)?;
+        let found =
+            timeout(CALL_LIMIT, self.platform.get(&key)).await.map_err(drop)?.map_err(drop)?;
         Ok(found.and_then(|e| postcard::from_bytes(&e.value).ok()))
     }
 
@@ -580,8 +517,5 @@
 }
 
 fn unix_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod follow;
 pub mod forecast;
 pub mod gossip;
+pub mod grant;
 pub mod headroom;
 pub mod health;
 pub mod journal;
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -83,10 +83,7 @@
     pub fn parse_all(text: &str) -> Vec<SeenToken> {
         let words = text.split_whitespace().filter_map(|w| w.split_once('.'));
         let token = |(generation, index): (&str, &str)| {
-            Some(SeenToken {
-                generation: generation.into(),
-                index: index.parse().ok()?,
-            })
+            Some(SeenToken { generation: generation.into(), index: index.parse().ok()? })
         };
         words.filter_map(token).collect()
     }
@@ -129,10 +126,7 @@
 
     /// Stall time: the sum of the time past the limit in which no token came.
     pub fn stall(&self) -> Duration {
-        self.gaps
-            .iter()
-            .map(|g| g.saturating_sub(self.gap_limit))
-            .sum()
+        self.gaps.iter().map(|g| g.saturating_sub(self.gap_limit)).sum()
     }
 }
 
@@ -265,10 +259,8 @@
 /// Reads an outcomes file.
 pub fn load_bounds(path: &Path) -> Result<Vec<Bound>> {
     let text = std::fs::read_to_string(path).context(error::ReadSnafu { path })?;
-    parse_bounds(&text).map_err(|problems| Error::Invalid {
-        what: path.display().to_string(),
-        problems,
-    })
+    parse_bounds(&text)
+        .map_err(|problems| Error::Invalid { what: path.display().to_string(), problems })
 }
 
 /// Reads stated outcomes: a JSON array.
@@ -278,22 +270,10 @@
     for (i, b) in bounds.iter().enumerate() {
         let path = format!("[{i}]");
         let known = MEASURES.contains(&b.measure.as_str());
-        c.require(
-            known,
-            &path,
-            format!("`{}` is not a measure; see docs/TRACES.md", b.measure),
-        );
-        let one = [
-            b.at_most.is_some(),
-            b.at_least.is_some(),
-            b.at_most_ratio_of.is_some(),
-        ];
+        c.require(known, &path, format!("`{}` is not a measure; see docs/TRACES.md", b.measure));
+        let one = [b.at_most.is_some(), b.at_least.is_some(), b.at_most_ratio_of.is_some()];
         let count = one.iter().filter(|given| **given).count();
-        c.require(
-            count == 1,
-            &path,
-            "give exactly one of at_most, at_least, at_most_ratio_of",
-        );
+        c.require(count == 1, &path, "give exactly one of at_most, at_least, at_most_ratio_of");
         c.require(
             b.at_most_ratio_of.is_none() || b.value.is_some(),
             &path,
@@ -301,11 +281,7 @@
         );
     }
     let problems = c.finish();
-    if problems.is_empty() {
-        Ok(bounds)
-    } else {
-        Err(problems)
-    }
+    if problems.is_empty() { Ok(bounds) } else { Err(problems) }
 }
 
 /// Compares what was measured with what was stated. A policy that was not run fails its bound.
@@ -324,12 +300,8 @@
 }
 
 fn verdict(b: &Bound, policy: &str, run: &BTreeMap<String, Figures>) -> Verdict {
-    let figure_of = |p: &str| {
-        run.get(p)
-            .and_then(|f| f.get(&b.measure))
-            .copied()
-            .unwrap_or(f64::NAN)
-    };
+    let figure_of =
+        |p: &str| run.get(p).and_then(|f| f.get(&b.measure)).copied().unwrap_or(f64::NAN);
     let figure = figure_of(policy);
     let (bound, holds) = match (b.at_most, b.at_least, &b.at_most_ratio_of) {
         (Some(most), _, _) => (most, figure <= most),
@@ -340,11 +312,5 @@
         }
         _ => (f64::NAN, false),
     };
-    Verdict {
-        measure: b.measure.clone(),
-        policy: policy.into(),
-        figure,
-        bound,
-        holds,
-    }
+    Verdict { measure: b.measure.clone(), policy: policy.into(), figure, bound, holds }
 }
--- a/src/member.rs
+++ b/src/member.rs
@@ -78,12 +78,7 @@
 impl Members {
     /// A table that knows only this daemon.
     pub fn new(own: Record, beat: Duration, now: Instant) -> Members {
-        Members {
-            own,
-            others: HashMap::new(),
-            beat,
-            ticked: now,
-        }
+        Members { own, others: HashMap::new(), beat, ticked: now }
     }
 
     /// This daemon's own record.
@@ -107,8 +102,7 @@
         }
         match self.others.get_mut(&record.vm) {
             None => {
-                self.others
-                    .insert(record.vm.clone(), Member { record, heard: now });
+                self.others.insert(record.vm.clone(), Member { record, heard: now });
                 true
             }
             Some(known) => {
@@ -140,8 +134,7 @@
         self.ticked = now;
         self.own.beat += 1;
         let dead = self.beat * DEAD_BEATS + TOMBSTONE;
-        self.others
-            .retain(|_, m| now.saturating_duration_since(m.heard) < dead);
+        self.others.retain(|_, m| now.saturating_duration_since(m.heard) < dead);
         let hall = self.own.hall.clone();
         let first = self.rank(&hall, "gateway", now).into_iter().take(GATEWAYS);
         self.own.gateway = first.into_iter().any(|vm| vm == self.own.vm);
@@ -169,13 +162,8 @@
 
     /// All daemons known to be alive, this one first.
     pub fn alive(&self, now: Instant) -> Vec<&Record> {
-        let others = self
-            .others
-            .values()
-            .filter(|m| self.seems(m, now) == Standing::Alive);
-        std::iter::once(&self.own)
-            .chain(others.map(|m| &m.record))
-            .collect()
+        let others = self.others.values().filter(|m| self.seems(m, now) == Standing::Alive);
+        std::iter::once(&self.own).chain(others.map(|m| &m.record)).collect()
     }
 
     /// Daemons that callers may be sent to: alive and not leaving.
@@ -186,34 +174,26 @@
     /// Whether this daemon is among the first `count` of its hall for a duty.
     pub fn has_duty(&self, duty: &str, count: usize, now: Instant) -> bool {
         let hall = self.own.hall.clone();
-        self.rank(&hall, duty, now)
-            .iter()
-            .take(count)
-            .any(|vm| *vm == self.own.vm)
+        self.rank(&hall, duty, now).iter().take(count).any(|vm| *vm == self.own.vm)
     }
 
-    /// The daemon that a duty of the whole fleet falls to, by rendezvous hash over those known.
-    pub fn holder(&self, duty: &str, now: Instant) -> &Record {
-        let staying = self.entries(now);
-        let best = staying.into_iter().max_by_key(|r| weight(duty, &r.vm));
-        best.unwrap_or(&self.own)
+    /// The gateway that a duty falls to. All daemons know the same gateways, so they choose alike.
+    pub fn gateway_for(&self, duty: &str, now: Instant) -> &Record {
+        let gateways = self.entries(now).into_iter().filter(|r| r.gateway);
+        gateways.max_by_key(|r| weight(duty, &r.vm)).unwrap_or(&self.own)
     }
 
     fn rank(&self, hall: &str, duty: &str, now: Instant) -> Vec<String> {
         let staying = self.entries(now).into_iter().filter(|r| r.hall == hall);
-        let mut ranked: Vec<(u64, String)> = staying
-            .map(|r| (weight(duty, &r.vm), r.vm.clone()))
-            .collect();
+        let mut ranked: Vec<(u64, String)> =
+            staying.map(|r| (weight(duty, &r.vm), r.vm.clone())).collect();
         ranked.sort_by(|a, b| b.cmp(a));
         ranked.into_iter().map(|(_, vm)| vm).collect()
     }
 
     /// Whom to send this beat to: two of the hall, and from a gateway one of another hall.
     pub fn targets(&self, rng: &mut impl rand::Rng, now: Instant) -> Vec<SocketAddr> {
-        let reachable = self
-            .others
-            .values()
-            .filter(|m| self.seems(m, now) != Standing::Dead);
+        let reachable = self.others.values().filter(|m| self.seems(m, now) != Standing::Dead);
         let (near, far): (Vec<&Member>, Vec<&Member>) =
             reachable.partition(|m| m.record.hall == self.own.hall);
         let mut targets: Vec<SocketAddr> =
@@ -239,16 +219,10 @@
 
     /// The records that ride on one heartbeat: this daemon's own, then some at random.
     pub fn rumors(&self, rng: &mut impl rand::Rng, now: Instant) -> Vec<Record> {
-        let fresh = self
-            .others
-            .values()
-            .filter(|m| self.seems(m, now) == Standing::Alive);
+        let fresh = self.others.values().filter(|m| self.seems(m, now) == Standing::Alive);
         let mut others: Vec<&Record> = fresh.map(|m| &m.record).collect();
         others.shuffle(rng);
-        std::iter::once(&self.own)
-            .chain(others.into_iter().take(RUMORS))
-            .cloned()
-            .collect()
+        std::iter::once(&self.own).chain(others.into_iter().take(RUMORS)).cloned().collect()
     }
 
     /// How many others are in the table.
@@ -260,17 +234,11 @@
     pub fn lowest_revision(&self, now: Instant) -> u64 {
         let own_hall = |r: &Record| r.hall == self.own.hall;
         let alive = self.alive(now).into_iter();
-        alive
-            .map(|r| if own_hall(r) { r.revision } else { r.lowest })
-            .min()
-            .unwrap_or(0)
+        alive.map(|r| if own_hall(r) { r.revision } else { r.lowest }).min().unwrap_or(0)
     }
 
     fn lowest_in_hall(&self, now: Instant) -> u64 {
-        let hall = self
-            .alive(now)
-            .into_iter()
-            .filter(|r| r.hall == self.own.hall);
+        let hall = self.alive(now).into_iter().filter(|r| r.hall == self.own.hall);
         hall.map(|r| r.revision).min().unwrap_or(0)
     }
 }
--- a/src/message.rs
+++ b/src/message.rs
@@ -2,7 +2,10 @@
 
 use crate::journal::{ClaimAsk, ClaimKey, Claimed, Kept, Nonce};
 use crate::member::Record;
+use crate::pool::Ask;
+use crate::replica::Signal;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Version that this daemon writes and the highest it knows. A newer one may add variants and
 /// trailing fields; what it cannot read it answers with [`Reply::NotUnderstood`].
@@ -25,6 +28,8 @@
     },
     /// A claim on a key, asked of the daemon that writes its shard.
     Claim(ClaimAsk),
+    /// A place in a pool.
+    Place(PlaceAsk),
     /// The outcome of a claim.
     Settle {
         /// The key.
@@ -36,6 +41,43 @@
     },
 }
 
+/// A place asked for of the daemon that keeps a pool's queue; the stream stays open while it is used.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PlaceAsk {
+    /// Name of the pool.
+    pub pool: String,
+    /// What is to be placed.
+    pub ask: Ask,
+    /// Longest wait in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What the keeper says on such a stream.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub enum PlaceReply {
+    /// Still in the queue.
+    Waiting,
+    /// The replica to use.
+    Granted(SocketAddr),
+    /// No place.
+    Shed {
+        /// When to come back, in milliseconds.
+        retry_ms: u64,
+    },
+    /// Pause, or go on.
+    Signal(Signal),
+}
+
+/// What the asker says on such a stream.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub enum PlaceUpdate {
+    /// The generation ended properly.
+    Done {
+        /// Its tokens.
+        tokens: u32,
+    },
+}
+
 /// One key of the configuration on its way to a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Item {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -53,9 +53,8 @@
     pub peers: IntGauge,
 }
 
-const LATENCY_BUCKETS: [f64; 14] = [
-    0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1.0, 2.0, 4.0, 16.0,
-];
+const LATENCY_BUCKETS: [f64; 14] =
+    [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1.0, 2.0, 4.0, 16.0];
 
 impl Default for Metrics {
     fn default() -> Metrics {
@@ -90,26 +89,14 @@
                 "tidestair_tokens_foreign_total",
                 "Tokens of a foreign generation that were refused",
             ),
-            resumes: counter(
-                &r,
-                "tidestair_stream_resumes_total",
-                "Streams resumed at an engine",
-            ),
-            retries: counter(
-                &r,
-                "tidestair_retries_total",
-                "Requests sent to another replica",
-            ),
+            resumes: counter(&r, "tidestair_stream_resumes_total", "Streams resumed at an engine"),
+            retries: counter(&r, "tidestair_retries_total", "Requests sent to another replica"),
             pauses: counter(
                 &r,
                 "tidestair_pauses_total",
                 "Streams paused before their engine preempted one",
             ),
-            shed: counter(
-                &r,
-                "tidestair_shed_total",
-                "Requests shed from a full queue",
-            ),
+            shed: counter(&r, "tidestair_shed_total", "Requests shed from a full queue"),
             queue_seconds: histogram(&r, "tidestair_queue_seconds", "Time waiting for a place"),
             first_token_seconds: histogram(
                 &r,
@@ -126,12 +113,7 @@
                 "tidestair_stall_milliseconds_total",
                 "Time past the class's gap without a token",
             ),
-            queued: gauges(
-                &r,
-                "tidestair_queued",
-                "Requests waiting, by pool",
-                &["pool"],
-            ),
+            queued: gauges(&r, "tidestair_queued", "Requests waiting, by pool", &["pool"]),
             revision: gauge(&r, "tidestair_config_revision", "Revision in force"),
             platform_behind: gauge(
                 &r,
@@ -168,9 +150,7 @@
 
     /// Counts the end of a request.
     pub fn ended(&self, kind: &str, outcome: Outcome) {
-        self.requests
-            .with_label_values(&[kind, outcome.name()])
-            .inc();
+        self.requests.with_label_values(&[kind, outcome.name()]).inc();
     }
 
     /// The text for `/metrics`.
@@ -186,9 +166,7 @@
     registry: &Registry,
     collector: C,
 ) -> C {
-    registry
-        .register(Box::new(collector.clone()))
-        .expect("each name is registered once");
+    registry.register(Box::new(collector.clone())).expect("each name is registered once");
     collector
 }
 
@@ -197,10 +175,7 @@
 }
 
 fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    register(
-        r,
-        IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name"),
-    )
+    register(r, IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name"))
 }
 
 fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
@@ -208,10 +183,7 @@
 }
 
 fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
-    register(
-        r,
-        IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name"),
-    )
+    register(r, IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name"))
 }
 
 fn histogram(r: &Registry, name: &str, help: &str) -> Histogram {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -37,12 +37,7 @@
         .push(Router::with_path("status").get(get_status))
         .push(Router::with_path("rotate-keys").post(rotate_keys))
         .push(Router::with_path("{kind}").get(list_kind).post(create))
-        .push(
-            Router::with_path("{kind}/{name}")
-                .get(get)
-                .put(replace)
-                .delete(delete),
-        )
+        .push(Router::with_path("{kind}/{name}").get(get).put(replace).delete(delete))
 }
 
 fn reason(status: u16, code: &'static str, message: impl Into<String>) -> Reason {
@@ -51,11 +46,7 @@
 
 fn allowed(req: &Request, app: &App, needs: Role) -> Result<(), Reason> {
     let key = bearer(req).map(|k| key_hash(&k)).unwrap_or_default();
-    let operator = app
-        .config
-        .operators
-        .iter()
-        .find(|o| same(&o.key_hash, &key));
+    let operator = app.config.operators.iter().find(|o| same(&o.key_hash, &key));
     let Some(operator) = operator else {
         return Err(reason(
             401,
@@ -76,11 +67,7 @@
 fn kind(req: &Request) -> Result<Kind, Reason> {
     let name = req.param::<String>("kind").unwrap_or_default();
     Kind::parse(&name).ok_or_else(|| {
-        reason(
-            404,
-            "unknown_kind",
-            format!("`{name}` is not a kind; see docs/API.md"),
-        )
+        reason(404, "unknown_kind", format!("`{name}` is not a kind; see docs/API.md"))
     })
 }
 
@@ -117,45 +104,22 @@
     }
     let snapshot = app.in_force.get();
     let after = req.query::<String>("continue").unwrap_or_default();
-    let limit = req
-        .query::<usize>("limit")
-        .filter(|n| *n > 0)
-        .unwrap_or(DEFAULT_PAGE);
+    let limit = req.query::<usize>("limit").filter(|n| *n > 0).unwrap_or(DEFAULT_PAGE);
     let selector = req.query::<String>("labelSelector");
-    let selected = snapshot
-        .list(kind)
-        .filter(|r| r.metadata.name > after && selects(selector.as_deref(), r));
+    let selected =
+        snapshot.list(kind).filter(|r| r.metadata.name > after && selects(selector.as_deref(), r));
     let mut items: Vec<&Resource> = selected.take(limit + 1).collect();
     let more = items.len() > limit;
     items.truncate(limit);
-    let next = if more {
-        items.last().map(|r| r.metadata.name.clone())
-    } else {
-        None
-    };
-    let metadata = ListMetadata {
-        resource_version: snapshot.revision.to_string(),
-        next,
-    };
+    let next = if more { items.last().map(|r| r.metadata.name.clone()) } else { None };
+    let metadata = ListMetadata { resource_version: snapshot.revision.to_string(), next };
     let api_version = crate::resource::API_VERSION;
-    json(
-        res,
-        StatusCode::OK,
-        &List {
-            api_version,
-            kind: format!("{kind}List"),
-            metadata,
-            items,
-        },
-    );
+    json(res, StatusCode::OK, &List { api_version, kind: format!("{kind}List"), metadata, items });
 }
 
 /// Whether a resource has all labels of a selector such as `a=b,c=d`.
 fn selects(selector: Option<&str>, resource: &Resource) -> bool {
-    let pairs = selector
-        .unwrap_or_default()
-        .split(',')
-        .filter_map(|p| p.split_once('='));
+    let pairs = selector.unwrap_or_default().split(',').filter_map(|p| p.split_once('='));
     let mut pairs =
         pairs.map(|(k, v)| resource.metadata.labels.get(k).map(String::as_str) == Some(v));
     pairs.all(|holds| holds)
@@ -226,40 +190,21 @@
 fn change_line(name: &str, value: Option<&[u8]>, revision: u64) -> Bytes {
     let resource = value.and_then(|v| serde_json::from_slice::<Resource>(v).ok());
     let stub = || WatchObject::Stub {
-        metadata: Stub {
-            name: name.into(),
-            resource_version: revision.to_string(),
-        },
+        metadata: Stub { name: name.into(), resource_version: revision.to_string() },
     };
     match resource {
         Some(mut resource) => {
             resource.metadata.resource_version = Some(revision.to_string());
-            let kind = if resource.metadata.generation <= 1 {
-                "ADDED"
-            } else {
-                "MODIFIED"
-            };
-            line(&WatchEvent {
-                kind,
-                object: WatchObject::Resource(&resource),
-            })
+            let kind = if resource.metadata.generation <= 1 { "ADDED" } else { "MODIFIED" };
+            line(&WatchEvent { kind, object: WatchObject::Resource(&resource) })
         }
-        None => line(&WatchEvent {
-            kind: "DELETED",
-            object: stub(),
-        }),
+        None => line(&WatchEvent { kind: "DELETED", object: stub() }),
     }
 }
 
 fn bookmark(revision: u64) -> Bytes {
-    let metadata = Stub {
-        name: String::new(),
-        resource_version: revision.to_string(),
-    };
-    line(&WatchEvent {
-        kind: "BOOKMARK",
-        object: WatchObject::Stub { metadata },
-    })
+    let metadata = Stub { name: String::new(), resource_version: revision.to_string() };
+    line(&WatchEvent { kind: "BOOKMARK", object: WatchObject::Stub { metadata } })
 }
 
 fn line(event: &impl Serialize) -> Bytes {
@@ -281,11 +226,7 @@
 }
 
 fn not_found(kind: Kind, name: &str) -> Reason {
-    reason(
-        404,
-        "not_found",
-        format!("{kind} `{name}` is not declared; create it first"),
-    )
+    reason(404, "not_found", format!("{kind} `{name}` is not declared; create it first"))
 }
 
 /// What an operator's write comes to.
@@ -319,20 +260,13 @@
     match written {
         Ok(Written::Accepted(resource, status)) => json(res, status, &*resource),
         Ok(Written::Deleted(revision)) => {
-            let metadata = Stub {
-                name: String::new(),
-                resource_version: revision.to_string(),
-            };
+            let metadata = Stub { name: String::new(), resource_version: revision.to_string() };
             json(res, StatusCode::OK, &WatchObject::Stub { metadata });
         }
         Err(Refusal::Reason(reason, outcome)) => refuse(res, &reason, outcome),
         Err(Refusal::Invalid(problems)) => {
             let list: Vec<String> = problems.iter().map(Problem::to_string).collect();
-            refuse(
-                res,
-                &reason(422, "invalid_resource", list.join("; ")),
-                Outcome::NotRun,
-            );
+            refuse(res, &reason(422, "invalid_resource", list.join("; ")), Outcome::NotRun);
         }
     }
 }
@@ -361,11 +295,7 @@
         .into());
     }
     let missing = app.in_force.get().missing_references(&resource);
-    if missing.is_empty() {
-        Ok(resource)
-    } else {
-        Err(Refusal::Invalid(missing))
-    }
+    if missing.is_empty() { Ok(resource) } else { Err(Refusal::Invalid(missing)) }
 }
 
 async fn create_one(req: &mut Request, app: &App) -> Result<Written, Refusal> {
@@ -383,24 +313,13 @@
     let kind = kind(req)?;
     let mut resource = read(req, app, kind).await?;
     if resource.metadata.name != name(req) {
-        return Err(reason(
-            400,
-            "wrong_name",
-            "metadata.name differs from the path; use one name",
-        )
-        .into());
+        return Err(
+            reason(400, "wrong_name", "metadata.name differs from the path; use one name").into()
+        );
     }
-    let given = resource
-        .metadata
-        .resource_version
-        .as_deref()
-        .and_then(|v| v.parse::<u64>().ok());
+    let given = resource.metadata.resource_version.as_deref().and_then(|v| v.parse::<u64>().ok());
     let missing = || {
-        reason(
-            400,
-            "missing_version",
-            "metadata.resourceVersion is missing; send the one you read",
-        )
+        reason(400, "missing_version", "metadata.resourceVersion is missing; send the one you read")
     };
     let given = given.ok_or_else(missing)?;
     resource.metadata.generation += 1;
@@ -414,19 +333,10 @@
     let kind = kind(req)?;
     let key = snapshot::key(kind, &name(req));
     let found = timeout(CALL_LIMIT, app.platform.get(&key)).await;
-    let found = found
-        .map_err(|_| unavailable())?
-        .map_err(|_| unavailable())?;
+    let found = found.map_err(|_| unavailable())?.map_err(|_| unavailable())?;
     let found = found.ok_or_else(|| not_found(kind, &name(req)))?;
-    let given = req
-        .query::<u64>("resourceVersion")
-        .unwrap_or(found.revision);
-    match timeout(
-        CALL_LIMIT,
-        app.platform.swap(&key, Expect::Revision(given), None, None),
-    )
-    .await
-    {
+    let given = req.query::<u64>("resourceVersion").unwrap_or(found.revision);
+    match timeout(CALL_LIMIT, app.platform.swap(&key, Expect::Revision(given), None, None)).await {
         Ok(Ok(Swap::Won(revision))) => Ok(Written::Deleted(revision)),
         Ok(Ok(Swap::Lost)) => Err(conflict(given, Some(found.revision)).into()),
         Ok(Err(PlatformError::Unavailable { .. })) => Err(unavailable().into()),
@@ -451,12 +361,7 @@
         )
         .into());
     }
-    match timeout(
-        CALL_LIMIT,
-        app.platform.swap(&key, expect, Some(value), None),
-    )
-    .await
-    {
+    match timeout(CALL_LIMIT, app.platform.swap(&key, expect, Some(value), None)).await {
         Ok(Ok(Swap::Won(revision))) => Ok(revision),
         Ok(Err(PlatformError::Unavailable { .. })) => Err(unavailable().into()),
         Ok(Ok(Swap::Lost)) => settle(app, &key, resource, expect, Certain::Yes).await,
@@ -549,10 +454,7 @@
     }
     match rotate(&app).await {
         Ok(revision) => {
-            let metadata = Stub {
-                name: "seal".into(),
-                resource_version: revision.to_string(),
-            };
+            let metadata = Stub { name: "seal".into(), resource_version: revision.to_string() };
             json(res, StatusCode::OK, &WatchObject::Stub { metadata });
         }
         Err(reason) => refuse(res, &reason, Outcome::NotRun),
@@ -565,27 +467,18 @@
         .await
         .map_err(|_| unavailable())?
         .map_err(|_| unavailable())?;
-    let keys = found
-        .as_ref()
-        .and_then(|e| serde_json::from_slice::<SealKeys>(&e.value).ok());
+    let keys = found.as_ref().and_then(|e| serde_json::from_slice::<SealKeys>(&e.value).ok());
     let next = match keys {
         Some(keys) => keys.rotate(&mut rand::rng()),
         None => SealKeys::generate(&mut rand::rng()),
     };
     let expect = found.map_or(Expect::Absent, |e| Expect::Revision(e.revision));
     let value = serde_json::to_vec(&next).expect("keys are JSON");
-    match timeout(
-        CALL_LIMIT,
-        app.platform.swap(&key, expect, Some(value), None),
-    )
-    .await
-    {
+    match timeout(CALL_LIMIT, app.platform.swap(&key, expect, Some(value), None)).await {
         Ok(Ok(Swap::Won(revision))) => Ok(revision),
-        Ok(Ok(Swap::Lost)) => Err(reason(
-            409,
-            "conflict",
-            "the keys were rotated by somebody else meanwhile",
-        )),
+        Ok(Ok(Swap::Lost)) => {
+            Err(reason(409, "conflict", "the keys were rotated by somebody else meanwhile"))
+        }
         _ => Err(unsettled()),
     }
 }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -123,12 +123,7 @@
 impl Reason {
     /// A reason without a time to come back.
     pub fn new(status: u16, code: &'static str, message: impl Into<String>) -> Reason {
-        Reason {
-            status,
-            code,
-            message: message.into(),
-            retry_ms: None,
-        }
+        Reason { status, code, message: message.into(), retry_ms: None }
     }
 
     /// The same reason with a time to come back.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,7 +1,7 @@
 //! Links between daemons over QUIC: one connection for each peer, datagrams and request streams.
 
 use crate::error::{Error, Result};
-use crate::message::{self, Heartbeat, Reply, Request, Unreadable};
+use crate::message::{self, Heartbeat, PlaceAsk, Reply, Request, Unreadable};
 use crate::metrics::Metrics;
 use crate::tls::{Identity, NAME};
 use futures_util::future::BoxFuture;
@@ -9,6 +9,8 @@
     ClientConfig, Connection, Endpoint, IdleTimeout, RecvStream, SendStream, ServerConfig,
     TransportConfig, VarInt,
 };
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -19,6 +21,9 @@
 const IDLE_LIMIT_MS: u32 = 15_000;
 /// Largest request or answer, in bytes.
 const MOST_BYTES: usize = 64 << 20;
+const LENGTH_BYTES: usize = 4;
+/// Streams open at once from one peer; each place in use is one.
+const MOST_STREAMS: u32 = 100_000;
 
 /// What a daemon does with what its peers send.
 pub trait Handler: Send + Sync + 'static {
@@ -26,6 +31,8 @@
     fn heartbeat(&self, heartbeat: Heartbeat);
     /// A request came.
     fn request(&self, request: Request) -> BoxFuture<'_, Reply>;
+    /// A place in a pool was asked for; the stream stays open while it is used.
+    fn place(&self, ask: PlaceAsk, held: Held) -> BoxFuture<'_, ()>;
 }
 
 /// A peer that gave no answer.
@@ -45,31 +52,24 @@
     pub fn bind(addr: SocketAddr, identity: &Identity, metrics: Arc<Metrics>) -> Result<Peers> {
         let mut transport = TransportConfig::default();
         transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_LIMIT_MS))));
+        transport.max_concurrent_bidi_streams(VarInt::from_u32(MOST_STREAMS));
         let transport = Arc::new(transport);
         let mut server = ServerConfig::with_crypto(identity.server()?);
         server.transport_config(transport.clone());
         let mut client = ClientConfig::new(identity.client()?);
         client.transport_config(transport);
-        let refused = |e: std::io::Error| Error::Listen {
-            addr: addr.to_string(),
-            reason: e.to_string(),
-        };
+        let refused =
+            |e: std::io::Error| Error::Listen { addr: addr.to_string(), reason: e.to_string() };
         let mut endpoint = Endpoint::server(server, addr).map_err(refused)?;
         endpoint.set_default_client_config(client);
-        Ok(Peers {
-            endpoint,
-            links: Mutex::default(),
-            cut: Mutex::default(),
-            metrics,
-        })
+        Ok(Peers { endpoint, links: Mutex::default(), cut: Mutex::default(), metrics })
     }
 
     /// Where it listens.
     pub fn addr(&self) -> Result<SocketAddr> {
-        self.endpoint.local_addr().map_err(|e| Error::Listen {
-            addr: "peer".into(),
-            reason: e.to_string(),
-        })
+        self.endpoint
+            .local_addr()
+            .map_err(|e| Error::Listen { addr: "peer".into(), reason: e.to_string() })
     }
 
     /// Takes connections from peers until the endpoint closes.
@@ -111,18 +111,30 @@
     ) -> Result<Reply, NoAnswer> {
         let exchange = async {
             let link = self.link(to, handler).await.ok_or(NoAnswer)?;
-            let (mut send, mut recv) = link.open_bi().await.map_err(drop_reason)?;
-            let bytes = message::encode(request);
-            self.count("out", bytes.len());
-            send.write_all(&bytes).await.map_err(drop_reason)?;
-            send.finish().map_err(drop_reason)?;
-            let answer = recv.read_to_end(MOST_BYTES).await.map_err(drop_reason)?;
-            self.count("in", answer.len());
-            message::decode(&answer).map_err(drop_reason)
+            let mut held = self.open(&link, request).await?;
+            held.receive().await
         };
         timeout(limit, exchange).await.unwrap_or(Err(NoAnswer))
     }
 
+    /// Sends a request whose stream stays open.
+    pub async fn hold(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        request: &Request,
+        handler: &Arc<dyn Handler>,
+    ) -> Result<Held, NoAnswer> {
+        let link = self.link(to, handler).await.ok_or(NoAnswer)?;
+        timeout(CONNECT_LIMIT, self.open(&link, request)).await.unwrap_or(Err(NoAnswer))
+    }
+
+    async fn open(&self, link: &Connection, request: &Request) -> Result<Held, NoAnswer> {
+        let (send, recv) = link.open_bi().await.map_err(drop_reason)?;
+        let mut held = Held { send, recv, metrics: self.metrics.clone() };
+        held.send(request).await?;
+        Ok(held)
+    }
+
     /// Cuts (or heals) the link to a peer, to bring about a partition.
     pub fn cut(&self, addr: SocketAddr, cut: bool) {
         let mut set = self.cut.lock().expect("cut");
@@ -193,36 +205,74 @@
 
     async fn answer(
         self: Arc<Self>,
-        mut send: SendStream,
-        mut recv: RecvStream,
+        send: SendStream,
+        recv: RecvStream,
         handler: Arc<dyn Handler>,
     ) {
-        let Ok(bytes) = recv.read_to_end(MOST_BYTES).await else {
-            return;
-        };
-        self.count("in", bytes.len());
+        let mut held = Held { send, recv, metrics: self.metrics.clone() };
+        let Ok(bytes) = held.receive_bytes().await else { return };
         let reply = match message::decode::<Request>(&bytes) {
+            Ok(Request::Place(ask)) => return handler.place(ask, held).await,
             Ok(request) => handler.request(request).await,
             Err(Unreadable::Version(_)) => Reply::NotUnderstood,
             Err(Unreadable::Broken) => return,
         };
-        let bytes = message::encode(&reply);
-        self.count("out", bytes.len());
-        if send.write_all(&bytes).await.is_ok() {
-            let _ = send.finish();
-            let _ = send.stopped().await;
+        if held.send(&reply).await.is_ok() {
+            held.finish().await;
         }
     }
 
     fn count(&self, direction: &str, bytes: usize) {
-        self.metrics
-            .peer_messages
-            .with_label_values(&[direction])
-            .inc();
-        self.metrics
-            .peer_bytes
-            .with_label_values(&[direction])
-            .inc_by(bytes as u64);
+        count(&self.metrics, direction, bytes);
+    }
+}
+
+fn count(metrics: &Metrics, direction: &str, bytes: usize) {
+    metrics.peer_messages.with_label_values(&[direction]).inc();
+    metrics.peer_bytes.with_label_values(&[direction]).inc_by(bytes as u64);
+}
+
+/// A stream to a peer that carries messages both ways, each behind its length.
+pub struct Held {
+    send: SendStream,
+    recv: RecvStream,
+    metrics: Arc<Metrics>,
+}
+
+impl Held {
+    /// Sends a message.
+    pub async fn send(&mut self, message: &impl Serialize) -> Result<(), NoAnswer> {
+        let body = message::encode(message);
+        let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
+        bytes.extend(body);
+        count(&self.metrics, "out", bytes.len());
+        self.send.write_all(&bytes).await.map_err(drop_reason)
+    }
+
+    /// Receives a message. Not to be given up halfway, except to end the stream.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, NoAnswer> {
+        let bytes = self.receive_bytes().await?;
+        message::decode(&bytes).map_err(drop_reason)
+    }
+
+    async fn receive_bytes(&mut self) -> Result<Vec<u8>, NoAnswer> {
+        let mut length = [0; LENGTH_BYTES];
+        self.recv.read_exact(&mut length).await.map_err(drop_reason)?;
+        let length = u32::from_le_bytes(length) as usize;
+        if length > MOST_BYTES {
+            return Err(NoAnswer);
+        }
+        let mut bytes = vec![0; length];
+        self.recv.read_exact(&mut bytes).await.map_err(drop_reason)?;
+        count(&self.metrics, "in", length + LENGTH_BYTES);
+        Ok(bytes)
+    }
+
+    /// Says that nothing more comes and waits until the peer has it all.
+    pub async fn finish(&mut self) {
+        if self.send.finish().is_ok() {
+            let _ = timeout(CONNECT_LIMIT, self.send.stopped()).await;
+        }
     }
 }
 
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -149,10 +149,7 @@
 impl Counted {
     /// Counts the calls made to `inner`.
     pub fn new(inner: Arc<dyn Platform>) -> Counted {
-        Counted {
-            inner,
-            calls: CallCounts::default(),
-        }
+        Counted { inner, calls: CallCounts::default() }
     }
 
     /// The counts so far.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -88,9 +88,7 @@
         _: &mut dyn Rng,
     ) -> Option<ReplicaKey> {
         self.next = self.next.wrapping_add(1);
-        view.candidates
-            .get(self.next % view.candidates.len().max(1))
-            .copied()
+        view.candidates.get(self.next % view.candidates.len().max(1)).copied()
     }
 }
 
@@ -110,12 +108,8 @@
         rng: &mut dyn Rng,
     ) -> Option<ReplicaKey> {
         let first = random_index(view, rng)?;
-        let rotated = view.candidates[first..]
-            .iter()
-            .chain(&view.candidates[..first]);
-        rotated
-            .copied()
-            .min_by_key(|key| view.replicas[*key].reported_load())
+        let rotated = view.candidates[first..].iter().chain(&view.candidates[..first]);
+        rotated.copied().min_by_key(|key| view.replicas[*key].reported_load())
     }
 }
 
--- a/src/poll.rs
+++ b/src/poll.rs
@@ -36,10 +36,7 @@
 
 async fn poll(app: Arc<App>, pool: Weak<Pool>, addr: SocketAddr, every: Duration) {
     loop {
-        let report = timeout(every * LATE, app.engine.load(addr))
-            .await
-            .ok()
-            .flatten();
+        let report = timeout(every * LATE, app.engine.load(addr)).await.ok().flatten();
         let Some(pool) = pool.upgrade() else { return };
         pool.report(addr, report, Instant::now());
         drop(pool);
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -2,15 +2,17 @@
 
 use crate::engine::LoadReport;
 use crate::forecast::{Forecasts, LengthKey};
+use crate::grant::Grant;
 use crate::health::RetryBudget;
 use crate::metrics::Metrics;
 use crate::policy::{self, Newcomer, Policy, View};
 use crate::queue::{Pushed, Queue, Rank, Ticket};
-use crate::replica::{Replica, ReplicaKey, Signal, Stream, StreamKey, growth};
+use crate::replica::{Origin, Replica, ReplicaKey, Signal, Stream, StreamKey, growth};
 use crate::resource::{Algorithm, EnginePoolSpec, HeadroomSpec, PolicySpec};
 use crate::snapshot::Snapshot;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -26,7 +28,7 @@
 const RETRY_MS: std::ops::RangeInclusive<u64> = 250..=30_000;
 
 /// A generation that asks for a place.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Ask {
     /// Whose lengths it is like.
     pub lengths: LengthKey,
@@ -53,6 +55,7 @@
 
 struct Waiting {
     ask: Ask,
+    origin: Origin,
     tx: oneshot::Sender<Placement>,
 }
 
@@ -103,12 +106,7 @@
             made_since: 0,
             rated: now,
         };
-        Pool {
-            name: name.into(),
-            hall: hall.into(),
-            metrics,
-            state: Mutex::new(state),
-        }
+        Pool { name: name.into(), hall: hall.into(), metrics, state: Mutex::new(state) }
     }
 
     /// Name of the pool's resource.
@@ -126,9 +124,7 @@
         state.most_queued = spec.queue_length as usize;
         for declared in &spec.replicas {
             if !state.replicas.values().any(|r| r.addr == declared.address) {
-                state
-                    .replicas
-                    .insert(Replica::new(declared, &self.hall, now));
+                state.replicas.insert(Replica::new(declared, &self.hall, now));
             }
         }
         for r in state.replicas.values_mut() {
@@ -160,35 +156,58 @@
         state.pump(&self.metrics, now);
     }
 
-    /// Waits at most `wait` for a place.
+    /// Waits at most `wait` for a place, by this daemon's own view.
     pub async fn place(self: &Arc<Self>, ask: Ask, wait: Duration) -> Result<Slot, Shed> {
+        self.wait_for(ask, wait, Origin::Own).await
+    }
+
+    /// Waits for a place that another daemon will use.
+    pub async fn place_for_other(self: &Arc<Self>, ask: Ask, wait: Duration) -> Result<Slot, Shed> {
+        self.wait_for(ask, wait, Origin::Other).await
+    }
+
+    async fn wait_for(
+        self: &Arc<Self>,
+        ask: Ask,
+        wait: Duration,
+        origin: Origin,
+    ) -> Result<Slot, Shed> {
         let (tx, rx) = oneshot::channel();
         let now = Instant::now();
         let ticket = {
             let mut state = self.lock();
-            let ticket = state.enqueue(Waiting { ask, tx }, &self.metrics, now)?;
+            let ticket = state.enqueue(Waiting { ask, origin, tx }, &self.metrics, now)?;
             state.pump(&self.metrics, now);
             ticket
         };
-        let mut waiter = Waiter {
-            pool: self,
-            ticket,
-            rx,
-        };
+        let mut waiter = Waiter { pool: self, ticket, rx };
         match tokio::time::timeout(wait, &mut waiter.rx).await {
-            Ok(Ok(placement)) => Ok(Slot::new(self.clone(), placement)),
+            Ok(Ok(placement)) => Ok(Slot::new(self.clone(), placement, None)),
             _ => Err(self.lock().shed()),
         }
     }
 
-    /// Counts a stream that another daemon placed and this one goes on with.
-    pub fn adopt(self: &Arc<Self>, addr: SocketAddr, ask: Ask, made: u32) -> Option<Slot> {
+    /// Counts a stream that another daemon placed and this one carries.
+    pub fn adopt(
+        self: &Arc<Self>,
+        addr: SocketAddr,
+        ask: Ask,
+        made: u32,
+        grant: Option<Grant>,
+    ) -> Option<Slot> {
         let now = Instant::now();
         let mut state = self.lock();
         let replica = state.by_addr(addr)?;
-        let placement = state.start(replica, &ask, made, now);
+        let placement = state.start(replica, &ask, made, Origin::Granted, now);
         drop(state);
-        Some(Slot::new(self.clone(), placement))
+        Some(Slot::new(self.clone(), placement, grant))
+    }
+
+    /// Whether places under a policy are granted by one daemon for all.
+    pub fn has_keeper(&self, policy: &str) -> bool {
+        let state = self.lock();
+        let spec = state.policies.get(policy).map(|(spec, _)| spec);
+        spec.is_none_or(|s| s.algorithm == Algorithm::Headroom && s.headroom.keeper)
     }
 
     /// Whether one more retry is allowed.
@@ -207,10 +226,7 @@
         }
         state.resume_paused(now);
         state.pump(&self.metrics, now);
-        self.metrics
-            .queued
-            .with_label_values(&[&self.name])
-            .set(state.queue.len() as i64);
+        self.metrics.queued.with_label_values(&[&self.name]).set(state.queue.len() as i64);
     }
 
     /// Requests waiting and streams running in this daemon.
@@ -240,10 +256,7 @@
 
 impl State {
     fn by_addr(&self, addr: SocketAddr) -> Option<ReplicaKey> {
-        self.replicas
-            .iter()
-            .find(|(_, r)| r.addr == addr)
-            .map(|(key, _)| key)
+        self.replicas.iter().find(|(_, r)| r.addr == addr).map(|(key, _)| key)
     }
 
     fn apply_policies(&mut self, snapshot: &Snapshot) {
@@ -271,9 +284,7 @@
         now: Instant,
     ) -> Result<Ticket, Shed> {
         let survival = self.forecasts.survival(&waiting.ask.lengths);
-        let expected = growth(waiting.ask.prompt, 0, &survival)
-            .into_iter()
-            .fold(0.0, f32::max);
+        let expected = growth(waiting.ask.prompt, 0, &survival).into_iter().fold(0.0, f32::max);
         let workspace = waiting.ask.lengths.workspace.clone();
         let rank = Rank {
             priority: waiting.ask.priority,
@@ -297,9 +308,7 @@
 
     fn shed(&self) -> Shed {
         let ms = self.queue.cost() as f64 / self.rate.max(1.0) * 1_000.0;
-        Shed {
-            retry_ms: (ms as u64).clamp(*RETRY_MS.start(), *RETRY_MS.end()),
-        }
+        Shed { retry_ms: (ms as u64).clamp(*RETRY_MS.start(), *RETRY_MS.end()) }
     }
 
     fn candidates(&self, now: Instant) -> Vec<ReplicaKey> {
@@ -326,10 +335,8 @@
             if entry.item.tx.is_closed() {
                 continue;
             }
-            metrics
-                .queue_seconds
-                .observe(now.duration_since(entry.since).as_secs_f64());
-            let placement = self.start(replica, &entry.item.ask, 0, now);
+            metrics.queue_seconds.observe(now.duration_since(entry.since).as_secs_f64());
+            let placement = self.start(replica, &entry.item.ask, 0, entry.item.origin, now);
             let stream = placement.stream;
             if entry.item.tx.send(placement).is_err() {
                 self.end(stream, now);
@@ -342,21 +349,13 @@
         candidates: &[ReplicaKey],
         now: Instant,
     ) -> Option<(Ticket, ReplicaKey)> {
-        let first: Vec<Ticket> = self
-            .queue
-            .first(LOOK_AHEAD)
-            .map(|(ticket, _)| ticket)
-            .collect();
+        let first: Vec<Ticket> = self.queue.first(LOOK_AHEAD).map(|(ticket, _)| ticket).collect();
         for ticket in first {
             let ask = &self.queue.get(ticket)?.item.ask;
             let newcomer = self.newcomer(ask);
             let name = ask.policy.clone();
             let (_, policy) = self.policies.entry(name).or_insert_with(default_policy);
-            let view = View {
-                replicas: &self.replicas,
-                streams: &self.streams,
-                candidates,
-            };
+            let view = View { replicas: &self.replicas, streams: &self.streams, candidates };
             if let Some(replica) = policy.place(&view, &newcomer, now, &mut self.rng) {
                 return Some((ticket, replica));
             }
@@ -375,12 +374,20 @@
         }
     }
 
-    fn start(&mut self, replica: ReplicaKey, ask: &Ask, made: u32, now: Instant) -> Placement {
+    fn start(
+        &mut self,
+        replica: ReplicaKey,
+        ask: &Ask,
+        made: u32,
+        origin: Origin,
+        now: Instant,
+    ) -> Placement {
         let (signal_tx, signal) = watch::channel(Signal::Run);
         let stream = self.streams.insert(Stream {
             replica,
             lengths: ask.lengths.clone(),
             policy: ask.policy.clone(),
+            origin,
             prompt: ask.prompt,
             made,
             priority: ask.priority,
@@ -392,18 +399,13 @@
         });
         let r = &mut self.replicas[replica];
         r.streams.push(stream);
-        r.note(1, now);
+        r.note(1, now, now);
         if let Some(prefix) = ask.prefix {
             r.remember(prefix);
         }
         let addr = r.addr;
         self.refresh(replica, now);
-        Placement {
-            addr,
-            replica,
-            stream,
-            signal,
-        }
+        Placement { addr, replica, stream, signal }
     }
 
     fn end(&mut self, stream: StreamKey, now: Instant) {
@@ -412,7 +414,7 @@
         };
         let r = &mut self.replicas[ended.replica];
         r.streams.retain(|key| *key != stream);
-        r.note(-1, now);
+        r.note(-1, ended.started, now);
         self.refresh(ended.replica, now);
     }
 
@@ -444,35 +446,23 @@
 
     fn choose_pause(&mut self, replica: ReplicaKey) -> Option<StreamKey> {
         let (replicas, streams) = (&self.replicas, &self.streams);
-        let view = View {
-            replicas,
-            streams,
-            candidates: &[],
-        };
+        let view = View { replicas, streams, candidates: &[] };
         let on_replica = &replicas[replica].streams;
         self.policies.iter_mut().find_map(|(name, (_, policy))| {
             let placed = on_replica.iter().copied();
-            let running = placed
-                .filter(|key| streams[*key].paused.is_none() && streams[*key].policy == *name);
+            let running =
+                placed.filter(|key| streams[*key].may_pause() && streams[*key].policy == *name);
             let running: Vec<StreamKey> = running.collect();
             policy.pause(&view, replica, &running)
         })
     }
 
     fn resume_paused(&mut self, now: Instant) {
-        let paused: Vec<StreamKey> = self
-            .streams
-            .iter()
-            .filter(|(_, s)| s.paused.is_some())
-            .map(|(key, _)| key)
-            .collect();
+        let paused: Vec<StreamKey> =
+            self.streams.iter().filter(|(_, s)| s.paused.is_some()).map(|(key, _)| key).collect();
         for stream in paused {
             let (replicas, streams) = (&self.replicas, &self.streams);
-            let view = View {
-                replicas,
-                streams,
-                candidates: &[],
-            };
+            let view = View { replicas, streams, candidates: &[] };
             let policy = self.policies.get_mut(&streams[stream].policy);
             let allowed = policy.is_none_or(|(_, policy)| policy.resume(&view, stream, now));
             if !allowed {
@@ -488,10 +478,7 @@
 }
 
 fn default_policy() -> (PolicySpec, Box<dyn Policy>) {
-    let spec = PolicySpec {
-        algorithm: Algorithm::Headroom,
-        headroom: HeadroomSpec::default(),
-    };
+    let spec = PolicySpec { algorithm: Algorithm::Headroom, headroom: HeadroomSpec::default() };
     let policy = policy::build(&spec);
     (spec, policy)
 }
@@ -501,15 +488,12 @@
     pool: Arc<Pool>,
     placement: Placement,
     last_token: Option<Instant>,
+    grant: Option<Grant>,
 }
 
 impl Slot {
-    fn new(pool: Arc<Pool>, placement: Placement) -> Slot {
-        Slot {
-            pool,
-            placement,
-            last_token: None,
-        }
+    fn new(pool: Arc<Pool>, placement: Placement, grant: Option<Grant>) -> Slot {
+        Slot { pool, placement, last_token: None, grant }
     }
 
     /// The replica's address.
@@ -519,6 +503,9 @@
 
     /// Waits until the policy wants something else.
     pub async fn signalled(&mut self) -> Signal {
+        if let Some(grant) = &mut self.grant {
+            return grant.signalled().await;
+        }
         if self.placement.signal.changed().await.is_err() {
             std::future::pending::<()>().await;
         }
@@ -556,24 +543,21 @@
     }
 
     /// The generation ended properly after `tokens`.
-    pub fn complete(self, tokens: u32) {
+    pub fn complete(mut self, tokens: u32) {
+        if let Some(grant) = self.grant.take() {
+            grant.complete(tokens);
+        }
         let mut state = self.pool.lock();
         state.retries.succeeded();
         state.replicas[self.placement.replica].health.succeeded();
-        if let Some(lengths) = state
-            .streams
-            .get(self.placement.stream)
-            .map(|s| s.lengths.clone())
-        {
+        if let Some(lengths) = state.streams.get(self.placement.stream).map(|s| s.lengths.clone()) {
             state.forecasts.record(&lengths, tokens);
         }
     }
 
     /// The replica failed.
     pub fn failed(&self, now: Instant) {
-        self.pool.lock().replicas[self.placement.replica]
-            .health
-            .failed(now);
+        self.pool.lock().replicas[self.placement.replica].health.failed(now);
     }
 
     /// The replica says that it is leaving.
--- a/src/prompt.rs
+++ b/src/prompt.rs
@@ -103,11 +103,9 @@
 fn estimate(content: &Value) -> u32 {
     let bytes = match content {
         Value::String(text) => text.len(),
-        Value::Array(parts) => parts
-            .iter()
-            .filter_map(|p| p.get("text")?.as_str())
-            .map(str::len)
-            .sum(),
+        Value::Array(parts) => {
+            parts.iter().filter_map(|p| p.get("text")?.as_str()).map(str::len).sum()
+        }
         _ => 0,
     };
     (bytes / TOKEN_BYTES) as u32
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -80,11 +80,7 @@
         self.arrivals += 1;
         let earlier = self.finish.get(rank.workspace).copied().unwrap_or(0);
         let start = earlier.max(self.virtual_now);
-        let ticket = Ticket {
-            rank: u8::MAX - rank.priority,
-            start,
-            order: self.arrivals,
-        };
+        let ticket = Ticket { rank: u8::MAX - rank.priority, start, order: self.arrivals };
         if self.entries.len() >= most {
             let last = self.entries.last_key_value().map(|(t, _)| *t);
             match last {
@@ -107,14 +103,7 @@
             ticket.start + cost * SCALE / u64::from(rank.share.max(1)),
         );
         self.cost += cost;
-        self.entries.insert(
-            ticket,
-            Entry {
-                item,
-                since: now,
-                cost,
-            },
-        );
+        self.entries.insert(ticket, Entry { item, since: now, cost });
     }
 
     /// The first entries in order, at most `most`.
--- a/src/quickstart.rs
+++ b/src/quickstart.rs
@@ -45,14 +45,7 @@
     let each = |piece: crate::client::Piece| {
         wrote = write!(out, "{}", piece.text).and_then(|()| out.flush());
     };
-    client
-        .stream(
-            "/v1/chat/completions",
-            "draft",
-            Bytes::from(body.to_string()),
-            each,
-        )
-        .await;
+    client.stream("/v1/chat/completions", "draft", Bytes::from(body.to_string()), each).await;
     wrote?;
     writeln!(out)
 }
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -34,14 +34,7 @@
         tx: BodySender,
         begun: oneshot::Sender<()>,
     ) -> EventReader {
-        EventReader {
-            head,
-            keys,
-            position,
-            tx,
-            begun: Some(begun),
-            sent: false,
-        }
+        EventReader { head, keys, position, tx, begun: Some(begun), sent: false }
     }
 
     /// Sends the proper end.
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -3,6 +3,8 @@
 use crate::engine::{
     Dispatch, Engine, EngineEvent, Finish, OpenError, OpenStream, ResumeError, Token,
 };
+use crate::gossip::Gossip;
+use crate::grant;
 use crate::metrics::Metrics;
 use crate::outcome::{Failure, NotSent, Reason};
 use crate::pool::{Ask, Pool, Slot};
@@ -67,6 +69,7 @@
 
 /// Carries generations.
 pub struct Relay {
+    gossip: Arc<Gossip>,
     pool: Arc<Pool>,
     engine: Arc<dyn Engine>,
     metrics: Arc<Metrics>,
@@ -91,26 +94,18 @@
 
 impl Progress {
     fn new(generation: GenerationId, delivered: u32, gap: Duration, now: Instant) -> Progress {
-        Progress {
-            generation,
-            delivered,
-            began: now,
-            last: None,
-            gap,
-        }
+        Progress { generation, delivered, began: now, last: None, gap }
     }
 
     fn saw_token(&mut self, metrics: &Metrics, now: Instant) {
         match self.last {
-            None => metrics
-                .first_token_seconds
-                .observe(now.duration_since(self.began).as_secs_f64()),
+            None => {
+                metrics.first_token_seconds.observe(now.duration_since(self.began).as_secs_f64())
+            }
             Some(last) => {
                 let gap = now.duration_since(last);
                 metrics.token_gap_seconds.observe(gap.as_secs_f64());
-                metrics
-                    .stall_ms
-                    .inc_by(gap.saturating_sub(self.gap).as_millis() as u64);
+                metrics.stall_ms.inc_by(gap.saturating_sub(self.gap).as_millis() as u64);
             }
         }
         self.last = Some(now);
@@ -119,12 +114,13 @@
 
 impl Relay {
     /// A relay for one pool.
-    pub fn new(pool: Arc<Pool>, engine: Arc<dyn Engine>, metrics: Arc<Metrics>) -> Relay {
-        Relay {
-            pool,
-            engine,
-            metrics,
-        }
+    pub fn new(
+        gossip: Arc<Gossip>,
+        pool: Arc<Pool>,
+        engine: Arc<dyn Engine>,
+        metrics: Arc<Metrics>,
+    ) -> Relay {
+        Relay { gossip, pool, engine, metrics }
     }
 
     /// Places a generation and carries it to its end.
@@ -139,7 +135,7 @@
                 self.metrics.retries.inc();
             }
             let wait = job.wait.saturating_sub(began.elapsed());
-            let slot = match self.pool.place(job.ask.clone(), wait).await {
+            let slot = match grant::place(&self.gossip, &self.pool, job.ask.clone(), wait).await {
                 Ok(slot) => slot,
                 Err(shed) => return Err(lost(proof, Reason::no_capacity(shed.retry_ms))),
             };
@@ -148,11 +144,7 @@
             let untouched = attempt.is_some();
             let opened = self
                 .engine
-                .open(
-                    slot.addr(),
-                    &job.dispatch,
-                    attempt.unwrap_or_else(NotSent::begin),
-                )
+                .open(slot.addr(), &job.dispatch, attempt.unwrap_or_else(NotSent::begin))
                 .await;
             let stream = match opened {
                 Ok(stream) => stream,
@@ -169,10 +161,8 @@
                 }
                 Err(OpenError::Unknown) => {
                     slot.failed(Instant::now());
-                    let not_started = self
-                        .engine
-                        .cancel(slot.addr(), job.dispatch.generation)
-                        .await;
+                    let not_started =
+                        self.engine.cancel(slot.addr(), job.dispatch.generation).await;
                     proof = (untouched && not_started).then(NotSent::declared);
                     continue;
                 }
@@ -185,15 +175,10 @@
             };
             let mut progress = Progress::new(job.dispatch.generation, 0, job.gap, began);
             if reader.accepted(job.dispatch.generation, &slot).await == Delivery::Gone {
-                self.engine
-                    .cancel(slot.addr(), job.dispatch.generation)
-                    .await;
+                self.engine.cancel(slot.addr(), job.dispatch.generation).await;
                 return Ok(End::ReaderGone);
             }
-            match self
-                .carry(&job, slot, Some(stream), &mut progress, reader)
-                .await
-            {
+            match self.carry(&job, slot, Some(stream), &mut progress, reader).await {
                 Some(end) => return Ok(end),
                 None if progress.delivered == 0 || reader.restart() => continue,
                 None => return Err(cut()),
@@ -217,9 +202,7 @@
         reader: &mut dyn Reader,
     ) -> Result<End, Failure> {
         let mut progress = Progress::new(job.dispatch.generation, after, job.gap, Instant::now());
-        self.carry(&job, slot, None, &mut progress, reader)
-            .await
-            .ok_or_else(cut)
+        self.carry(&job, slot, None, &mut progress, reader).await.ok_or_else(cut)
     }
 
     /// Follows a generation to its end, resuming it at its replica; `None` where it is lost.
@@ -259,11 +242,7 @@
         let mut backoff = FIRST_BACKOFF;
         self.metrics.resumes.inc();
         loop {
-            match self
-                .engine
-                .resume(slot.addr(), progress.generation, progress.delivered)
-                .await
-            {
+            match self.engine.resume(slot.addr(), progress.generation, progress.delivered).await {
                 Ok(stream) => return Some(stream),
                 Err(ResumeError::Gone) => return None,
                 Err(ResumeError::Unreachable) if Instant::now() >= until => {
@@ -366,7 +345,5 @@
 
 fn cut() -> Failure {
     let message = "the generation was lost at its engine after tokens were delivered; send the request again for a new answer";
-    Failure::Cut {
-        reason: Reason::new(502, "cut", message),
-    }
+    Failure::Cut { reason: Reason::new(502, "cut", message) }
 }
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -63,12 +63,10 @@
         });
     }
     let fleet = Fleet::start(deployment, policy, speed).await?;
-    let clients = deployment.workspaces.iter().map(|w| {
-        (
-            w.name.clone(),
-            Client::new(&Deployment::key(&w.name), fleet.entries()),
-        )
-    });
+    let clients = deployment
+        .workspaces
+        .iter()
+        .map(|w| (w.name.clone(), Client::new(&Deployment::key(&w.name), fleet.entries())));
     let run = Arc::new(Run {
         clients: clients.collect(),
         tally: Mutex::new(Tally::new(speed)),
@@ -137,12 +135,8 @@
 
 async fn generation(run: Arc<Run>, g: Generation) {
     let client = &run.clients[&g.workspace];
-    let gap_limit = run
-        .classes
-        .get(&g.class)
-        .copied()
-        .unwrap_or_default()
-        .div_f64(run.fleet.speed());
+    let gap_limit =
+        run.classes.get(&g.class).copied().unwrap_or_default().div_f64(run.fleet.speed());
     let body = completion_body(&g);
     let began = Instant::now();
     let mut tokens = Vec::new();
@@ -157,9 +151,7 @@
         }
         last = Some(piece.at);
     };
-    let ended = client
-        .stream("/v1/chat/completions", &g.class, body, each)
-        .await;
+    let ended = client.stream("/v1/chat/completions", &g.class, body, each).await;
     let seen = Seen {
         outcome: ended.outcome,
         first,
@@ -202,12 +194,8 @@
 
 fn fill(start: &str, bytes: usize) -> String {
     const FILLER: &str = " Please consider the figures and the earlier correspondence as given.";
-    let text: String = start
-        .chars()
-        .chain(FILLER.chars().cycle())
-        .filter(char::is_ascii)
-        .take(bytes)
-        .collect();
+    let text: String =
+        start.chars().chain(FILLER.chars().cycle()).filter(char::is_ascii).take(bytes).collect();
     text
 }
 
@@ -220,9 +208,7 @@
         headers.push(("idempotency-key", label.as_str()));
     }
     let body = Bytes::from(json!({"number": number}).to_string());
-    let mut called = client
-        .call(Method::POST, &path, body.clone(), &headers)
-        .await;
+    let mut called = client.call(Method::POST, &path, body.clone(), &headers).await;
     if c.once {
         // A caller in doubt asks again with the same key; it must not run again.
         for _ in 0..CALL_REPEATS {
@@ -230,9 +216,7 @@
                 break;
             }
             sleep(Duration::from_millis(1_000).div_f64(run.fleet.speed())).await;
-            called = client
-                .call(Method::POST, &path, body.clone(), &headers)
-                .await;
+            called = client.call(Method::POST, &path, body.clone(), &headers).await;
         }
     }
     run.tally.lock().expect("tally").ended(called.outcome);
@@ -272,19 +256,14 @@
     let mut pauses = 0.0;
     for vm in run.fleet.vms().values() {
         let text = vm.metrics().await.unwrap_or_default();
-        let line = text
-            .lines()
-            .find_map(|l| l.strip_prefix("tidestair_pauses_total "));
+        let line = text.lines().find_map(|l| l.strip_prefix("tidestair_pauses_total "));
         pauses += line.and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0);
     }
     let mut tally = run.tally.lock().expect("tally");
     for seen in run.calls.lock().expect("calls").iter() {
         let ran = runs.get(&seen.label).copied().unwrap_or(0);
         tally.add("once_run_twice", f64::from(u8::from(seen.once && ran > 1)));
-        tally.add(
-            "false_not_run",
-            f64::from(u8::from(seen.outcome == Outcome::NotRun && ran > 0)),
-        );
+        tally.add("false_not_run", f64::from(u8::from(seen.outcome == Outcome::NotRun && ran > 0)));
     }
     for engine in run.fleet.engines.values() {
         let counts = engine.counts();
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -4,6 +4,7 @@
 use crate::forecast::{LengthKey, Survival};
 use crate::health::Health;
 use crate::resource::ReplicaSpec;
+use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -25,11 +26,13 @@
 const MOST_CHANGES: usize = 256;
 /// Weight of one observed gap between tokens in the mean.
 const GAP_WEIGHT: f32 = 0.05;
+/// Least gap that tokens are estimated by, in milliseconds.
+const SHORTEST_GAP_MS: f32 = 0.5;
 /// Gap assumed of a replica not yet seen, in milliseconds.
 const FIRST_GAP_MS: f32 = 25.0;
 
 /// Whether a stream may go on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Signal {
     /// Go on.
     Run,
@@ -37,7 +40,18 @@
     Pause,
 }
 
-/// A stream that this daemon runs.
+/// Who placed a stream and who carries it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// Placed and carried by this daemon.
+    Own,
+    /// Placed by this daemon and carried by another, which tells only its end.
+    Other,
+    /// Placed by another daemon and carried by this one.
+    Granted,
+}
+
+/// A stream that this daemon placed or carries.
 #[derive(Debug)]
 pub struct Stream {
     /// Where it runs.
@@ -60,19 +74,31 @@
     pub pauses: u32,
     /// Survival of its length.
     pub survival: Survival,
+    /// Who placed and who carries it.
+    pub origin: Origin,
     /// Tells its relay.
     pub signal: watch::Sender<Signal>,
 }
 
 impl Stream {
-    /// Memory it holds now, in tokens.
+    /// Memory it holds while it runs, in tokens, by the tokens known to be made.
     pub fn size(&self) -> u32 {
-        if self.paused.is_some() {
-            0
-        } else {
-            self.prompt + self.made
+        self.prompt + self.made
+    }
+
+    /// Tokens made by `now`; for a stream that another daemon carries, by the usual gap.
+    pub fn made_by(&self, gap_ms: f32, now: Instant) -> u32 {
+        let running = now.saturating_duration_since(self.started).as_secs_f32() * 1_000.0;
+        match self.origin {
+            Origin::Own | Origin::Granted => self.made,
+            Origin::Other => (running / gap_ms.max(SHORTEST_GAP_MS)) as u32,
         }
     }
+
+    /// Whether this daemon may pause it.
+    pub fn may_pause(&self) -> bool {
+        self.paused.is_none() && self.origin != Origin::Granted
+    }
 }
 
 /// Memory expected of a stream at each horizon, in tokens.
@@ -84,6 +110,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Delta {
     at: Instant,
+    /// When the stream began.
+    began: Instant,
     streams: i32,
 }
 
@@ -150,9 +178,7 @@
 
     /// Takes in a load report received at `now`.
     pub fn take_report(&mut self, report: LoadReport, now: Instant) {
-        let measured = now
-            .checked_sub(Duration::from_millis(report.age_ms))
-            .unwrap_or(now);
+        let measured = now.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(now);
         if self.known && measured < self.reported {
             return;
         }
@@ -166,8 +192,8 @@
     }
 
     /// Notes streams that this daemon began (or with a negative number ended) here.
-    pub fn note(&mut self, streams: i32, now: Instant) {
-        self.changes.push_back(Delta { at: now, streams });
+    pub fn note(&mut self, streams: i32, began: Instant, now: Instant) {
+        self.changes.push_back(Delta { at: now, began, streams });
         if self.changes.len() > MOST_CHANGES {
             self.changes.pop_front();
         }
@@ -184,7 +210,7 @@
         i64::from(self.report.running + self.report.waiting) + since
     }
 
-    /// Works out the memory forecast anew from the report and the changes since.
+    /// Works out the memory forecast anew from the report and what is known since.
     pub fn refresh(
         &mut self,
         streams: &SlotMap<StreamKey, Stream>,
@@ -192,35 +218,43 @@
         correct: bool,
         now: Instant,
     ) {
-        let own: Vec<&Stream> = self
-            .streams
-            .iter()
-            .map(|key| &streams[*key])
-            .filter(|s| s.paused.is_none())
-            .collect();
-        let old = own.iter().filter(|s| s.started <= self.reported);
-        let own_tokens: u32 = old.clone().map(|s| s.size()).sum();
-        let others = (self.report.running + self.report.waiting).saturating_sub(old.count() as u32);
+        let known: Vec<&Stream> =
+            self.streams.iter().map(|key| &streams[*key]).filter(|s| s.paused.is_none()).collect();
+        let reported = known.iter().filter(|s| s.started <= self.reported);
+        let known_tokens: u32 =
+            reported.clone().map(|s| s.prompt + s.made_by(self.gap_ms, self.reported)).sum();
+        // Those that ended since the report are still counted in it.
+        let ended =
+            self.changes.iter().filter(|c| c.streams < 0 && c.began <= self.reported).count();
+        let others = (self.report.running + self.report.waiting) as usize;
+        let others = others.saturating_sub(reported.count() + ended);
         let mut peaks = [0.0; HORIZON_COUNT];
         if others > 0 {
-            let foreign = self.report.used.saturating_sub(own_tokens) as f32 / others as f32;
-            let age = now.duration_since(self.reported).as_millis() as f32;
-            // Streams of other daemons went on making tokens since the report.
-            let made = foreign * 0.5 + age / self.gap_ms.max(1.0);
-            let each = growth((foreign * 0.5) as u32, made as u32, pooled);
+            let foreign =
+                self.report.used.saturating_sub(known_tokens) as f32 / (others + ended) as f32;
+            let each = self.foreign_growth(foreign, pooled, now);
             for (peak, tokens) in peaks.iter_mut().zip(each) {
                 *peak += tokens * others as f32;
             }
         }
-        let counted = own.iter().filter(|s| correct || s.started <= self.reported);
+        let counted = known.iter().filter(|s| correct || s.started <= self.reported);
         for s in counted {
-            for (peak, tokens) in peaks.iter_mut().zip(growth(s.prompt, s.made, &s.survival)) {
+            let made = s.made_by(self.gap_ms, now);
+            for (peak, tokens) in peaks.iter_mut().zip(growth(s.prompt, made, &s.survival)) {
                 *peak += tokens;
             }
         }
         self.peaks = peaks;
     }
 
+    /// Memory expected of a stream of which only its mean size at the report is known.
+    fn foreign_growth(&self, size: f32, pooled: &Survival, now: Instant) -> [f32; HORIZON_COUNT] {
+        let prompt = size * 0.5;
+        let since = now.saturating_duration_since(self.reported).as_secs_f32() * 1_000.0;
+        let made = size - prompt + since / self.gap_ms.max(SHORTEST_GAP_MS);
+        growth(prompt as u32, made as u32, pooled)
+    }
+
     /// Notes a prompt prefix as cached here.
     pub fn remember(&mut self, prefix: u64) {
         self.prefixes.retain(|p| *p != prefix);
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -51,9 +51,7 @@
 
     /// The kind of that name, in any case.
     pub fn parse(name: &str) -> Option<Kind> {
-        Kind::ALL
-            .into_iter()
-            .find(|k| k.name().eq_ignore_ascii_case(name))
+        Kind::ALL.into_iter().find(|k| k.name().eq_ignore_ascii_case(name))
     }
 }
 
@@ -153,6 +151,8 @@
     pub pause: bool,
     /// Longest pause in milliseconds; well below a generation's life without a reader.
     pub max_pause_ms: u64,
+    /// Whether one daemon keeps the pool's queue for all; otherwise each places by its own view.
+    pub keeper: bool,
     /// Whether lagging reports are corrected by dispatches since.
     pub correct: bool,
     /// Whether lengths are forecast; otherwise the prompt alone counts.
@@ -167,6 +167,7 @@
             affinity: 0.5,
             pause: true,
             max_pause_ms: 4_000,
+            keeper: true,
             correct: true,
             forecast: true,
         }
@@ -280,11 +281,7 @@
 
 impl Default for Objectives {
     fn default() -> Objectives {
-        Objectives {
-            first_token_ms: 670,
-            between_tokens_ms: 32,
-            share: 0.95,
-        }
+        Objectives { first_token_ms: 670, between_tokens_ms: 32, share: 0.95 }
     }
 }
 
@@ -374,15 +371,8 @@
 impl Resource {
     /// A resource as an operator would declare it.
     pub fn new(name: &str, spec: Spec) -> Resource {
-        let metadata = Metadata {
-            name: name.into(),
-            ..Metadata::default()
-        };
-        Resource {
-            api_version: API_VERSION.into(),
-            metadata,
-            spec,
-        }
+        let metadata = Metadata { name: name.into(), ..Metadata::default() };
+        Resource { api_version: API_VERSION.into(), metadata, spec }
     }
 
     /// The kind of this resource.
@@ -406,16 +396,10 @@
                 c.require(known, key, "unknown field; remove it or correct its name");
             }
         }
-        let kind = value
-            .get("kind")
-            .and_then(|k| k.as_str())
-            .unwrap_or_default();
+        let kind = value.get("kind").and_then(|k| k.as_str()).unwrap_or_default();
         if Kind::parse(kind).is_none() {
             let names: Vec<&str> = Kind::ALL.iter().map(|k| k.name()).collect();
-            c.add(
-                "kind",
-                format!("`{kind}` is not a kind; use one of {}", names.join(", ")),
-            );
+            c.add("kind", format!("`{kind}` is not a kind; use one of {}", names.join(", ")));
             return Err(c.finish());
         }
         let parsed: Result<Resource, _> = serde_json::from_value(value);
@@ -423,11 +407,7 @@
             Ok(resource) => {
                 resource.check(&mut c);
                 let problems = c.finish();
-                if problems.is_empty() {
-                    Ok(resource)
-                } else {
-                    Err(problems)
-                }
+                if problems.is_empty() { Ok(resource) } else { Err(problems) }
             }
             Err(e) => {
                 c.add("spec", format!("{e}; correct the value"));
@@ -443,27 +423,13 @@
                 .name
                 .bytes()
                 .all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'.');
-        c.require(
-            self.api_version == API_VERSION,
-            "apiVersion",
-            format!("use {API_VERSION}"),
-        );
+        c.require(self.api_version == API_VERSION, "apiVersion", format!("use {API_VERSION}"));
         c.require(named, "metadata.name", "use letters, digits, `-` and `.`");
         match &self.spec {
             Spec::Policy(p) => {
                 c.range("spec.headroom.fill", p.headroom.fill, 0.1, 1.5);
-                c.range(
-                    "spec.headroom.batchWeight",
-                    p.headroom.batch_weight,
-                    0.0,
-                    10.0,
-                );
-                c.range(
-                    "spec.headroom.maxPauseMs",
-                    p.headroom.max_pause_ms,
-                    10,
-                    60_000,
-                );
+                c.range("spec.headroom.batchWeight", p.headroom.batch_weight, 0.0, 10.0);
+                c.range("spec.headroom.maxPauseMs", p.headroom.max_pause_ms, 10, 60_000);
                 c.range("spec.headroom.affinity", p.headroom.affinity, 0.0, 1.0);
             }
             Spec::EnginePool(p) => {
@@ -472,11 +438,7 @@
                 check_replicas(&p.replicas, c);
             }
             Spec::ServicePool(p) => {
-                c.require(
-                    !p.service.is_empty(),
-                    "spec.service",
-                    "empty; name the service",
-                );
+                c.require(!p.service.is_empty(), "spec.service", "empty; name the service");
                 check_replicas(&p.replicas, c);
             }
             Spec::TrafficClass(t) => {
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -68,18 +68,12 @@
 impl SealKeys {
     /// A first pair of keys.
     pub fn generate(rng: &mut impl rand::Rng) -> SealKeys {
-        SealKeys {
-            current: random_key(rng),
-            previous: None,
-        }
+        SealKeys { current: random_key(rng), previous: None }
     }
 
     /// The keys after a rotation.
     pub fn rotate(&self, rng: &mut impl rand::Rng) -> SealKeys {
-        SealKeys {
-            current: random_key(rng),
-            previous: Some(self.current),
-        }
+        SealKeys { current: random_key(rng), previous: Some(self.current) }
     }
 
     /// Seals a position as an event id.
@@ -96,10 +90,7 @@
         let split = bytes.len().checked_sub(TAG_BYTES)?;
         let (body, given) = bytes.split_at(split);
         let keys = [Some(self.current), self.previous];
-        let signed = keys
-            .iter()
-            .flatten()
-            .any(|key| bool::from(tag(key, body).ct_eq(given)));
+        let signed = keys.iter().flatten().any(|key| bool::from(tag(key, body).ct_eq(given)));
         if !signed {
             return None;
         }
--- a/src/server.rs
+++ b/src/server.rs
@@ -22,10 +22,8 @@
 
 /// Listens on `addr` and serves `router`.
 pub async fn serve(addr: SocketAddr, router: Router) -> Result<Serving> {
-    let refused = |e: std::io::Error| Error::Listen {
-        addr: addr.to_string(),
-        reason: e.to_string(),
-    };
+    let refused =
+        |e: std::io::Error| Error::Listen { addr: addr.to_string(), reason: e.to_string() };
     let listener = TcpListener::bind(addr).await.map_err(refused)?;
     let addr = listener.local_addr().map_err(refused)?;
     let acceptor = TcpAcceptor::try_from(listener).map_err(refused)?;
@@ -63,10 +61,7 @@
 /// Answers with server-sent events.
 pub fn event_stream(res: &mut Response, depth: usize) -> BodySender {
     let headers = res.headers_mut();
-    headers.insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static("text/event-stream"),
-    );
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
     stream_body(res, depth)
 }
@@ -74,10 +69,7 @@
 /// Answers with JSON.
 pub fn json(res: &mut Response, status: StatusCode, body: &impl Serialize) {
     res.status_code(status);
-    res.headers_mut().insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static("application/json"),
-    );
+    res.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let bytes = serde_json::to_vec(body).expect("answers are JSON");
     let _ = res.write_body(bytes);
 }
--- a/src/show.rs
+++ b/src/show.rs
@@ -46,11 +46,8 @@
     };
     let widths: Vec<usize> = (0..heading.len()).map(width).collect();
     let line = |cells: Vec<&str>| {
-        let padded: Vec<String> = cells
-            .iter()
-            .zip(&widths)
-            .map(|(c, w)| format!("{c:<w$}"))
-            .collect();
+        let padded: Vec<String> =
+            cells.iter().zip(&widths).map(|(c, w)| format!("{c:<w$}")).collect();
         format!("{}\n", padded.join("  ").trim_end())
     };
     let mut text = line(heading.to_vec());
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -56,10 +56,7 @@
 impl Snapshot {
     /// The resources found by one read of the whole prefix.
     pub fn from_entries(entries: &[Entry], revision: u64) -> Snapshot {
-        let mut snapshot = Snapshot {
-            revision,
-            ..Snapshot::default()
-        };
+        let mut snapshot = Snapshot { revision, ..Snapshot::default() };
         for entry in entries {
             snapshot.take(&entry.key, Some(&entry.value), entry.revision);
         }
@@ -80,9 +77,7 @@
         if key == seal_key() {
             self.keys = value.and_then(|v| serde_json::from_slice(v).ok());
         } else if key == vms_key() {
-            self.vms = value
-                .and_then(|v| serde_json::from_slice(v).ok())
-                .unwrap_or_default();
+            self.vms = value.and_then(|v| serde_json::from_slice(v).ok()).unwrap_or_default();
         } else {
             match value.and_then(|v| decode(v, revision)) {
                 Some(resource) => self.resources.insert(key.into(), Arc::new(resource)),
@@ -95,8 +90,7 @@
     pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Resource> {
         let prefix = key(kind, "");
         let from = self.resources.range(prefix.clone()..);
-        from.take_while(move |(key, _)| key.starts_with(&prefix))
-            .map(|(_, r)| &**r)
+        from.take_while(move |(key, _)| key.starts_with(&prefix)).map(|(_, r)| &**r)
     }
 
     /// One resource.
@@ -115,18 +109,10 @@
         let mut entries: Vec<Entry> = self.resources.iter().map(entry).collect();
         if let Some(keys) = &self.keys {
             let value = serde_json::to_vec(keys).expect("keys are JSON");
-            entries.push(Entry {
-                key: seal_key(),
-                value,
-                revision: self.revision,
-            });
+            entries.push(Entry { key: seal_key(), value, revision: self.revision });
         }
         let value = serde_json::to_vec(&self.vms).expect("a list is JSON");
-        entries.push(Entry {
-            key: vms_key(),
-            value,
-            revision: self.revision,
-        });
+        entries.push(Entry { key: vms_key(), value, revision: self.revision });
         entries
     }
 
@@ -206,11 +192,7 @@
         let mut c = crate::check::Checker::default();
         let mut policy = |name: &str, path: &str| {
             let declared = self.get(Kind::Policy, name).is_some();
-            c.require(
-                declared,
-                path,
-                format!("Policy `{name}` is not declared; apply it first"),
-            );
+            c.require(declared, path, format!("Policy `{name}` is not declared; apply it first"));
         };
         match &resource.spec {
             Spec::EnginePool(p) => policy(&p.policy, "spec.policy"),
@@ -225,10 +207,8 @@
             }
             Spec::Workspace(w) => {
                 let declared = self.class(&w.default_class).is_some();
-                let message = format!(
-                    "TrafficClass `{}` is not declared; apply it first",
-                    w.default_class
-                );
+                let message =
+                    format!("TrafficClass `{}` is not declared; apply it first", w.default_class);
                 c.require(declared, "spec.defaultClass", message);
             }
             Spec::Policy(_) | Spec::ServicePool(_) => {}
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -31,10 +31,7 @@
             if let Some(id) = line.strip_prefix("id: ") {
                 self.id = Some(id.to_string());
             } else if let Some(data) = line.strip_prefix("data: ") {
-                self.ready.push_back(Event {
-                    id: self.id.take(),
-                    data: data.to_string(),
-                });
+                self.ready.push_back(Event { id: self.id.take(), data: data.to_string() });
             }
         }
     }
--- a/src/standin/batch.rs
+++ b/src/standin/batch.rs
@@ -130,11 +130,7 @@
     pub fn add(&mut self, id: GenerationId, ask: Ask) -> u32 {
         self.arrivals += 1;
         let cached = ask.prefix.map_or(0, |p| self.cached(p));
-        let start = Progress {
-            made: 0,
-            done: false,
-            gone: false,
-        };
+        let start = Progress { made: 0, done: false, gone: false };
         let gens = Gen {
             ask,
             phase: Phase::Waiting,
@@ -154,9 +150,7 @@
 
     /// How many readers a generation has.
     pub fn readers(&self, id: GenerationId) -> usize {
-        self.gens
-            .get(&id)
-            .map_or(0, |g| g.progress.receiver_count())
+        self.gens.get(&id).map_or(0, |g| g.progress.receiver_count())
     }
 
     /// Prompt tokens of a generation.
@@ -206,11 +200,7 @@
         for g in self.gens.values() {
             g.progress.send_modify(|p| p.gone = true);
         }
-        *self = Batch {
-            preemptions: self.preemptions,
-            made: self.made,
-            ..Batch::new(spec)
-        };
+        *self = Batch { preemptions: self.preemptions, made: self.made, ..Batch::new(spec) };
     }
 
     /// One step: admit, compute prompts, decode. Returns how long it takes.
@@ -244,10 +234,7 @@
 
     /// Generations that have not ended.
     pub fn open(&self) -> usize {
-        self.gens
-            .values()
-            .filter(|g| g.phase != Phase::Done)
-            .count()
+        self.gens.values().filter(|g| g.phase != Phase::Done).count()
     }
 
     fn size(&self, id: GenerationId) -> u32 {
@@ -261,11 +248,7 @@
         let priority = g.ask.priority;
         let before = |w: &GenerationId| {
             let other = self.gens[w].ask.priority;
-            if first {
-                other > priority
-            } else {
-                other >= priority
-            }
+            if first { other > priority } else { other >= priority }
         };
         let at = self.waiting.iter().take_while(|w| before(w)).count();
         self.waiting.insert(at, id);
@@ -309,12 +292,8 @@
     }
 
     fn decode(&mut self) -> u64 {
-        let ready: Vec<GenerationId> = self
-            .running
-            .iter()
-            .copied()
-            .filter(|id| self.gens[id].prefill_left == 0)
-            .collect();
+        let ready: Vec<GenerationId> =
+            self.running.iter().copied().filter(|id| self.gens[id].prefill_left == 0).collect();
         let mut decoded = 0;
         for id in ready {
             // An earlier one may have preempted this one.
@@ -352,10 +331,7 @@
     /// Preempts the newest generation of the lowest priority; `false` where only `keep` runs.
     fn preempt(&mut self, keep: GenerationId) -> bool {
         let rank = |id: &GenerationId| {
-            (
-                self.gens[id].ask.priority,
-                std::cmp::Reverse(self.gens[id].order),
-            )
+            (self.gens[id].ask.priority, std::cmp::Reverse(self.gens[id].order))
         };
         let Some(victim) = self.running.iter().copied().min_by_key(rank) else {
             return false;
@@ -370,11 +346,7 @@
     }
 
     fn cached(&self, prefix: Prefix) -> u32 {
-        if self.cache.contains(&prefix) {
-            prefix.tokens
-        } else {
-            0
-        }
+        if self.cache.contains(&prefix) { prefix.tokens } else { 0 }
     }
 
     fn remember(&mut self, prefix: Prefix) {
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -44,13 +44,7 @@
 
 impl Default for EngineFaults {
     fn default() -> EngineFaults {
-        EngineFaults {
-            slow: 1.0,
-            stalled: false,
-            leaving: false,
-            double_tokens: 0,
-            skip_tokens: 0,
-        }
+        EngineFaults { slow: 1.0, stalled: false, leaving: false, double_tokens: 0, skip_tokens: 0 }
     }
 }
 
@@ -107,11 +101,7 @@
         let serving = server::serve(addr, router(core.clone())).await?;
         let addr = serving.addr;
         tokio::spawn(core.clone().run());
-        Ok(EngineStandin {
-            addr,
-            core,
-            serving: Arc::new(AsyncMutex::new(Some(serving))),
-        })
+        Ok(EngineStandin { addr, core, serving: Arc::new(AsyncMutex::new(Some(serving))) })
     }
 
     /// Where it listens.
@@ -127,11 +117,7 @@
             faults.leaving
         };
         let mut left = self.core.left.lock().expect("left");
-        *left = if leaving {
-            left.or(Some(Instant::now()))
-        } else {
-            None
-        };
+        *left = if leaving { left.or(Some(Instant::now())) } else { None };
         drop(left);
         self.core.faulted.send_replace(());
     }
@@ -176,12 +162,7 @@
             let faults = self.faults.lock().expect("faults").clone();
             let took = match faults.stalled {
                 true => Duration::from_millis(5),
-                false => self
-                    .batch
-                    .lock()
-                    .expect("batch")
-                    .step()
-                    .mul_f64(faults.slow.max(0.01)),
+                false => self.batch.lock().expect("batch").step().mul_f64(faults.slow.max(0.01)),
             };
             self.report(Instant::now());
             sleep(took.div_f64(self.speed)).await;
@@ -242,11 +223,7 @@
         .hoop(affix_state::inject(core))
         .push(Router::with_path("v1/chat/completions").post(open_chat))
         .push(Router::with_path("v1/completions").post(open_text))
-        .push(
-            Router::with_path("v1/generations/{id}")
-                .get(resume)
-                .delete(cancel),
-        )
+        .push(Router::with_path("v1/generations/{id}").get(resume).delete(cancel))
         .push(Router::with_path("v1/generations/{id}/pause").post(pause))
         .push(Router::with_path("load").get(get_load))
         .push(Router::with_path("admin/faults").post(set_faults))
@@ -254,10 +231,7 @@
 }
 
 fn core(depot: &Depot) -> Arc<Core> {
-    depot
-        .get_typed::<Arc<Core>>()
-        .expect("injected by the router")
-        .clone()
+    depot.get_typed::<Arc<Core>>().expect("injected by the router").clone()
 }
 
 fn header<T: std::str::FromStr>(req: &Request, name: &str) -> Option<T> {
@@ -283,11 +257,7 @@
     let generation = header::<String>(req, GENERATION).and_then(|text| GenerationId::parse(&text));
     let priority = header(req, PRIORITY).unwrap_or(0);
     let orphan_ms: u64 = header(req, ORPHAN_MS).unwrap_or(10_000);
-    let body = req
-        .payload_with_max_size(BODY_LIMIT)
-        .await
-        .cloned()
-        .unwrap_or_default();
+    let body = req.payload_with_max_size(BODY_LIMIT).await.cloned().unwrap_or_default();
     let Some(generation) = generation else {
         return json(
             res,
@@ -304,8 +274,7 @@
     };
     if core.faults.lock().expect("faults").leaving {
         core.count_late(Instant::now());
-        res.headers_mut()
-            .insert(NOT_STARTED, "leaving".parse().expect("ascii"));
+        res.headers_mut().insert(NOT_STARTED, "leaving".parse().expect("ascii"));
         return json(
             res,
             StatusCode::SERVICE_UNAVAILABLE,
@@ -318,11 +287,7 @@
         (cached, batch.follow(generation).expect("just added"))
     };
     core.counts.lock().expect("counts").accepted += 1;
-    tokio::spawn(reap(
-        core.clone(),
-        generation,
-        Duration::from_millis(orphan_ms),
-    ));
+    tokio::spawn(reap(core.clone(), generation, Duration::from_millis(orphan_ms)));
     res.headers_mut().insert(CACHED, u64::from(cached).into());
     let tx = event_stream(res, DEPTH);
     tokio::spawn(send(core, generation, shape, ask.prompt, progress, 0, tx));
@@ -339,23 +304,13 @@
     let found = {
         let mut batch = core.batch.lock().expect("batch");
         batch.unpause(generation);
-        batch
-            .follow(generation)
-            .map(|progress| (progress, batch.prompt(generation)))
+        batch.follow(generation).map(|progress| (progress, batch.prompt(generation)))
     };
     let Some((progress, prompt)) = found else {
         return gone(res);
     };
     let tx = event_stream(res, DEPTH);
-    tokio::spawn(send(
-        core,
-        generation,
-        Shape::Chat,
-        prompt,
-        progress,
-        after,
-        tx,
-    ));
+    tokio::spawn(send(core, generation, Shape::Chat, prompt, progress, after, tx));
 }
 
 #[handler]
@@ -408,11 +363,9 @@
             core.faulted.send_replace(());
             json(res, StatusCode::OK, &value!({}));
         }
-        Err(e) => json(
-            res,
-            StatusCode::BAD_REQUEST,
-            &value!({"error": {"message": e.to_string()}}),
-        ),
+        Err(e) => {
+            json(res, StatusCode::BAD_REQUEST, &value!({"error": {"message": e.to_string()}}))
+        }
     }
 }
 
@@ -422,11 +375,7 @@
 }
 
 fn gone(res: &mut Response) {
-    json(
-        res,
-        StatusCode::NOT_FOUND,
-        &value!({"error": {"message": "no such generation"}}),
-    );
+    json(res, StatusCode::NOT_FOUND, &value!({"error": {"message": "no such generation"}}));
 }
 
 /// The parts of a caller's body that the stand-in reads.
@@ -459,22 +408,12 @@
         body.prompt.len() + body.messages.iter().map(|m| m.content.len()).sum::<usize>();
     let prompt = (text / TOKEN_BYTES).max(1) as u32;
     let system = body.messages.first().filter(|m| m.role == "system");
-    let prefix = system.map(|m| Prefix {
-        key: hash(&m.content),
-        tokens: (m.content.len() / TOKEN_BYTES) as u32,
-    });
-    let known = body
-        .metadata
-        .standin_output_tokens
-        .and_then(|n| n.parse().ok());
+    let prefix = system
+        .map(|m| Prefix { key: hash(&m.content), tokens: (m.content.len() / TOKEN_BYTES) as u32 });
+    let known = body.metadata.standin_output_tokens.and_then(|n| n.parse().ok());
     let natural = known.unwrap_or_else(|| 20 + (hash(&text) % 60) as u32);
     let output = natural.min(body.max_tokens.unwrap_or(u32::MAX)).max(1);
-    Some(Ask {
-        prompt,
-        output,
-        prefix,
-        priority,
-    })
+    Some(Ask { prompt, output, prefix, priority })
 }
 
 fn hash(value: &impl Hash) -> u64 {
@@ -519,9 +458,7 @@
             }
         }
         if now.done {
-            let _ = tx
-                .send(Ok(finish_event(generation, prompt, now.made)))
-                .await;
+            let _ = tx.send(Ok(finish_event(generation, prompt, now.made))).await;
             return;
         }
         tokio::select! {
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -56,34 +56,22 @@
 }
 
 fn kv(depot: &Depot) -> Kv {
-    depot
-        .get_typed::<Kv>()
-        .expect("injected by the router")
-        .clone()
+    depot.get_typed::<Kv>().expect("injected by the router").clone()
 }
 
 async fn body(req: &mut Request) -> Value {
-    let bytes = req
-        .payload_with_max_size(BODY_LIMIT)
-        .await
-        .cloned()
-        .unwrap_or_default();
+    let bytes = req.payload_with_max_size(BODY_LIMIT).await.cloned().unwrap_or_default();
     serde_json::from_slice(&bytes).unwrap_or(Value::Null)
 }
 
 fn text(value: &Value) -> String {
-    let bytes = STANDARD
-        .decode(value.as_str().unwrap_or_default())
-        .unwrap_or_default();
+    let bytes = STANDARD.decode(value.as_str().unwrap_or_default()).unwrap_or_default();
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
 /// The gateway writes 64-bit numbers as strings and takes both.
 fn number(value: &Value) -> u64 {
-    value
-        .as_u64()
-        .or_else(|| value.as_str()?.parse().ok())
-        .unwrap_or(0)
+    value.as_u64().or_else(|| value.as_str()?.parse().ok()).unwrap_or(0)
 }
 
 fn failed(res: &mut Response, e: PlatformError) {
@@ -140,18 +128,11 @@
         revision => Expect::Revision(revision),
     };
     let put = &body["success"][0]["request_put"];
-    let new = put.is_object().then(|| {
-        STANDARD
-            .decode(put["value"].as_str().unwrap_or_default())
-            .unwrap_or_default()
-    });
-    let lease = Some(number(&put["lease"]))
-        .filter(|id| *id > 0)
-        .map(LeaseId);
-    match kv(depot)
-        .swap(&text(&compare["key"]), expect, new, lease)
-        .await
-    {
+    let new = put
+        .is_object()
+        .then(|| STANDARD.decode(put["value"].as_str().unwrap_or_default()).unwrap_or_default());
+    let lease = Some(number(&put["lease"])).filter(|id| *id > 0).map(LeaseId);
+    match kv(depot).swap(&text(&compare["key"]), expect, new, lease).await {
         Ok(Swap::Won(revision)) => {
             json(
                 res,
@@ -168,11 +149,9 @@
 async fn grant(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let body = body(req).await;
     match kv(depot).grant(number(&body["TTL"]) * 1_000).await {
-        Ok(LeaseId(id)) => json(
-            res,
-            StatusCode::OK,
-            &value!({"ID": id.to_string(), "TTL": body["TTL"]}),
-        ),
+        Ok(LeaseId(id)) => {
+            json(res, StatusCode::OK, &value!({"ID": id.to_string(), "TTL": body["TTL"]}))
+        }
         Err(e) => failed(res, e),
     }
 }
@@ -199,9 +178,7 @@
         Ok(mut changes) => {
             let tx = stream_body(res, WATCH_DEPTH);
             tokio::spawn(async move {
-                let _ = tx
-                    .send(Ok(line(&value!({"result": {"created": true}}))))
-                    .await;
+                let _ = tx.send(Ok(line(&value!({"result": {"created": true}})))).await;
                 loop {
                     tokio::select! {
                         batch = changes.recv() => {
--- a/src/standin/generator.rs
+++ b/src/standin/generator.rs
@@ -182,21 +182,13 @@
 }
 
 fn request(shapes: &[Shape], at_ms: u64, rng: &mut StdRng) -> Generation {
-    let shape = shapes
-        .choose_weighted(rng, |s| s.share)
-        .expect("positive shares");
+    let shape = shapes.choose_weighted(rng, |s| s.share).expect("positive shares");
     let index: Vec<usize> = (0..WORKSPACES.len()).collect();
-    let workspace = *index
-        .choose_weighted(rng, |i| WORKSPACES[*i])
-        .expect("positive weights");
+    let workspace = *index.choose_weighted(rng, |i| WORKSPACES[*i]).expect("positive weights");
     let body = LogNormal::new((shape.median * WORDINESS[workspace]).ln(), shape.spread)
         .expect("a positive spread");
     let tail = Pareto::new(shape.median * 1.5, 1.3).expect("a positive scale");
-    let output: f64 = if rng.random_bool(TAIL_SHARE) {
-        tail.sample(rng)
-    } else {
-        body.sample(rng)
-    };
+    let output: f64 = if rng.random_bool(TAIL_SHARE) { tail.sample(rng) } else { body.sample(rng) };
     let prompt = rng.random_range(shape.prompt.0..shape.prompt.1);
     Generation {
         at_ms,
@@ -259,11 +251,7 @@
         ServiceLostAnswer,
         VmPartition,
     ];
-    let service = if plan.user == User::Nikuthi {
-        "filing"
-    } else {
-        "courier"
-    };
+    let service = if plan.user == User::Nikuthi { "filing" } else { "courier" };
     let mut lines = Vec::new();
     for i in 0..plan.faults {
         let kind = kinds[i as usize % kinds.len()];
@@ -284,13 +272,7 @@
             VmPartition => (vm, 5_000, 0.0),
             VmCrash | VmDrain => (vm, 5_000, 0.0),
         };
-        lines.push(Line::Fault(Fault {
-            at_ms,
-            fault: kind,
-            target,
-            for_ms,
-            amount,
-        }));
+        lines.push(Line::Fault(Fault { at_ms, fault: kind, target, for_ms, amount }));
     }
     lines
 }
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -73,9 +73,7 @@
             tokio::time::sleep(faults.slow).await;
         }
         match self.faults.lock().expect("faults").down {
-            true => Err(PlatformError::Unavailable {
-                reason: "refused".into(),
-            }),
+            true => Err(PlatformError::Unavailable { reason: "refused".into() }),
             false => Ok(()),
         }
     }
@@ -84,9 +82,7 @@
         let mut faults = self.faults.lock().expect("faults");
         if faults.lose_answers > 0 {
             faults.lose_answers -= 1;
-            return Err(PlatformError::NoAnswer {
-                reason: "answer lost".into(),
-            });
+            return Err(PlatformError::NoAnswer { reason: "answer lost".into() });
         }
         Ok(answer)
     }
@@ -138,31 +134,16 @@
 
     fn changes(&self, prefix: &str, after: u64) -> Vec<Change> {
         let start = self.log.partition_point(|c| c.revision <= after);
-        self.log[start..]
-            .iter()
-            .filter(|c| c.key.starts_with(prefix))
-            .cloned()
-            .collect()
+        self.log[start..].iter().filter(|c| c.key.starts_with(prefix)).cloned().collect()
     }
 
     fn write(&mut self, key: &str, value: Option<Vec<u8>>, lease: Option<LeaseId>) {
         self.revision += 1;
         let revision = self.revision;
-        self.log.push(Change {
-            key: key.into(),
-            value: value.clone(),
-            revision,
-        });
+        self.log.push(Change { key: key.into(), value: value.clone(), revision });
         match value {
             Some(value) => {
-                self.entries.insert(
-                    key.into(),
-                    Held {
-                        value,
-                        revision,
-                        lease,
-                    },
-                );
+                self.entries.insert(key.into(), Held { value, revision, lease });
             }
             None => {
                 self.entries.remove(key);
@@ -191,18 +172,11 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        let lapsed: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, l)| l.until <= now)
-            .map(|(id, _)| *id)
-            .collect();
+        let lapsed: Vec<u64> =
+            self.leases.iter().filter(|(_, l)| l.until <= now).map(|(id, _)| *id).collect();
         for id in lapsed {
             self.leases.remove(&id);
-            let held = self
-                .entries
-                .iter()
-                .filter(|(_, h)| h.lease == Some(LeaseId(id)));
+            let held = self.entries.iter().filter(|(_, h)| h.lease == Some(LeaseId(id)));
             let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
             for key in keys {
                 self.write(&key, None, None);
@@ -216,21 +190,14 @@
         Box::pin(async move {
             self.enter().await?;
             let found = self.with(|s| s.entries.get(key).map(|h| (h.value.clone(), h.revision)));
-            Ok(found.map(|(value, revision)| Entry {
-                key: key.into(),
-                value,
-                revision,
-            }))
+            Ok(found.map(|(value, revision)| Entry { key: key.into(), value, revision }))
         })
     }
 
     fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, PlatformResult<Range>> {
         Box::pin(async move {
             self.enter().await?;
-            Ok(self.with(|s| Range {
-                entries: s.select(prefix),
-                revision: s.revision,
-            }))
+            Ok(self.with(|s| Range { entries: s.select(prefix), revision: s.revision }))
         })
     }
 
@@ -255,13 +222,7 @@
             let id = self.with(|s| {
                 s.last_lease += 1;
                 let id = s.last_lease;
-                s.leases.insert(
-                    id,
-                    Lease {
-                        ttl,
-                        until: Instant::now() + ttl,
-                    },
-                );
+                s.leases.insert(id, Lease { ttl, until: Instant::now() + ttl });
                 id
             });
             self.leave(LeaseId(id))
