--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -84,48 +84,29 @@
 }
 
 fn router(core: Arc<Core>) -> Router {
-    Router::with_path("{**path}")
-        .hoop(affix_state::inject(core))
-        .goal(call)
+    Router::with_path("{**path}").hoop(affix_state::inject(core)).goal(call)
 }
 
 #[handler]
 async fn call(req: &mut Request, depot: &mut Depot, res: &mut Response) {
-    let core = depot
-        .get_typed::<Arc<Core>>()
-        .expect("injected by the router")
-        .clone();
+    let core = depot.get_typed::<Arc<Core>>().expect("injected by the router").clone();
     let path = req.uri().path().to_string();
     let label = req.headers().get("x-call").and_then(|v| v.to_str().ok());
     let label = label.map_or(path.clone(), str::to_string);
     let body = req.payload().await.map(|b| b.len()).unwrap_or(0);
     let faults = *core.faults.lock().expect("faults");
     if faults.leaving {
-        res.headers_mut()
-            .insert(NOT_STARTED, "leaving".parse().expect("ascii"));
-        return json(
-            res,
-            StatusCode::SERVICE_UNAVAILABLE,
-            &value!({"error": "leaving"}),
-        );
+        res.headers_mut().insert(NOT_STARTED, "leaving".parse().expect("ascii"));
+        return json(res, StatusCode::SERVICE_UNAVAILABLE, &value!({"error": "leaving"}));
     }
-    *core
-        .runs
-        .lock()
-        .expect("runs")
-        .entry(label.clone())
-        .or_default() += 1;
+    *core.runs.lock().expect("runs").entry(label.clone()).or_default() += 1;
     sleep(faults.delay).await;
     if lose(&core) {
         let tx = server::stream_body(res, 1);
         let _ = tx.send(Err(std::io::Error::other("answer lost"))).await;
         return;
     }
-    json(
-        res,
-        StatusCode::OK,
-        &value!({"ran": label, "path": path, "bytes": body}),
-    );
+    json(res, StatusCode::OK, &value!({"ran": label, "path": path, "bytes": body}));
 }
 
 fn lose(core: &Core) -> bool {
--- a/src/tls.rs
+++ b/src/tls.rs
@@ -34,19 +34,14 @@
         params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
         let key = KeyPair::generate().map_err(broken)?;
         let cert = params.self_signed(&key).map_err(broken)?;
-        Ok(Authority {
-            cert: cert.der().clone(),
-            issuer: Issuer::new(params, key),
-        })
+        Ok(Authority { cert: cert.der().clone(), issuer: Issuer::new(params, key) })
     }
 
     /// A certificate for one daemon.
     pub fn sign(&self) -> Result<Identity> {
         let mut params = CertificateParams::new(vec![NAME.to_string()]).map_err(broken)?;
-        params.extended_key_usages = vec![
-            ExtendedKeyUsagePurpose::ServerAuth,
-            ExtendedKeyUsagePurpose::ClientAuth,
-        ];
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
         let key = KeyPair::generate().map_err(broken)?;
         let cert = params.signed_by(&key, &self.issuer).map_err(broken)?;
         let der = PrivatePkcs8KeyDer::from(key.serialize_der());
@@ -107,7 +102,5 @@
 }
 
 fn broken(e: impl std::fmt::Display) -> Error {
-    Error::Tls {
-        reason: e.to_string(),
-    }
+    Error::Tls { reason: e.to_string() }
 }
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -138,38 +138,25 @@
 /// Reads a trace file.
 pub fn load(path: &Path) -> Result<Vec<Line>> {
     let text = std::fs::read_to_string(path).context(error::ReadSnafu { path })?;
-    parse(&text).map_err(|problems| Error::Invalid {
-        what: path.display().to_string(),
-        problems,
-    })
+    parse(&text).map_err(|problems| Error::Invalid { what: path.display().to_string(), problems })
 }
 
 /// Reads a trace; problems name their lines.
 pub fn parse(text: &str) -> Result<Vec<Line>, Vec<Problem>> {
     let mut lines = Vec::new();
     let mut problems = Vec::new();
-    for (i, line) in text
-        .lines()
-        .enumerate()
-        .filter(|(_, l)| !l.trim().is_empty())
-    {
+    for (i, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
         match parse_line(line) {
             Ok(line) => lines.push(line),
             Err(found) => {
-                let place = |p: Problem| Problem {
-                    path: format!("line {}: {}", i + 1, p.path),
-                    ..p
-                };
+                let place =
+                    |p: Problem| Problem { path: format!("line {}: {}", i + 1, p.path), ..p };
                 problems.extend(found.into_iter().map(place));
             }
         }
     }
     lines.sort_by_key(Line::at_ms);
-    if problems.is_empty() {
-        Ok(lines)
-    } else {
-        Err(problems)
-    }
+    if problems.is_empty() { Ok(lines) } else { Err(problems) }
 }
 
 fn parse_line(line: &str) -> Result<Line, Vec<Problem>> {
--- a/src/vm.rs
+++ b/src/vm.rs
@@ -47,33 +47,15 @@
         let (commands, rx) = mpsc::unbounded_channel();
         let (started_tx, started) = oneshot::channel();
         let name = config.vm.clone();
-        let thread = std::thread::Builder::new()
-            .name(name.clone())
-            .spawn(move || {
-                let runtime = Builder::new_current_thread()
-                    .enable_all()
-                    .build()
-                    .expect("a runtime");
-                runtime.block_on(run(config, platform, &identity, started_tx, rx));
-            });
-        let thread = thread.map_err(|e| Error::Listen {
-            addr: name.clone(),
-            reason: e.to_string(),
-        })?;
-        let ended = |_| Error::Listen {
-            addr: name,
-            reason: "its thread ended".into(),
-        };
-        let Started {
-            caller_addr,
-            peer_addr,
-        } = started.await.map_err(ended)??;
-        Ok(Vm {
-            caller_addr,
-            peer_addr,
-            commands,
-            thread: Some(thread),
-        })
+        let thread = std::thread::Builder::new().name(name.clone()).spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+            runtime.block_on(run(config, platform, &identity, started_tx, rx));
+        });
+        let thread =
+            thread.map_err(|e| Error::Listen { addr: name.clone(), reason: e.to_string() })?;
+        let ended = |_| Error::Listen { addr: name, reason: "its thread ended".into() };
+        let Started { caller_addr, peer_addr } = started.await.map_err(ended)??;
+        Ok(Vm { caller_addr, peer_addr, commands, thread: Some(thread) })
     }
 
     /// Begins a planned stop.
@@ -139,10 +121,7 @@
         }
     };
     let (caller_addr, peer_addr) = (daemon.caller_addr(), daemon.peer_addr());
-    let _ = started.send(Ok(Started {
-        caller_addr,
-        peer_addr,
-    }));
+    let _ = started.send(Ok(Started { caller_addr, peer_addr }));
     let app = daemon.app().clone();
     let mut daemon = Some(daemon);
     let mut draining = None;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -136,10 +136,7 @@
 }
 
 async fn connect(addr: SocketAddr) -> Option<Sender> {
-    let tcp = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
-        .await
-        .ok()?
-        .ok()?;
+    let tcp = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?;
     tcp.set_nodelay(true).ok()?;
     let (sender, conn) = handshake(TokioIo::new(tcp)).await.ok()?;
     tokio::spawn(async move {
