--- a/src/app.rs
+++ b/src/app.rs
@@ -5,7 +5,7 @@
 use crate::engine::Engine;
 use crate::follow::InForce;
 use crate::gossip::Gossip;
-use crate::grant::{self, Keeper};
+use crate::grant::{self, Granted, Keeper, Placer};
 use crate::message::PlaceAsk;
 use crate::metrics::Metrics;
 use crate::peer::Held;
@@ -116,6 +116,11 @@
         self.services.lock().expect("services").get(service).cloned()
     }
 
+    /// Finds places for generations.
+    pub fn placer(&self) -> Arc<dyn Placer> {
+        Arc::new(Granted(self.gossip.clone()))
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> OpenRequest {
         self.open.fetch_add(1, Ordering::AcqRel);
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -192,6 +192,7 @@
         lengths: LengthKey { workspace: caller.workspace.clone(), class: class_name },
         share: caller.spec.share,
         priority: class.priority,
+        streamed: streamed && class.delivery == Delivery::Stream,
         policy: caller.policy(&model, &class, &spec.policy),
         prompt: tokens,
         prefix,
@@ -215,7 +216,7 @@
 impl Generation {
     fn relay(&self) -> Relay {
         let app = &self.caller.app;
-        Relay::new(app.gossip.clone(), self.pool.clone(), app.engine.clone(), app.metrics.clone())
+        Relay::new(app.placer(), self.pool.clone(), app.engine.clone(), app.metrics.clone())
     }
 
     fn position(&self) -> Position {
@@ -352,6 +353,7 @@
         lengths: LengthKey { workspace: caller.workspace.clone(), class: position.class.clone() },
         share: caller.spec.share,
         priority: class.priority,
+        streamed: true,
         policy: String::new(),
         prompt: position.prompt,
         prefix: None,
@@ -392,7 +394,7 @@
     let counted =
         caller.app.begin_stream(&caller.workspace, caller.spec.max_streams).ok_or_else(full)?;
     let relay = Relay::new(
-        caller.app.gossip.clone(),
+        caller.app.placer(),
         pool,
         caller.app.engine.clone(),
         caller.app.metrics.clone(),
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -57,8 +57,46 @@
     Alone,
 }
 
-/// Waits at most `wait` for a place, at the pool's keeper or, without one, by this daemon's own view.
-pub async fn place(
+/// Finds places for generations.
+pub trait Placer: Send + Sync {
+    /// Waits at most `wait` for a place in a pool.
+    fn place<'a>(
+        &'a self,
+        pool: &'a Arc<Pool>,
+        ask: Ask,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Slot, Shed>>;
+}
+
+/// Places by this daemon's own view.
+pub struct Alone;
+
+impl Placer for Alone {
+    fn place<'a>(
+        &'a self,
+        pool: &'a Arc<Pool>,
+        ask: Ask,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Slot, Shed>> {
+        Box::pin(pool.place(ask, wait))
+    }
+}
+
+/// Places at the pool's keeper, or without one by this daemon's own view.
+pub struct Granted(pub Arc<Gossip>);
+
+impl Placer for Granted {
+    fn place<'a>(
+        &'a self,
+        pool: &'a Arc<Pool>,
+        ask: Ask,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Slot, Shed>> {
+        Box::pin(place(&self.0, pool, ask, wait))
+    }
+}
+
+async fn place(
     gossip: &Arc<Gossip>,
     pool: &Arc<Pool>,
     ask: Ask,
--- a/src/headroom.rs
+++ b/src/headroom.rs
@@ -16,6 +16,8 @@
 const FAR_COST: f32 = 0.02;
 /// Running generations that weigh as much as the whole memory.
 const BATCH_SCALE: f32 = 64.0;
+/// Prompt tokens that weigh as much as one running generation.
+const PROMPT_SCALE: f32 = 500.0;
 /// Weight of gaps longer than usual.
 const GAP_COST: f32 = 0.5;
 /// Gap up to which a replica is not thought slow, in milliseconds.
@@ -48,7 +50,25 @@
         let far = if replica.near { 0.0 } else { FAR_COST };
         let slow = (replica.gap_ms / USUAL_GAP_MS - 1.0).max(0.0) * GAP_COST;
         let saved = self.saved(replica, newcomer) / capacity;
-        Some(peak / capacity + running * self.spec.batch_weight as f32 + far + slow - saved)
+        Some(
+            peak / capacity
+                + running * self.spec.batch_weight as f32
+                + far
+                + slow
+                + self.interference(replica, newcomer)
+                - saved,
+        )
+    }
+
+    /// What computing prompts takes from readers: this prompt from those here, and later long
+    /// prompts of answers delivered whole from this reader.
+    fn interference(&self, replica: &Replica, newcomer: &Newcomer) -> f32 {
+        let cached = newcomer.prefix.is_some_and(|prefix| replica.remembers(prefix));
+        let computed =
+            newcomer.prompt - if cached { newcomer.prefix_tokens.min(newcomer.prompt) } else { 0 };
+        let taken = computed as f32 / PROMPT_SCALE * replica.readers as f32 / BATCH_SCALE;
+        let awaited = if newcomer.streamed { replica.wholes as f32 / BATCH_SCALE } else { 0.0 };
+        (taken + awaited) * self.spec.tail_weight as f32
     }
 
     fn peak(&self, replica: &Replica, newcomer: &Newcomer) -> f32 {
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -24,7 +24,7 @@
 const SETTLE_STEP: Duration = Duration::from_millis(50);
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Added to retention before anything is forgotten, for clocks that differ.
-const CLOCK_MARGIN_MS: u64 = 60_000;
+pub const CLOCK_MARGIN_MS: u64 = 60_000;
 
 /// Hash of a key within its workspace and service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -115,6 +115,8 @@
 enum Op {
     Claim(Ask),
     Note(Record),
+    /// Forget what may be forgotten this much later than now, in milliseconds.
+    Compact(u64, oneshot::Sender<()>),
 }
 
 /// The journal as one daemon uses it.
@@ -161,6 +163,16 @@
         let _ = self.shard(key).send(Op::Note(record)).await;
     }
 
+    /// Forgets what may be forgotten `ahead_ms` later than now.
+    pub async fn compact(&self, ahead_ms: u64) {
+        for shard in &self.shards {
+            let (done, ended) = oneshot::channel();
+            if shard.send(Op::Compact(ahead_ms, done)).await.is_ok() {
+                let _ = ended.await;
+            }
+        }
+    }
+
     fn shard(&self, key: ClaimKey) -> &mpsc::Sender<Op> {
         &self.shards[(key.0 % SHARDS as u128) as usize]
     }
@@ -248,7 +260,11 @@
         for op in ops {
             match op {
                 Op::Claim(ask) => asks.push(ask),
-                Op::Note(record) => self.notes.push(record),
+                Op::Note(record) => self.note(record),
+                Op::Compact(ahead_ms, done) => {
+                    self.compact(unix_ms() + ahead_ms).await;
+                    let _ = done.send(());
+                }
             }
         }
         if !self.loaded && self.catch_up().await.is_err() {
@@ -306,7 +322,7 @@
             let ClaimAsk { key, nonce, .. } = ask.claim;
             if ask.reply.send(Claimed::Yours).is_err() {
                 // The claimant is gone and will never dispatch.
-                self.notes.push(Record::Release { key, nonce });
+                self.note(Record::Release { key, nonce });
             }
         }
     }
@@ -407,6 +423,9 @@
             }
         }
         self.loaded = true;
+        for record in self.notes.clone() {
+            self.apply_record(&record, self.next);
+        }
         Ok(())
     }
 
@@ -421,28 +440,39 @@
         self.forget.insert(number, segment.forget_ms);
         let given_up = self.abandoned.remove(&segment.nonce);
         for record in &segment.records {
-            match record {
-                Record::Claim { key, nonce, body } => {
-                    let claim = Claim { nonce: *nonce, body: *body, kept: None, segment: number };
-                    self.claims.entry(*key).or_insert(claim);
-                    if given_up {
-                        self.notes.push(Record::Release { key: *key, nonce: *nonce });
-                    }
-                }
-                Record::Settle { key, nonce, kept } => {
-                    if let Some(claim) = self.claims.get_mut(key).filter(|c| c.nonce == *nonce) {
-                        claim.kept = Some(kept.clone());
-                    }
+            self.apply_record(record, number);
+            if let (true, Record::Claim { key, nonce, .. }) = (given_up, record) {
+                self.note(Record::Release { key: *key, nonce: *nonce });
+            }
+        }
+    }
+
+    fn apply_record(&mut self, record: &Record, segment: u64) {
+        match record {
+            Record::Claim { key, nonce, body } => {
+                let claim = Claim { nonce: *nonce, body: *body, kept: None, segment };
+                self.claims.entry(*key).or_insert(claim);
+            }
+            Record::Settle { key, nonce, kept } => {
+                if let Some(claim) = self.claims.get_mut(key).filter(|c| c.nonce == *nonce) {
+                    claim.kept = Some(kept.clone());
                 }
-                Record::Release { key, nonce } => {
-                    if self.claims.get(key).is_some_and(|c| c.nonce == *nonce && c.kept.is_none()) {
-                        self.claims.remove(key);
-                    }
+            }
+            Record::Release { key, nonce } => {
+                let open = |c: &Claim| c.nonce == *nonce && c.kept.is_none();
+                if self.claims.get(key).is_some_and(open) {
+                    self.claims.remove(key);
                 }
             }
         }
     }
 
+    /// Takes in an outcome or release: true at once, written with the next segment.
+    fn note(&mut self, record: Record) {
+        self.apply_record(&record, self.next);
+        self.notes.push(record);
+    }
+
     /// Drops segments of which everything may be forgotten; the last one always stays.
     async fn compact(&mut self, now_ms: u64) {
         let old: Vec<u64> = self
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,6 +20,8 @@
 /// A generation that asks for a place.
 #[derive(Debug, Clone, Copy)]
 pub struct Newcomer {
+    /// Whether a reader sees each token as it comes.
+    pub streamed: bool,
     /// Estimated tokens of its prompt.
     pub prompt: u32,
     /// Memory it is expected to hold at each of [`crate::replica::HORIZONS`], in tokens.
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -36,6 +36,8 @@
     pub share: u32,
     /// Priority of the class.
     pub priority: u8,
+    /// Whether a reader sees each token as it comes.
+    pub streamed: bool,
     /// Name of the policy that places it.
     pub policy: String,
     /// Estimated tokens of the prompt.
@@ -283,6 +285,9 @@
         metrics: &Metrics,
         now: Instant,
     ) -> Result<Ticket, Shed> {
+        if !self.replicas.values().any(Replica::stays) {
+            return Err(self.shed());
+        }
         let survival = self.forecasts.survival(&waiting.ask.lengths);
         let expected = growth(waiting.ask.prompt, 0, &survival).into_iter().fold(0.0, f32::max);
         let workspace = waiting.ask.lengths.workspace.clone();
@@ -328,6 +333,11 @@
             return;
         }
         let candidates = self.candidates(now);
+        if candidates.is_empty() {
+            // All are leaving: who waits is told at once.
+            self.queue.clear();
+            return;
+        }
         while let Some((ticket, replica)) = self.next_place(&candidates, now) {
             let Some(entry) = self.queue.serve(ticket) else {
                 return;
@@ -366,7 +376,9 @@
     fn newcomer(&self, ask: &Ask) -> Newcomer {
         let survival = self.forecasts.survival(&ask.lengths);
         let growth = growth(ask.prompt, 0, &survival);
+        let streamed = ask.streamed;
         Newcomer {
+            streamed,
             prompt: ask.prompt,
             growth,
             prefix: ask.prefix,
@@ -388,6 +400,7 @@
             lengths: ask.lengths.clone(),
             policy: ask.policy.clone(),
             origin,
+            streamed: ask.streamed,
             prompt: ask.prompt,
             made,
             priority: ask.priority,
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -135,6 +135,11 @@
         Some(entry)
     }
 
+    /// Drops all that wait.
+    pub fn clear(&mut self) {
+        *self = Queue { arrivals: self.arrivals, ..Queue::default() };
+    }
+
     /// How many wait.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -3,8 +3,7 @@
 use crate::engine::{
     Dispatch, Engine, EngineEvent, Finish, OpenError, OpenStream, ResumeError, Token,
 };
-use crate::gossip::Gossip;
-use crate::grant;
+use crate::grant::Placer;
 use crate::metrics::Metrics;
 use crate::outcome::{Failure, NotSent, Reason};
 use crate::pool::{Ask, Pool, Slot};
@@ -69,7 +68,7 @@
 
 /// Carries generations.
 pub struct Relay {
-    gossip: Arc<Gossip>,
+    placer: Arc<dyn Placer>,
     pool: Arc<Pool>,
     engine: Arc<dyn Engine>,
     metrics: Arc<Metrics>,
@@ -115,12 +114,12 @@
 impl Relay {
     /// A relay for one pool.
     pub fn new(
-        gossip: Arc<Gossip>,
+        placer: Arc<dyn Placer>,
         pool: Arc<Pool>,
         engine: Arc<dyn Engine>,
         metrics: Arc<Metrics>,
     ) -> Relay {
-        Relay { gossip, pool, engine, metrics }
+        Relay { placer, pool, engine, metrics }
     }
 
     /// Places a generation and carries it to its end.
@@ -135,7 +134,7 @@
                 self.metrics.retries.inc();
             }
             let wait = job.wait.saturating_sub(began.elapsed());
-            let slot = match grant::place(&self.gossip, &self.pool, job.ask.clone(), wait).await {
+            let slot = match self.placer.place(&self.pool, job.ask.clone(), wait).await {
                 Ok(slot) => slot,
                 Err(shed) => return Err(lost(proof, Reason::no_capacity(shed.retry_ms))),
             };
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -74,6 +74,8 @@
     pub pauses: u32,
     /// Survival of its length.
     pub survival: Survival,
+    /// Whether a reader sees each token as it comes.
+    pub streamed: bool,
     /// Who placed and who carries it.
     pub origin: Origin,
     /// Tells its relay.
@@ -136,6 +138,10 @@
     pub streams: Vec<StreamKey>,
     /// Memory forecast at each horizon, in tokens.
     pub peaks: [f32; HORIZON_COUNT],
+    /// Streams known here whose readers see each token.
+    pub readers: u32,
+    /// Streams known here that are delivered whole.
+    pub wholes: u32,
     /// Mean gap between tokens seen here, in milliseconds.
     pub gap_ms: f32,
     /// Whether a report has ever come.
@@ -169,6 +175,8 @@
             streams: Vec::new(),
             peaks: [0.0; HORIZON_COUNT],
             gap_ms: FIRST_GAP_MS,
+            readers: 0,
+            wholes: 0,
             known: false,
             prefixes: VecDeque::new(),
             changes: VecDeque::new(),
@@ -244,6 +252,8 @@
                 *peak += tokens;
             }
         }
+        self.readers = known.iter().filter(|s| s.streamed).count() as u32;
+        self.wholes = known.len() as u32 - self.readers;
         self.peaks = peaks;
     }
 
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -145,6 +145,8 @@
     pub fill: f64,
     /// Weight of running generations against memory in choosing (tail time between tokens).
     pub batch_weight: f64,
+    /// Weight of the time that computing prompts takes from streams that readers watch.
+    pub tail_weight: f64,
     /// Bonus for a cached prefix, as a share of the tokens it saves.
     pub affinity: f64,
     /// Whether streams may be paused before an engine preempts.
@@ -164,6 +166,7 @@
         HeadroomSpec {
             fill: 0.95,
             batch_weight: 0.3,
+            tail_weight: 0.0,
             affinity: 0.5,
             pause: true,
             max_pause_ms: 4_000,
@@ -430,6 +433,7 @@
                 c.range("spec.headroom.fill", p.headroom.fill, 0.1, 1.5);
                 c.range("spec.headroom.batchWeight", p.headroom.batch_weight, 0.0, 10.0);
                 c.range("spec.headroom.maxPauseMs", p.headroom.max_pause_ms, 10, 60_000);
+                c.range("spec.headroom.tailWeight", p.headroom.tail_weight, 0.0, 10.0);
                 c.range("spec.headroom.affinity", p.headroom.affinity, 0.0, 1.0);
             }
             Spec::EnginePool(p) => {
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -10,6 +10,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+const RESTORE_TIME: Duration = Duration::from_millis(100);
+
 /// Faults of the service, switched on from outside.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct KvFaults {
@@ -67,6 +69,22 @@
         self.store.lock().expect("store").select("")
     }
 
+    /// Replaces everything by an older state, as a restore from a backup does; watches break.
+    pub fn restore(&self, entries: &[Entry]) {
+        let mut store = Store::default();
+        for entry in entries {
+            store.write(&entry.key, Some(entry.value.clone()), None);
+        }
+        self.fault(|f| f.down = true);
+        *self.store.lock().expect("store") = store;
+        let faults = self.faults.clone();
+        // Down for a moment, so that every watch notices.
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTORE_TIME).await;
+            faults.lock().expect("faults").down = false;
+        });
+    }
+
     async fn enter(&self) -> PlatformResult<()> {
         let faults = *self.faults.lock().expect("faults");
         if !faults.slow.is_zero() {
--- a/src/tls.rs
+++ b/src/tls.rs
@@ -1,13 +1,17 @@
 //! Mutual TLS between daemons.
 
 use crate::config::PeerTls;
-use crate::error::{Error, Result};
+use crate::error::{Error, Result, WriteSnafu};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rcgen::{BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair};
 use rustls::RootCertStore;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
 use rustls::server::WebPkiClientVerifier;
+use snafu::ResultExt;
+use std::path::Path;
 use std::sync::Arc;
 
 /// The name in every daemon's certificate; the authority, not the name, is what counts.
@@ -62,6 +66,20 @@
         Ok(Identity { ca, cert, key })
     }
 
+    /// Writes `ca.pem`, `cert.pem` and `key.pem` into a folder.
+    pub fn write(&self, dir: &Path) -> Result<()> {
+        let files = [
+            ("ca.pem", "CERTIFICATE", self.ca.as_ref()),
+            ("cert.pem", "CERTIFICATE", self.cert.as_ref()),
+            ("key.pem", "PRIVATE KEY", self.key.secret_der()),
+        ];
+        for (name, label, der) in files {
+            let path = dir.join(name);
+            std::fs::write(&path, pem(label, der)).context(WriteSnafu { path })?;
+        }
+        Ok(())
+    }
+
     /// What the listening side needs.
     pub fn server(&self) -> Result<Arc<QuicServerConfig>> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -101,6 +119,15 @@
     }
 }
 
+/// DER bytes as PEM text.
+fn pem(label: &str, der: &[u8]) -> String {
+    const LINE: usize = 64;
+    let text = STANDARD.encode(der);
+    let lines: Vec<&str> =
+        (0..text.len()).step_by(LINE).map(|i| &text[i..text.len().min(i + LINE)]).collect();
+    format!("-----BEGIN {label}-----\n{}\n-----END {label}-----\n", lines.join("\n"))
+}
+
 fn broken(e: impl std::fmt::Display) -> Error {
     Error::Tls { reason: e.to_string() }
 }
