--- a/src/app.rs
+++ b/src/app.rs
@@ -17,7 +17,10 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Polls without a report after which a replica gets no new work.
+const STALE_POLLS: u32 = 6;
 
 /// The state of one daemon.
 pub struct App {
@@ -88,7 +91,8 @@
         for (name, spec) in snapshot.engine_pools() {
             let pool = pools.entry(spec.model.clone()).or_insert_with(|| {
                 let seed = rand::random();
-                Arc::new(Pool::new(name, &self.config.hall, seed, self.metrics.clone(), now))
+                let stale = Duration::from_millis(self.config.poll_ms) * STALE_POLLS;
+                Arc::new(Pool::new(name, &self.config.hall, stale, seed, self.metrics.clone(), now))
             });
             pool.apply(spec, snapshot, now);
         }
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -25,6 +25,12 @@
 
 /// Header by which a caller names the class of a request.
 pub const CLASS: &str = "x-tidestair-class";
+/// Header with a caller's key of a call that must not run twice.
+pub const ONCE_KEY: &str = "idempotency-key";
+/// Header by which a caller says how often it has sent a key, from [`FIRST_ATTEMPT`] on.
+pub const ATTEMPT: &str = "x-tidestair-attempt";
+/// The first sending of a key.
+pub const FIRST_ATTEMPT: &str = "1";
 /// How long an event id can be resumed from, in seconds.
 const EVENT_LIFE_SECS: u64 = 900;
 
@@ -475,6 +481,9 @@
     let metrics = app(depot).metrics.clone();
     let ended = match service_call(req, depot).await {
         Ok(ended) => ended,
+        Err(reason) if once_key(req).is_some() => {
+            Err(calls::unclaimed(NotSent::begin(), first_sending(req), reason))
+        }
         Err(reason) => Err(Failure::not_run(NotSent::begin(), reason)),
     };
     match ended {
@@ -496,6 +505,15 @@
     }
 }
 
+fn once_key(req: &Request) -> Option<String> {
+    let key = req.headers().get(ONCE_KEY)?.to_str().ok()?;
+    Some(key.to_string())
+}
+
+fn first_sending(req: &Request) -> bool {
+    req.headers().get(ATTEMPT).is_some_and(|v| v == FIRST_ATTEMPT)
+}
+
 type Called = Result<calls::ServiceAnswer, Failure>;
 
 async fn service_call(req: &mut Request, depot: &Depot) -> Result<Called, Reason> {
@@ -530,8 +548,7 @@
         repeatable,
         limit: Duration::from_millis(timeout_ms),
     };
-    let key =
-        req.headers().get("idempotency-key").and_then(|v| v.to_str().ok()).map(str::to_string);
+    let (key, first) = (once_key(req), first_sending(req));
     let open = caller.app.begin();
     // In a task of its own, so that it ends and is kept though its caller may leave.
     let task = tokio::spawn(async move {
@@ -543,6 +560,7 @@
                     workspace: &caller.workspace,
                     service: &name,
                     key: &key,
+                    first,
                     retention_ms: pool.retention_ms,
                 };
                 calls::call_once(&app.wire, &backends, &app.gossip, once, &call).await
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -54,6 +54,8 @@
     pub service: &'a str,
     /// The `Idempotency-Key`.
     pub key: &'a str,
+    /// Whether the caller says that it sends the key for the first time.
+    pub first: bool,
     /// How long claim and outcome are kept.
     pub retention_ms: u64,
 }
@@ -117,7 +119,7 @@
         Claimed::Settled(kept) => return kept_answer(kept),
         Claimed::Taken => return Err(Failure::unknown(taken())),
         Claimed::Mismatch => return Err(Failure::not_run(proof, mismatch())),
-        Claimed::Unavailable => return Err(Failure::not_run(proof, no_platform())),
+        Claimed::Unavailable => return Err(unclaimed(proof, key.first, no_platform())),
     }
     if asked.elapsed() > Duration::from_millis(key.retention_ms / 2) {
         // Held up so long that the claim may soon be forgotten: another may run it.
@@ -134,6 +136,16 @@
     answered
 }
 
+/// The failure of a keyed call that was refused before its key could be claimed. Only where the
+/// caller sends the key for the first time is it sure that no earlier sending ran.
+pub fn unclaimed(proof: NotSent, first: bool, reason: Reason) -> Failure {
+    if first {
+        return Failure::not_run(proof, reason);
+    }
+    let message = format!("{}; an earlier sending of this key may have run", reason.message);
+    Failure::unknown(Reason { message, ..reason })
+}
+
 fn kept(answer: &ServiceAnswer) -> Kept {
     let omitted = answer.body.len() > KEPT_BYTES;
     let body = if omitted { Vec::new() } else { answer.body.to_vec() };
--- a/src/client.rs
+++ b/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::adapter::request;
 use crate::answer::OUTCOME;
-use crate::caller::CLASS;
+use crate::caller::{ATTEMPT, CLASS, ONCE_KEY};
 use crate::outcome::{NotSent, Outcome};
 use crate::sse::Events;
 use crate::wire::{Answer, Fault, Wire};
@@ -20,6 +20,8 @@
 const MOST_BODY: usize = 64 << 20;
 const BACKOFF: Duration = Duration::from_millis(50);
 const MOST_TRIES: u32 = 40;
+/// Times that a call in doubt is sent again with its key.
+const ONCE_REPEATS: u32 = 3;
 /// How long an entry that failed is passed over.
 const AVOID: Duration = Duration::from_millis(2_000);
 
@@ -215,6 +217,31 @@
         self.wire.send(entry, req, NotSent::begin(), HEAD_LIMIT).await
     }
 
+    /// Sends a call that must not run twice, again with the same key while its outcome is unknown.
+    pub async fn call_once(
+        &self,
+        path: &str,
+        key: &str,
+        body: Bytes,
+        headers: &[(&'static str, &str)],
+        pause: Duration,
+    ) -> Called {
+        let mut outcome = Outcome::NotRun;
+        let mut attempt = 1u32;
+        loop {
+            let number = attempt.to_string();
+            let mut all = vec![(ONCE_KEY, key), (ATTEMPT, number.as_str())];
+            all.extend_from_slice(headers);
+            let called = self.call(Method::POST, path, body.clone(), &all).await;
+            outcome = after_repeat(outcome, called.outcome);
+            if outcome != Outcome::Unknown || attempt > ONCE_REPEATS {
+                return Called { outcome, ..called };
+            }
+            attempt += 1;
+            sleep(pause).await;
+        }
+    }
+
     /// Sends a call once, to one entry, moving on only where nothing was sent.
     pub async fn call(
         &self,
@@ -247,6 +274,14 @@
     }
 }
 
+/// The outcome of a key after one more sending: once in doubt, a later `not_run` proves nothing.
+fn after_repeat(earlier: Outcome, last: Outcome) -> Outcome {
+    match (earlier, last) {
+        (Outcome::Unknown, Outcome::NotRun) => Outcome::Unknown,
+        _ => last,
+    }
+}
+
 async fn whole_call(answer: Answer) -> Called {
     let status = answer.status.as_u16();
     let outcome = told(&answer);
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -86,14 +86,23 @@
     rng: StdRng,
     most_queued: usize,
     correct: bool,
+    stale: Duration,
     rate: f64,
     made_since: u64,
     rated: Instant,
 }
 
 impl Pool {
-    /// A pool without replicas; [`Pool::apply`] gives it some. `seed` makes its choices repeatable.
-    pub fn new(name: &str, hall: &str, seed: u64, metrics: Arc<Metrics>, now: Instant) -> Pool {
+    /// A pool without replicas; [`Pool::apply`] gives it some. Replicas not heard of for `stale` get
+    /// no work. `seed` makes its choices repeatable.
+    pub fn new(
+        name: &str,
+        hall: &str,
+        stale: Duration,
+        seed: u64,
+        metrics: Arc<Metrics>,
+        now: Instant,
+    ) -> Pool {
         let state = State {
             replicas: SlotMap::with_key(),
             streams: SlotMap::with_key(),
@@ -104,6 +113,7 @@
             rng: StdRng::seed_from_u64(seed),
             most_queued: 0,
             correct: true,
+            stale,
             rate: FIRST_RATE,
             made_since: 0,
             rated: now,
@@ -200,6 +210,10 @@
         let now = Instant::now();
         let mut state = self.lock();
         let replica = state.by_addr(addr)?;
+        if made == 0 && !state.replicas[replica].stays() {
+            // The keeper does not know yet that it is leaving.
+            return None;
+        }
         let placement = state.start(replica, &ask, made, Origin::Granted, now);
         drop(state);
         Some(Slot::new(self.clone(), placement, grant))
@@ -316,15 +330,12 @@
         Shed { retry_ms: (ms as u64).clamp(*RETRY_MS.start(), *RETRY_MS.end()) }
     }
 
+    /// Replicas that stay and were heard of lately; those ejected only where there is no other.
     fn candidates(&self, now: Instant) -> Vec<ReplicaKey> {
-        let usable = self.replicas.iter().filter(|(_, r)| r.usable(now));
-        let usable: Vec<ReplicaKey> = usable.map(|(key, _)| key).collect();
-        if !usable.is_empty() {
-            return usable;
-        }
-        // All are ejected: an unlikely answer beats none.
-        let staying = self.replicas.iter().filter(|(_, r)| r.stays());
-        staying.map(|(key, _)| key).collect()
+        let fresh = self.replicas.iter().filter(|(_, r)| r.stays() && r.fresh(self.stale, now));
+        let (usable, ejected): (Vec<_>, Vec<_>) = fresh.partition(|(_, r)| r.health.usable(now));
+        let chosen = if usable.is_empty() { ejected } else { usable };
+        chosen.into_iter().map(|(key, _)| key).collect()
     }
 
     /// Places what waits, in order, as long as the policies find room.
@@ -332,12 +343,12 @@
         if self.queue.is_empty() {
             return;
         }
-        let candidates = self.candidates(now);
-        if candidates.is_empty() {
+        if !self.replicas.values().any(Replica::stays) {
             // All are leaving: who waits is told at once.
             self.queue.clear();
             return;
         }
+        let candidates = self.candidates(now);
         while let Some((ticket, replica)) = self.next_place(&candidates, now) {
             let Some(entry) = self.queue.serve(ticket) else {
                 return;
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -21,8 +21,8 @@
 
 /// Most time after the last line of the trace before what is open is given up, in trace time.
 const TAIL: Duration = Duration::from_secs(240);
-/// Times a caller repeats a call that must not run twice, after `unknown`.
-const CALL_REPEATS: u32 = 3;
+/// Time after which a caller in doubt sends a call again, in trace time.
+const CALL_PAUSE: Duration = Duration::from_millis(1_000);
 const REVISION_STEP: Duration = Duration::from_millis(20);
 
 /// Told how far a replay is.
@@ -203,22 +203,16 @@
     let client = &run.clients[&c.workspace];
     let path = format!("/v1/services/{}/{}", c.service, c.path);
     let label = format!("call-{number}");
-    let mut headers = vec![("x-call", label.as_str())];
-    if c.once {
-        headers.push(("idempotency-key", label.as_str()));
-    }
+    let headers = [("x-call", label.as_str())];
     let body = Bytes::from(json!({"number": number}).to_string());
-    let mut called = client.call(Method::POST, &path, body.clone(), &headers).await;
-    if c.once {
+    let called = match c.once {
         // A caller in doubt asks again with the same key; it must not run again.
-        for _ in 0..CALL_REPEATS {
-            if called.outcome != Outcome::Unknown {
-                break;
-            }
-            sleep(Duration::from_millis(1_000).div_f64(run.fleet.speed())).await;
-            called = client.call(Method::POST, &path, body.clone(), &headers).await;
+        true => {
+            let pause = CALL_PAUSE.div_f64(run.fleet.speed());
+            client.call_once(&path, &label, body, &headers, pause).await
         }
-    }
+        false => client.call(Method::POST, &path, body, &headers).await,
+    };
     run.tally.lock().expect("tally").ended(called.outcome);
     run.calls.lock().expect("calls").push(CallSeen {
         label,
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -144,8 +144,8 @@
     pub wholes: u32,
     /// Mean gap between tokens seen here, in milliseconds.
     pub gap_ms: f32,
-    /// Whether a report has ever come.
-    pub known: bool,
+    /// When the last report came, if one ever has.
+    pub heard: Option<Instant>,
     prefixes: VecDeque<u64>,
     changes: VecDeque<Delta>,
     /// Recent failures and ejection.
@@ -177,7 +177,7 @@
             gap_ms: FIRST_GAP_MS,
             readers: 0,
             wholes: 0,
-            known: false,
+            heard: None,
             prefixes: VecDeque::new(),
             changes: VecDeque::new(),
             health: Health::default(),
@@ -186,14 +186,15 @@
 
     /// Takes in a load report received at `now`.
     pub fn take_report(&mut self, report: LoadReport, now: Instant) {
+        let known = self.heard.is_some();
         let measured = now.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(now);
-        if self.known && measured < self.reported {
+        self.heard = Some(now);
+        self.leaving = report.leaving;
+        if known && measured < self.reported {
             return;
         }
         self.report = report;
         self.reported = measured;
-        self.known = true;
-        self.leaving = report.leaving;
         while self.changes.front().is_some_and(|c| c.at <= measured) {
             self.changes.pop_front();
         }
@@ -295,8 +296,9 @@
         !self.leaving && !self.withdrawn
     }
 
-    /// Whether work may be sent here.
-    pub fn usable(&self, now: Instant) -> bool {
-        self.stays() && self.health.usable(now)
+    /// Whether it was heard of within `stale`. A daemon that was frozen knows nothing fresh, not
+    /// even who is leaving.
+    pub fn fresh(&self, stale: Duration, now: Instant) -> bool {
+        self.heard.is_some_and(|at| now.saturating_duration_since(at) <= stale)
     }
 }
