--- a/src/measure.rs
+++ b/src/measure.rs
@@ -55,7 +55,7 @@
 pub struct Seen {
     /// How it ended.
     pub outcome: Outcome,
-    /// From the request to the first token.
+    /// From the request to the first token; none for an answer delivered whole.
     pub first: Option<Duration>,
     /// From the request to the end.
     pub whole: Duration,
--- a/src/poll.rs
+++ b/src/poll.rs
@@ -9,6 +9,10 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+/// How long a daemon that placed by its own view goes on polling for it.
+const ALONE_POLLS: u32 = 40;
+/// A daemon that does not place polls in every so many turns, to have some view if its keeper dies.
+const IDLE_TURNS: u32 = 16;
 /// A report that takes this many polls counts as missing.
 const LATE: u32 = 8;
 
@@ -35,11 +39,16 @@
 }
 
 async fn poll(app: Arc<App>, pool: Weak<Pool>, addr: SocketAddr, every: Duration) {
-    loop {
-        let report = timeout(every * LATE, app.engine.load(addr)).await.ok().flatten();
-        let Some(pool) = pool.upgrade() else { return };
-        pool.report(addr, report, Instant::now());
-        drop(pool);
+    for turn in 0u32.. {
+        let Some(kept) = pool.upgrade() else { return };
+        let now = Instant::now();
+        let keeper = app.gossip.keeper(kept.name(), now).is_none();
+        let needed = keeper || kept.places_alone(every * ALONE_POLLS, now);
+        if needed || turn.is_multiple_of(IDLE_TURNS) {
+            let report = timeout(every * LATE, app.engine.load(addr)).await.ok().flatten();
+            kept.report(addr, report, Instant::now());
+        }
+        drop(kept);
         sleep(every).await;
     }
 }
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -87,6 +87,8 @@
     most_queued: usize,
     correct: bool,
     stale: Duration,
+    /// When a place was last sought by this daemon's own view.
+    alone: Option<Instant>,
     rate: f64,
     made_since: u64,
     rated: Instant,
@@ -114,6 +116,7 @@
             most_queued: 0,
             correct: true,
             stale,
+            alone: None,
             rate: FIRST_RATE,
             made_since: 0,
             rated: now,
@@ -170,6 +173,7 @@
 
     /// Waits at most `wait` for a place, by this daemon's own view.
     pub async fn place(self: &Arc<Self>, ask: Ask, wait: Duration) -> Result<Slot, Shed> {
+        self.lock().alone = Some(Instant::now());
         self.wait_for(ask, wait, Origin::Own).await
     }
 
@@ -226,6 +230,12 @@
         spec.is_none_or(|s| s.algorithm == Algorithm::Headroom && s.headroom.keeper)
     }
 
+    /// Whether this daemon placed by its own view within `span`, and so needs fresh reports.
+    pub fn places_alone(&self, span: Duration, now: Instant) -> bool {
+        let alone = self.lock().alone;
+        alone.is_some_and(|at| now.saturating_duration_since(at) <= span)
+    }
+
     /// Whether one more retry is allowed.
     pub fn may_retry(&self) -> bool {
         self.lock().retries.take()
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -85,9 +85,11 @@
         async move { tx.closed().await }.boxed()
     }
 
-    fn restart(&mut self) -> bool {
+    fn may_restart(&self) -> bool {
         !self.sent
     }
+
+    fn restart(&mut self) {}
 }
 
 /// Holds the answer until it is whole, so that it can be placed anew at any point.
@@ -118,8 +120,11 @@
         std::future::pending().boxed()
     }
 
-    fn restart(&mut self) -> bool {
-        self.text.clear();
+    fn may_restart(&self) -> bool {
         true
     }
+
+    fn restart(&mut self) {
+        self.text.clear();
+    }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -10,12 +10,15 @@
 use crate::replica::Signal;
 use crate::seal::GenerationId;
 use futures_util::future::BoxFuture;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(25);
 const LONGEST_BACKOFF: Duration = Duration::from_millis(500);
+/// Part of the time to resume that is spent on a generation that can start over.
+const RESTART_SHARE: u32 = 8;
 /// Most times a generation is placed.
 const MOST_PLACES: u32 = 4;
 
@@ -29,8 +32,10 @@
     fn opened(&mut self) {}
     /// Resolves once the reader has gone away.
     fn gone(&self) -> BoxFuture<'static, ()>;
-    /// Drops what it holds, so that another generation may start over; `false` where tokens went out.
-    fn restart(&mut self) -> bool;
+    /// Whether another generation may start over: no token has gone out.
+    fn may_restart(&self) -> bool;
+    /// Drops what it holds, so that another generation may start over.
+    fn restart(&mut self);
 }
 
 /// What became of something delivered.
@@ -177,9 +182,13 @@
                 self.engine.cancel(slot.addr(), job.dispatch.generation).await;
                 return Ok(End::ReaderGone);
             }
+            let addr = slot.addr();
             match self.carry(&job, slot, Some(stream), &mut progress, reader).await {
                 Some(end) => return Ok(end),
-                None if progress.delivered == 0 || reader.restart() => continue,
+                None if reader.may_restart() => {
+                    reader.restart();
+                    self.cancel_later(progress.generation, addr);
+                }
                 None => return Err(cut()),
             }
         }
@@ -216,7 +225,11 @@
         loop {
             let stream = match open.take() {
                 Some(stream) => stream,
-                None => self.reopen(job, &slot, progress).await?,
+                None => {
+                    // One that can start over elsewhere need not wait long for a dead replica.
+                    let share = if reader.may_restart() { RESTART_SHARE } else { 1 };
+                    self.reopen(job.resume / share, &slot, progress).await?
+                }
             };
             reader.opened();
             match self.follow(job, &mut slot, stream, progress, reader).await {
@@ -236,8 +249,19 @@
         }
     }
 
-    async fn reopen(&self, job: &Job, slot: &Slot, progress: &Progress) -> Option<OpenStream> {
-        let until = Instant::now() + job.resume;
+    /// Ends a generation that was given up, in case its replica comes back with it.
+    fn cancel_later(&self, generation: GenerationId, addr: SocketAddr) {
+        let engine = self.engine.clone();
+        tokio::spawn(async move { engine.cancel(addr, generation).await });
+    }
+
+    async fn reopen(
+        &self,
+        limit: Duration,
+        slot: &Slot,
+        progress: &Progress,
+    ) -> Option<OpenStream> {
+        let until = Instant::now() + limit;
         let mut backoff = FIRST_BACKOFF;
         self.metrics.resumes.inc();
         loop {
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -8,6 +8,7 @@
 use crate::measure::{Figures, Seen, SeenToken, Tally};
 use crate::outcome::Outcome;
 use crate::prompt::TOKEN_BYTES;
+use crate::resource::{Delivery, TrafficClassSpec};
 use crate::trace::{Call, Generation, Line};
 use bytes::Bytes;
 use hyper::Method;
@@ -21,6 +22,8 @@
 
 /// Most time after the last line of the trace before what is open is given up, in trace time.
 const TAIL: Duration = Duration::from_secs(240);
+/// First tokens that take longer are logged, in trace time.
+const SLOW_FIRST: Duration = Duration::from_secs(8);
 /// Time after which a caller in doubt sends a call again, in trace time.
 const CALL_PAUSE: Duration = Duration::from_millis(1_000);
 const REVISION_STEP: Duration = Duration::from_millis(20);
@@ -34,10 +37,17 @@
     tally: Mutex<Tally>,
     calls: Mutex<Vec<CallSeen>>,
     done: AtomicU64,
-    classes: BTreeMap<String, Duration>,
+    classes: BTreeMap<String, Class>,
     drained: Mutex<Vec<std::net::SocketAddr>>,
 }
 
+/// What judging needs to know of a class.
+#[derive(Clone, Copy)]
+struct Class {
+    gap: Duration,
+    streamed: bool,
+}
+
 /// A call as its caller saw it.
 struct CallSeen {
     label: String,
@@ -72,11 +82,7 @@
         tally: Mutex::new(Tally::new(speed)),
         calls: Mutex::default(),
         done: AtomicU64::new(0),
-        classes: deployment
-            .classes
-            .iter()
-            .map(|(name, c)| (name.clone(), Duration::from_millis(c.gap_ms)))
-            .collect(),
+        classes: deployment.classes.iter().map(class).collect(),
         drained: Mutex::default(),
         fleet,
     });
@@ -97,6 +103,11 @@
     Ok(figures(&run, makespan, reverts).await)
 }
 
+fn class((name, spec): (&String, &TrafficClassSpec)) -> (String, Class) {
+    let gap = Duration::from_millis(spec.gap_ms);
+    (name.clone(), Class { gap, streamed: spec.delivery == Delivery::Stream })
+}
+
 fn start(run: &Arc<Run>, line: Line, number: usize, tasks: &mut JoinSet<()>) {
     let run = run.clone();
     match line {
@@ -135,8 +146,8 @@
 
 async fn generation(run: Arc<Run>, g: Generation) {
     let client = &run.clients[&g.workspace];
-    let gap_limit =
-        run.classes.get(&g.class).copied().unwrap_or_default().div_f64(run.fleet.speed());
+    let class = run.classes[&g.class];
+    let gap_limit = class.gap.div_f64(run.fleet.speed());
     let body = completion_body(&g);
     let began = Instant::now();
     let mut tokens = Vec::new();
@@ -152,6 +163,7 @@
         last = Some(piece.at);
     };
     let ended = client.stream("/v1/chat/completions", &g.class, body, each).await;
+    let first = first.filter(|_| class.streamed);
     let seen = Seen {
         outcome: ended.outcome,
         first,
@@ -161,6 +173,9 @@
         tokens,
         expected: g.output_tokens,
     };
+    if let Some(first) = first.filter(|f| *f > SLOW_FIRST.div_f64(run.fleet.speed())) {
+        log::debug!("first token of the request at {} ms after {first:?}", g.at_ms);
+    }
     if ended.outcome != Outcome::Complete {
         log::debug!("{:?}: {}", ended.outcome, ended.message);
     }
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -5,6 +5,7 @@
 };
 use futures_util::future::BoxFuture;
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -29,6 +30,7 @@
     store: Arc<Mutex<Store>>,
     faults: Arc<Mutex<KvFaults>>,
     tick: Arc<watch::Sender<u64>>,
+    calls: Arc<AtomicU64>,
 }
 
 #[derive(Default)]
@@ -85,7 +87,13 @@
         });
     }
 
+    /// Calls taken so far, refused ones included.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
     async fn enter(&self) -> PlatformResult<()> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         let faults = *self.faults.lock().expect("faults");
         if !faults.slow.is_zero() {
             tokio::time::sleep(faults.slow).await;
