--- a/src/admin.rs
+++ b/src/admin.rs
@@ -2,9 +2,9 @@
 
 use crate::adapter::request;
 use crate::error::{Error, ReadSnafu, Result};
-use crate::operator::FleetStatus;
 use crate::outcome::NotSent;
 use crate::resource::{Kind, Resource};
+use crate::status::FleetStatus;
 use crate::wire::{Answer, Wire};
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
--- a/src/bin/tidestair-standin/main.rs
+++ b/src/bin/tidestair-standin/main.rs
@@ -9,6 +9,7 @@
 use tidestair::standin::gateway::PlatformStandin;
 use tidestair::standin::generator::{Plan, User, Variant, generate};
 use tidestair::standin::service::ServiceStandin;
+use tidestair::standin::weights::WeightStandin;
 
 const HELP: &str = "\
 Stand-ins for the systems outside tidestair.
@@ -17,10 +18,11 @@
   tidestair-standin engine   [--listen ADDR] [--memory TOKENS] [--speed X]
   tidestair-standin service  [--listen ADDR]
   tidestair-standin platform [--listen ADDR]
+  tidestair-standin weights  [--listen ADDR] [--megabytes-a-second N]
   tidestair-standin generate --user nikuthi|blomsterbud --variant calm|crowded|faulty
                              [--seed N] [--length-ms N] [--faults N] [--memory TOKENS]
 
-Each of the first three prints the address that it listens on and runs until it is stopped.
+Each of the first four prints the address that it listens on and runs until it is stopped.
 `generate` writes a trace to standard output.
 
   -h, --help     this text
@@ -55,10 +57,11 @@
         Some("engine") => engine(args).await,
         Some("service") => service(args).await,
         Some("platform") => platform(args).await,
+        Some("weights") => weights(args).await,
         Some("generate") => write_trace(args),
-        _ => {
-            Err(Error::Usage { message: "name one of engine, service, platform, generate".into() })
-        }
+        _ => Err(Error::Usage {
+            message: "name one of engine, service, platform, weights, generate".into(),
+        }),
     }
 }
 
@@ -115,6 +118,16 @@
     Ok(())
 }
 
+async fn weights(mut args: Arguments) -> Result<()> {
+    let addr = listen(&mut args)?;
+    let rate = args.opt_value_from_str("--megabytes-a-second").map_err(usage)?.unwrap_or(200.0);
+    finish(args)?;
+    let store = WeightStandin::start(addr, rate).await?;
+    println!("{}", store.addr());
+    stopped().await;
+    Ok(())
+}
+
 fn write_trace(mut args: Arguments) -> Result<()> {
     let user: String = args.value_from_str("--user").map_err(usage)?;
     let variant: String = args.value_from_str("--variant").map_err(usage)?;
--- a/src/bin/tidestair/app.rs
+++ b/src/bin/tidestair/app.rs
@@ -197,7 +197,7 @@
         println!("{}", serde_json::to_string_pretty(&status).expect("a status is JSON"));
         return Ok(true);
     }
-    let row = |d: &tidestair::operator::DaemonStatus| {
+    let row = |d: &tidestair::status::DaemonStatus| {
         let marks = [(d.leaving, "leaving"), (d.gateway, "gateway")];
         let marks: Vec<&str> = marks.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
         vec![
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -1,36 +1,31 @@
 //! The callers' interface: completions, streams, plain services, entries.
 
-use crate::answer::{self, Head, OUTCOME, failure, refuse, unix_secs};
+use crate::answer::{Head, OUTCOME, failure, refuse, unix_secs};
 use crate::app::{App, OpenStream};
-use crate::calls::{self, OnceKey, ServiceCall};
+use crate::ask::Ask;
 use crate::engine::{Dispatch, Shape};
 use crate::forecast::LengthKey;
-use crate::outcome::{Failure, NotSent, Outcome, Reason};
-use crate::pool::{Ask, Pool};
+use crate::outcome::{Failure, Outcome, Reason};
+use crate::pool::Pool;
 use crate::prompt::{self, Prompt};
 use crate::reader::{DEPTH, EventReader, WholeReader};
 use crate::relay::{End, Job, Relay};
-use crate::resource::{Delivery, ExperimentSpec, RouteSpec, TrafficClassSpec, Unit, WorkspaceSpec};
+use crate::resource::{Delivery, ExperimentSpec, TrafficClassSpec, Unit, WorkspaceSpec};
 use crate::seal::{GenerationId, Position};
 use crate::server::{event_stream, json};
 use crate::snapshot::Snapshot;
+use crate::{entries, plain};
 use salvo::http::{HeaderValue, StatusCode, header};
 use salvo::prelude::*;
 use serde::Serialize;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Header by which a caller names the class of a request.
 pub const CLASS: &str = "x-tidestair-class";
-/// Header with a caller's key of a call that must not run twice.
-pub const ONCE_KEY: &str = "idempotency-key";
-/// Header by which a caller says how often it has sent a key, from [`FIRST_ATTEMPT`] on.
-pub const ATTEMPT: &str = "x-tidestair-attempt";
-/// The first sending of a key.
-pub const FIRST_ATTEMPT: &str = "1";
 /// How long an event id can be resumed from, in seconds.
 const EVENT_LIFE_SECS: u64 = 900;
 
@@ -41,8 +36,8 @@
         .push(Router::with_path("completions").post(text))
         .push(Router::with_path("streams/{id}").get(resume))
         .push(Router::with_path("models").get(list_models))
-        .push(Router::with_path("entries").get(list_entries))
-        .push(Router::with_path("services/{service}/{**path}").goal(service))
+        .push(Router::with_path("entries").get(entries::list_entries))
+        .push(Router::with_path("services/{service}/{**path}").goal(plain::call_service))
 }
 
 pub(crate) fn app(depot: &Depot) -> Arc<App> {
@@ -50,15 +45,15 @@
 }
 
 /// Who asks, by which revision.
-struct Caller {
-    app: Arc<App>,
-    snapshot: Arc<Snapshot>,
-    workspace: String,
+pub(crate) struct Caller {
+    pub(crate) app: Arc<App>,
+    pub(crate) snapshot: Arc<Snapshot>,
+    pub(crate) workspace: String,
     spec: WorkspaceSpec,
 }
 
 impl Caller {
-    fn known(req: &Request, depot: &Depot) -> Result<Caller, Reason> {
+    pub(crate) fn known(req: &Request, depot: &Depot) -> Result<Caller, Reason> {
         let app = app(depot);
         let snapshot = app.in_force.get();
         if snapshot.revision == 0 || snapshot.keys.is_none() {
@@ -440,140 +435,3 @@
         Err(reason) => refuse(res, &reason, Outcome::NotRun),
     }
 }
-
-#[derive(Serialize)]
-struct Entries {
-    keep_ms: u64,
-    entries: Vec<EntryAddr>,
-}
-
-#[derive(Serialize)]
-struct EntryAddr {
-    address: SocketAddr,
-    hall: String,
-    weight: u32,
-}
-
-/// Addresses to use; open to anybody who can reach the daemon, since it names no workspace.
-#[handler]
-async fn list_entries(depot: &mut Depot, res: &mut Response) {
-    let app = app(depot);
-    let members = app.gossip.members();
-    let now = Instant::now();
-    let own_hall = members.own().hall.clone();
-    let mut entries: Vec<EntryAddr> = members.entries(now).into_iter().map(entry_addr).collect();
-    drop(members);
-    entries.sort_by_key(|e| (e.hall != own_hall, e.address));
-    json(res, StatusCode::OK, &Entries { keep_ms: app.config.keep_ms, entries });
-}
-
-/// Weighs an entry by the streams open at it, mildly, since answers are kept for a while.
-fn entry_addr(record: &crate::member::Record) -> EntryAddr {
-    const FULL_WEIGHT: u32 = 100;
-    const HALF_AT: u32 = 2_000;
-    let weight = (FULL_WEIGHT * HALF_AT / (HALF_AT + record.open)).max(1);
-    EntryAddr { address: record.caller_addr, hall: record.hall.clone(), weight }
-}
-
-#[handler]
-async fn service(req: &mut Request, depot: &mut Depot, res: &mut Response) {
-    let _open = app(depot).begin();
-    let metrics = app(depot).metrics.clone();
-    let ended = match service_call(req, depot).await {
-        Ok(ended) => ended,
-        Err(reason) if once_key(req).is_some() => {
-            Err(calls::unclaimed(NotSent::begin(), first_sending(req), reason))
-        }
-        Err(reason) => Err(Failure::not_run(NotSent::begin(), reason)),
-    };
-    match ended {
-        Ok(done) => {
-            metrics.ended("call", Outcome::Complete);
-            res.headers_mut().insert(OUTCOME, HeaderValue::from_static(Outcome::Complete.name()));
-            res.status_code(done.status);
-            let kind = done.kind.and_then(|k| HeaderValue::from_str(&k).ok());
-            res.headers_mut().insert(
-                header::CONTENT_TYPE,
-                kind.unwrap_or(HeaderValue::from_static("application/octet-stream")),
-            );
-            let _ = res.write_body(done.body);
-        }
-        Err(ended) => {
-            metrics.ended("call", ended.outcome());
-            answer::failure(res, &ended);
-        }
-    }
-}
-
-fn once_key(req: &Request) -> Option<String> {
-    let key = req.headers().get(ONCE_KEY)?.to_str().ok()?;
-    Some(key.to_string())
-}
-
-fn first_sending(req: &Request) -> bool {
-    req.headers().get(ATTEMPT).is_some_and(|v| v == FIRST_ATTEMPT)
-}
-
-type Called = Result<calls::ServiceAnswer, Failure>;
-
-async fn service_call(req: &mut Request, depot: &Depot) -> Result<Called, Reason> {
-    let caller = Caller::known(req, depot)?;
-    let name = req.param::<String>("service").unwrap_or_default();
-    let unknown = || {
-        Reason::new(
-            404,
-            "unknown_service",
-            format!("service `{name}` is not declared; correct the path"),
-        )
-    };
-    let pool = caller.snapshot.service_pool(&name).ok_or_else(unknown)?.clone();
-    let backends = caller.app.service(&name).ok_or_else(unknown)?;
-    let path = req.param::<String>("path").unwrap_or_default();
-    let first = path.split('/').next().unwrap_or_default();
-    let route = pool.routes.iter().find(|r| r.path == first).cloned();
-    let RouteSpec { repeatable, timeout_ms, .. } = route.unwrap_or_else(|| RouteSpec {
-        path: first.into(),
-        repeatable: false,
-        timeout_ms: 10_000,
-    });
-    let limit = caller.app.config.body_bytes as usize;
-    let body =
-        req.payload_with_max_size(limit).await.map_err(|_| prompt::too_large(limit))?.clone();
-    let query = req.uri().query().map(|q| format!("?{q}")).unwrap_or_default();
-    let call = ServiceCall {
-        method: req.method().clone(),
-        path: format!("/{path}{query}"),
-        headers: req.headers().clone(),
-        body,
-        repeatable,
-        limit: Duration::from_millis(timeout_ms),
-    };
-    let (key, first) = (once_key(req), first_sending(req));
-    let open = caller.app.begin();
-    // In a task of its own, so that it ends and is kept though its caller may leave.
-    let task = tokio::spawn(async move {
-        let _open = open;
-        let app = &caller.app;
-        match key.filter(|_| !repeatable) {
-            Some(key) => {
-                let once = OnceKey {
-                    workspace: &caller.workspace,
-                    service: &name,
-                    key: &key,
-                    first,
-                    retention_ms: pool.retention_ms,
-                };
-                calls::call_once(&app.wire, &backends, &app.gossip, once, &call).await
-            }
-            None => calls::call(&app.wire, &backends, &call).await,
-        }
-    });
-    let gone = |_| {
-        Failure::unknown(Reason::new(
-            500,
-            "internal",
-            "the call ended unexpectedly; ask the service before sending it again",
-        ))
-    };
-    Ok(task.await.unwrap_or_else(|e| Err(gone(e))))
-}
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -2,8 +2,9 @@
 
 use crate::adapter::{NOT_STARTED, request};
 use crate::backends::{Backends, Call};
+use crate::claim::{ClaimAsk, ClaimKey, Claimed, Kept, Nonce};
 use crate::gossip::Gossip;
-use crate::journal::{ClaimAsk, ClaimKey, Claimed, KEPT_BYTES, Kept, Nonce};
+use crate::journal::KEPT_BYTES;
 use crate::outcome::{Failure, NotSent, Reason};
 use crate::wire::{Answer, Fault, Wire};
 use bytes::Bytes;
--- a/src/client.rs
+++ b/src/client.rs
@@ -2,8 +2,9 @@
 
 use crate::adapter::request;
 use crate::answer::OUTCOME;
-use crate::caller::{ATTEMPT, CLASS, ONCE_KEY};
+use crate::caller::CLASS;
 use crate::outcome::{NotSent, Outcome};
+use crate::plain::{ATTEMPT, ONCE_KEY};
 use crate::sse::Events;
 use crate::wire::{Answer, Fault, Wire};
 use bytes::Bytes;
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -1,8 +1,9 @@
 //! One daemon's share of the talk between daemons: heartbeats, configuration, claims.
 
+use crate::claim::{ClaimAsk, Claimed, Kept};
 use crate::follow::InForce;
 use crate::grant::Keeper;
-use crate::journal::{ClaimAsk, Claimed, Journal, Kept, SHARDS};
+use crate::journal::{Journal, SHARDS};
 use crate::member::{Members, Record};
 use crate::message::{Heartbeat, PlaceAsk, Reply, Request};
 use crate::metrics::Metrics;
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -4,11 +4,13 @@
 //! state only: a place lasts as long as the stream over which it was asked for, and whoever cannot
 //! reach the keeper places by its own view.
 
+use crate::ask::{Ask, Shed};
 use crate::gossip::Gossip;
 use crate::message::{PlaceAsk, PlaceReply, PlaceUpdate};
 use crate::peer::{Held, NoAnswer};
-use crate::pool::{Ask, Pool, Shed, Slot};
+use crate::pool::Pool;
 use crate::replica::Signal;
+use crate::slot::Slot;
 use futures_util::future::BoxFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -4,6 +4,7 @@
 //! the next one is the arbiter: a daemon that has not read all before it lands
 //! on a taken number and fails. Many claims share one segment.
 
+use crate::claim::{ClaimAsk, ClaimKey, Claimed, Kept, Nonce};
 use crate::metrics::Metrics;
 use crate::platform::{Expect, Platform, PlatformError, ROOT, Swap};
 use serde::{Deserialize, Serialize};
@@ -26,59 +27,6 @@
 /// Added to retention before anything is forgotten, for clocks that differ.
 pub const CLOCK_MARGIN_MS: u64 = 60_000;
 
-/// Hash of a key within its workspace and service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct ClaimKey(pub u128);
-
-/// Tells two claims apart.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Nonce(pub u128);
-
-impl Nonce {
-    /// A new one.
-    pub fn random() -> Nonce {
-        Nonce(rand::random())
-    }
-}
-
-/// A kept answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Kept {
-    /// HTTP status.
-    pub status: u16,
-    /// Body, where it is small enough.
-    pub body: Vec<u8>,
-    /// Whether the body was left out for its size.
-    pub omitted: bool,
-}
-
-/// The answer to a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Claimed {
-    /// It stands: the call may be dispatched, once.
-    Yours,
-    /// Another claim stands and has no outcome yet.
-    Taken,
-    /// It ran; this is its outcome.
-    Settled(Kept),
-    /// The key was used with another body.
-    Mismatch,
-    /// The platform's service cannot say now; nothing was claimed for this caller.
-    Unavailable,
-}
-
-impl Claimed {
-    fn name(&self) -> &'static str {
-        match self {
-            Claimed::Yours => "yours",
-            Claimed::Taken => "taken",
-            Claimed::Settled(_) => "settled",
-            Claimed::Mismatch => "mismatch",
-            Claimed::Unavailable => "unavailable",
-        }
-    }
-}
-
 #[derive(Debug, Clone, Serialize, Deserialize)]
 enum Record {
     Claim { key: ClaimKey, nonce: Nonce, body: u128 },
@@ -94,19 +42,6 @@
     records: Vec<Record>,
 }
 
-/// A claim as it is asked for, here or of the daemon that writes its shard.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub struct ClaimAsk {
-    /// The key.
-    pub key: ClaimKey,
-    /// Chosen by the claimant; asking again with it settles a lost answer.
-    pub nonce: Nonce,
-    /// Hash of the call.
-    pub body: u128,
-    /// How long claim and outcome are kept, in milliseconds.
-    pub retention_ms: u64,
-}
-
 struct Ask {
     claim: ClaimAsk,
     reply: oneshot::Sender<Claimed>,
--- a/src/message.rs
+++ b/src/message.rs
@@ -1,8 +1,8 @@
 //! Messages between daemons: a version byte, then `postcard`.
 
-use crate::journal::{ClaimAsk, ClaimKey, Claimed, Kept, Nonce};
+use crate::ask::Ask;
+use crate::claim::{ClaimAsk, ClaimKey, Claimed, Kept, Nonce};
 use crate::member::Record;
-use crate::pool::Ask;
 use crate::replica::Signal;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -9,16 +9,14 @@
 use crate::platform::{Expect, Platform, PlatformError, Swap};
 use crate::resource::{Kind, Resource};
 use crate::seal::SealKeys;
-use crate::server::{json, stream_body};
-use crate::snapshot::{self, Snapshot, key_hash, same};
-use bytes::Bytes;
+use crate::server::json;
+use crate::snapshot::{self, key_hash, same};
+use crate::status;
+use crate::watch::{self, Stub, WatchObject};
 use salvo::http::StatusCode;
 use salvo::prelude::*;
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use serde::Serialize;
+use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
 const BODY_LIMIT: usize = 1 << 20;
@@ -28,23 +26,21 @@
 const SETTLE_TRIES: u32 = 20;
 const SETTLE_STEP: Duration = Duration::from_millis(250);
 const DEFAULT_PAGE: usize = 500;
-const WATCH_DEPTH: usize = 16;
-const BOOKMARK_EVERY: Duration = Duration::from_secs(10);
 
 /// The routes of this interface.
 pub fn routes() -> Router {
     Router::with_path("apis/tidestair/v1")
-        .push(Router::with_path("status").get(get_status))
+        .push(Router::with_path("status").get(status::get_status))
         .push(Router::with_path("rotate-keys").post(rotate_keys))
         .push(Router::with_path("{kind}").get(list_kind).post(create))
         .push(Router::with_path("{kind}/{name}").get(get).put(replace).delete(delete))
 }
 
-fn reason(status: u16, code: &'static str, message: impl Into<String>) -> Reason {
+pub(crate) fn reason(status: u16, code: &'static str, message: impl Into<String>) -> Reason {
     Reason::new(status, code, message)
 }
 
-fn allowed(req: &Request, app: &App, needs: Role) -> Result<(), Reason> {
+pub(crate) fn allowed(req: &Request, app: &App, needs: Role) -> Result<(), Reason> {
     let key = bearer(req).map(|k| key_hash(&k)).unwrap_or_default();
     let operator = app.config.operators.iter().find(|o| same(&o.key_hash, &key));
     let Some(operator) = operator else {
@@ -100,7 +96,7 @@
         Err(reason) => return refuse(res, &reason, Outcome::NotRun),
     };
     if req.query::<String>("watch").as_deref() == Some("true") {
-        return watch(req, app, kind, res);
+        return watch::watch(req, app, kind, res);
     }
     let snapshot = app.in_force.get();
     let after = req.query::<String>("continue").unwrap_or_default();
@@ -125,94 +121,6 @@
     pairs.all(|holds| holds)
 }
 
-#[derive(Serialize)]
-struct WatchEvent<'a> {
-    #[serde(rename = "type")]
-    kind: &'static str,
-    object: WatchObject<'a>,
-}
-
-#[derive(Serialize)]
-#[serde(untagged)]
-enum WatchObject<'a> {
-    Resource(&'a Resource),
-    Stub { metadata: Stub },
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
-struct Stub {
-    #[serde(skip_serializing_if = "String::is_empty")]
-    name: String,
-    resource_version: String,
-}
-
-/// Sends changes of a kind from a revision on, a line each, with a bookmark now and then.
-fn watch(req: &Request, app: Arc<App>, kind: Kind, res: &mut Response) {
-    let now = app.in_force.get().revision;
-    let mut at = req.query::<u64>("resourceVersion").unwrap_or(now);
-    if app.in_force.changes_after(at).is_none() {
-        let message = "resourceVersion is too old to watch from; list again and watch from its resourceVersion";
-        return refuse(res, &reason(410, "too_old", message), Outcome::NotRun);
-    }
-    let tx = stream_body(res, WATCH_DEPTH);
-    let prefix = snapshot::key(kind, "");
-    tokio::spawn(async move {
-        let mut revisions = app.in_force.subscribe();
-        loop {
-            // Falling behind by more than is kept ends the watch; the caller lists again.
-            let Some(changes) = app.in_force.changes_after(at) else {
-                return;
-            };
-            let seen = app.in_force.get().revision;
-            for change in &changes {
-                let Some(name) = change.key.strip_prefix(&prefix) else {
-                    continue;
-                };
-                let line = change_line(name, change.value.as_deref(), change.revision);
-                if tx.send(Ok(line)).await.is_err() {
-                    return;
-                }
-            }
-            at = changes.last().map_or(at, |c| c.revision).max(at);
-            let woken = tokio::select! {
-                changed = revisions.changed() => changed.is_ok(),
-                () = sleep(BOOKMARK_EVERY) => tx.send(Ok(bookmark(seen.max(at)))).await.is_ok(),
-                () = tx.closed() => false,
-            };
-            if !woken {
-                return;
-            }
-        }
-    });
-}
-
-fn change_line(name: &str, value: Option<&[u8]>, revision: u64) -> Bytes {
-    let resource = value.and_then(|v| serde_json::from_slice::<Resource>(v).ok());
-    let stub = || WatchObject::Stub {
-        metadata: Stub { name: name.into(), resource_version: revision.to_string() },
-    };
-    match resource {
-        Some(mut resource) => {
-            resource.metadata.resource_version = Some(revision.to_string());
-            let kind = if resource.metadata.generation <= 1 { "ADDED" } else { "MODIFIED" };
-            line(&WatchEvent { kind, object: WatchObject::Resource(&resource) })
-        }
-        None => line(&WatchEvent { kind: "DELETED", object: stub() }),
-    }
-}
-
-fn bookmark(revision: u64) -> Bytes {
-    let metadata = Stub { name: String::new(), resource_version: revision.to_string() };
-    line(&WatchEvent { kind: "BOOKMARK", object: WatchObject::Stub { metadata } })
-}
-
-fn line(event: &impl Serialize) -> Bytes {
-    let mut bytes = serde_json::to_vec(event).expect("an event is JSON");
-    bytes.push(b'\n');
-    Bytes::from(bytes)
-}
-
 #[handler]
 async fn get(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let app = app(depot);
@@ -482,77 +390,3 @@
         _ => Err(unsettled()),
     }
 }
-
-/// The fleet as one daemon sees it.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct FleetStatus {
-    /// Name of the daemon asked.
-    pub vm: String,
-    /// Revision that it has in force.
-    pub revision: u64,
-    /// Lowest revision in force over the daemons alive, other halls by their gateways' word.
-    pub in_force: u64,
-    /// Whether the platform's service is behind.
-    pub platform_behind: bool,
-    /// Calls made to the platform's service, by kind.
-    pub platform_calls: BTreeMap<String, u64>,
-    /// The daemons that it knows.
-    pub daemons: Vec<DaemonStatus>,
-}
-
-/// One daemon.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct DaemonStatus {
-    /// Its VM.
-    pub vm: String,
-    /// Its hall.
-    pub hall: String,
-    /// Where callers reach it.
-    pub address: SocketAddr,
-    /// Revision in force.
-    pub revision: u64,
-    /// Whether it drains.
-    pub leaving: bool,
-    /// Whether it speaks for its hall.
-    pub gateway: bool,
-    /// Streams open.
-    pub open: u32,
-}
-
-#[handler]
-async fn get_status(req: &mut Request, depot: &mut Depot, res: &mut Response) {
-    let app = app(depot);
-    match allowed(req, &app, Role::View) {
-        Ok(()) => json(res, StatusCode::OK, &fleet_status(&app)),
-        Err(reason) => refuse(res, &reason, Outcome::NotRun),
-    }
-}
-
-/// What `tidestair status` shows.
-pub fn fleet_status(app: &App) -> FleetStatus {
-    let now = Instant::now();
-    let snapshot: Arc<Snapshot> = app.in_force.get();
-    let members = app.gossip.members();
-    let daemon = |r: &crate::member::Record| DaemonStatus {
-        vm: r.vm.clone(),
-        hall: r.hall.clone(),
-        address: r.caller_addr,
-        revision: r.revision,
-        leaving: r.leaving,
-        gateway: r.gateway,
-        open: r.open,
-    };
-    let mut daemons: Vec<DaemonStatus> = members.alive(now).into_iter().map(daemon).collect();
-    daemons.sort_by(|a, b| a.vm.cmp(&b.vm));
-    let calls = app.platform.calls().by_kind();
-    FleetStatus {
-        vm: app.config.vm.clone(),
-        revision: snapshot.revision,
-        in_force: members.lowest_revision(now).min(snapshot.revision),
-        platform_behind: app.metrics.platform_behind.get() == 1,
-        platform_calls: calls.into_iter().map(|(k, v)| (k.to_string(), v)).collect(),
-        daemons,
-    }
-}
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -1,7 +1,8 @@
 //! The replicas of one model as one daemon sees them: queue, placing, pausing, resuming.
 
+use crate::ask::{Ask, Shed};
 use crate::engine::LoadReport;
-use crate::forecast::{Forecasts, LengthKey};
+use crate::forecast::Forecasts;
 use crate::grant::Grant;
 use crate::health::RetryBudget;
 use crate::metrics::Metrics;
@@ -9,10 +10,10 @@
 use crate::queue::{Pushed, Queue, Rank, Ticket};
 use crate::replica::{Origin, Replica, ReplicaKey, Signal, Stream, StreamKey, growth};
 use crate::resource::{Algorithm, EnginePoolSpec, HeadroomSpec, PolicySpec};
+use crate::slot::Slot;
 use crate::snapshot::Snapshot;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -27,62 +28,34 @@
 /// Shortest and longest time that a shed caller is told to wait.
 const RETRY_MS: std::ops::RangeInclusive<u64> = 250..=30_000;
 
-/// A generation that asks for a place.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Ask {
-    /// Whose lengths it is like.
-    pub lengths: LengthKey,
-    /// Weight of the workspace.
-    pub share: u32,
-    /// Priority of the class.
-    pub priority: u8,
-    /// Whether a reader sees each token as it comes.
-    pub streamed: bool,
-    /// Name of the policy that places it.
-    pub policy: String,
-    /// Estimated tokens of the prompt.
-    pub prompt: u32,
-    /// Hash of the prompt's prefix.
-    pub prefix: Option<u64>,
-    /// Tokens of the prefix.
-    pub prefix_tokens: u32,
-}
-
-/// No place: come back after this many milliseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Shed {
-    /// When to come back.
-    pub retry_ms: u64,
-}
-
 struct Waiting {
     ask: Ask,
     origin: Origin,
     tx: oneshot::Sender<Placement>,
 }
 
-struct Placement {
-    addr: SocketAddr,
-    replica: ReplicaKey,
-    stream: StreamKey,
-    signal: watch::Receiver<Signal>,
+pub(crate) struct Placement {
+    pub(crate) addr: SocketAddr,
+    pub(crate) replica: ReplicaKey,
+    pub(crate) stream: StreamKey,
+    pub(crate) signal: watch::Receiver<Signal>,
 }
 
 /// The pool of one model in one daemon.
 pub struct Pool {
     name: String,
     hall: String,
-    metrics: Arc<Metrics>,
+    pub(crate) metrics: Arc<Metrics>,
     state: Mutex<State>,
 }
 
-struct State {
-    replicas: SlotMap<ReplicaKey, Replica>,
-    streams: SlotMap<StreamKey, Stream>,
+pub(crate) struct State {
+    pub(crate) replicas: SlotMap<ReplicaKey, Replica>,
+    pub(crate) streams: SlotMap<StreamKey, Stream>,
     queue: Queue<Waiting>,
     policies: HashMap<String, (PolicySpec, Box<dyn Policy>)>,
-    forecasts: Forecasts,
-    retries: RetryBudget,
+    pub(crate) forecasts: Forecasts,
+    pub(crate) retries: RetryBudget,
     rng: StdRng,
     most_queued: usize,
     correct: bool,
@@ -90,7 +63,7 @@
     /// When a place was last sought by this daemon's own view.
     alone: Option<Instant>,
     rate: f64,
-    made_since: u64,
+    pub(crate) made_since: u64,
     rated: Instant,
 }
 
@@ -129,7 +102,7 @@
         &self.name
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
     }
 
@@ -349,7 +322,7 @@
     }
 
     /// Places what waits, in order, as long as the policies find room.
-    fn pump(&mut self, metrics: &Metrics, now: Instant) {
+    pub(crate) fn pump(&mut self, metrics: &Metrics, now: Instant) {
         if self.queue.is_empty() {
             return;
         }
@@ -442,7 +415,7 @@
         Placement { addr, replica, stream, signal }
     }
 
-    fn end(&mut self, stream: StreamKey, now: Instant) {
+    pub(crate) fn end(&mut self, stream: StreamKey, now: Instant) {
         let Some(ended) = self.streams.remove(stream) else {
             return;
         };
@@ -516,95 +489,3 @@
     let policy = policy::build(&spec);
     (spec, policy)
 }
-
-/// A place held for one stream; dropping it gives the place back.
-pub struct Slot {
-    pool: Arc<Pool>,
-    placement: Placement,
-    last_token: Option<Instant>,
-    grant: Option<Grant>,
-}
-
-impl Slot {
-    fn new(pool: Arc<Pool>, placement: Placement, grant: Option<Grant>) -> Slot {
-        Slot { pool, placement, last_token: None, grant }
-    }
-
-    /// The replica's address.
-    pub fn addr(&self) -> SocketAddr {
-        self.placement.addr
-    }
-
-    /// Waits until the policy wants something else.
-    pub async fn signalled(&mut self) -> Signal {
-        if let Some(grant) = &mut self.grant {
-            return grant.signalled().await;
-        }
-        if self.placement.signal.changed().await.is_err() {
-            std::future::pending::<()>().await;
-        }
-        *self.placement.signal.borrow_and_update()
-    }
-
-    /// The engine has taken the generation and found `cached` prompt tokens.
-    pub fn accepted(&mut self, prefix: Option<u64>, cached: u32) {
-        let mut state = self.pool.lock();
-        let r = &mut state.replicas[self.placement.replica];
-        r.health.succeeded();
-        if let Some(prefix) = prefix.filter(|_| cached == 0) {
-            // It was not there; it is from now on.
-            r.forget(prefix);
-            r.remember(prefix);
-        }
-    }
-
-    /// One token came.
-    pub fn token(&mut self, index: u32, now: Instant) {
-        let mut state = self.pool.lock();
-        state.made_since += 1;
-        if let Some(s) = state.streams.get_mut(self.placement.stream) {
-            s.made = index;
-        }
-        if let Some(last) = self.last_token {
-            state.replicas[self.placement.replica].saw_gap(now.duration_since(last));
-        }
-        self.last_token = Some(now);
-    }
-
-    /// The stream was interrupted; the next gap says nothing about the replica.
-    pub fn interrupted(&mut self) {
-        self.last_token = None;
-    }
-
-    /// The generation ended properly after `tokens`.
-    pub fn complete(mut self, tokens: u32) {
-        if let Some(grant) = self.grant.take() {
-            grant.complete(tokens);
-        }
-        let mut state = self.pool.lock();
-        state.retries.succeeded();
-        state.replicas[self.placement.replica].health.succeeded();
-        if let Some(lengths) = state.streams.get(self.placement.stream).map(|s| s.lengths.clone()) {
-            state.forecasts.record(&lengths, tokens);
-        }
-    }
-
-    /// The replica failed.
-    pub fn failed(&self, now: Instant) {
-        self.pool.lock().replicas[self.placement.replica].health.failed(now);
-    }
-
-    /// The replica says that it is leaving.
-    pub fn leaving(&self) {
-        self.pool.lock().replicas[self.placement.replica].leaving = true;
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let now = Instant::now();
-        let mut state = self.pool.lock();
-        state.end(self.placement.stream, now);
-        state.pump(&self.pool.metrics, now);
-    }
-}
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -3,10 +3,10 @@
 use crate::answer::Head;
 use crate::engine::{Finish, Token};
 use crate::outcome::Failure;
-use crate::pool::Slot;
 use crate::relay::{Delivery, Reader};
 use crate::seal::{GenerationId, Position, SealKeys};
 use crate::server::BodySender;
+use crate::slot::Slot;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -1,14 +1,16 @@
 //! Carries one generation from an engine to its reader: every token once, in order, from one generation.
 
+use crate::ask::Ask;
 use crate::engine::{
     Dispatch, Engine, EngineEvent, Finish, OpenError, OpenStream, ResumeError, Token,
 };
 use crate::grant::Placer;
 use crate::metrics::Metrics;
 use crate::outcome::{Failure, NotSent, Reason};
-use crate::pool::{Ask, Pool, Slot};
+use crate::pool::Pool;
 use crate::replica::Signal;
 use crate::seal::GenerationId;
+use crate::slot::Slot;
 use futures_util::future::BoxFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/standin/batch.rs
+++ b/src/standin/batch.rs
@@ -1,10 +1,12 @@
 //! A continuously batching engine, modelled: memory fills while decoding and then preempts.
 
+use super::events::{CacheEvent, Change, Events};
 use crate::engine::LoadReport;
 use crate::seal::GenerationId;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Sizes and speeds of a stand-in engine.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
@@ -99,6 +101,7 @@
     running: Vec<GenerationId>,
     waiting: VecDeque<GenerationId>,
     cache: VecDeque<Prefix>,
+    events: Events,
     used: u32,
     preemptions: u64,
     arrivals: u64,
@@ -114,6 +117,7 @@
             running: Vec::new(),
             waiting: VecDeque::new(),
             cache: VecDeque::new(),
+            events: Events::default(),
             used: 0,
             preemptions: 0,
             arrivals: 0,
@@ -227,6 +231,11 @@
         }
     }
 
+    /// Cache events after `sequence`, as late as the engine publishes them.
+    pub fn cache_events(&self, sequence: u64, lag: Duration, now: Instant) -> Vec<CacheEvent> {
+        self.events.published(sequence, lag, now)
+    }
+
     /// Tokens made since the start.
     pub fn made(&self) -> u64 {
         self.made
@@ -350,10 +359,15 @@
     }
 
     fn remember(&mut self, prefix: Prefix) {
+        let now = Instant::now();
+        if !self.cache.contains(&prefix) {
+            self.events.note(Change::Added, prefix.key, now);
+        }
         self.cache.retain(|p| *p != prefix);
         self.cache.push_back(prefix);
         while self.cache.iter().map(|p| p.tokens).sum::<u32>() > self.spec.cache_tokens {
-            self.cache.pop_front();
+            let Some(evicted) = self.cache.pop_front() else { return };
+            self.events.note(Change::Evicted, evicted.key, now);
         }
     }
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -1,20 +1,19 @@
 //! A stand-in model engine over HTTP, with faults.
 
-use super::batch::{Ask, Batch, EngineSpec, Prefix, Progress};
+use super::batch::{Batch, EngineSpec, Progress};
+use super::body::{ask, finish_event, token_event};
+use super::orders::{Order, Orders};
 use crate::adapter::{CACHED, GENERATION, NOT_STARTED, ORPHAN_MS, PRIORITY};
 use crate::engine::{LoadReport, Shape};
 use crate::error::Result;
-use crate::prompt::TOKEN_BYTES;
 use crate::seal::GenerationId;
 use crate::server::{self, BodySender, Serving, event_stream, json};
-use bytes::Bytes;
 use salvo::affix_state;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde::Deserialize;
 use serde_json::json as value;
 use std::collections::VecDeque;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -38,13 +37,22 @@
     pub leaving: bool,
     /// Sends this many of the next tokens twice.
     pub double_tokens: u32,
+    /// Refuses orders of an older epoch; not all engines do.
+    pub checks_fence: bool,
     /// Skips sending this many of the next tokens.
     pub skip_tokens: u32,
 }
 
 impl Default for EngineFaults {
     fn default() -> EngineFaults {
-        EngineFaults { slow: 1.0, stalled: false, leaving: false, double_tokens: 0, skip_tokens: 0 }
+        EngineFaults {
+            slow: 1.0,
+            stalled: false,
+            leaving: false,
+            checks_fence: true,
+            double_tokens: 0,
+            skip_tokens: 0,
+        }
     }
 }
 
@@ -78,6 +86,7 @@
     faults: Mutex<EngineFaults>,
     reports: Mutex<VecDeque<(Instant, LoadReport)>>,
     counts: Mutex<EngineCounts>,
+    orders: Mutex<Orders>,
     faulted: watch::Sender<()>,
     left: Mutex<Option<Instant>>,
     lag: Duration,
@@ -93,6 +102,7 @@
             faults: Mutex::new(EngineFaults::default()),
             reports: Mutex::default(),
             counts: Mutex::default(),
+            orders: Mutex::default(),
             faulted: watch::Sender::new(()),
             left: Mutex::default(),
             lag,
@@ -149,6 +159,11 @@
         Ok(())
     }
 
+    /// The orders that it took.
+    pub fn orders(&self) -> Vec<Order> {
+        self.core.orders.lock().expect("orders").taken().to_vec()
+    }
+
     /// What it counted so far.
     pub fn counts(&self) -> EngineCounts {
         self.core.counts()
@@ -226,6 +241,8 @@
         .push(Router::with_path("v1/generations/{id}").get(resume).delete(cancel))
         .push(Router::with_path("v1/generations/{id}/pause").post(pause))
         .push(Router::with_path("load").get(get_load))
+        .push(Router::with_path("events").get(get_events))
+        .push(Router::with_path("orders").post(take_order))
         .push(Router::with_path("admin/faults").post(set_faults))
         .push(Router::with_path("admin/counts").get(get_counts))
 }
@@ -354,6 +371,29 @@
     json(res, StatusCode::OK, &report);
 }
 
+/// Cache events after `?after=N`, late and with gaps.
+#[handler]
+async fn get_events(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let core = core(depot);
+    let after = req.query::<u64>("after").unwrap_or(0);
+    let events = core.batch.lock().expect("batch").cache_events(after, core.lag, Instant::now());
+    json(res, StatusCode::OK, &events);
+}
+
+/// Takes an order, unless its epoch is below one seen and the fence is checked.
+#[handler]
+async fn take_order(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let core = core(depot);
+    let Ok(order) = req.parse_json::<Order>().await else {
+        return json(res, StatusCode::BAD_REQUEST, &value!({"error": {"message": "not an order"}}));
+    };
+    let checks = core.faults.lock().expect("faults").checks_fence;
+    match core.orders.lock().expect("orders").take(order, checks) {
+        true => json(res, StatusCode::OK, &value!({})),
+        false => json(res, StatusCode::CONFLICT, &value!({"error": {"message": "an older epoch"}})),
+    }
+}
+
 #[handler]
 async fn set_faults(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     match req.parse_json::<EngineFaults>().await {
@@ -378,55 +418,6 @@
     json(res, StatusCode::NOT_FOUND, &value!({"error": {"message": "no such generation"}}));
 }
 
-/// The parts of a caller's body that the stand-in reads.
-#[derive(Deserialize)]
-struct Body {
-    #[serde(default)]
-    messages: Vec<Message>,
-    #[serde(default)]
-    prompt: String,
-    max_tokens: Option<u32>,
-    #[serde(default)]
-    metadata: Metadata,
-}
-
-#[derive(Deserialize)]
-struct Message {
-    role: String,
-    #[serde(default)]
-    content: String,
-}
-
-#[derive(Deserialize, Default)]
-struct Metadata {
-    standin_output_tokens: Option<String>,
-}
-
-fn ask(body: &Bytes, priority: u8) -> Option<Ask> {
-    let body: Body = serde_json::from_slice(body).ok()?;
-    let text: usize =
-        body.prompt.len() + body.messages.iter().map(|m| m.content.len()).sum::<usize>();
-    let prompt = (text / TOKEN_BYTES).max(1) as u32;
-    let system = body.messages.first().filter(|m| m.role == "system");
-    let prefix = system
-        .map(|m| Prefix { key: hash(&m.content), tokens: (m.content.len() / TOKEN_BYTES) as u32 });
-    let known = body.metadata.standin_output_tokens.and_then(|n| n.parse().ok());
-    let natural = known.unwrap_or_else(|| 20 + (hash(&text) % 60) as u32);
-    let output = natural.min(body.max_tokens.unwrap_or(u32::MAX)).max(1);
-    Some(Ask { prompt, output, prefix, priority })
-}
-
-fn hash(value: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// The text of one token: the generation and index can be read from it, so a reader can judge.
-pub fn token_text(generation: GenerationId, index: u32) -> String {
-    format!("{:08x}.{index} ", generation.0 as u32)
-}
-
 async fn send(
     core: Arc<Core>,
     generation: GenerationId,
@@ -468,24 +459,6 @@
     }
 }
 
-fn token_event(generation: GenerationId, shape: Shape, index: u32) -> Bytes {
-    let text = token_text(generation, index);
-    let choice = match shape {
-        Shape::Chat => value!({"index": 0, "delta": {"content": text}, "finish_reason": null}),
-        Shape::Text => value!({"index": 0, "text": text, "finish_reason": null}),
-    };
-    let chunk = value!({"id": generation.to_string(), "object": "chat.completion.chunk", "choices": [choice]});
-    Bytes::from(format!("id: {generation}:{index}\ndata: {chunk}\n\n"))
-}
-
-fn finish_event(generation: GenerationId, prompt: u32, made: u32) -> Bytes {
-    let choice = value!({"index": 0, "delta": {}, "text": "", "finish_reason": "stop"});
-    let usage =
-        value!({"prompt_tokens": prompt, "completion_tokens": made, "total_tokens": prompt + made});
-    let chunk = value!({"id": generation.to_string(), "choices": [choice], "usage": usage});
-    Bytes::from(format!("data: {chunk}\n\ndata: [DONE]\n\n"))
-}
-
 /// Cancels a generation that has had no reader for `life`.
 async fn reap(core: Arc<Core>, generation: GenerationId, life: Duration) {
     let check = (life / 8).max(Duration::from_millis(10));
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,15 +7,17 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tidestair::ask::Ask;
 use tidestair::engine::*;
 use tidestair::forecast::LengthKey;
 use tidestair::grant::Alone;
 use tidestair::metrics::Metrics;
 use tidestair::outcome::NotSent;
-use tidestair::pool::{Ask, Pool, Slot};
+use tidestair::pool::Pool;
 use tidestair::relay::{Delivery, End, Job, Reader, Relay};
 use tidestair::resource::{Algorithm, EnginePoolSpec, PolicySpec, ReplicaSpec, Resource, Spec};
 use tidestair::seal::GenerationId;
+use tidestair::slot::Slot;
 use tidestair::snapshot::Snapshot;
 use tidestair::wire::Fault;
 
