Work out capacity from measured slopes; bound what peers may open

Cause: the slopes' bench was killed for memory at 200 daemons. quinn keeps a slot for each stream it allows on every connection: 100,000 of them cost megabytes a peer. Reading the code for the target size found more: every request searched all workspaces, a fleet that starts at once read and wrote at once, and outcomes that piled up could exceed a value's megabyte.

--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -34,7 +34,7 @@
     let runtime =
         tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
     let mut slopes = BTreeMap::new();
-    slopes.insert("seal_us_per_token", seal());
+    slopes.insert("seal_us_per_token".into(), seal());
     let sizes = [
         ("place_us_at_10", 10),
         ("place_us_at_100", 100),
@@ -42,11 +42,12 @@
         ("place_us_at_1000", 1_000),
     ];
     for (name, count) in sizes {
-        slopes.insert(name, place(count));
+        slopes.insert(name.into(), place(count));
     }
-    let (apply_us, bytes) = config(30_000);
-    slopes.insert("config_apply_us_at_30000", apply_us);
-    slopes.insert("config_bytes_per_workspace", bytes);
+    let (apply_us, bytes, lookup_us) = config(30_000);
+    slopes.insert("workspace_lookup_us_at_30000".into(), lookup_us);
+    slopes.insert("config_apply_us_at_30000".into(), apply_us);
+    slopes.insert("config_bytes_per_workspace".into(), bytes);
     runtime.block_on(async {
         journal(&mut slopes).await;
         idle_fleets(&mut slopes).await;
@@ -119,8 +120,8 @@
     Resource::new(&format!("w{i}"), Spec::Workspace(spec))
 }
 
-/// Microseconds to apply one change, and bytes of memory for each workspace.
-fn config(count: usize) -> (f64, f64) {
+/// Microseconds to apply one change, bytes of memory for each workspace, microseconds to find one.
+fn config(count: usize) -> (f64, f64, f64) {
     let entry = |i: usize| {
         let resource = workspace(i);
         let value = serde_json::to_vec(&resource).expect("JSON");
@@ -135,10 +136,13 @@
     let us = micros(20, || {
         black_box(snapshot.apply(&change));
     });
-    (us, bytes)
+    let lookup_us = micros(20_000, || {
+        black_box(snapshot.workspace_of(black_box("some key")));
+    });
+    (us, bytes, lookup_us)
 }
 
-async fn journal(slopes: &mut BTreeMap<&'static str, f64>) {
+async fn journal(slopes: &mut BTreeMap<String, f64>) {
     const CLAIMS: u128 = 4_000;
     let kv = Kv::new();
     let journal =
@@ -155,9 +159,9 @@
     let seconds = began.elapsed().as_secs_f64();
     let segments = kv.range("/tidestair/claims/").await.expect("up").entries;
     let bytes: usize = segments.iter().map(|e| e.value.len()).sum();
-    slopes.insert("journal_bytes_per_claim", bytes as f64 / CLAIMS as f64);
-    slopes.insert("journal_claims_per_segment", CLAIMS as f64 / segments.len() as f64);
-    slopes.insert("journal_claims_per_second_one_daemon", CLAIMS as f64 / seconds);
+    slopes.insert("journal_bytes_per_claim".into(), bytes as f64 / CLAIMS as f64);
+    slopes.insert("journal_claims_per_segment".into(), CLAIMS as f64 / segments.len() as f64);
+    slopes.insert("journal_claims_per_second_one_daemon".into(), CLAIMS as f64 / seconds);
 }
 
 fn deployment(vms: usize, halls: usize, engines: usize) -> Deployment {
@@ -229,45 +233,23 @@
     kb * 1_024.0
 }
 
-/// Control of idle daemons at several sizes, all in one hall, which is the worst case.
-async fn idle_fleets(slopes: &mut BTreeMap<&'static str, f64>) {
-    let sizes: [(usize, [&'static str; 4]); 3] = [
-        (7, ["idle_cpu_at_7", "idle_bytes_at_7", "idle_messages_at_7", "idle_platform_calls_at_7"]),
-        (
-            20,
-            [
-                "idle_cpu_at_20",
-                "idle_bytes_at_20",
-                "idle_messages_at_20",
-                "idle_platform_calls_at_20",
-            ],
-        ),
-        (
-            50,
-            [
-                "idle_cpu_at_50",
-                "idle_bytes_at_50",
-                "idle_messages_at_50",
-                "idle_platform_calls_at_50",
-            ],
-        ),
-    ];
-    for (size, names) in sizes {
+/// Control of idle daemons at several sizes; all in one hall is the worst case.
+async fn idle_fleets(slopes: &mut BTreeMap<String, f64>) {
+    for (size, halls, label) in
+        [(7, 1, "7"), (20, 1, "20"), (50, 1, "50"), (100, 2, "100_in_2_halls")]
+    {
         let before = resident_bytes();
         let fleet =
-            Fleet::start(&deployment(size, 1, 1), "headroom", 1.0).await.expect("it starts");
+            Fleet::start(&deployment(size, halls, 1), "headroom", 1.0).await.expect("it starts");
         tokio::time::sleep(Duration::from_secs(4)).await;
         let spent = watch(&fleet, WATCHED).await;
-        for (name, value) in
-            names.into_iter().zip([spent.cpu_share, spent.bytes, spent.messages, spent.calls])
-        {
-            slopes.insert(name, value);
-        }
-        if size == 50 {
-            slopes
-                .insert("memory_bytes_per_daemon_at_50", (resident_bytes() - before) / size as f64);
-            slopes.insert("in_force_ms_at_50", in_force(&fleet).await);
-        }
+        let mut note = |name: &str, value: f64| slopes.insert(format!("{name}_at_{label}"), value);
+        note("idle_cpu", spent.cpu_share);
+        note("idle_bytes", spent.bytes);
+        note("idle_messages", spent.messages);
+        note("idle_platform_calls", spent.calls);
+        note("memory_bytes_per_daemon", (resident_bytes() - before) / size as f64);
+        note("in_force_ms", in_force(&fleet).await);
         stop(fleet).await;
     }
 }
@@ -291,7 +273,7 @@
 }
 
 /// Processor time of a token and of a place, from 200 streams of one daemon against its idle time.
-async fn requests(slopes: &mut BTreeMap<&'static str, f64>) {
+async fn requests(slopes: &mut BTreeMap<String, f64>) {
     let fleet = Fleet::start(&deployment(2, 1, 9), "headroom", 1.0).await.expect("it starts");
     let idle = watch(&fleet, WATCHED).await;
     let seconds = |s: &Spent| s.cpu_share * 2.0 * WATCHED.as_secs_f64();
@@ -303,11 +285,14 @@
         let control = seconds(&idle) / WATCHED.as_secs_f64() * started.elapsed().as_secs_f64();
         let spent = cpu2 - cpu - control;
         if output == 1 {
-            slopes.insert("request_us", spent * 1e6 / f64::from(made.0));
+            slopes.insert("request_us".into(), spent * 1e6 / f64::from(made.0));
             let idle_bytes = idle.bytes * 2.0 * started.elapsed().as_secs_f64();
-            slopes.insert("place_peer_bytes", (bytes2 - bytes - idle_bytes) / f64::from(made.0));
+            slopes.insert(
+                "place_peer_bytes".into(),
+                (bytes2 - bytes - idle_bytes) / f64::from(made.0),
+            );
         } else {
-            slopes.insert("token_us", spent * 1e6 / f64::from(made.1));
+            slopes.insert("token_us".into(), spent * 1e6 / f64::from(made.1));
         }
     }
     stop(fleet).await;
--- a/src/bin/tidestair-standin/main.rs
+++ b/src/bin/tidestair-standin/main.rs
@@ -16,6 +16,7 @@
 
 Usage:
   tidestair-standin engine   [--listen ADDR] [--memory TOKENS] [--speed X]
+                             [--spec JSON]
   tidestair-standin service  [--listen ADDR]
   tidestair-standin platform [--listen ADDR]
   tidestair-standin weights  [--listen ADDR] [--megabytes-a-second N]
@@ -89,7 +90,11 @@
 
 async fn engine(mut args: Arguments) -> Result<()> {
     let addr = listen(&mut args)?;
-    let mut spec = EngineSpec::default();
+    let text: Option<String> = args.opt_value_from_str("--spec").map_err(usage)?;
+    let mut spec = text.as_deref().map_or(Ok(EngineSpec::default()), |t| {
+        let invalid = |problems| Error::Invalid { what: "--spec".into(), problems };
+        tidestair::check::read(t).map_err(invalid)
+    })?;
     spec.memory_tokens =
         args.opt_value_from_str("--memory").map_err(usage)?.unwrap_or(spec.memory_tokens);
     let speed = args.opt_value_from_str("--speed").map_err(usage)?.unwrap_or(1.0);
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -106,7 +106,8 @@
             state: format!("{pools:.2} pools of {:.0} replicas", REPLICAS / (MODELS * HALLS)),
             messages: requests * 3.0,
             cpu_percent: percent(get("place_us_at_10") * 4.0, requests),
-            kb_a_second: requests * get("place_peer_bytes") / 1_024.0,
+            // Half of the measured requests asked a keeper on their own daemon.
+            kb_a_second: 2.0 * requests * get("place_peer_bytes") / 1_024.0,
             mb: 1.0,
             carries: "one gateway keeps a pool's queue; a place is a stream",
             control: false,
--- a/src/client.rs
+++ b/src/client.rs
@@ -197,6 +197,29 @@
         Ended { outcome, entry: self.seeds[0], resumes, message: "no entry answered".into() }
     }
 
+    /// Streams from one server without moving on or resuming, for measuring an engine by itself.
+    pub async fn stream_from(
+        &self,
+        server: SocketAddr,
+        path: &str,
+        body: Bytes,
+        headers: &[(&'static str, &str)],
+        mut each: impl FnMut(Piece),
+    ) -> Outcome {
+        let mut req = request(Method::POST, server, path, body);
+        for (name, value) in headers {
+            req.headers_mut().insert(*name, value.parse().expect("ascii"));
+        }
+        let Ok(answer) = self.wire.send(server, req, NotSent::begin(), HEAD_LIMIT).await else {
+            return Outcome::Unknown;
+        };
+        match read(answer, &mut None, &mut each).await {
+            Read::Done => Outcome::Complete,
+            Read::Failed(outcome, _) => outcome,
+            Read::Broken => Outcome::Unknown,
+        }
+    }
+
     async fn open(
         &self,
         entry: SocketAddr,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -187,7 +187,9 @@
 async fn make_keys(app: Arc<App>) {
     let key = snapshot::seal_key();
     while app.in_force.get().keys.is_none() {
-        if app.in_force.get().revision > 0 || matches!(app.platform.get(&key).await, Ok(None)) {
+        // Only who reads for its hall, so that a fleet that starts at once does not write at once.
+        let reads = *app.gossip.reading().borrow();
+        if reads && matches!(app.platform.get(&key).await, Ok(None)) {
             let keys = SealKeys::generate(&mut rand::rng());
             let value = serde_json::to_vec(&keys).expect("keys are JSON");
             // Losing the race is as good as winning it.
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -21,6 +21,8 @@
 const READERS: usize = 2;
 const FETCH_LIMIT: Duration = Duration::from_millis(5_000);
 const CLAIM_LIMIT: Duration = Duration::from_millis(1_000);
+/// Beats in which a daemon that starts meets its peers before it takes a duty.
+const MEETING_BEATS: u64 = 3;
 /// Beats between two greetings of the seeds.
 const SEED_BEATS: u64 = 8;
 
@@ -50,7 +52,7 @@
         metrics: Arc<Metrics>,
     ) -> Arc<Gossip> {
         let members = Mutex::new(Members::new(own, beat, Instant::now()));
-        let reading = watch::Sender::new(true);
+        let reading = watch::Sender::new(false);
         Arc::new(Gossip {
             members,
             peers,
@@ -108,7 +110,9 @@
             members.update_own(|r| (r.revision, r.open) = (revision, open));
             members.tick(now);
             self.metrics.peers.set(members.alive(now).len() as i64 - 1);
-            let reads = members.has_duty("reader", READERS, now);
+            // A whole hall that starts at once must meet before it knows who reads for it.
+            let met = self.seeds.is_empty() || members.own().beat > MEETING_BEATS;
+            let reads = met && members.has_duty("reader", READERS, now);
             self.reading.send_if_modified(|on| std::mem::replace(on, reads) != reads);
             let mut targets = members.targets(&mut rng, now);
             if (targets.is_empty() || members.own().beat % SEED_BEATS == 1)
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -16,6 +16,11 @@
 
 /// Shards of the journal.
 pub const SHARDS: usize = 4;
+/// Most outcomes that wait for the platform; past it keys stay claimed without one.
+const MOST_NOTES: usize = 4_096;
+/// Most bytes of outcomes in one segment; the platform holds values up to a megabyte.
+const NOTE_BYTES: usize = 512 << 10;
+const RECORD_BYTES: usize = 64;
 /// Most records in one segment.
 const MOST_RECORDS: usize = 512;
 /// Largest body kept with an outcome, in bytes.
@@ -42,6 +47,23 @@
     records: Vec<Record>,
 }
 
+impl Record {
+    /// About how many bytes it takes in a segment.
+    fn bytes(&self) -> usize {
+        match self {
+            Record::Settle { kept, .. } => RECORD_BYTES + kept.body.len(),
+            Record::Claim { .. } | Record::Release { .. } => RECORD_BYTES,
+        }
+    }
+}
+
+/// A segment to be appended, whose claims it decides, and how many notes it writes.
+struct Draft {
+    segment: Segment,
+    winners: Vec<Ask>,
+    notes: usize,
+}
+
 struct Ask {
     claim: ClaimAsk,
     reply: oneshot::Sender<Claimed>,
@@ -211,14 +233,18 @@
         }
         loop {
             let now_ms = unix_ms();
-            let (segment, winners) = self.draft(asks, now_ms);
+            let Draft { segment, winners, notes } = self.draft(asks, now_ms);
             if segment.records.is_empty() {
                 return;
             }
             match self.append(&segment).await {
                 Appended::Won => {
-                    self.notes.clear();
-                    return self.reply(winners);
+                    self.notes.drain(..notes);
+                    self.reply(winners);
+                    if self.notes.is_empty() {
+                        return;
+                    }
+                    asks = Vec::new();
                 }
                 Appended::Behind => asks = winners,
                 Appended::Unavailable => return refuse(winners),
@@ -227,8 +253,9 @@
     }
 
     /// Answers what the state already decides and drafts a segment for the rest.
-    fn draft(&mut self, asks: Vec<Ask>, now_ms: u64) -> (Segment, Vec<Ask>) {
-        let mut records = self.notes.clone();
+    fn draft(&mut self, asks: Vec<Ask>, now_ms: u64) -> Draft {
+        let mut records = self.first_notes();
+        let notes = records.len();
         let mut winners = Vec::new();
         let mut drafted: HashMap<ClaimKey, u128> = HashMap::new();
         let mut forget_ms = now_ms;
@@ -249,7 +276,18 @@
             records.push(Record::Claim { key, nonce, body });
             winners.push(ask);
         }
-        (Segment { nonce: Nonce::random(), forget_ms, records }, winners)
+        let segment = Segment { nonce: Nonce::random(), forget_ms, records };
+        Draft { segment, winners, notes }
+    }
+
+    /// As many notes as fit a segment, from the oldest on.
+    fn first_notes(&self) -> Vec<Record> {
+        let mut bytes = 0;
+        let fits = |record: &&Record| {
+            bytes += record.bytes();
+            bytes <= NOTE_BYTES
+        };
+        self.notes.iter().take_while(fits).cloned().collect()
     }
 
     fn reply(&mut self, winners: Vec<Ask>) {
@@ -405,7 +443,9 @@
     /// Takes in an outcome or release: true at once, written with the next segment.
     fn note(&mut self, record: Record) {
         self.apply_record(&record, self.next);
-        self.notes.push(record);
+        if self.notes.len() < MOST_NOTES {
+            self.notes.push(record);
+        }
     }
 
     /// Drops segments of which everything may be forgotten; the last one always stays.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -22,8 +22,9 @@
 /// Largest request or answer, in bytes.
 const MOST_BYTES: usize = 64 << 20;
 const LENGTH_BYTES: usize = 4;
-/// Streams open at once from one peer; each place in use is one.
-const MOST_STREAMS: u32 = 100_000;
+/// Streams open at once from one peer; each place in use is one. quinn keeps a slot for each that it
+/// allows, on every connection, so a generous number costs megabytes a peer.
+const MOST_STREAMS: u32 = 2_048;
 
 /// What a daemon does with what its peers send.
 pub trait Handler: Send + Sync + 'static {
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -265,7 +265,7 @@
     let mut pauses = 0.0;
     for vm in run.fleet.vms().values() {
         let text = vm.metrics().await.unwrap_or_default();
-        log::debug!("{}", interesting(&text));
+        log::debug!("{}", placing_lines(&text));
         let line = text.lines().find_map(|l| l.strip_prefix("tidestair_pauses_total "));
         pauses += line.and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0);
     }
@@ -287,7 +287,7 @@
 }
 
 /// The lines of a daemon's metrics that tell how it placed.
-fn interesting(metrics: &str) -> String {
+fn placing_lines(metrics: &str) -> String {
     let lines = metrics
         .lines()
         .filter(|l| l.starts_with("tidestair_places_total") || l.starts_with("tidestair_peers "));
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -164,11 +164,11 @@
 impl Default for HeadroomSpec {
     fn default() -> HeadroomSpec {
         HeadroomSpec {
-            fill: 0.95,
+            fill: 0.92,
             batch_weight: 0.3,
             tail_weight: 0.0,
             affinity: 0.5,
-            pause: true,
+            pause: false,
             max_pause_ms: 4_000,
             keeper: true,
             correct: true,
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -10,6 +10,7 @@
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 use subtle::ConstantTimeEq;
 
@@ -50,7 +51,9 @@
     pub keys: Option<SealKeys>,
     /// The lagging list of VMs.
     pub vms: VmList,
-    resources: BTreeMap<String, Arc<Resource>>,
+    resources: BTreeMap<Arc<str>, Arc<Resource>>,
+    /// Names of workspaces by the hashes of their keys.
+    by_key: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 impl Snapshot {
@@ -79,30 +82,40 @@
         } else if key == vms_key() {
             self.vms = value.and_then(|v| serde_json::from_slice(v).ok()).unwrap_or_default();
         } else {
-            match value.and_then(|v| decode(v, revision)) {
-                Some(resource) => self.resources.insert(key.into(), Arc::new(resource)),
-                None => self.resources.remove(key),
-            };
+            self.replace(key, value.and_then(|v| decode(v, revision)));
         }
     }
 
+    fn replace(&mut self, key: &str, resource: Option<Resource>) {
+        let old = self.resources.remove(key);
+        for hash in old.iter().flat_map(|r| key_hashes(r)) {
+            self.by_key.remove(hash.as_str());
+        }
+        let Some(resource) = resource else { return };
+        for hash in key_hashes(&resource) {
+            self.by_key.insert(hash.as_str().into(), resource.metadata.name.as_str().into());
+        }
+        self.resources.insert(key.into(), Arc::new(resource));
+    }
+
     /// All resources of a kind, by name.
     pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Resource> {
         let prefix = key(kind, "");
-        let from = self.resources.range(prefix.clone()..);
-        from.take_while(move |(key, _)| key.starts_with(&prefix)).map(|(_, r)| &**r)
+        let from =
+            self.resources.range::<str, _>((Bound::Included(prefix.as_str()), Bound::Unbounded));
+        from.take_while(move |(key, _)| key.starts_with(prefix.as_str())).map(|(_, r)| &**r)
     }
 
     /// One resource.
     pub fn get(&self, kind: Kind, name: &str) -> Option<&Resource> {
-        self.resources.get(&key(kind, name)).map(|r| &**r)
+        self.resources.get(key(kind, name).as_str()).map(|r| &**r)
     }
 
     /// Everything, for a peer.
     pub fn to_entries(&self) -> Vec<Entry> {
         let encode = |r: &Resource| serde_json::to_vec(r).expect("a resource is JSON");
-        let entry = |(key, r): (&String, &Arc<Resource>)| Entry {
-            key: key.clone(),
+        let entry = |(key, r): (&Arc<str>, &Arc<Resource>)| Entry {
+            key: key.to_string(),
             value: encode(r),
             revision: version(r),
         };
@@ -176,15 +189,14 @@
         })
     }
 
-    /// The workspace whose credential `key` is.
+    /// The workspace whose credential `key` is. Found by the key's hash, which tells a guesser nothing.
     pub fn workspace_of(&self, key: &str) -> Option<(&str, &WorkspaceSpec)> {
-        let hash = key_hash(key);
-        self.list(Kind::Workspace).find_map(|r| match &r.spec {
-            Spec::Workspace(w) if w.key_hashes.iter().any(|h| same(h, &hash)) => {
-                Some((r.metadata.name.as_str(), w))
-            }
+        let name = self.by_key.get(key_hash(key).as_str())?;
+        let resource = self.get(Kind::Workspace, name)?;
+        match &resource.spec {
+            Spec::Workspace(w) => Some((resource.metadata.name.as_str(), w)),
             _ => None,
-        })
+        }
     }
 
     /// What `resource` refers to and is not declared.
@@ -217,6 +229,13 @@
     }
 }
 
+fn key_hashes(resource: &Resource) -> &[String] {
+    match &resource.spec {
+        Spec::Workspace(w) => &w.key_hashes,
+        _ => &[],
+    }
+}
+
 /// SHA-256 of a bearer key, in hex.
 pub fn key_hash(key: &str) -> String {
     let digest = Sha256::digest(key.as_bytes());
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -1,4 +1,5 @@
-//! Bad input gets a 4xx with a remedy and leaves no trace; the interfaces are shaped as stock clients expect.
+//! Bad input gets a 4xx with a remedy and leaves no trace; interfaces are shaped as stock clients expect;
+//! pages say what the code does.
 
 mod common;
 
@@ -129,3 +130,11 @@
         assert!(page.contains(name), "docs/operate/metrics.md says nothing of {name}");
     }
 }
+
+#[test]
+fn the_capacity_page_holds_what_the_measured_slopes_give() {
+    let page = include_str!("../docs/CAPACITY.md");
+    let table = tidestair::capacity::table();
+    assert!(!table.contains("NaN"), "docs/slopes.json lacks a slope:\n{table}");
+    assert!(page.contains(&table), "paste what `tidestair capacity` prints:\n{table}");
+}
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -166,6 +166,33 @@
     assert_eq!(sleeper.claim(ask(12)).await, Claimed::Taken);
 }
 
+#[tokio::test(start_paused = true)]
+async fn outcomes_that_piled_up_are_written_in_segments_that_fit() {
+    let kv = Kv::new();
+    let journal = journal(&kv);
+    let mut claims = Vec::new();
+    for key in 0..400u128 {
+        let claim = ask(key * 4);
+        assert_eq!(journal.claim(claim).await, Claimed::Yours);
+        claims.push(claim);
+    }
+    kv.fault(|f| f.down = true);
+    let kept = Kept { status: 200, body: vec![7; 4_096], omitted: false };
+    for claim in &claims {
+        journal.settle(claim.key, claim.nonce, Some(kept.clone())).await;
+    }
+    kv.fault(|f| f.down = false);
+    assert_eq!(journal.claim(ask(4_000_000)).await, Claimed::Yours);
+    let reader = self::journal(&kv);
+    for claim in &claims {
+        let again = ClaimAsk { nonce: Nonce::random(), ..*claim };
+        assert_eq!(reader.claim(again).await, Claimed::Settled(kept.clone()));
+    }
+    for entry in kv.range("/tidestair/claims/").await.expect("up").entries {
+        assert!(entry.value.len() < 1 << 20, "{} bytes", entry.value.len());
+    }
+}
+
 #[tokio::test]
 async fn the_journal_stays_bounded_over_100000_keys() {
     let kv = Kv::new();
