Change a replica's forecast by what begins and ends

Cause: each start or end of a stream reckoned its replica's whole forecast anew, which is quadratic in a burst on one replica. Change: the stream's own share is added or taken out; the whole is reckoned with each report and tick as before.

--- a/src/pool.rs
+++ b/src/pool.rs
@@ -416,7 +416,8 @@
             r.remember(prefix);
         }
         let addr = r.addr;
-        self.refresh(replica, now);
+        // Only what changed: the whole is reckoned anew with the next report or tick.
+        r.add(&self.streams[stream]);
         Placement { addr, replica, stream, signal }
     }
 
@@ -427,7 +428,7 @@
         let r = &mut self.replicas[ended.replica];
         r.streams.retain(|key| *key != stream);
         r.note(-1, ended.started, now);
-        self.refresh(ended.replica, now);
+        r.subtract(&ended, now);
     }
 
     fn refresh(&mut self, key: ReplicaKey, now: Instant) {
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -219,6 +219,30 @@
         i64::from(self.report.running + self.report.waiting) + since
     }
 
+    /// Adds a stream that begins to the forecast.
+    pub fn add(&mut self, stream: &Stream) {
+        let grown = growth(stream.prompt, stream.made, &stream.survival);
+        for (peak, tokens) in self.peaks.iter_mut().zip(grown) {
+            *peak += tokens;
+        }
+        let count = if stream.streamed { &mut self.readers } else { &mut self.wholes };
+        *count += 1;
+    }
+
+    /// Takes a stream that ended out of the forecast.
+    pub fn subtract(&mut self, stream: &Stream, now: Instant) {
+        if stream.paused.is_some() {
+            return;
+        }
+        let made = stream.made_by(self.gap_ms, now);
+        let grown = growth(stream.prompt, made, &stream.survival);
+        for (peak, tokens) in self.peaks.iter_mut().zip(grown) {
+            *peak = (*peak - tokens).max(0.0);
+        }
+        let count = if stream.streamed { &mut self.readers } else { &mut self.wholes };
+        *count = count.saturating_sub(1);
+    }
+
     /// Works out the memory forecast anew from the report and what is known since.
     pub fn refresh(
         &mut self,
