--- a/tests/command.rs
+++ b/tests/command.rs
@@ -122,6 +122,8 @@
 fn stream_one(server: &str) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let client = tidestair::client::Client::new("k", vec![server.parse().expect("an address")]);
+    // Callers are sent to a daemon once it says that it is ready.
+    runtime.block_on(wait_ready(&client));
     let body = serde_json::json!({"model": "m1", "stream": true, "max_tokens": 12,
         "messages": [{"role": "user", "content": "Hello"}]});
     let mut pieces = 0;
@@ -135,6 +137,17 @@
     assert_eq!(pieces, 12);
 }
 
+async fn wait_ready(client: &tidestair::client::Client) {
+    for _ in 0..1_000 {
+        let answer = client.call(hyper::Method::GET, "/readyz", Default::default(), &[]).await;
+        if answer.status == 200 {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    panic!("never ready");
+}
+
 fn terminate(daemon: &Running) {
     let id = daemon.0.id().to_string();
     let sent = std::process::Command::new("kill").args(["-TERM", &id]).status();
