Reckon the pooled survival once a tick; drop dead code

Cause: the last read found that a tick worked out the survival of a pool's lengths anew for each replica, though it is the same for all, and that Pool::counts and Kv::dump were called by nobody. Change: the tick works it out once and hands it on; the two are gone. Conclusion: behaviour as before; the project's checks pass.

--- a/src/pool.rs
+++ b/src/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::ask::{Ask, Shed};
 use crate::engine::LoadReport;
-use crate::forecast::Forecasts;
+use crate::forecast::{Forecasts, Survival};
 use crate::grant::Grant;
 use crate::health::RetryBudget;
 use crate::metrics::Metrics;
@@ -224,20 +224,15 @@
         let mut state = self.lock();
         state.measure_rate(now);
         let keys: Vec<ReplicaKey> = state.replicas.keys().collect();
+        let pooled = state.forecasts.pooled();
         for key in keys {
-            state.refresh(key, now);
+            state.refresh_with(key, &pooled, now);
             state.pause_on(key, &self.metrics, now);
         }
         state.resume_paused(now);
         state.pump(&self.metrics, now);
         self.metrics.queued.with_label_values(&[&self.name]).set(state.queue.len() as i64);
     }
-
-    /// Requests waiting and streams running in this daemon.
-    pub fn counts(&self) -> (usize, usize) {
-        let state = self.lock();
-        (state.queue.len(), state.streams.len())
-    }
 }
 
 /// One who waits; giving up leaves the queue and gives back a place that came too late.
@@ -433,7 +428,11 @@
 
     fn refresh(&mut self, key: ReplicaKey, now: Instant) {
         let pooled = self.forecasts.pooled();
-        self.replicas[key].refresh(&self.streams, &pooled, self.correct, now);
+        self.refresh_with(key, &pooled, now);
+    }
+
+    fn refresh_with(&mut self, key: ReplicaKey, pooled: &Survival, now: Instant) {
+        self.replicas[key].refresh(&self.streams, pooled, self.correct, now);
     }
 
     fn measure_rate(&mut self, now: Instant) {
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -66,11 +66,6 @@
         self.tick.send_modify(|_| {});
     }
 
-    /// A copy of all entries, for a restore.
-    pub fn dump(&self) -> Vec<Entry> {
-        self.store.lock().expect("store").select("")
-    }
-
     /// Replaces everything by an older state, as a restore from a backup does; watches break.
     pub fn restore(&self, entries: &[Entry]) {
         let mut store = Store::default();
