--- /dev/null
+++ b/src/gateway/announce.rs
@@ -0,0 +1,73 @@
+//! This daemon's own key in the store, kept under a lease while it serves.
+
+use crate::gateway::port::{Schema, Store};
+use crate::gateway::roster::Daemon;
+use crate::platform::{LeaseId, PlatformResult};
+use log::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Time after which the key of a daemon that died is gone.
+const LEASE: Duration = Duration::from_millis(4_000);
+/// Time between two renewals: one may fail and the next still comes in time.
+const RENEWAL: Duration = Duration::from_millis(1_300);
+/// Pause after a call that failed.
+const AFTER_FAILURE: Duration = Duration::from_millis(400);
+
+/// Keeps the key until `leaving` turns true, then takes it away.
+pub async fn run(
+    store: Arc<dyn Store>,
+    schema: Arc<dyn Schema>,
+    own: Daemon,
+    mut leaving: watch::Receiver<bool>,
+) {
+    let key = format!("{}{}", schema.daemons(), own.vm);
+    let value = serde_json::to_vec(&own).expect("a daemon's record is JSON");
+    let mut lease = None;
+    loop {
+        let step = keep(&*store, &key, &value, lease);
+        let kept = tokio::select! {
+            kept = step => kept,
+            _ = leaving.wait_for(|leaving| *leaving) => break,
+        };
+        let pause = match kept {
+            Ok(id) => {
+                lease = Some(id);
+                RENEWAL
+            }
+            Err(e) => {
+                warn!(why = e.to_string().as_str(); "own key not kept in the store");
+                AFTER_FAILURE
+            }
+        };
+        tokio::select! {
+            () = sleep(pause) => {}
+            _ = leaving.wait_for(|leaving| *leaving) => break,
+        }
+    }
+    if let Some(lease) = lease {
+        match store.revoke(lease).await {
+            Ok(()) => info!("own key taken out of the store"),
+            Err(e) => warn!(why = e.to_string().as_str(); "own key stays until its lease lapses"),
+        }
+    }
+}
+
+/// Renews the lease, or opens one and writes the key under it.
+async fn keep(
+    store: &dyn Store,
+    key: &str,
+    value: &[u8],
+    lease: Option<LeaseId>,
+) -> PlatformResult<LeaseId> {
+    if let Some(lease) = lease
+        && store.renew(lease).await?
+    {
+        return Ok(lease);
+    }
+    let lease = store.grant(LEASE).await?;
+    store.put(key, value.to_vec(), lease).await?;
+    Ok(lease)
+}
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,82 @@
+//! Whole events out of the bytes of an event stream.
+//!
+//! Events are passed on as they came, byte for byte; only their ids are read. A stream that
+//! breaks off inside an event leaves the piece behind, so that a continuation starts clean.
+
+use bytes::{Bytes, BytesMut};
+
+/// Most bytes that an event may take before the stream is taken as broken.
+const MOST_BYTES: usize = 1 << 20;
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its id, where it has one.
+    pub id: Option<u64>,
+    /// Its bytes with the blank line that ends it.
+    pub bytes: Bytes,
+}
+
+/// An event that grew past any bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TooLong;
+
+/// Splits a stream into events.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    rest: BytesMut,
+    /// Bytes of `rest` that were searched and hold no end of an event.
+    searched: usize,
+}
+
+impl Splitter {
+    /// Takes in the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), TooLong> {
+        if self.rest.len() + bytes.len() > MOST_BYTES {
+            return Err(TooLong);
+        }
+        self.rest.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// The next whole event.
+    pub fn next(&mut self) -> Option<Event> {
+        let Some(end) = self.end() else {
+            // The last three bytes may be the start of a blank line.
+            self.searched = self.rest.len().saturating_sub(3);
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.rest.split_to(end).freeze();
+        Some(Event { id: id(&bytes), bytes })
+    }
+
+    /// Whether the stream stands inside an event.
+    pub fn is_inside(&self) -> bool {
+        !self.rest.is_empty()
+    }
+
+    fn end(&self) -> Option<usize> {
+        let from = self.searched;
+        let bytes = &self.rest[from..];
+        for (i, byte) in bytes.iter().enumerate() {
+            if *byte != b'\n' {
+                continue;
+            }
+            match (bytes.get(i + 1), bytes.get(i + 2)) {
+                (Some(b'\n'), _) => return Some(from + i + 2),
+                (Some(b'\r'), Some(b'\n')) => return Some(from + i + 3),
+                _ => {}
+            }
+        }
+        None
+    }
+}
+
+/// The value of the last `id` line.
+fn id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|b| *b == b'\n');
+    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let text = std::str::from_utf8(ids.last()?).ok()?;
+    text.trim().parse().ok()
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,249 @@
+//! A request's way: place, send, follow, send again where that is allowed, answer.
+
+use crate::gateway::budget::Repeat;
+use crate::gateway::core::{Gateway, Seat};
+use crate::gateway::port::{Lost, Reply, Sending};
+use crate::gateway::relay;
+use crate::gateway::request::{Answer, BrokenOff, Call};
+use crate::gateway::servers::ServerKey;
+use crate::gateway::table::{RouteKind, Service};
+use crate::outcome::{Failure, NotSent, Reason};
+use bytes::{Bytes, BytesMut};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use log::{info, warn};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Time after which a caller that was refused may come back, where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(300);
+/// Largest answer of a plain service that is held until it is whole.
+const MOST_HELD: usize = 256 << 10;
+/// Most sendings of one request, refusals by servers included.
+const MOST_SENDINGS: usize = 4;
+/// Part of a plain route's aim after which a silent server is given up for another one.
+const SILENT_PART: f64 = 0.6;
+
+/// What one sending came to. The proof is there while the request has never run.
+pub(crate) enum Sent {
+    /// An answer for the caller, whole or begun.
+    Answered(Answer),
+    /// It may have run and failed; with the server's answer, where there is one to pass on.
+    Failed(Option<Answer>, &'static str),
+    /// This sending did not run.
+    NotRun(Option<NotSent>, &'static str),
+}
+
+/// One request on its way.
+struct Attempts<'a> {
+    gateway: &'a Arc<Gateway>,
+    call: &'a Arc<Call>,
+    service: Arc<Service>,
+    /// Servers that it was sent to.
+    tried: Vec<ServerKey>,
+    /// Sendings that may have run.
+    runs: u32,
+}
+
+impl Gateway {
+    /// Answers a request by its deadline.
+    pub async fn answer(self: &Arc<Self>, call: Call) -> Result<Answer, Failure> {
+        let call = Arc::new(call);
+        let left = call.left(Instant::now());
+        let answered = timeout(left, self.attempt(&call)).await;
+        answered.unwrap_or_else(|_| {
+            info!(id = call.id.as_str(), route = call.route.name.as_str(); "out of time");
+            Err(Failure::unknown(Reason::new(
+                504,
+                "out_of_time",
+                "no answer within the time given",
+            )))
+        })
+    }
+
+    async fn attempt(self: &Arc<Self>, call: &Arc<Call>) -> Result<Answer, Failure> {
+        let proof = NotSent::begin();
+        let Some(service) = self.draw_service(call) else {
+            return Err(refused(proof, "no_service", COME_BACK));
+        };
+        self.count_request(&service.name, Instant::now());
+        Attempts { gateway: self, call, service, tried: Vec::new(), runs: 0 }.run(proof).await
+    }
+}
+
+impl Attempts<'_> {
+    async fn run(mut self, proof: NotSent) -> Result<Answer, Failure> {
+        let mut proof = Some(proof);
+        // The latest answer of a server that failed the request.
+        let mut fallback = None;
+        loop {
+            let seat = match self.next_seat(Instant::now()) {
+                Ok(seat) => seat,
+                Err(why) => return self.give_up(proof, fallback, why),
+            };
+            self.tried.push(seat.key());
+            match self.send_patiently(seat, proof.take()).await {
+                Sent::Answered(answer) => return Ok(answer),
+                Sent::NotRun(unspent, why) => {
+                    self.log("not run by a server", why);
+                    proof = unspent;
+                }
+                Sent::Failed(answer, why) => {
+                    self.log("failed at a server", why);
+                    self.runs += 1;
+                    fallback = answer.or(fallback);
+                    if !self.may_run_again() {
+                        return self.give_up(None, fallback, why);
+                    }
+                }
+            }
+        }
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.call.route.repeatable() && self.runs < self.call.route.attempts
+    }
+
+    /// The next server to try, where the rules and the budget allow one.
+    fn next_seat(&self, now: Instant) -> Result<Seat, &'static str> {
+        if !self.gateway.may_send(self.call, now) {
+            return Err("key_not_confirmed");
+        }
+        if self.tried.len() >= MOST_SENDINGS {
+            return Err("servers_refuse");
+        }
+        let tokens = self.call.size.tokens();
+        let seat = self
+            .gateway
+            .seat(&self.service, &self.gateway.hall, tokens, &self.tried, now)
+            .ok_or("no_server")?;
+        let again = !self.tried.is_empty();
+        if again && !self.gateway.take_repeat(&self.service.name, Repeat::Retry, now) {
+            return Err("no_repeat_left");
+        }
+        Ok(seat)
+    }
+
+    /// Sends; a silent server is given up in time for another one where that may run too.
+    async fn send_patiently(&self, seat: Seat, proof: Option<NotSent>) -> Sent {
+        let key = seat.key();
+        let Some(limit) = self.patience() else {
+            return self.send(seat, proof).await;
+        };
+        timeout(limit, self.send(seat, proof)).await.unwrap_or_else(|_| {
+            self.gateway.servers().judge(key, true, Instant::now());
+            Sent::Failed(None, "silent")
+        })
+    }
+
+    async fn send(&self, seat: Seat, proof: Option<NotSent>) -> Sent {
+        let unrun = proof.is_some();
+        let left = self.call.left(Instant::now());
+        let after = self.call.after;
+        let sending = Sending { to: seat.to.clone(), left, from: None, after, backup: None };
+        let reply = match self.gateway.wire.send(self.call, sending, proof).await {
+            Ok(reply) => reply,
+            Err(lost) => return self.lost(&seat, lost),
+        };
+        let declared = || unrun.then(NotSent::declared);
+        if reply.misdirected {
+            self.gateway.servers().replaced(seat.key());
+            return Sent::NotRun(declared(), "replaced");
+        }
+        if reply.declined && matches!(reply.status.as_u16(), 408 | 429 | 503) {
+            return Sent::NotRun(declared(), "declined");
+        }
+        if self.call.route.kind == RouteKind::Streaming && reply.status.is_success() {
+            return relay::begin(self.gateway, self.call, &self.service, seat, reply).await;
+        }
+        let failed = reply.status.is_server_error();
+        let answer = hold(reply).await;
+        seat.judge(failed || answer.is_err());
+        match answer {
+            Ok(answer) if failed => Sent::Failed(Some(answer), "server_error"),
+            Ok(answer) => Sent::Answered(answer),
+            Err(_) => Sent::Failed(None, "broken_answer"),
+        }
+    }
+
+    fn lost(&self, seat: &Seat, lost: Lost) -> Sent {
+        seat.judge(true);
+        let (id, server) = (self.call.id.as_str(), &*seat.to.id);
+        match lost {
+            Lost::Unsent { proof, reason } => {
+                warn!(id = id, server = server, reason = reason.as_str(); "server not reached");
+                Sent::NotRun(proof, "not_reached")
+            }
+            Lost::Unanswered { reason } => {
+                warn!(id = id, server = server, reason = reason.as_str(); "no answer from a server");
+                Sent::Failed(None, "no_answer")
+            }
+        }
+    }
+
+    /// How long a silent server is waited for while another run is allowed.
+    fn patience(&self) -> Option<Duration> {
+        if !self.call.route.repeatable() || self.runs + 1 >= self.call.route.attempts {
+            return None;
+        }
+        let aim = self.call.route.aim;
+        Some(if self.call.route.kind == RouteKind::Safe { aim.mul_f64(SILENT_PART) } else { aim })
+    }
+
+    fn log(&self, what: &str, why: &str) {
+        let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
+        info!(id = id, route = route, sending = self.tried.len(), why = why; "{what}");
+    }
+
+    /// The final answer to a request that is not sent any more.
+    fn give_up(
+        &self,
+        proof: Option<NotSent>,
+        fallback: Option<Answer>,
+        why: &'static str,
+    ) -> Result<Answer, Failure> {
+        self.log("ended without success", why);
+        match proof {
+            Some(proof) => Err(refused(proof, why, COME_BACK)),
+            None => {
+                let reason = Reason::new(502, why, "the backend server gave no whole answer");
+                fallback.ok_or(Failure::unknown(reason))
+            }
+        }
+    }
+}
+
+/// A refusal of a request that did not run.
+pub(crate) fn refused(proof: NotSent, why: &'static str, come_back: Duration) -> Failure {
+    let reason = Reason::new(503, why, "not run; send the request again after Retry-After");
+    Failure::not_run(proof, reason.retry_after(come_back.as_millis() as u64))
+}
+
+/// Reads a plain answer until it is whole; one that is too large is passed on as it comes.
+async fn hold(reply: Reply) -> Result<Answer, BrokenOff> {
+    let Reply { status, headers, mut body, .. } = reply;
+    let mut held = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            held.extend_from_slice(&data);
+        }
+        if held.len() > MOST_HELD {
+            return Ok(Answer { status, headers, body: continued(held.freeze(), body) });
+        }
+    }
+    let body = Full::new(held.freeze()).map_err(|never| match never {}).boxed_unsync();
+    Ok(Answer { status, headers, body })
+}
+
+/// A body whose first part has been read.
+fn continued(
+    first: Bytes,
+    rest: UnsyncBoxBody<Bytes, BrokenOff>,
+) -> UnsyncBoxBody<Bytes, BrokenOff> {
+    use futures_util::StreamExt;
+    use http_body_util::{BodyStream, StreamBody};
+    use hyper::body::Frame;
+    let first = futures_util::stream::once(async { Ok(Frame::data(first)) });
+    StreamBody::new(first.chain(BodyStream::new(rest))).boxed_unsync()
+}
--- /dev/null
+++ b/src/gateway/listen.rs
@@ -0,0 +1,159 @@
+//! Listening for HTTP requests through the phases of a planned stop.
+
+use crate::error::{Error, Result};
+use crate::gateway::request::AnswerBody;
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, warn};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// The parser's least buffer, in bytes.
+const LEAST_BUFFER: usize = 8 << 10;
+/// Pause after a connection could not be taken, as when descriptors run out.
+const AFTER_FAILURE: Duration = Duration::from_millis(50);
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Takes callers.
+    Serving,
+    /// Callers are sent elsewhere; those that still come are served.
+    Leaving,
+    /// Takes no new connections or requests; those begun go on.
+    Closing,
+}
+
+/// Bounds on one connection.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionLimits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Longest time without a whole head, rest between requests included.
+    pub idle: Duration,
+}
+
+/// What answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request. With `leaving` the caller should not use the connection again.
+    fn answer(
+        &self,
+        request: Request<Incoming>,
+        leaving: bool,
+    ) -> BoxFuture<'static, Response<AnswerBody>>;
+    /// Bounds on a new connection.
+    fn limits(&self) -> ConnectionLimits;
+}
+
+/// Connections that are open.
+#[derive(Debug, Default)]
+pub struct Open(AtomicUsize);
+
+impl Open {
+    /// How many.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts one connection until it is dropped.
+struct Counted(Arc<Open>);
+
+impl Counted {
+    fn new(open: Arc<Open>) -> Counted {
+        open.0.fetch_add(1, Ordering::Relaxed);
+        Counted(open)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Listens on an address.
+pub async fn bind(addr: SocketAddr) -> Result<TcpListener> {
+    let refused =
+        |e: std::io::Error| Error::Listen { addr: addr.to_string(), reason: e.to_string() };
+    TcpListener::bind(addr).await.map_err(refused)
+}
+
+/// Takes connections until the phase is [`Phase::Closing`].
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    mut phase: watch::Receiver<Phase>,
+    open: Arc<Open>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing(&mut phase) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = connection(stream, handler.clone(), phase.clone());
+                let counted = Counted::new(open.clone());
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(counted);
+                });
+            }
+            Err(e) => {
+                warn!(why = e.to_string().as_str(); "connection not taken");
+                sleep(AFTER_FAILURE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection.
+async fn connection(
+    stream: TcpStream,
+    handler: Arc<dyn Handler>,
+    mut phase: watch::Receiver<Phase>,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        debug!("connection lost at once: {e}");
+        return;
+    }
+    let limits = handler.limits();
+    let now = phase.clone();
+    let service = service_fn(move |request| {
+        let answer = handler.answer(request, *now.borrow() >= Phase::Leaving);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        () = closing(&mut phase) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        debug!("connection ended: {e}");
+    }
+}
+
+/// Returns once no new connections or requests are taken.
+async fn closing(phase: &mut watch::Receiver<Phase>) {
+    // An error means that the daemon itself has ended.
+    drop(phase.wait_for(|phase| *phase == Phase::Closing).await);
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,31 @@
+//! The gateway: callers' requests, taken as opaque HTTP exchanges, on their way to the backend
+//! servers of declared services.
+//!
+//! - [`request`]: a caller's request and its answer
+//! - [`table`], [`in_force`]: the declared configuration, and how fresh it is
+//! - [`servers`], [`place`]: backend servers, and the choice among them
+//! - [`core`]: what all requests of a daemon share
+//! - [`forward`], [`relay`], [`events`], [`moving`]: the way of a request, and of a stream over the
+//!   servers it lives on
+//! - [`budget`]: the daemon's share of repeats
+//! - [`follow`], [`announce`], [`roster`]: reading the store, and who else serves
+//! - [`listen`], [`stop`]: connections of callers, and a planned stop
+//! - [`port`]: what an adapter provides
+
+pub mod announce;
+pub mod budget;
+pub mod core;
+pub mod events;
+pub mod follow;
+pub mod forward;
+pub mod in_force;
+pub mod listen;
+mod moving;
+pub mod place;
+pub mod port;
+mod relay;
+pub mod request;
+pub mod roster;
+pub mod servers;
+pub mod stop;
+pub mod table;
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,95 @@
+//! Choosing a backend server for a request, or for a run that must leave its server.
+
+use crate::gateway::servers::{Load, Server, ServerKey};
+use crate::gateway::table::Engine;
+use rand::{Rng, RngExt};
+use std::time::Instant;
+
+/// Cost of a server in another hall, as a share of a server's capacity: enough to stay near while
+/// loads are alike, not enough to run into a busier server.
+const FAR_COST: f64 = 0.04;
+/// Cost of a server all of whose recent exchanges failed.
+const FAILURE_COST: f64 = 3.0;
+/// Runs that weigh as much as a full memory: decoding slows with the batch before memory is short.
+const BATCH_SCALE: f64 = 40.0;
+/// Servers whose costs differ by less are alike, and one is drawn, so that daemons don't herd.
+const ALIKE: f64 = 0.03;
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Need<'a> {
+    /// The hall that is preferred.
+    pub hall: &'a str,
+    /// Memory it is expected to take, in tokens.
+    pub tokens: u32,
+    /// Present for model engines.
+    pub engine: Option<&'a Engine>,
+}
+
+/// A server that may be chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// Its key.
+    pub key: ServerKey,
+    /// What is known of it.
+    pub server: &'a Server,
+}
+
+/// A way to choose.
+pub trait Placing: Send + Sync {
+    /// The name for logs and reports.
+    fn name(&self) -> &'static str;
+    /// One of the candidates; `None` where there is none.
+    fn choose(
+        &self,
+        candidates: &[Candidate<'_>],
+        need: &Need<'_>,
+        now: Instant,
+        rng: &mut dyn Rng,
+    ) -> Option<ServerKey>;
+}
+
+/// The least expected use of memory and batch, near servers first where they are alike.
+#[derive(Debug, Default)]
+pub struct Headroom;
+
+impl Headroom {
+    fn cost(server: &Server, need: &Need<'_>, now: Instant) -> f64 {
+        let load = server.load();
+        let used = match need.engine {
+            Some(engine) => {
+                let tokens = f64::from(load.tokens + need.tokens);
+                tokens / f64::from(engine.memory.max(1)) + f64::from(load.runs) / BATCH_SCALE
+            }
+            None => f64::from(load.runs) / f64::from(server.record.slots.max(1)),
+        };
+        let far = if server.record.hall == need.hall { 0.0 } else { FAR_COST };
+        used + far + server.failure_rate(now) * FAILURE_COST
+    }
+}
+
+impl Placing for Headroom {
+    fn name(&self) -> &'static str {
+        "headroom"
+    }
+
+    fn choose(
+        &self,
+        candidates: &[Candidate<'_>],
+        need: &Need<'_>,
+        now: Instant,
+        rng: &mut dyn Rng,
+    ) -> Option<ServerKey> {
+        let costs: Vec<(f64, ServerKey)> =
+            candidates.iter().map(|c| (Headroom::cost(c.server, need, now), c.key)).collect();
+        let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
+        let alike: Vec<ServerKey> =
+            costs.iter().filter(|(cost, _)| *cost <= least + ALIKE).map(|(_, key)| *key).collect();
+        Some(alike[rng.random_range(0..alike.len())])
+    }
+}
+
+/// Part of an engine's memory that is known to be spoken for.
+pub fn fill(load: Load, engine: &Engine) -> f64 {
+    f64::from(load.tokens) / f64::from(engine.memory.max(1))
+}
--- /dev/null
+++ b/src/gateway/port.rs
@@ -0,0 +1,178 @@
+//! What the gateway needs of its surroundings, as traits: an adapter translates each to what is
+//! spoken where the system runs.
+
+use crate::gateway::request::{BrokenOff, Call};
+use crate::gateway::servers::ServerRecord;
+use crate::gateway::table::Table;
+use crate::outcome::NotSent;
+use crate::platform::{Change, LeaseId, PlatformResult, Range};
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::{HeaderMap, StatusCode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where a backend server is, and which one is meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Destination {
+    /// Id of the server's start; any other server at the address refuses.
+    pub id: Arc<str>,
+    /// Its address.
+    pub addr: SocketAddr,
+}
+
+/// Memory of a run that another server holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptRun {
+    /// The server that names the copy.
+    pub server: SocketAddr,
+    /// Its name there.
+    pub handle: String,
+}
+
+/// How a request is sent.
+#[derive(Debug, Clone)]
+pub struct Sending {
+    /// To whom.
+    pub to: Destination,
+    /// Time that the backend server is given.
+    pub left: Duration,
+    /// The copy that the run goes on from.
+    pub from: Option<KeptRun>,
+    /// The last event that is not to come again.
+    pub after: Option<u64>,
+    /// A server that shall keep a copy of the run up to date.
+    pub backup: Option<SocketAddr>,
+}
+
+/// A backend server's answer.
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers without those that concern one connection.
+    pub headers: HeaderMap,
+    /// The server's own word that it did not run the request.
+    pub declined: bool,
+    /// Whether another server has the address.
+    pub misdirected: bool,
+    /// The body. Dropping it closes the connection, which ends the work at the server.
+    pub body: UnsyncBoxBody<Bytes, BrokenOff>,
+}
+
+/// A request that got no answer.
+#[derive(Debug)]
+pub enum Lost {
+    /// No byte of it was sent; the proof comes back.
+    Unsent {
+        /// As it was handed over.
+        proof: Option<NotSent>,
+        /// What was seen.
+        reason: String,
+    },
+    /// It may have run.
+    Unanswered {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// A copy of a run's memory, made at its server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Copied {
+    /// The copy's name.
+    pub handle: String,
+    /// Events that the run had made.
+    pub made: u64,
+}
+
+/// A copy that was not made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NotCopied {
+    /// The server runs no such request.
+    NoRun,
+    /// Another copy of the run is being made.
+    Busy,
+    /// The target has no room; the run's memory stays at its server under this name if it was stopped.
+    NoRoom(Option<String>),
+    /// No answer, or none that can be read.
+    Unanswered(String),
+}
+
+/// The way to backend servers.
+pub trait Wire: Send + Sync {
+    /// Sends a request. The proof, there while the request has never run, is spent with the first byte.
+    fn send<'a>(
+        &'a self,
+        call: &'a Call,
+        sending: Sending,
+        proof: Option<NotSent>,
+    ) -> BoxFuture<'a, Result<Reply, Lost>>;
+
+    /// Copies the memory of a run from `source` to `target`; with `last` the run is stopped first.
+    fn copy<'a>(
+        &'a self,
+        source: SocketAddr,
+        run: &'a str,
+        target: SocketAddr,
+        last: bool,
+    ) -> BoxFuture<'a, Result<Copied, NotCopied>>;
+
+    /// Frees a copy that is not needed.
+    fn free<'a>(&'a self, source: SocketAddr, handle: &'a str) -> BoxFuture<'a, ()>;
+}
+
+/// Changes that a waiting read gave.
+#[derive(Debug, Clone)]
+pub struct Changes {
+    /// In the order of their revisions.
+    pub changes: Vec<Change>,
+    /// The revision up to which nothing is missing.
+    pub revision: u64,
+}
+
+/// The platform's store as the gateway uses it: reads that wait for a change, and keys under a lease.
+pub trait Store: Send + Sync {
+    /// Reads all keys that start with `prefix`.
+    fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, PlatformResult<Range>>;
+    /// Changes below `prefix` after a revision, at latest after `wait`; `None` where the store no
+    /// longer knows that far back.
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, PlatformResult<Option<Changes>>>;
+    /// Opens a lease.
+    fn grant(&self, ttl: Duration) -> BoxFuture<'_, PlatformResult<LeaseId>>;
+    /// Renews a lease; `false` where it has lapsed.
+    fn renew(&self, lease: LeaseId) -> BoxFuture<'_, PlatformResult<bool>>;
+    /// Writes a key under a lease; `false` where the lease has lapsed.
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: Vec<u8>,
+        lease: LeaseId,
+    ) -> BoxFuture<'a, PlatformResult<bool>>;
+    /// Ends a lease and its keys.
+    fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, PlatformResult<()>>;
+}
+
+/// A value of the store that does not hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Undecodable(pub String);
+
+/// What lies where in the store, and how it reads.
+pub trait Schema: Send + Sync {
+    /// The key of the declared configuration.
+    fn declaration(&self) -> &str;
+    /// The prefix of the backend servers' own entries.
+    fn servers(&self) -> &str;
+    /// The prefix of the daemons' own keys.
+    fn daemons(&self) -> &str;
+    /// Reads a declared configuration.
+    fn table(&self, value: &[u8]) -> Result<Table, Undecodable>;
+    /// Reads a backend server's entry.
+    fn server(&self, key: &str, value: &[u8]) -> Result<ServerRecord, Undecodable>;
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,366 @@
+//! Passing a stream of events on to its caller, over every server that its run lives on.
+//!
+//! Whole events only, in the order of their ids, each once. When the server is about to leave,
+//! the run is carried over to another one while its events go on.
+
+use crate::gateway::budget::Repeat;
+use crate::gateway::core::{Gateway, Seat};
+use crate::gateway::events::{Event, Splitter};
+use crate::gateway::forward::Sent;
+use crate::gateway::moving::{self, Moved};
+use crate::gateway::port::{KeptRun, Lost, Reply, Sending};
+use crate::gateway::request::{Answer, BrokenOff, Call};
+use crate::gateway::table::Service;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use log::{info, warn};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, timeout};
+
+/// Events that wait for a slow caller before its server is held up.
+const QUEUE: usize = 16;
+/// Moves tried for one run at one server.
+const MOST_MOVES: u32 = 4;
+/// How long the last events of a stopped run may take to arrive after the copy is complete.
+const LAST_EVENTS: Duration = Duration::from_millis(60);
+/// How long a run whose stream has ended is waited for by its copy.
+const LAST_COPY: Duration = Duration::from_millis(2_500);
+
+type Out = mpsc::Sender<Result<Frame<Bytes>, BrokenOff>>;
+
+/// Waits for the first event, so that a server that fails before it can be replaced, then passes
+/// the stream on in a task of its own.
+pub(crate) async fn begin(
+    gateway: &Arc<Gateway>,
+    call: &Arc<Call>,
+    service: &Arc<Service>,
+    seat: Seat,
+    reply: Reply,
+) -> Sent {
+    let Reply { status, headers, body, .. } = reply;
+    let mut leg = Leg { body, splitter: Splitter::default() };
+    let first = match leg.next().await {
+        Step::Event(event) => event,
+        Step::Ended | Step::Broke(_) => {
+            seat.judge(true);
+            return Sent::Failed(None, "no_event");
+        }
+    };
+    seat.judge(false);
+    let (out, events) = mpsc::channel(QUEUE);
+    let relay = Relay {
+        gateway: gateway.clone(),
+        call: call.clone(),
+        service: service.clone(),
+        seat,
+        leg,
+        last: call.after,
+        out,
+        runs: 1,
+        moves: 0,
+    };
+    tokio::spawn(relay.run(first));
+    let events = futures_util::stream::unfold(events, |mut events| async {
+        events.recv().await.map(|event| (event, events))
+    });
+    Sent::Answered(Answer { status, headers, body: StreamBody::new(events).boxed_unsync() })
+}
+
+/// The stream of one server.
+struct Leg {
+    body: UnsyncBoxBody<Bytes, BrokenOff>,
+    splitter: Splitter,
+}
+
+enum Step {
+    Event(Event),
+    Ended,
+    Broke(String),
+}
+
+impl Leg {
+    /// The next whole event. May be dropped and called again.
+    async fn next(&mut self) -> Step {
+        loop {
+            if let Some(event) = self.splitter.next() {
+                return Step::Event(event);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    if self.splitter.push(&data).is_err() {
+                        return Step::Broke("an event without end".into());
+                    }
+                }
+                Some(Err(e)) => return Step::Broke(e.reason),
+                None if self.splitter.is_inside() => {
+                    return Step::Broke("ended inside an event".into());
+                }
+                None => return Step::Ended,
+            }
+        }
+    }
+}
+
+/// How a relay ends.
+enum End {
+    Complete,
+    CallerLeft,
+    Broken(String),
+}
+
+struct Relay {
+    gateway: Arc<Gateway>,
+    call: Arc<Call>,
+    service: Arc<Service>,
+    seat: Seat,
+    leg: Leg,
+    /// Id of the last event passed on.
+    last: Option<u64>,
+    out: Out,
+    /// Runs begun for this answer.
+    runs: u32,
+    /// Moves tried from the present server.
+    moves: u32,
+}
+
+/// A move under way.
+struct Moving {
+    done: BoxFuture<'static, Moved>,
+    /// Whether the run was told to stop at its server.
+    stopping: Arc<AtomicBool>,
+}
+
+enum Happened {
+    CallerLeft,
+    OutOfTime,
+    Notice,
+    Moved(Moved),
+    Step(Step),
+}
+
+impl Relay {
+    async fn run(mut self, first: Event) {
+        let end = match self.pass_on(first).await {
+            Ok(()) => self.follow().await,
+            Err(end) => end,
+        };
+        let (id, server) = (self.call.id.as_str(), &*self.seat.to.id);
+        match end {
+            End::Complete => {}
+            End::CallerLeft => info!(id = id, server = server, last = self.last; "caller left"),
+            End::Broken(reason) => {
+                warn!(id = id, server = server, last = self.last, why = reason.as_str(); "stream cut");
+                // Refused only where the caller has left.
+                let _ = self.out.send(Err(BrokenOff { reason })).await;
+            }
+        }
+    }
+
+    async fn follow(&mut self) -> End {
+        let deadline = sleep_until(self.call.deadline.into());
+        tokio::pin!(deadline);
+        let mut moving: Option<Moving> = None;
+        loop {
+            let may_move = moving.is_none() && self.may_move();
+            let happened = tokio::select! {
+                biased;
+                () = self.out.closed() => Happened::CallerLeft,
+                () = &mut deadline => Happened::OutOfTime,
+                moved = finished(&mut moving) => Happened::Moved(moved),
+                () = noticed(&mut self.seat), if may_move => Happened::Notice,
+                step = self.leg.next() => Happened::Step(step),
+            };
+            let ended = match happened {
+                Happened::CallerLeft => return End::CallerLeft,
+                Happened::OutOfTime => return End::Broken("out of time".into()),
+                Happened::Notice => {
+                    moving = Some(self.start_moving());
+                    continue;
+                }
+                Happened::Moved(moved) => {
+                    moving = None;
+                    self.moved(moved).await
+                }
+                Happened::Step(Step::Event(event)) => self.pass_on(event).await,
+                Happened::Step(Step::Ended) => return End::Complete,
+                Happened::Step(Step::Broke(why)) => match is_stopping(&moving) {
+                    true => self.finish_moving(moving.take()).await,
+                    false => {
+                        moving = None;
+                        self.run_again(why).await
+                    }
+                },
+            };
+            if let Err(end) = ended {
+                return end;
+            }
+        }
+    }
+
+    /// Passes an event on unless the caller has it.
+    async fn pass_on(&mut self, event: Event) -> Result<(), End> {
+        if event.id.is_some() && event.id <= self.last {
+            return Ok(());
+        }
+        self.last = event.id.or(self.last);
+        let sent = self.out.send(Ok(Frame::data(event.bytes))).await;
+        sent.map_err(|_| End::CallerLeft)
+    }
+
+    fn may_move(&self) -> bool {
+        self.moves < MOST_MOVES && self.service.engine.as_ref().is_some_and(|e| e.moves)
+    }
+
+    fn start_moving(&mut self) -> Moving {
+        self.moves += 1;
+        let stopping = Arc::new(AtomicBool::new(false));
+        let done = moving::move_run(
+            self.gateway.clone(),
+            self.call.clone(),
+            self.service.clone(),
+            moving::Source {
+                to: self.seat.to.clone(),
+                hall: self.seat.hall.clone(),
+                key: self.seat.key(),
+            },
+            stopping.clone(),
+        );
+        Moving { done: Box::pin(done), stopping }
+    }
+
+    /// The run's stream has closed because the run was stopped: waits for its copy.
+    async fn finish_moving(&mut self, moving: Option<Moving>) -> Result<(), End> {
+        let Some(moving) = moving else {
+            return Err(End::Broken("stopped without a copy".into()));
+        };
+        match timeout(LAST_COPY, moving.done).await {
+            Ok(Moved::NotMoved(why)) => self.run_again(why.into()).await,
+            Ok(moved) => self.moved(moved).await,
+            Err(_) => self.run_again("the copy did not end".into()).await,
+        }
+    }
+
+    async fn moved(&mut self, moved: Moved) -> Result<(), End> {
+        match moved {
+            Moved::NotMoved(why) => {
+                info!(id = self.call.id.as_str(), server = &*self.seat.to.id, why = why; "run not moved");
+                Ok(())
+            }
+            Moved::Stopped { kept, seat } => {
+                self.drain_leg().await?;
+                self.go_on(kept, Some(seat)).await
+            }
+            Moved::SourceKeeps(kept) => {
+                self.drain_leg().await?;
+                self.go_on(kept, None).await
+            }
+        }
+    }
+
+    /// Passes on what a stopped run still sent.
+    async fn drain_leg(&mut self) -> Result<(), End> {
+        let until = tokio::time::Instant::now() + LAST_EVENTS;
+        while let Ok(Step::Event(event)) = tokio::time::timeout_at(until, self.leg.next()).await {
+            self.pass_on(event).await?;
+        }
+        Ok(())
+    }
+
+    /// Goes on from a copy at another server, or from what the stopped run left at its own.
+    async fn go_on(&mut self, kept: KeptRun, seat: Option<Seat>) -> Result<(), End> {
+        if !self.gateway.may_send(&self.call, Instant::now()) {
+            return Err(End::Broken("key_not_confirmed".into()));
+        }
+        let to = seat.as_ref().map_or(&self.seat.to, |seat| &seat.to).clone();
+        let sending = Sending {
+            to,
+            left: self.call.left(Instant::now()),
+            from: Some(kept.clone()),
+            after: self.last,
+            backup: None,
+        };
+        let elsewhere = seat.is_some();
+        let why = match reopen(&self.gateway, &self.call, sending).await {
+            Ok(leg) => {
+                self.leg = leg;
+                if let Some(seat) = seat {
+                    info!(id = self.call.id.as_str(), from = &*self.seat.to.id, to = &*seat.to.id, last = self.last; "run moved");
+                    self.seat = seat;
+                    self.moves = 0;
+                }
+                return Ok(());
+            }
+            Err(why) => why,
+        };
+        warn!(id = self.call.id.as_str(), why = why.as_str(), elsewhere = elsewhere; "run not taken over");
+        if elsewhere { Box::pin(self.go_on(kept, None)).await } else { self.run_again(why).await }
+    }
+
+    /// Runs the request anew at another server, from the last event on, where it may run again.
+    async fn run_again(&mut self, why: String) -> Result<(), End> {
+        let now = Instant::now();
+        self.seat.judge(true);
+        let allowed = self.call.route.repeatable() && self.runs < self.call.route.attempts;
+        if !allowed || !self.gateway.may_send(&self.call, now) {
+            return Err(End::Broken(why));
+        }
+        let tokens = self.call.size.tokens();
+        let hall = self.gateway.hall.clone();
+        let tried = [self.seat.key()];
+        let Some(seat) = self.gateway.seat(&self.service, &hall, tokens, &tried, now) else {
+            return Err(End::Broken(why));
+        };
+        if !self.gateway.take_repeat(&self.service.name, Repeat::Retry, now) {
+            return Err(End::Broken(why));
+        }
+        self.runs += 1;
+        let sending = Sending {
+            to: seat.to.clone(),
+            left: self.call.left(now),
+            from: None,
+            after: self.last,
+            backup: None,
+        };
+        self.leg = reopen(&self.gateway, &self.call, sending).await.map_err(End::Broken)?;
+        info!(id = self.call.id.as_str(), from = &*self.seat.to.id, to = &*seat.to.id, why = why.as_str(), last = self.last; "run begun anew");
+        self.seat = seat;
+        self.moves = 0;
+        Ok(())
+    }
+}
+
+/// Sends the request of a stream that has begun.
+async fn reopen(gateway: &Gateway, call: &Call, sending: Sending) -> Result<Leg, String> {
+    match gateway.wire.send(call, sending, None).await {
+        Ok(reply) if reply.status.is_success() => {
+            Ok(Leg { body: reply.body, splitter: Splitter::default() })
+        }
+        Ok(reply) => Err(format!("answered {}", reply.status.as_u16())),
+        Err(Lost::Unsent { reason, .. } | Lost::Unanswered { reason }) => Err(reason),
+    }
+}
+
+fn is_stopping(moving: &Option<Moving>) -> bool {
+    moving.as_ref().is_some_and(|m| m.stopping.load(Ordering::Relaxed))
+}
+
+async fn finished(moving: &mut Option<Moving>) -> Moved {
+    match moving {
+        Some(moving) => moving.done.as_mut().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Returns once the server is about to leave.
+async fn noticed(seat: &mut Seat) {
+    if seat.notice.wait_for(|leaving| *leaving).await.is_err() {
+        // The server is no longer in the table: it has gone as well.
+    }
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,92 @@
+//! A caller's request on its way through the gateway, and the answer to it.
+
+use crate::gateway::table::Route;
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::{HeaderMap, Method, StatusCode};
+use snafu::Snafu;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What a generation is expected to take; all 0 for plain services.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Size {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Most tokens of the answer.
+    pub most: u32,
+    /// Tokens of the answer that the caller expects.
+    pub hint: Option<u32>,
+}
+
+impl Size {
+    /// Memory that the generation is expected to hold at its end, in tokens.
+    pub fn tokens(&self) -> u32 {
+        let out = self.hint.map_or(self.most, |hint| hint.min(self.most));
+        self.prompt.saturating_add(out)
+    }
+}
+
+/// Whose request it is: the workspace and the key that says so.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Credential {
+    /// Name of the workspace.
+    pub workspace: Arc<str>,
+    /// The caller's key; it is looked up again before each sending.
+    pub key: String,
+}
+
+/// A caller's request. Time limits are on this process's steady clock.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The caller's id of this attempt.
+    pub id: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub path: String,
+    /// Headers for the backend server, without those that concern one connection or the system.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// The route in force when it arrived.
+    pub route: Arc<Route>,
+    /// Present where the route needs a key.
+    pub credential: Option<Credential>,
+    /// When its head had been read.
+    pub arrived: Instant,
+    /// When it must have its final answer.
+    pub deadline: Instant,
+    /// What it is expected to take.
+    pub size: Size,
+    /// The last event that the caller has of a stream it continues.
+    pub after: Option<u64>,
+}
+
+impl Call {
+    /// Time left until the final answer is due.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
+
+/// Why a body ended before its time.
+#[derive(Debug, Clone, Snafu)]
+#[snafu(display("the answer broke off: {reason}; send the request again if it may run twice"))]
+pub struct BrokenOff {
+    /// What was seen.
+    pub reason: String,
+}
+
+/// The body of an answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenOff>;
+
+/// The answer to a caller.
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers without those that concern one connection.
+    pub headers: HeaderMap,
+    /// Body; ends in an error where the answer is not complete.
+    pub body: AnswerBody,
+}
--- /dev/null
+++ b/src/gateway/servers.rs
@@ -0,0 +1,217 @@
+//! The backend servers as this daemon knows them: who they are, who leaves, how loaded, how well.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+slotmap::new_key_type! {
+    /// A backend server in this process's arena.
+    pub struct ServerKey;
+}
+
+/// Weight of the newest exchange in a server's failure rate.
+const NEWEST_WEIGHT: f64 = 0.25;
+/// Time in which a failure rate halves without news, so that a server is tried again.
+const HALF_LIFE: Duration = Duration::from_millis(2_500);
+
+/// What the store says of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerRecord {
+    /// Id of this start of the server; never used again.
+    pub id: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Its hall.
+    pub hall: String,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+}
+
+/// What runs at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests.
+    pub runs: u32,
+    /// Memory they are expected to need, in tokens.
+    pub tokens: u32,
+}
+
+/// A name of a server that is short enough for messages between daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct ServerTag(pub u64);
+
+impl ServerTag {
+    /// The tag of a server's id.
+    pub fn of(id: &str) -> ServerTag {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        ServerTag(hasher.finish())
+    }
+}
+
+/// One backend server.
+#[derive(Debug)]
+pub struct Server {
+    /// What the store says.
+    pub record: ServerRecord,
+    /// What this daemon has there.
+    pub own: Load,
+    /// What the other daemons said they have there.
+    pub others: Load,
+    /// Turns true when the server is about to leave or has gone.
+    leaving: watch::Sender<bool>,
+    failures: f64,
+    judged: Instant,
+}
+
+impl Server {
+    fn new(record: ServerRecord, now: Instant) -> Server {
+        let leaving = watch::Sender::new(record.leaving);
+        let (own, others) = (Load::default(), Load::default());
+        Server { record, own, others, leaving, failures: 0.0, judged: now }
+    }
+
+    /// Whether new work may go there.
+    pub fn open(&self) -> bool {
+        !*self.leaving.borrow()
+    }
+
+    /// Tells when the server is about to leave.
+    pub fn notice(&self) -> watch::Receiver<bool> {
+        self.leaving.subscribe()
+    }
+
+    /// All that is known to run there.
+    pub fn load(&self) -> Load {
+        Load {
+            runs: self.own.runs + self.others.runs,
+            tokens: self.own.tokens + self.others.tokens,
+        }
+    }
+
+    /// Share of recent exchanges that failed, fading with time.
+    pub fn failure_rate(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.judged);
+        self.failures * 0.5f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    }
+
+    fn judge(&mut self, failed: bool, now: Instant) {
+        let rate = self.failure_rate(now);
+        let newest = if failed { 1.0 } else { 0.0 };
+        self.failures = rate + (newest - rate) * NEWEST_WEIGHT;
+        self.judged = now;
+    }
+}
+
+/// All backend servers.
+#[derive(Debug, Default)]
+pub struct Servers {
+    arena: slotmap::SlotMap<ServerKey, Server>,
+    by_id: HashMap<Arc<str>, ServerKey>,
+}
+
+impl Servers {
+    /// Takes in what the store says of a server. Leaving is never taken back.
+    pub fn upsert(&mut self, record: ServerRecord, now: Instant) {
+        match self.by_id.get(&record.id) {
+            Some(key) => {
+                let server = &mut self.arena[*key];
+                if record.leaving {
+                    server.leaving.send_replace(true);
+                }
+                server.record = record;
+            }
+            None => {
+                let id = record.id.clone();
+                let key = self.arena.insert(Server::new(record, now));
+                self.by_id.insert(id, key);
+            }
+        }
+    }
+
+    /// The store no longer lists a server: what runs there goes on, nothing new is sent.
+    pub fn remove(&mut self, id: &str) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        self.arena[key].leaving.send_replace(true);
+        if self.arena[key].own.runs == 0 {
+            self.arena.remove(key);
+        }
+    }
+
+    /// The server answered that it isn't the one that was expected: the address has a new owner.
+    pub fn replaced(&mut self, key: ServerKey) {
+        if let Some(server) = self.arena.get(key) {
+            server.leaving.send_replace(true);
+        }
+    }
+
+    /// A server by key; `None` once it has gone.
+    pub fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.arena.get(key)
+    }
+
+    /// A server by the id of its start.
+    pub fn find(&self, id: &str) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Ids of all listed servers.
+    pub fn ids(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.by_id.keys()
+    }
+
+    /// Servers of a service that take new work.
+    pub fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (ServerKey, &'a Server)> {
+        self.arena.iter().filter(move |(_, s)| s.open() && *s.record.service == *service)
+    }
+
+    /// Notes work that this daemon sends to a server.
+    pub fn begin(&mut self, key: ServerKey, tokens: u32) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.own.runs += 1;
+            server.own.tokens += tokens;
+        }
+    }
+
+    /// Notes that such work is over.
+    pub fn end(&mut self, key: ServerKey, tokens: u32) {
+        let Some(server) = self.arena.get_mut(key) else {
+            return;
+        };
+        server.own.runs -= 1;
+        server.own.tokens -= tokens;
+        if server.own.runs == 0 && !self.by_id.contains_key(&server.record.id) {
+            self.arena.remove(key);
+        }
+    }
+
+    /// Notes how an exchange with a server went.
+    pub fn judge(&mut self, key: ServerKey, failed: bool, now: Instant) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.judge(failed, now);
+        }
+    }
+
+    /// This daemon's load, for the others.
+    pub fn own_loads(&self) -> Vec<(ServerTag, Load)> {
+        let loaded = self.arena.values().filter(|s| s.own.runs > 0);
+        loaded.map(|s| (ServerTag::of(&s.record.id), s.own)).collect()
+    }
+
+    /// Sets what the other daemons have at each server; servers not named have nothing of theirs.
+    pub fn set_others(&mut self, loads: &HashMap<ServerTag, Load>) {
+        for server in self.arena.values_mut() {
+            let tag = ServerTag::of(&server.record.id);
+            server.others = loads.get(&tag).copied().unwrap_or_default();
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/stop.rs
@@ -0,0 +1,29 @@
+//! The planned stop of a daemon: callers go elsewhere first, then requests end, then the process.
+
+use crate::gateway::listen::{Open, Phase};
+use log::info;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time before the end of the grace period from which no request is read any more.
+const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
+/// Time before the end of the grace period at which the process ends, whatever still runs.
+const LAST_MOMENT: Duration = Duration::from_millis(200);
+/// Time between two looks at what is still open.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Stops within `grace`. Callers come for up to `kept` after they could last be told of this daemon.
+pub async fn run(phase: &watch::Sender<Phase>, open: &Open, grace: Duration, kept: Duration) {
+    let began = Instant::now();
+    phase.send_replace(Phase::Leaving);
+    info!(connections = open.count(); "leaving");
+    let last_requests = grace.saturating_sub(LAST_REQUESTS);
+    sleep_until(began + kept.min(last_requests)).await;
+    phase.send_replace(Phase::Closing);
+    let end = began + grace.saturating_sub(LAST_MOMENT);
+    while open.count() > 0 && Instant::now() < end {
+        sleep(LOOK).await;
+    }
+    info!(connections = open.count(); "stopped");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod forecast;
+pub mod gateway;
 pub mod gossip;
 pub mod grant;
 pub mod headroom;
