--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::budget::{BudgetBounds, Repeat, RepeatBudget};
 use crate::gateway::in_force::InForce;
-use crate::gateway::place::{Candidate, Need, Placing};
+use crate::gateway::place::{Candidate, FAR_COPY_COST, FAR_COST, Need, Placing};
 use crate::gateway::port::{Destination, Wire};
 use crate::gateway::request::Call;
 use crate::gateway::servers::{ServerKey, Servers};
@@ -129,23 +129,48 @@
         self.in_force.get()?.table.service(name).cloned()
     }
 
-    /// Takes a seat at a server of `service`, not one of `tried`, near `hall` where that is as good.
+    /// Takes a seat for a request at a server of `service`, not one of `tried`.
     pub fn seat(
+        self: &Arc<Self>,
+        service: &Service,
+        tokens: u32,
+        tried: &[ServerKey],
+        now: Instant,
+    ) -> Option<Seat> {
+        let engine = service.engine.as_ref();
+        let need = Need { hall: &self.hall, far: FAR_COST, tokens, engine };
+        self.choose(service, &need, tried, now)
+    }
+
+    /// Takes a seat for a run that is copied from a server in `hall`.
+    pub fn seat_for_copy(
         self: &Arc<Self>,
         service: &Service,
         hall: &str,
         tokens: u32,
+        refused: &[ServerKey],
+        now: Instant,
+    ) -> Option<Seat> {
+        let engine = service.engine.as_ref();
+        let need = Need { hall, far: FAR_COPY_COST, tokens, engine };
+        self.choose(service, &need, refused, now)
+    }
+
+    fn choose(
+        self: &Arc<Self>,
+        service: &Service,
+        need: &Need<'_>,
         tried: &[ServerKey],
         now: Instant,
     ) -> Option<Seat> {
-        let need = Need { hall, tokens, engine: service.engine.as_ref() };
+        let tokens = need.tokens;
         let mut servers = self.servers();
         let candidates: Vec<Candidate<'_>> = servers
             .open(&service.name)
             .filter(|(key, _)| !tried.contains(key))
             .map(|(key, server)| Candidate { key, server })
             .collect();
-        let key = self.placing.choose(&candidates, &need, now, &mut rand::rng())?;
+        let key = self.placing.choose(&candidates, need, now, &mut rand::rng())?;
         servers.begin(key, tokens);
         let server = servers.get(key)?;
         let to = Destination { id: server.record.id.clone(), addr: server.record.addr };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -114,10 +114,7 @@
             return Err("servers_refuse");
         }
         let tokens = self.call.size.tokens();
-        let seat = self
-            .gateway
-            .seat(&self.service, &self.gateway.hall, tokens, &self.tried, now)
-            .ok_or("no_server")?;
+        let seat = self.gateway.seat(&self.service, tokens, &self.tried, now).ok_or("no_server")?;
         let again = !self.tried.is_empty();
         if again && !self.gateway.take_repeat(&self.service.name, Repeat::Retry, now) {
             return Err("no_repeat_left");
@@ -158,8 +155,13 @@
             return relay::begin(self.gateway, self.call, &self.service, seat, reply).await;
         }
         let failed = reply.status.is_server_error();
+        let status = reply.status.as_u16();
         let answer = hold(reply).await;
         seat.judge(failed || answer.is_err());
+        let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
+        let (server, whole) = (&*seat.to.id, answer.is_ok());
+        let ms = self.call.arrived.elapsed().as_millis() as u64;
+        info!(id = id, route = route, server = server, status = status, whole = whole, ms = ms; "answer from a server");
         match answer {
             Ok(answer) if failed => Sent::Failed(Some(answer), "server_error"),
             Ok(answer) => Sent::Answered(answer),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -5,9 +5,12 @@
 use rand::{Rng, RngExt};
 use std::time::Instant;
 
-/// Cost of a server in another hall, as a share of a server's capacity: enough to stay near while
-/// loads are alike, not enough to run into a busier server.
-const FAR_COST: f64 = 0.04;
+/// Cost of a server in another hall for a request, as a share of a server's capacity: enough to stay
+/// near while loads are alike, not enough to run into a busier server.
+pub const FAR_COST: f64 = 0.04;
+/// The same for a run that is copied there: copies between halls take twice as long, and a server
+/// that leaves has little time.
+pub const FAR_COPY_COST: f64 = 0.3;
 /// Cost of a server all of whose recent exchanges failed.
 const FAILURE_COST: f64 = 3.0;
 /// Runs that weigh as much as a full memory: decoding slows with the batch before memory is short.
@@ -20,6 +23,8 @@
 pub struct Need<'a> {
     /// The hall that is preferred.
     pub hall: &'a str,
+    /// Cost of another hall, as a share of a server's capacity.
+    pub far: f64,
     /// Memory it is expected to take, in tokens.
     pub tokens: u32,
     /// Present for model engines.
@@ -63,7 +68,7 @@
             }
             None => f64::from(load.runs) / f64::from(server.record.slots.max(1)),
         };
-        let far = if server.record.hall == need.hall { 0.0 } else { FAR_COST };
+        let far = if server.record.hall == need.hall { 0.0 } else { need.far };
         used + far + server.failure_rate(now) * FAILURE_COST
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -312,9 +312,8 @@
             return Err(End::Broken(why));
         }
         let tokens = self.call.size.tokens();
-        let hall = self.gateway.hall.clone();
         let tried = [self.seat.key()];
-        let Some(seat) = self.gateway.seat(&self.service, &hall, tokens, &tried, now) else {
+        let Some(seat) = self.gateway.seat(&self.service, tokens, &tried, now) else {
             return Err(End::Broken(why));
         };
         if !self.gateway.take_repeat(&self.service.name, Repeat::Retry, now) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod headroom;
 pub mod health;
 pub mod journal;
+pub mod logging;
 pub mod measure;
 pub mod member;
 pub mod message;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,141 @@
+//! Structured log lines on standard output, one JSON object each, that never hold up their writer.
+//!
+//! Lines wait in a bounded queue for a thread that writes them. Where the queue is full they are
+//! dropped and counted, and a line says how many. Of ordinary lines (level `info` and below) only
+//! so many are taken in a second; warnings and errors always are, while the queue has room.
+
+use env_logger::{Builder, Env, Target};
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{Level, Record};
+use serde_json::{Map, Value as Json, json};
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Mutex, OnceLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Lines that wait to be written: some seconds' worth, about 0.5 MB at most.
+const QUEUE: usize = 2_048;
+/// Ordinary lines taken in a second: several for each request that a small VM can serve.
+const ORDINARY_EACH_SECOND: u64 = 400;
+/// Pause of the writer after a batch, so that lines are written together.
+const BATCH: Duration = Duration::from_millis(100);
+
+/// Lines dropped and not yet told.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+static STARTED: OnceLock<Instant> = OnceLock::new();
+
+/// Writes the program's log lines, at level `info` unless `RUST_LOG` says otherwise.
+pub fn init(vm: &str) {
+    STARTED.get_or_init(Instant::now);
+    let (lines, queue) = sync_channel(QUEUE);
+    let spawned = std::thread::Builder::new()
+        .name("log".into())
+        .spawn(move || write_all(&queue, io::stdout()));
+    if let Err(e) = spawned {
+        eprintln!("no thread for log lines ({e}); raise the limit on threads to have them");
+    }
+    let vm = vm.to_string();
+    let quota = Mutex::new(Quota::default());
+    Builder::from_env(Env::default().default_filter_or("info"))
+        .format(move |buf, record| {
+            let now = uptime();
+            let taken = record.level() <= Level::Warn
+                || quota.lock().expect("no holder panics").take(now.as_secs());
+            if taken {
+                return writeln!(buf, "{}", line(&vm, record, now));
+            }
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+            Ok(())
+        })
+        .target(Target::Pipe(Box::new(Queue(lines))))
+        .init();
+}
+
+fn uptime() -> Duration {
+    STARTED.get_or_init(Instant::now).elapsed()
+}
+
+/// Ordinary lines of the present second.
+#[derive(Debug, Default)]
+struct Quota {
+    second: u64,
+    taken: u64,
+}
+
+impl Quota {
+    fn take(&mut self, second: u64) -> bool {
+        if self.second != second {
+            *self = Quota { second, taken: 0 };
+        }
+        self.taken += 1;
+        self.taken <= ORDINARY_EACH_SECOND
+    }
+}
+
+/// One line. `up_ms` is by the steady clock and orders the lines of a process; `unix_ms` may jump.
+fn line(vm: &str, record: &Record<'_>, now: Duration) -> Json {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut fields = Fields(Map::new());
+    let header = [
+        ("up_ms", json!(now.as_millis() as u64)),
+        ("unix_ms", json!(unix.as_millis() as u64)),
+        ("vm", json!(vm)),
+        ("level", json!(record.level().as_str().to_ascii_lowercase())),
+        ("what", json!(record.args().to_string())),
+    ];
+    fields.0.extend(header.map(|(name, value)| (name.to_string(), value)));
+    if let Err(e) = record.key_values().visit(&mut fields) {
+        fields.0.insert("unreadable".into(), json!(e.to_string()));
+    }
+    Json::Object(fields.0)
+}
+
+/// The key-values of a line as JSON.
+struct Fields(Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let number = value.to_u64().map(Json::from).or_else(|| value.to_f64().map(Json::from));
+        let json = number.or_else(|| value.to_bool().map(Json::from));
+        self.0.insert(key.to_string(), json.unwrap_or_else(|| Json::from(value.to_string())));
+        Ok(())
+    }
+}
+
+/// The way of a formatted line into the queue.
+struct Queue(SyncSender<Vec<u8>>);
+
+impl Write for Queue {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
+            self.0.try_send(line.to_vec())
+        {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until there are no writers left.
+fn write_all(queue: &Receiver<Vec<u8>>, mut out: impl Write) {
+    while let Ok(mut batch) = queue.recv() {
+        while let Ok(line) = queue.try_recv() {
+            batch.extend(line);
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let told = json!({"up_ms": uptime().as_millis() as u64, "level": "warn", "what": "log lines dropped", "lines": dropped});
+            batch.extend(format!("{told}\n").into_bytes());
+        }
+        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+            // Nobody reads any more; requests go on without lines.
+            return;
+        }
+        std::thread::sleep(BATCH);
+    }
+}
