--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,7 +9,7 @@
 use crate::journal::Journal;
 use crate::member::Record;
 use crate::metrics::Metrics;
-use crate::peer::Peers;
+use crate::peer::{LinkLimits, Peers};
 use crate::platform::{Counted, Expect, Platform};
 use crate::poll;
 use crate::seal::SealKeys;
@@ -30,6 +30,8 @@
 
 /// Least time between two segments of a journal's shard, for the platform's write budget.
 const JOURNAL_INTERVAL: Duration = Duration::from_millis(50);
+/// Each place granted to a peer holds a stream open, so many are allowed.
+const LINKS: LinkLimits = LinkLimits { idle_ms: 15_000, streams: 2_048 };
 const TICK: Duration = Duration::from_millis(25);
 const KEY_RETRY: Duration = Duration::from_millis(200);
 const DRAIN_STEP: Duration = Duration::from_millis(20);
@@ -53,7 +55,8 @@
         let platform = Arc::new(Counted::new(platform));
         let in_force = InForce::new(metrics.clone());
         let journal = Journal::start(platform.clone(), JOURNAL_INTERVAL, metrics.clone());
-        let peers = Arc::new(Peers::bind(config.peer_addr, identity, metrics.clone())?);
+        let peers =
+            Arc::new(Peers::bind(config.peer_addr, identity, LINKS, metrics.peer_traffic())?);
         let peer_addr = peers.addr()?;
         let beat = Duration::from_millis(config.heartbeat_ms);
         let record = record(&config, peer_addr);
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -1,16 +1,20 @@
 //! This daemon's share of the budget for sending requests more than once.
 //!
 //! The budget holds for all daemons together: within a window, what is sent beyond the first
-//! sending of each request stays under a ratio of the requests plus a constant. The ratio part
-//! follows each daemon's own requests, so it adds up by itself. The constant is divided by the
-//! number of daemons, the largest lately known, so that daemons that lose each other can't spend
-//! it twice.
+//! sending of each request stays under a ratio of the requests plus a constant. Daemons tell each
+//! other what they have spent. Of a daemon that is not heard, it is assumed that it spends its equal
+//! part of the constant, and it assumes the same of those that it does not hear: daemons that lose
+//! each other can't spend anything twice.
 
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::ops::AddAssign;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Part of the allowance that is used; the rest is for restarted daemons, which forget what they spent.
+/// Part of the allowance that is used; the rest is for what several daemons spend in the same moment,
+/// and for restarted daemons, which forget what they spent.
 const USED_PART: f64 = 0.7;
 /// Slices of a window; what is older than a window goes by one slice at a time.
 const SLICES: u32 = 20;
@@ -26,32 +30,68 @@
     pub window: Duration,
 }
 
+/// What was asked and spent within a window.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spent {
+    /// Requests.
+    pub requests: u32,
+    /// Sendings beyond the first of each.
+    pub repeats: u32,
+}
+
+impl AddAssign for Spent {
+    fn add_assign(&mut self, other: Spent) {
+        self.requests += other.requests;
+        self.repeats += other.repeats;
+    }
+}
+
+/// A name of a service that is short enough for messages between daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ServiceTag(u64);
+
+impl ServiceTag {
+    /// The tag of a service's name.
+    pub fn of(name: &str) -> ServiceTag {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        ServiceTag(hasher.finish())
+    }
+}
+
+/// What is known of the other daemons that share the budget.
 #[derive(Debug, Default)]
-struct Slice {
-    requests: u32,
-    repeats: u32,
+pub struct Others {
+    /// How many there are.
+    pub daemons: usize,
+    /// How many of them are heard.
+    pub heard: usize,
+    /// What those have spent.
+    pub spent: HashMap<ServiceTag, Spent>,
 }
 
 #[derive(Debug, Default)]
 struct Window {
-    slices: VecDeque<(u64, Slice)>,
+    slices: VecDeque<(u64, Spent)>,
 }
 
 impl Window {
-    fn slice(&mut self, number: u64) -> &mut Slice {
+    fn slice(&mut self, number: u64) -> &mut Spent {
         while self.slices.front().is_some_and(|(n, _)| n + u64::from(SLICES) < number) {
             self.slices.pop_front();
         }
         if self.slices.back().is_none_or(|(n, _)| *n != number) {
-            self.slices.push_back((number, Slice::default()));
+            self.slices.push_back((number, Spent::default()));
         }
         &mut self.slices.back_mut().expect("just pushed").1
     }
 
-    fn sums(&self) -> (u32, u32) {
-        self.slices.iter().fold((0, 0), |(requests, repeats), (_, s)| {
-            (requests + s.requests, repeats + s.repeats)
-        })
+    fn sum(&self) -> Spent {
+        let mut sum = Spent::default();
+        for (_, slice) in &self.slices {
+            sum += *slice;
+        }
+        sum
     }
 }
 
@@ -80,12 +120,13 @@
     bounds: BudgetBounds,
     started: Instant,
     services: HashMap<Arc<str>, Window>,
+    others: Others,
 }
 
 impl RepeatBudget {
     /// A budget of which nothing is spent.
     pub fn new(bounds: BudgetBounds, now: Instant) -> RepeatBudget {
-        RepeatBudget { bounds, started: now, services: HashMap::new() }
+        RepeatBudget { bounds, started: now, services: HashMap::new(), others: Others::default() }
     }
 
     /// Notes a request for a service.
@@ -94,27 +135,42 @@
         self.window(service).slice(number).requests += 1;
     }
 
-    /// Spends one repeat where the share of this daemon among `daemons` allows it.
-    pub fn take(
-        &mut self,
-        service: &Arc<str>,
-        repeat: Repeat,
-        daemons: usize,
-        now: Instant,
-    ) -> bool {
+    /// Spends one repeat where what all daemons have spent allows it.
+    pub fn take(&mut self, service: &Arc<str>, repeat: Repeat, now: Instant) -> bool {
         let number = self.number(now);
+        let all = self.others.daemons as f64 + 1.0;
+        let unheard = self.others.daemons.saturating_sub(self.others.heard) as f64;
+        let told = self.others.spent.get(&ServiceTag::of(service)).copied().unwrap_or_default();
         let bounds = self.bounds;
         let window = self.window(service);
         window.slice(number);
-        let (requests, repeats) = window.sums();
-        let own = bounds.ratio * f64::from(requests) + bounds.slack / daemons.max(1) as f64;
-        let allowed = f64::from(repeats + 1) <= own * USED_PART * repeat.part();
+        let own = window.sum();
+        let requests = f64::from(own.requests + told.requests);
+        let slack = bounds.slack * (1.0 - unheard / all);
+        let spent = f64::from(own.repeats + told.repeats + 1);
+        let allowed = spent <= (bounds.ratio * requests + slack) * USED_PART * repeat.part();
         if allowed {
             window.slice(number).repeats += 1;
         }
         allowed
     }
 
+    /// What this daemon has spent within the window.
+    pub fn spent(&mut self, now: Instant) -> Vec<(ServiceTag, Spent)> {
+        let number = self.number(now);
+        let windows = self.services.iter_mut();
+        let sums = windows.map(|(service, window)| {
+            window.slice(number);
+            (ServiceTag::of(service), window.sum())
+        });
+        sums.filter(|(_, spent)| *spent != Spent::default()).collect()
+    }
+
+    /// Sets what is known of the other daemons.
+    pub fn set_others(&mut self, others: Others) {
+        self.others = others;
+    }
+
     fn window(&mut self, service: &Arc<str>) -> &mut Window {
         self.services.entry(service.clone()).or_default()
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -1,16 +1,16 @@
 //! The state that all requests of one daemon share.
 
-use crate::gateway::budget::{BudgetBounds, Repeat, RepeatBudget};
+use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, ServiceTag, Spent};
 use crate::gateway::in_force::InForce;
-use crate::gateway::place::{Candidate, FAR_COPY_COST, FAR_COST, Need, Placing};
+use crate::gateway::place::{self, Candidate, FAR_COPY_COST, FAR_COST, Need, Placing};
 use crate::gateway::port::{Destination, Wire};
 use crate::gateway::request::Call;
-use crate::gateway::servers::{ServerKey, Servers};
-use crate::gateway::table::{Engine, Service};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use crate::gateway::servers::{Load, ServerKey, Servers};
+use crate::gateway::table::Service;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 /// Bounds that the platform sets.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -37,19 +37,30 @@
     placing: Box<dyn Placing>,
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
-    /// Daemons that share the budget, this one included.
-    daemons: AtomicUsize,
+    /// Counts what other daemons should hear at once.
+    news: watch::Sender<u64>,
+    /// Turns of this daemon's own runs that move away from a server.
+    turns: Mutex<HashMap<ServerKey, Weak<Semaphore>>>,
+}
+
+/// Where a request runs.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// The server.
+    pub key: ServerKey,
+    /// Where it is.
+    pub to: Destination,
+    /// Its hall.
+    pub hall: String,
+    /// What the request takes there.
+    pub load: Load,
 }
 
 /// A backend server that was chosen for a request; counted as loaded until it is dropped.
 pub struct Seat {
     gateway: Arc<Gateway>,
-    key: ServerKey,
-    tokens: u32,
-    /// Where the server is.
-    pub to: Destination,
-    /// Hall of the server.
-    pub hall: String,
+    /// Where it is.
+    pub place: Place,
     /// Tells when the server is about to leave.
     pub notice: watch::Receiver<bool>,
 }
@@ -57,18 +68,33 @@
 impl Seat {
     /// The server.
     pub fn key(&self) -> ServerKey {
-        self.key
+        self.place.key
+    }
+
+    /// Id of the server, for logs.
+    pub fn id(&self) -> &str {
+        &self.place.to.id
+    }
+
+    /// Notes that the server has read the prompt.
+    pub fn has_read(&mut self) {
+        let tokens = std::mem::take(&mut self.place.load.reading);
+        self.gateway.servers().has_read(self.key(), tokens);
     }
 
     /// Notes how the exchange went.
     pub fn judge(&self, failed: bool) {
-        self.gateway.servers().judge(self.key, failed, Instant::now());
+        self.gateway.servers().judge(self.key(), failed, Instant::now());
     }
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.gateway.servers().end(self.key, self.tokens);
+        self.gateway.servers().end(self.key(), self.place.load);
+        if *self.notice.borrow() {
+            // Other daemons wait for their turn to move what they have there.
+            self.gateway.tell();
+        }
     }
 }
 
@@ -89,20 +115,38 @@
             placing,
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
-            daemons: AtomicUsize::new(1),
+            news: watch::Sender::new(0),
+            turns: Mutex::default(),
         })
     }
 
+    /// Something happened that other daemons should hear at once.
+    pub fn tell(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// Tells of what other daemons should hear at once.
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    /// The turn of this daemon's own runs that move away from a server: one at a time.
+    pub(crate) fn turn(&self, server: ServerKey) -> Arc<Semaphore> {
+        let mut turns = self.turns.lock().expect("no holder panics");
+        turns.retain(|_, turn| turn.strong_count() > 0);
+        if let Some(turn) = turns.get(&server).and_then(Weak::upgrade) {
+            return turn;
+        }
+        let turn = Arc::new(Semaphore::new(1));
+        turns.insert(server, Arc::downgrade(&turn));
+        turn
+    }
+
     /// The backend servers.
     pub fn servers(&self) -> MutexGuard<'_, Servers> {
         self.servers.lock().expect("no holder panics")
     }
 
-    /// Sets how many daemons share the budget.
-    pub fn set_daemons(&self, count: usize) {
-        self.daemons.store(count.max(1), Ordering::Relaxed);
-    }
-
     /// Whether the configuration is known to be new enough for requests with a key.
     pub fn is_fresh(&self, now: Instant) -> bool {
         let Some(age) = self.in_force.age(now) else {
@@ -133,64 +177,81 @@
     pub fn seat(
         self: &Arc<Self>,
         service: &Service,
-        tokens: u32,
+        call: &Call,
         tried: &[ServerKey],
         now: Instant,
     ) -> Option<Seat> {
         let engine = service.engine.as_ref();
-        let need = Need { hall: &self.hall, far: FAR_COST, tokens, engine };
-        self.choose(service, &need, tried, now)
+        let load = Load::of(call.size, call.route.repeatable());
+        let need = Need { hall: &self.hall, far: FAR_COST, load, engine };
+        let mut servers = self.servers();
+        let candidates = candidates(&servers, service, tried);
+        let key = self.placing.choose(&candidates, &need, now, &mut rand::rng())?;
+        self.take_seat(&mut servers, key, load)
     }
 
-    /// Takes a seat for a run that is copied from a server in `hall`.
+    /// Takes a seat for a run that is copied from `source`, not at one of `refused`. The daemons that
+    /// have runs there choose at the same moment; each chooses as if those before it had chosen.
     pub fn seat_for_copy(
         self: &Arc<Self>,
         service: &Service,
-        hall: &str,
-        tokens: u32,
+        source: &Place,
         refused: &[ServerKey],
         now: Instant,
     ) -> Option<Seat> {
         let engine = service.engine.as_ref();
-        let need = Need { hall, far: FAR_COPY_COST, tokens, engine };
-        self.choose(service, &need, refused, now)
+        let load = Load { reading: 0, ..source.load };
+        let need = Need { hall: &source.hall, far: FAR_COPY_COST, load, engine };
+        let mut servers = self.servers();
+        let ahead = servers.get(source.key).map_or(0, |s| s.ahead.runs);
+        let candidates = candidates(&servers, service, refused);
+        let key = place::choose_after(&candidates, &need, ahead, now)?;
+        self.take_seat(&mut servers, key, load)
     }
 
-    fn choose(
+    fn take_seat(
         self: &Arc<Self>,
-        service: &Service,
-        need: &Need<'_>,
-        tried: &[ServerKey],
-        now: Instant,
+        servers: &mut Servers,
+        key: ServerKey,
+        load: Load,
     ) -> Option<Seat> {
-        let tokens = need.tokens;
-        let mut servers = self.servers();
-        let candidates: Vec<Candidate<'_>> = servers
-            .open(&service.name)
-            .filter(|(key, _)| !tried.contains(key))
-            .map(|(key, server)| Candidate { key, server })
-            .collect();
-        let key = self.placing.choose(&candidates, need, now, &mut rand::rng())?;
-        servers.begin(key, tokens);
+        servers.begin(key, load);
         let server = servers.get(key)?;
         let to = Destination { id: server.record.id.clone(), addr: server.record.addr };
-        let (hall, notice) = (server.record.hall.clone(), server.notice());
-        Some(Seat { gateway: self.clone(), key, tokens, to, hall, notice })
+        let place = Place { key, to, hall: server.record.hall.clone(), load };
+        Some(Seat { gateway: self.clone(), place, notice: server.notice() })
     }
 
     /// Notes a request for a service.
     pub fn count_request(&self, service: &Arc<str>, now: Instant) {
-        self.budget.lock().expect("no holder panics").request(service, now);
+        self.budget().request(service, now);
     }
 
-    /// Spends one repeat, if this daemon's share of the budget allows it.
+    /// Spends one repeat, if the shared budget allows it.
     pub fn take_repeat(&self, service: &Arc<str>, repeat: Repeat, now: Instant) -> bool {
-        let daemons = self.daemons.load(Ordering::Relaxed);
-        self.budget.lock().expect("no holder panics").take(service, repeat, daemons, now)
+        self.budget().take(service, repeat, now)
+    }
+
+    /// What this daemon has spent of the shared budget.
+    pub fn spent(&self, now: Instant) -> Vec<(ServiceTag, Spent)> {
+        self.budget().spent(now)
     }
 
-    /// The engine of a service, as it is declared now.
-    pub fn engine(&self, service: &str) -> Option<Engine> {
-        self.in_force.get()?.table.service(service)?.engine.clone()
+    /// Sets what is known of the daemons that share the budget.
+    pub fn set_others(&self, others: Others) {
+        self.budget().set_others(others);
     }
+
+    fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
+        self.budget.lock().expect("no holder panics")
+    }
+}
+
+fn candidates<'a>(
+    servers: &'a Servers,
+    service: &'a Service,
+    except: &[ServerKey],
+) -> Vec<Candidate<'a>> {
+    let open = servers.open(&service.name).filter(|(key, _)| !except.contains(key));
+    open.map(|(key, server)| Candidate { key, server, load: server.load() }).collect()
 }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -40,7 +40,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn take(&mut self) -> Option<Event> {
         let Some(end) = self.end() else {
             // The last three bytes may be the start of a blank line.
             self.searched = self.rest.len().saturating_sub(3);
@@ -76,7 +76,7 @@
 /// The value of the last `id` line.
 fn id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let text = std::str::from_utf8(ids.last()?).ok()?;
+    let last = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
+    let text = std::str::from_utf8(last).ok()?;
     text.trim().parse().ok()
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -113,8 +113,8 @@
         if self.tried.len() >= MOST_SENDINGS {
             return Err("servers_refuse");
         }
-        let tokens = self.call.size.tokens();
-        let seat = self.gateway.seat(&self.service, tokens, &self.tried, now).ok_or("no_server")?;
+        let seat =
+            self.gateway.seat(&self.service, self.call, &self.tried, now).ok_or("no_server")?;
         let again = !self.tried.is_empty();
         if again && !self.gateway.take_repeat(&self.service.name, Repeat::Retry, now) {
             return Err("no_repeat_left");
@@ -138,7 +138,7 @@
         let unrun = proof.is_some();
         let left = self.call.left(Instant::now());
         let after = self.call.after;
-        let sending = Sending { to: seat.to.clone(), left, from: None, after, backup: None };
+        let sending = Sending { to: seat.place.to.clone(), left, from: None, after, backup: None };
         let reply = match self.gateway.wire.send(self.call, sending, proof).await {
             Ok(reply) => reply,
             Err(lost) => return self.lost(&seat, lost),
@@ -159,7 +159,7 @@
         let answer = hold(reply).await;
         seat.judge(failed || answer.is_err());
         let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
-        let (server, whole) = (&*seat.to.id, answer.is_ok());
+        let (server, whole) = (seat.id(), answer.is_ok());
         let ms = self.call.arrived.elapsed().as_millis() as u64;
         info!(id = id, route = route, server = server, status = status, whole = whole, ms = ms; "answer from a server");
         match answer {
@@ -171,7 +171,7 @@
 
     fn lost(&self, seat: &Seat, lost: Lost) -> Sent {
         seat.judge(true);
-        let (id, server) = (self.call.id.as_str(), &*seat.to.id);
+        let (id, server) = (self.call.id.as_str(), seat.id());
         match lost {
             Lost::Unsent { proof, reason } => {
                 warn!(id = id, server = server, reason = reason.as_str(); "server not reached");
--- /dev/null
+++ b/src/gateway/mirror.rs
@@ -0,0 +1,344 @@
+//! This daemon's copy of what the store holds for it, and since when it is known to be current.
+//!
+//! It is fed by the store and by peers alike. A copy at position `p` holds every change up to
+//! revision `p`; a statement "nothing that matters changed after revision `c`, up to `p`, and that
+//! was so `age` ago" makes any copy at `c` or later current up to `p`. Changes come with the store's
+//! revisions, and for one key a lower revision never replaces a higher one.
+
+use crate::gateway::core::Gateway;
+use crate::gateway::in_force::Declared;
+use crate::gateway::port::Schema;
+use crate::gateway::roster::Roster;
+use crate::platform::{Change, Entry};
+use bytes::Bytes;
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// Time without confirmation after which the store counts as having been away.
+const AWAY: Duration = Duration::from_millis(1_500);
+/// After the store was away, entries that lapsed meanwhile have this long to come back. Servers that
+/// live write again within about two seconds.
+const COME_BACK: Duration = Duration::from_millis(1_900);
+/// Deleted keys that are remembered, so that peers can be told of each deletion.
+const MOST_DELETED: usize = 1_024;
+
+/// What a daemon says of its copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    /// The revision up to which nothing is missing.
+    pub position: u64,
+    /// The last revision that changed something that matters.
+    pub changed: u64,
+    /// How long ago the store was known to stand so, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// One key on its way between daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cell {
+    /// The key.
+    pub key: String,
+    /// The revision of its last change.
+    pub revision: u64,
+    /// Its value; `None` where it was deleted.
+    pub value: Option<Vec<u8>>,
+}
+
+/// What a daemon that is behind is given.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// How the giver's copy stands.
+    pub statement: Statement,
+    /// Whether the cells are all there is: other keys are gone.
+    pub whole: bool,
+    /// Keys with their latest changes.
+    pub cells: Vec<Cell>,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    revision: u64,
+    value: Option<Bytes>,
+}
+
+#[derive(Default)]
+struct State {
+    held: HashMap<String, Held>,
+    position: u64,
+    changed: u64,
+    /// Deletions up to this revision are forgotten.
+    forgotten: u64,
+    confirmed: Option<Instant>,
+    /// When the store last came back.
+    returned: Option<Instant>,
+    /// Servers whose entries lapsed while the store was away, and until when they are waited for.
+    missing: HashMap<String, Instant>,
+}
+
+/// See the module.
+pub struct Mirror {
+    gateway: Arc<Gateway>,
+    roster: Arc<Roster>,
+    schema: Arc<dyn Schema>,
+    state: Mutex<State>,
+}
+
+impl Mirror {
+    /// An empty copy.
+    pub fn new(gateway: Arc<Gateway>, roster: Arc<Roster>, schema: Arc<dyn Schema>) -> Mirror {
+        Mirror { gateway, roster, schema, state: Mutex::default() }
+    }
+
+    /// The revision up to which nothing is missing; 0 for an empty copy.
+    pub fn position(&self) -> u64 {
+        self.state().position
+    }
+
+    /// What this daemon may say of its copy; `None` before the first confirmation.
+    pub fn statement(&self, now: Instant) -> Option<Statement> {
+        let state = self.state();
+        let age = now.saturating_duration_since(state.confirmed?);
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        Some(Statement { position: state.position, changed: state.changed, age_ms })
+    }
+
+    /// Takes in all keys, read at `position`, as the store stood at `seen`.
+    pub fn replace(&self, entries: Vec<Entry>, position: u64, seen: Instant, now: Instant) {
+        let mut state = self.state();
+        if position < state.position {
+            // Older than what is known: a read that was overtaken.
+            return;
+        }
+        let listed: Vec<&str> = entries.iter().map(|e| e.key.as_str()).collect();
+        let gone: Vec<String> = state
+            .held
+            .iter()
+            .filter(|(key, held)| {
+                held.value.is_some() && held.revision <= position && !listed.contains(&key.as_str())
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        self.confirm(&mut state, position, seen, now);
+        for key in gone {
+            self.take(&mut state, Change { key, value: None, revision: position }, seen, now);
+        }
+        for entry in entries {
+            let change =
+                Change { key: entry.key, value: Some(entry.value), revision: entry.revision };
+            self.take(&mut state, change, seen, now);
+        }
+    }
+
+    /// Takes in all changes up to `position`, as the store stood at `seen`.
+    pub fn advance(&self, changes: Vec<Change>, position: u64, seen: Instant, now: Instant) {
+        let mut state = self.state();
+        self.confirm(&mut state, position, seen, now);
+        for change in changes {
+            self.take(&mut state, change, seen, now);
+        }
+    }
+
+    /// Hears a peer's statement that was true at `seen` or later. Says whether this copy is behind.
+    pub fn hear(&self, statement: Statement, seen: Instant, now: Instant) -> bool {
+        let mut state = self.state();
+        if statement.position < state.position {
+            return false;
+        }
+        let behind = statement.changed > state.position;
+        if !behind {
+            self.confirm(&mut state, statement.position, seen, now);
+        }
+        behind
+    }
+
+    /// What a copy at `after` lacks.
+    pub fn update_after(&self, after: u64, now: Instant) -> Option<Update> {
+        let statement = self.statement(now)?;
+        let state = self.state();
+        let whole = after < state.forgotten;
+        let cells = state
+            .held
+            .iter()
+            .filter(|(_, held)| whole || held.revision > after)
+            .map(|(key, held)| Cell {
+                key: key.clone(),
+                revision: held.revision,
+                value: held.value.as_ref().map(|v| v.to_vec()),
+            })
+            .collect();
+        Some(Update { statement, whole, cells })
+    }
+
+    /// Takes in what a peer gave, true at `seen` or later.
+    pub fn apply(&self, update: Update, seen: Instant, now: Instant) {
+        let position = update.statement.position;
+        if update.whole {
+            let live = update.cells.into_iter().filter_map(|cell| {
+                Some(Entry { key: cell.key, value: cell.value?, revision: cell.revision })
+            });
+            self.replace(live.collect(), position, seen, now);
+            return;
+        }
+        let changes = update.cells.into_iter().map(|cell| Change {
+            key: cell.key,
+            value: cell.value,
+            revision: cell.revision,
+        });
+        let mut changes: Vec<Change> = changes.collect();
+        changes.sort_by_key(|change| change.revision);
+        self.advance(changes, position, seen, now);
+    }
+
+    /// Gives up servers whose entries did not come back in time.
+    pub fn tick(&self, now: Instant) {
+        let mut state = self.state();
+        let due: Vec<String> = state
+            .missing
+            .iter()
+            .filter(|(_, at)| now >= **at)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in due {
+            state.missing.remove(&key);
+            self.drop_server(&key);
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    fn confirm(&self, state: &mut State, position: u64, seen: Instant, now: Instant) {
+        state.position = state.position.max(position);
+        let known = state.confirmed;
+        if known.is_some_and(|at| now.saturating_duration_since(at) > AWAY) {
+            state.returned = Some(now);
+        }
+        state.confirmed = Some(known.map_or(seen, |at| at.max(seen)));
+        self.gateway.in_force.confirm(self.gateway.in_force.revision(), seen);
+    }
+
+    fn take(&self, state: &mut State, change: Change, seen: Instant, now: Instant) {
+        if !self.is_wanted(&change.key) {
+            return;
+        }
+        let known = state.held.get(&change.key);
+        if known.is_some_and(|held| held.revision >= change.revision) {
+            return;
+        }
+        let before = known.and_then(|held| held.value.clone());
+        let value = change.value.map(Bytes::from);
+        let matters = self.matters(&change.key, before.as_deref(), value.as_deref());
+        let held = Held { revision: change.revision, value: value.clone() };
+        state.held.insert(change.key.clone(), held);
+        if !matters {
+            return;
+        }
+        state.changed = state.changed.max(change.revision);
+        self.put_in_force(state, &change.key, change.revision, value, seen, now);
+        if state.held.len() > MOST_DELETED {
+            forget_deleted(state);
+        }
+        self.gateway.tell();
+    }
+
+    fn is_wanted(&self, key: &str) -> bool {
+        let prefixes = [self.schema.servers(), self.schema.daemons()];
+        key == self.schema.declaration() || prefixes.iter().any(|prefix| key.starts_with(prefix))
+    }
+
+    /// Whether a change is more than a server's sign of life.
+    fn matters(&self, key: &str, before: Option<&[u8]>, after: Option<&[u8]>) -> bool {
+        match (before, after) {
+            (Some(before), Some(after)) if key.starts_with(self.schema.servers()) => {
+                let read = |value| self.schema.server(key, value).ok();
+                read(before) != read(after)
+            }
+            (before, after) => before != after,
+        }
+    }
+
+    fn put_in_force(
+        &self,
+        state: &mut State,
+        key: &str,
+        revision: u64,
+        value: Option<Bytes>,
+        seen: Instant,
+        now: Instant,
+    ) {
+        if key == self.schema.declaration() {
+            if let Some(value) = value {
+                self.take_declaration(revision, value, seen);
+            }
+        } else if key.starts_with(self.schema.servers()) {
+            match value {
+                Some(value) => self.take_server(state, key, &value, now),
+                None => self.server_gone(state, key, now),
+            }
+        } else if key.starts_with(self.schema.daemons()) {
+            self.take_daemon(key, value.as_deref());
+        }
+    }
+
+    fn take_declaration(&self, revision: u64, bytes: Bytes, seen: Instant) {
+        match self.schema.table(&bytes) {
+            Ok(table) => {
+                let (version, table) = (table.version, Arc::new(table));
+                if self.gateway.in_force.take(Declared { revision, bytes, table }, seen) {
+                    info!(version = version, revision = revision; "configuration in force");
+                }
+            }
+            Err(e) => warn!(revision = revision, why = e.0.as_str(); "configuration not readable"),
+        }
+    }
+
+    fn take_server(&self, state: &mut State, key: &str, value: &[u8], now: Instant) {
+        state.missing.remove(key);
+        match self.schema.server(key, value) {
+            Ok(record) => {
+                info!(server = &*record.id, service = &*record.service, leaving = record.leaving; "backend server");
+                self.gateway.servers().upsert(record, now);
+            }
+            Err(e) => warn!(key = key, why = e.0.as_str(); "backend server's entry not readable"),
+        }
+    }
+
+    fn server_gone(&self, state: &mut State, key: &str, now: Instant) {
+        let until = state.returned.map(|returned| returned + COME_BACK);
+        match until.filter(|until| now < *until) {
+            Some(until) => {
+                state.missing.insert(key.to_string(), until);
+            }
+            None => self.drop_server(key),
+        }
+    }
+
+    fn drop_server(&self, key: &str) {
+        let id = key.strip_prefix(self.schema.servers()).unwrap_or(key);
+        info!(server = id; "backend server gone");
+        self.gateway.servers().remove(id);
+    }
+
+    fn take_daemon(&self, key: &str, value: Option<&[u8]>) {
+        match value.map(serde_json::from_slice).transpose() {
+            Ok(daemon) => self.roster.take(key, daemon),
+            Err(e) => warn!(key = key, why = e.to_string().as_str(); "daemon's key not readable"),
+        }
+    }
+}
+
+/// Forgets the older half of the deleted keys.
+fn forget_deleted(state: &mut State) {
+    let mut deleted: Vec<u64> =
+        state.held.values().filter(|h| h.value.is_none()).map(|h| h.revision).collect();
+    deleted.sort_unstable();
+    let Some(middle) = deleted.get(deleted.len() / 2).copied() else {
+        return;
+    };
+    state.held.retain(|_, held| held.value.is_some() || held.revision > middle);
+    state.forgotten = state.forgotten.max(middle);
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,18 +8,21 @@
 //! - [`forward`], [`relay`], [`events`], [`moving`]: the way of a request, and of a stream over the
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
-//! - [`follow`], [`announce`], [`roster`]: reading the store, and who else serves
+//! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read or heard from peers
+//! - [`announce`], [`roster`]: who else serves
 //! - [`listen`], [`stop`]: connections of callers, and a planned stop
 //! - [`port`]: what an adapter provides
 
 pub mod announce;
 pub mod budget;
+pub mod cluster;
 pub mod core;
 pub mod events;
 pub mod follow;
 pub mod forward;
 pub mod in_force;
 pub mod listen;
+pub mod mirror;
 mod moving;
 pub mod place;
 pub mod port;
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -1,14 +1,15 @@
 //! Carrying a running generation over from a server that is about to leave.
 //!
 //! Its memory is copied while it runs; then it is stopped, and the little that is new is copied.
-//! The pause that its caller sees is this last copy and one round trip.
+//! The pause that its caller sees is this last copy and one round trip, as long as no other copy
+//! lies before it on the server's link. So runs are moved one after the other: a daemon waits for
+//! those that rank before it, by what they say they still have there.
 
 use crate::gateway::budget::Repeat;
-use crate::gateway::core::{Gateway, Seat};
-use crate::gateway::port::{Copied, Destination, KeptRun, NotCopied};
+use crate::gateway::core::{Gateway, Place, Seat};
+use crate::gateway::port::{Copied, KeptRun, NotCopied};
 use crate::gateway::request::Call;
-use crate::gateway::servers::ServerKey;
-use crate::gateway::table::Service;
+use crate::gateway::table::{Engine, Service};
 use log::info;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -23,19 +24,14 @@
 /// Time after the notice at which a run is stopped even on busy links. A server is gone 1.5 s after
 /// it gives notice, sometimes a little later.
 const STOP_BY: Duration = Duration::from_millis(1_250);
+/// Copies take up to this many times as long as the link's bandwidth says: twice to other halls, and
+/// a little for each exchange.
+const COPY_SLACK: f64 = 2.2;
+/// Time between two looks at what other daemons still have at a server.
+const LOOK: Duration = Duration::from_millis(4);
 /// Tries of one copy that is refused for such a passing reason.
 const MOST_TRIES: u32 = 12;
 
-/// Where a run lives now.
-pub(crate) struct Source {
-    /// The server.
-    pub to: Destination,
-    /// Its hall.
-    pub hall: String,
-    /// Its key.
-    pub key: ServerKey,
-}
-
 /// What a move came to.
 pub(crate) enum Moved {
     /// The run was stopped and its memory is whole at the server of the seat.
@@ -48,7 +44,7 @@
     /// The run was stopped, and only its own server holds its memory.
     SourceKeeps(KeptRun),
     /// The run goes on where it is.
-    NotMoved(&'static str),
+    Stays(&'static str),
 }
 
 /// Moves a run to another server. `stopping` turns true right before the run is told to stop.
@@ -56,26 +52,27 @@
     gateway: Arc<Gateway>,
     call: Arc<Call>,
     service: Arc<Service>,
-    source: Source,
+    source: Place,
     stopping: Arc<AtomicBool>,
 ) -> Moved {
     let noticed = Instant::now();
     if !gateway.take_repeat(&service.name, Repeat::Continuation, noticed) {
-        return Moved::NotMoved("no_repeat_left");
+        return Moved::Stays("no_repeat_left");
     }
+    let turn = gateway.turn(source.key);
+    let _turn = turn.acquire().await;
+    wait_for_others(&gateway, &service, &source).await;
     let mut refused = vec![source.key];
     let seat = loop {
         let now = Instant::now();
-        let tokens = call.size.tokens();
-        let Some(seat) = gateway.seat_for_copy(&service, &source.hall, tokens, &refused, now)
-        else {
-            return Moved::NotMoved("no_server");
+        let Some(seat) = gateway.seat_for_copy(&service, &source, &refused, now) else {
+            return Moved::Stays("no_server");
         };
         let copier = Copier { gateway: &gateway, run: &call.id, from: source.to.addr, to: &seat };
         match copier.copy_until_quiet(noticed).await {
             Ok(()) => break seat,
             Err(NotCopied::NoRoom(_)) => refused.push(seat.key()),
-            Err(_) => return Moved::NotMoved("copy_refused"),
+            Err(_) => return Moved::Stays("copy_refused"),
         }
     };
     stopping.store(true, Ordering::Relaxed);
@@ -84,10 +81,35 @@
     match copier.copy(true).await {
         Ok(copied) => Moved::Stopped { kept: kept(copied.handle), seat },
         Err(NotCopied::NoRoom(Some(handle))) => Moved::SourceKeeps(kept(handle)),
-        Err(_) => Moved::NotMoved("last_copy"),
+        Err(_) => Moved::Stays("last_copy"),
+    }
+}
+
+/// Waits until the daemons that rank before this one have moved their runs away from the server, or
+/// until that should have been done.
+async fn wait_for_others(gateway: &Gateway, service: &Service, source: &Place) {
+    let Some(engine) = &service.engine else {
+        return;
+    };
+    let (mut since, mut before) = (Instant::now(), u32::MAX);
+    loop {
+        let ahead = gateway.servers().get(source.key).map_or(0, |server| server.ahead.once);
+        if ahead < before {
+            (since, before) = (Instant::now(), ahead);
+        }
+        if ahead == 0 || since.elapsed() >= copy_time(ahead, engine) {
+            return;
+        }
+        sleep(LOOK).await;
     }
 }
 
+/// Time to copy so many tokens, with time for those that go to other halls.
+fn copy_time(tokens: u32, engine: &Engine) -> Duration {
+    let bits = f64::from(tokens) * engine.token_bytes as f64 * 8.0;
+    Duration::from_secs_f64(bits / (engine.link_mbps.max(1.0) * 1e6) * COPY_SLACK)
+}
+
 /// Copies of one run to one server.
 struct Copier<'a> {
     gateway: &'a Gateway,
@@ -114,7 +136,8 @@
         let mut tries = 0;
         let copied = loop {
             tries += 1;
-            let copied = self.gateway.wire.copy(self.from, self.run, self.to.to.addr, last).await;
+            let copied =
+                self.gateway.wire.copy(self.from, self.run, self.to.place.to.addr, last).await;
             match copied {
                 Err(NotCopied::Busy | NotCopied::NoRun) if tries < MOST_TRIES => sleep(AGAIN).await,
                 copied => break copied,
@@ -122,7 +145,7 @@
         };
         let ms = began.elapsed().as_millis() as u64;
         let outcome = copied.as_ref().map_or_else(|e| format!("{e:?}"), |_| "made".into());
-        info!(id = self.run, to = &*self.to.to.id, last = last, ms = ms, outcome = outcome.as_str(); "copy of a run");
+        info!(id = self.run, to = self.to.id(), last = last, ms = ms, outcome = outcome.as_str(); "copy of a run");
         copied
     }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,12 +9,16 @@
 /// near while loads are alike, not enough to run into a busier server.
 pub const FAR_COST: f64 = 0.04;
 /// The same for a run that is copied there: copies between halls take twice as long, and a server
-/// that leaves has little time.
-pub const FAR_COPY_COST: f64 = 0.3;
+/// that leaves has little time; but a server that gets all runs of another one can't be emptied in
+/// its turn.
+pub const FAR_COPY_COST: f64 = 0.25;
 /// Cost of a server all of whose recent exchanges failed.
 const FAILURE_COST: f64 = 3.0;
 /// Runs that weigh as much as a full memory: decoding slows with the batch before memory is short.
 const BATCH_SCALE: f64 = 40.0;
+/// Prompt tokens still to be read that weigh as much as a full memory: the time to read them is the
+/// time that the newcomer's first event waits, about 0.5 s.
+const READ_SCALE: f64 = 7_000.0;
 /// Servers whose costs differ by less are alike, and one is drawn, so that daemons don't herd.
 const ALIKE: f64 = 0.03;
 
@@ -25,8 +29,8 @@
     pub hall: &'a str,
     /// Cost of another hall, as a share of a server's capacity.
     pub far: f64,
-    /// Memory it is expected to take, in tokens.
-    pub tokens: u32,
+    /// What it is expected to take.
+    pub load: Load,
     /// Present for model engines.
     pub engine: Option<&'a Engine>,
 }
@@ -38,6 +42,8 @@
     pub key: ServerKey,
     /// What is known of it.
     pub server: &'a Server,
+    /// What runs there.
+    pub load: Load,
 }
 
 /// A way to choose.
@@ -58,21 +64,6 @@
 #[derive(Debug, Default)]
 pub struct Headroom;
 
-impl Headroom {
-    fn cost(server: &Server, need: &Need<'_>, now: Instant) -> f64 {
-        let load = server.load();
-        let used = match need.engine {
-            Some(engine) => {
-                let tokens = f64::from(load.tokens + need.tokens);
-                tokens / f64::from(engine.memory.max(1)) + f64::from(load.runs) / BATCH_SCALE
-            }
-            None => f64::from(load.runs) / f64::from(server.record.slots.max(1)),
-        };
-        let far = if server.record.hall == need.hall { 0.0 } else { need.far };
-        used + far + server.failure_rate(now) * FAILURE_COST
-    }
-}
-
 impl Placing for Headroom {
     fn name(&self) -> &'static str {
         "headroom"
@@ -86,7 +77,7 @@
         rng: &mut dyn Rng,
     ) -> Option<ServerKey> {
         let costs: Vec<(f64, ServerKey)> =
-            candidates.iter().map(|c| (Headroom::cost(c.server, need, now), c.key)).collect();
+            candidates.iter().map(|c| (cost(c, need, now), c.key)).collect();
         let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
         let alike: Vec<ServerKey> =
             costs.iter().filter(|(cost, _)| *cost <= least + ALIKE).map(|(_, key)| *key).collect();
@@ -94,7 +85,40 @@
     }
 }
 
-/// Part of an engine's memory that is known to be spoken for.
-pub fn fill(load: Load, engine: &Engine) -> f64 {
-    f64::from(load.tokens) / f64::from(engine.memory.max(1))
+/// The server for a copy, after as many others like it as `ahead` have taken theirs.
+pub fn choose_after(
+    candidates: &[Candidate<'_>],
+    need: &Need<'_>,
+    ahead: u32,
+    now: Instant,
+) -> Option<ServerKey> {
+    let mut candidates = candidates.to_vec();
+    let mut chosen = None;
+    for _ in 0..=ahead {
+        // The order of keys differs between daemons, that of ids does not.
+        let order = |a: &Candidate<'_>, b: &Candidate<'_>| {
+            let ids = || a.server.record.id.cmp(&b.server.record.id);
+            cost(a, need, now).total_cmp(&cost(b, need, now)).then_with(ids)
+        };
+        let best = candidates.iter_mut().min_by(|a, b| order(a, b))?;
+        best.load += need.load;
+        chosen = Some(best.key);
+    }
+    chosen
+}
+
+/// Cost of a server for a newcomer, as a share of a full one.
+fn cost(candidate: &Candidate<'_>, need: &Need<'_>, now: Instant) -> f64 {
+    let (server, load) = (candidate.server, candidate.load);
+    let used = match need.engine {
+        Some(engine) => {
+            let tokens = f64::from(load.tokens) + f64::from(need.load.tokens);
+            tokens / f64::from(engine.memory.max(1))
+                + f64::from(load.runs) / BATCH_SCALE
+                + f64::from(load.reading) / READ_SCALE
+        }
+        None => f64::from(load.runs) / f64::from(server.record.slots.max(1)),
+    };
+    let far = if server.record.hall == need.hall { 0.0 } else { need.far };
+    used + far + server.failure_rate(now) * FAILURE_COST
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -40,7 +40,7 @@
     gateway: &Arc<Gateway>,
     call: &Arc<Call>,
     service: &Arc<Service>,
-    seat: Seat,
+    mut seat: Seat,
     reply: Reply,
 ) -> Sent {
     let Reply { status, headers, body, .. } = reply;
@@ -53,6 +53,7 @@
         }
     };
     seat.judge(false);
+    seat.has_read();
     let (out, events) = mpsc::channel(QUEUE);
     let relay = Relay {
         gateway: gateway.clone(),
@@ -88,7 +89,7 @@
     /// The next whole event. May be dropped and called again.
     async fn next(&mut self) -> Step {
         loop {
-            if let Some(event) = self.splitter.next() {
+            if let Some(event) = self.splitter.take() {
                 return Step::Event(event);
             }
             match self.body.frame().await {
@@ -151,7 +152,7 @@
             Ok(()) => self.follow().await,
             Err(end) => end,
         };
-        let (id, server) = (self.call.id.as_str(), &*self.seat.to.id);
+        let (id, server) = (self.call.id.as_str(), self.seat.id());
         match end {
             End::Complete => {}
             End::CallerLeft => info!(id = id, server = server, last = self.last; "caller left"),
@@ -215,7 +216,8 @@
     }
 
     fn may_move(&self) -> bool {
-        self.moves < MOST_MOVES && self.service.engine.as_ref().is_some_and(|e| e.moves)
+        let again = self.call.route.repeatable();
+        !again && self.moves < MOST_MOVES && self.service.engine.as_ref().is_some_and(|e| e.moves)
     }
 
     fn start_moving(&mut self) -> Moving {
@@ -225,11 +227,7 @@
             self.gateway.clone(),
             self.call.clone(),
             self.service.clone(),
-            moving::Source {
-                to: self.seat.to.clone(),
-                hall: self.seat.hall.clone(),
-                key: self.seat.key(),
-            },
+            self.seat.place.clone(),
             stopping.clone(),
         );
         Moving { done: Box::pin(done), stopping }
@@ -241,7 +239,7 @@
             return Err(End::Broken("stopped without a copy".into()));
         };
         match timeout(LAST_COPY, moving.done).await {
-            Ok(Moved::NotMoved(why)) => self.run_again(why.into()).await,
+            Ok(Moved::Stays(why)) => self.run_again(why.into()).await,
             Ok(moved) => self.moved(moved).await,
             Err(_) => self.run_again("the copy did not end".into()).await,
         }
@@ -249,8 +247,8 @@
 
     async fn moved(&mut self, moved: Moved) -> Result<(), End> {
         match moved {
-            Moved::NotMoved(why) => {
-                info!(id = self.call.id.as_str(), server = &*self.seat.to.id, why = why; "run not moved");
+            Moved::Stays(why) => {
+                info!(id = self.call.id.as_str(), server = self.seat.id(), why = why; "run not moved");
                 Ok(())
             }
             Moved::Stopped { kept, seat } => {
@@ -276,7 +274,7 @@
     /// Goes on from a copy at another server, or from what the stopped run left at its own. It is
     /// the same run, accepted while its key held: a key that was taken away since does not cut it.
     async fn go_on(&mut self, kept: KeptRun, seat: Option<Seat>) -> Result<(), End> {
-        let to = seat.as_ref().map_or(&self.seat.to, |seat| &seat.to).clone();
+        let to = seat.as_ref().map_or(&self.seat.place.to, |seat| &seat.place.to).clone();
         let sending = Sending {
             to,
             left: self.call.left(Instant::now()),
@@ -289,7 +287,7 @@
             Ok(leg) => {
                 self.leg = leg;
                 if let Some(seat) = seat {
-                    info!(id = self.call.id.as_str(), from = &*self.seat.to.id, to = &*seat.to.id, last = self.last; "run moved");
+                    info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), last = self.last; "run moved");
                     self.seat = seat;
                     self.moves = 0;
                 }
@@ -309,9 +307,8 @@
         if !allowed || !self.gateway.may_send(&self.call, now) {
             return Err(End::Broken(why));
         }
-        let tokens = self.call.size.tokens();
         let tried = [self.seat.key()];
-        let Some(seat) = self.gateway.seat(&self.service, tokens, &tried, now) else {
+        let Some(seat) = self.gateway.seat(&self.service, &self.call, &tried, now) else {
             return Err(End::Broken(why));
         };
         if !self.gateway.take_repeat(&self.service.name, Repeat::Retry, now) {
@@ -319,14 +316,14 @@
         }
         self.runs += 1;
         let sending = Sending {
-            to: seat.to.clone(),
+            to: seat.place.to.clone(),
             left: self.call.left(now),
             from: None,
             after: self.last,
             backup: None,
         };
         self.leg = reopen(&self.gateway, &self.call, sending).await.map_err(End::Broken)?;
-        info!(id = self.call.id.as_str(), from = &*self.seat.to.id, to = &*seat.to.id, why = why.as_str(), last = self.last; "run begun anew");
+        info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), why = why.as_str(), last = self.last; "run begun anew");
         self.seat = seat;
         self.moves = 0;
         Ok(())
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,7 +1,7 @@
 //! The daemons that serve callers, as the store and they themselves say.
 
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 
@@ -23,12 +23,14 @@
 pub struct Roster {
     own: Daemon,
     listed: Mutex<HashMap<String, Daemon>>,
+    /// Addresses that peers named.
+    named: Mutex<HashSet<SocketAddr>>,
 }
 
 impl Roster {
     /// A roster that knows this daemon only.
     pub fn new(own: Daemon) -> Roster {
-        Roster { own, listed: Mutex::default() }
+        Roster { own, listed: Mutex::default(), named: Mutex::default() }
     }
 
     /// This daemon.
@@ -49,9 +51,14 @@
         }
     }
 
-    /// Keys of the daemons listed.
-    pub fn keys(&self) -> Vec<String> {
-        self.listed().keys().cloned().collect()
+    /// A peer named another one.
+    pub fn hear_of(&self, addr: SocketAddr) {
+        self.named.lock().expect("no holder panics").insert(addr);
+    }
+
+    /// The addresses that were named since the last call.
+    pub fn take_named(&self) -> HashSet<SocketAddr> {
+        std::mem::take(&mut self.named.lock().expect("no holder panics"))
     }
 
     /// The other daemons.
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,8 +1,10 @@
 //! The backend servers as this daemon knows them: who they are, who leaves, how loaded, how well.
 
+use crate::gateway::request::Size;
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::ops::{AddAssign, SubAssign};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -35,12 +37,43 @@
 }
 
 /// What runs at a server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Load {
     /// Requests.
     pub runs: u32,
     /// Memory they are expected to need, in tokens.
     pub tokens: u32,
+    /// Tokens of prompts that are still to be read.
+    pub reading: u32,
+    /// The part of `tokens` that belongs to runs which may not run again: they have to be moved
+    /// before their server goes.
+    pub once: u32,
+}
+
+impl Load {
+    /// A request whose prompt is still to be read.
+    pub fn of(size: Size, repeatable: bool) -> Load {
+        let tokens = size.tokens();
+        Load { runs: 1, tokens, reading: size.prompt, once: if repeatable { 0 } else { tokens } }
+    }
+}
+
+impl AddAssign for Load {
+    fn add_assign(&mut self, other: Load) {
+        self.runs += other.runs;
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.reading = self.reading.saturating_add(other.reading);
+        self.once = self.once.saturating_add(other.once);
+    }
+}
+
+impl SubAssign for Load {
+    fn sub_assign(&mut self, other: Load) {
+        self.runs -= other.runs;
+        self.tokens -= other.tokens;
+        self.reading -= other.reading;
+        self.once -= other.once;
+    }
 }
 
 /// A name of a server that is short enough for messages between daemons.
@@ -56,6 +89,9 @@
     }
 }
 
+/// Loads by server.
+pub type LoadsByTag = HashMap<ServerTag, Load>;
+
 /// One backend server.
 #[derive(Debug)]
 pub struct Server {
@@ -65,6 +101,8 @@
     pub own: Load,
     /// What the other daemons said they have there.
     pub others: Load,
+    /// The part of it that daemons have which rank before this one.
+    pub ahead: Load,
     /// Turns true when the server is about to leave or has gone.
     leaving: watch::Sender<bool>,
     failures: f64,
@@ -74,8 +112,8 @@
 impl Server {
     fn new(record: ServerRecord, now: Instant) -> Server {
         let leaving = watch::Sender::new(record.leaving);
-        let (own, others) = (Load::default(), Load::default());
-        Server { record, own, others, leaving, failures: 0.0, judged: now }
+        let none = Load::default();
+        Server { record, own: none, others: none, ahead: none, leaving, failures: 0.0, judged: now }
     }
 
     /// Whether new work may go there.
@@ -90,10 +128,9 @@
 
     /// All that is known to run there.
     pub fn load(&self) -> Load {
-        Load {
-            runs: self.own.runs + self.others.runs,
-            tokens: self.own.tokens + self.others.tokens,
-        }
+        let mut load = self.own;
+        load += self.others;
+        load
     }
 
     /// Share of recent exchanges that failed, fading with time.
@@ -175,20 +212,25 @@
     }
 
     /// Notes work that this daemon sends to a server.
-    pub fn begin(&mut self, key: ServerKey, tokens: u32) {
+    pub fn begin(&mut self, key: ServerKey, load: Load) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.own += load;
+        }
+    }
+
+    /// Notes that a prompt has been read.
+    pub fn has_read(&mut self, key: ServerKey, tokens: u32) {
         if let Some(server) = self.arena.get_mut(key) {
-            server.own.runs += 1;
-            server.own.tokens += tokens;
+            server.own.reading -= tokens;
         }
     }
 
     /// Notes that such work is over.
-    pub fn end(&mut self, key: ServerKey, tokens: u32) {
+    pub fn end(&mut self, key: ServerKey, load: Load) {
         let Some(server) = self.arena.get_mut(key) else {
             return;
         };
-        server.own.runs -= 1;
-        server.own.tokens -= tokens;
+        server.own -= load;
         if server.own.runs == 0 && !self.by_id.contains_key(&server.record.id) {
             self.arena.remove(key);
         }
@@ -207,11 +249,13 @@
         loaded.map(|s| (ServerTag::of(&s.record.id), s.own)).collect()
     }
 
-    /// Sets what the other daemons have at each server; servers not named have nothing of theirs.
-    pub fn set_others(&mut self, loads: &HashMap<ServerTag, Load>) {
+    /// Sets what the other daemons have at each server, and what those ahead of this one have there.
+    /// Servers that are not named have nothing of theirs.
+    pub fn set_others(&mut self, others: &LoadsByTag, ahead: &LoadsByTag) {
         for server in self.arena.values_mut() {
             let tag = ServerTag::of(&server.record.id);
-            server.others = loads.get(&tag).copied().unwrap_or_default();
+            server.others = others.get(&tag).copied().unwrap_or_default();
+            server.ahead = ahead.get(&tag).copied().unwrap_or_default();
         }
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -5,7 +5,7 @@
 use crate::grant::Keeper;
 use crate::journal::{Journal, SHARDS};
 use crate::member::{Members, Record};
-use crate::message::{Heartbeat, PlaceAsk, Reply, Request};
+use crate::message::{self, Heartbeat, PlaceAsk, Reply, Request, Unreadable};
 use crate::metrics::Metrics;
 use crate::peer::{Handler, Held, NoAnswer, Peers};
 use futures_util::future::BoxFuture;
@@ -126,7 +126,7 @@
             // Each in its own task: a dead peer must not hold up the others.
             let (peers, handler, heartbeat) =
                 (self.peers.clone(), handler.clone(), heartbeat.clone());
-            tokio::spawn(async move { peers.heartbeat(to, &heartbeat, &handler).await });
+            tokio::spawn(async move { peers.datagram(to, &heartbeat, &handler).await });
         }
     }
 
@@ -208,6 +208,29 @@
 struct Answering(Arc<Gossip>);
 
 impl Handler for Answering {
+    fn datagram(&self, bytes: &[u8]) {
+        // One that can't be read is of a newer version or broken; the next heartbeat comes soon.
+        if let Ok(heartbeat) = message::decode::<Heartbeat>(bytes) {
+            self.heartbeat(heartbeat);
+        }
+    }
+
+    fn stream(&self, first: Vec<u8>, mut held: Held) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            let reply = match message::decode::<Request>(&first) {
+                Ok(Request::Place(ask)) => return self.place(ask, held).await,
+                Ok(request) => self.request(request).await,
+                Err(Unreadable::Version(_)) => Reply::NotUnderstood,
+                Err(Unreadable::Broken) => return,
+            };
+            if held.send(&reply).await.is_ok() {
+                held.finish().await;
+            }
+        })
+    }
+}
+
+impl Answering {
     fn heartbeat(&self, heartbeat: Heartbeat) {
         let now = Instant::now();
         let gossip = &self.0;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of one daemon, in the text format of `prometheus`.
 
 use crate::outcome::Outcome;
+use crate::peer::Traffic;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -156,6 +157,11 @@
         self.requests.with_label_values(&[kind, outcome.name()]).inc();
     }
 
+    /// The counters of what goes between daemons.
+    pub fn peer_traffic(&self) -> Traffic {
+        Traffic { messages: self.peer_messages.clone(), bytes: self.peer_bytes.clone() }
+    }
+
     /// The text for `/metrics`.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -49,6 +49,9 @@
         NotSent(())
     }
 
+    /// The first byte is about to be written: from here on the request may run.
+    pub fn spend(self) {}
+
     /// The backend server itself says that it started nothing.
     pub(crate) fn declared() -> NotSent {
         NotSent(())
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,10 +1,10 @@
 //! Links between daemons over QUIC: one connection for each peer, datagrams and request streams.
 
 use crate::error::{Error, Result};
-use crate::message::{self, Heartbeat, PlaceAsk, Reply, Request, Unreadable};
-use crate::metrics::Metrics;
+use crate::message;
 use crate::tls::{Identity, NAME};
 use futures_util::future::BoxFuture;
+use prometheus::IntCounterVec;
 use quinn::{
     ClientConfig, Connection, Endpoint, IdleTimeout, RecvStream, SendStream, ServerConfig,
     TransportConfig, VarInt,
@@ -18,22 +18,42 @@
 use tokio::time::timeout;
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
-const IDLE_LIMIT_MS: u32 = 15_000;
 /// Largest request or answer, in bytes.
 const MOST_BYTES: usize = 64 << 20;
 const LENGTH_BYTES: usize = 4;
-/// Streams open at once from one peer; each place in use is one. quinn keeps a slot for each that it
-/// allows, on every connection, so a generous number costs megabytes a peer.
-const MOST_STREAMS: u32 = 2_048;
+
+/// How connections to peers are kept.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkLimits {
+    /// Silence after which a connection is given up, in milliseconds.
+    pub idle_ms: u32,
+    /// Streams open at once from one peer. quinn keeps a slot for each that it allows, on every
+    /// connection, so a generous number costs megabytes a peer.
+    pub streams: u32,
+}
+
+/// Counters of what goes between daemons, by direction.
+#[derive(Debug, Clone)]
+pub struct Traffic {
+    /// Messages.
+    pub messages: IntCounterVec,
+    /// Bytes.
+    pub bytes: IntCounterVec,
+}
+
+impl Traffic {
+    fn count(&self, direction: &str, bytes: usize) {
+        self.messages.with_label_values(&[direction]).inc();
+        self.bytes.with_label_values(&[direction]).inc_by(bytes as u64);
+    }
+}
 
 /// What a daemon does with what its peers send.
 pub trait Handler: Send + Sync + 'static {
-    /// A heartbeat came.
-    fn heartbeat(&self, heartbeat: Heartbeat);
-    /// A request came.
-    fn request(&self, request: Request) -> BoxFuture<'_, Reply>;
-    /// A place in a pool was asked for; the stream stays open while it is used.
-    fn place(&self, ask: PlaceAsk, held: Held) -> BoxFuture<'_, ()>;
+    /// A datagram came.
+    fn datagram(&self, bytes: &[u8]);
+    /// A stream was opened; `first` is its first message.
+    fn stream(&self, first: Vec<u8>, held: Held) -> BoxFuture<'_, ()>;
 }
 
 /// A peer that gave no answer.
@@ -45,15 +65,20 @@
     endpoint: Endpoint,
     links: Mutex<HashMap<SocketAddr, Connection>>,
     cut: Mutex<HashSet<SocketAddr>>,
-    metrics: Arc<Metrics>,
+    traffic: Traffic,
 }
 
 impl Peers {
     /// Listens on `addr`.
-    pub fn bind(addr: SocketAddr, identity: &Identity, metrics: Arc<Metrics>) -> Result<Peers> {
+    pub fn bind(
+        addr: SocketAddr,
+        identity: &Identity,
+        limits: LinkLimits,
+        traffic: Traffic,
+    ) -> Result<Peers> {
         let mut transport = TransportConfig::default();
-        transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_LIMIT_MS))));
-        transport.max_concurrent_bidi_streams(VarInt::from_u32(MOST_STREAMS));
+        transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(limits.idle_ms))));
+        transport.max_concurrent_bidi_streams(VarInt::from_u32(limits.streams));
         let transport = Arc::new(transport);
         let mut server = ServerConfig::with_crypto(identity.server()?);
         server.transport_config(transport.clone());
@@ -63,7 +88,7 @@
             |e: std::io::Error| Error::Listen { addr: addr.to_string(), reason: e.to_string() };
         let mut endpoint = Endpoint::server(server, addr).map_err(refused)?;
         endpoint.set_default_client_config(client);
-        Ok(Peers { endpoint, links: Mutex::default(), cut: Mutex::default(), metrics })
+        Ok(Peers { endpoint, links: Mutex::default(), cut: Mutex::default(), traffic })
     }
 
     /// Where it listens.
@@ -87,29 +112,29 @@
         }
     }
 
-    /// Sends a heartbeat; losing it does no harm.
-    pub async fn heartbeat(
+    /// Sends a datagram; losing it does no harm.
+    pub async fn datagram(
         self: &Arc<Self>,
         to: SocketAddr,
-        heartbeat: &Heartbeat,
+        message: &impl Serialize,
         handler: &Arc<dyn Handler>,
     ) {
         let Some(link) = self.link(to, handler).await else {
             return;
         };
-        let bytes = message::encode(heartbeat);
-        self.count("out", bytes.len());
+        let bytes = message::encode(message);
+        self.traffic.count("out", bytes.len());
         let _ = link.send_datagram(bytes.into());
     }
 
     /// Sends a request and waits for its answer.
-    pub async fn ask(
+    pub async fn ask<A: DeserializeOwned>(
         self: &Arc<Self>,
         to: SocketAddr,
-        request: &Request,
+        request: &impl Serialize,
         limit: Duration,
         handler: &Arc<dyn Handler>,
-    ) -> Result<Reply, NoAnswer> {
+    ) -> Result<A, NoAnswer> {
         let exchange = async {
             let link = self.link(to, handler).await.ok_or(NoAnswer)?;
             let mut held = self.open(&link, request).await?;
@@ -122,16 +147,16 @@
     pub async fn hold(
         self: &Arc<Self>,
         to: SocketAddr,
-        request: &Request,
+        request: &impl Serialize,
         handler: &Arc<dyn Handler>,
     ) -> Result<Held, NoAnswer> {
         let link = self.link(to, handler).await.ok_or(NoAnswer)?;
         timeout(CONNECT_LIMIT, self.open(&link, request)).await.unwrap_or(Err(NoAnswer))
     }
 
-    async fn open(&self, link: &Connection, request: &Request) -> Result<Held, NoAnswer> {
+    async fn open(&self, link: &Connection, request: &impl Serialize) -> Result<Held, NoAnswer> {
         let (send, recv) = link.open_bi().await.map_err(drop_reason)?;
-        let mut held = Held { send, recv, metrics: self.metrics.clone() };
+        let mut held = Held { send, recv, traffic: self.traffic.clone() };
         held.send(request).await?;
         Ok(held)
     }
@@ -189,9 +214,9 @@
             tokio::select! {
                 datagram = link.read_datagram() => {
                     let Ok(bytes) = datagram else { return };
-                    self.count("in", bytes.len());
-                    if let (false, Ok(heartbeat)) = (self.is_cut(from), message::decode::<Heartbeat>(&bytes)) {
-                        handler.heartbeat(heartbeat);
+                    self.traffic.count("in", bytes.len());
+                    if !self.is_cut(from) {
+                        handler.datagram(&bytes);
                     }
                 }
                 stream = link.accept_bi() => {
@@ -210,34 +235,18 @@
         recv: RecvStream,
         handler: Arc<dyn Handler>,
     ) {
-        let mut held = Held { send, recv, metrics: self.metrics.clone() };
-        let Ok(bytes) = held.receive_bytes().await else { return };
-        let reply = match message::decode::<Request>(&bytes) {
-            Ok(Request::Place(ask)) => return handler.place(ask, held).await,
-            Ok(request) => handler.request(request).await,
-            Err(Unreadable::Version(_)) => Reply::NotUnderstood,
-            Err(Unreadable::Broken) => return,
-        };
-        if held.send(&reply).await.is_ok() {
-            held.finish().await;
+        let mut held = Held { send, recv, traffic: self.traffic.clone() };
+        if let Ok(first) = held.receive_bytes().await {
+            handler.stream(first, held).await;
         }
     }
-
-    fn count(&self, direction: &str, bytes: usize) {
-        count(&self.metrics, direction, bytes);
-    }
-}
-
-fn count(metrics: &Metrics, direction: &str, bytes: usize) {
-    metrics.peer_messages.with_label_values(&[direction]).inc();
-    metrics.peer_bytes.with_label_values(&[direction]).inc_by(bytes as u64);
 }
 
 /// A stream to a peer that carries messages both ways, each behind its length.
 pub struct Held {
     send: SendStream,
     recv: RecvStream,
-    metrics: Arc<Metrics>,
+    traffic: Traffic,
 }
 
 impl Held {
@@ -246,7 +255,7 @@
         let body = message::encode(message);
         let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
         bytes.extend(body);
-        count(&self.metrics, "out", bytes.len());
+        self.traffic.count("out", bytes.len());
         self.send.write_all(&bytes).await.map_err(drop_reason)
     }
 
@@ -265,7 +274,7 @@
         }
         let mut bytes = vec![0; length];
         self.recv.read_exact(&mut bytes).await.map_err(drop_reason)?;
-        count(&self.metrics, "in", length + LENGTH_BYTES);
+        self.traffic.count("in", length + LENGTH_BYTES);
         Ok(bytes)
     }
 
--- a/src/tls.rs
+++ b/src/tls.rs
@@ -6,10 +6,12 @@
 use base64::engine::general_purpose::STANDARD;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rcgen::{BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair};
-use rustls::RootCertStore;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::{CryptoProvider, verify_tls12_signature, verify_tls13_signature};
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer, ServerName, UnixTime};
 use rustls::server::WebPkiClientVerifier;
+use rustls::{DigitallySignedStruct, RootCertStore, SignatureScheme};
 use snafu::ResultExt;
 use std::path::Path;
 use std::sync::Arc;
@@ -20,7 +22,8 @@
 
 /// A daemon's certificate and the authority that it trusts.
 pub struct Identity {
-    ca: CertificateDer<'static>,
+    /// `None` where peers are not authenticated.
+    ca: Option<CertificateDer<'static>>,
     cert: CertificateDer<'static>,
     key: PrivateKeyDer<'static>,
 }
@@ -50,7 +53,7 @@
         let cert = params.signed_by(&key, &self.issuer).map_err(broken)?;
         let der = PrivatePkcs8KeyDer::from(key.serialize_der());
         Ok(Identity {
-            ca: self.cert.clone(),
+            ca: Some(self.cert.clone()),
             cert: cert.der().clone(),
             key: PrivateKeyDer::Pkcs8(der),
         })
@@ -63,13 +66,21 @@
         let ca = CertificateDer::from_pem_file(&files.ca).map_err(broken)?;
         let cert = CertificateDer::from_pem_file(&files.cert).map_err(broken)?;
         let key = PrivateKeyDer::from_pem_file(&files.key).map_err(broken)?;
-        Ok(Identity { ca, cert, key })
+        Ok(Identity { ca: Some(ca), cert, key })
+    }
+
+    /// A certificate of this process's own, for a network where whoever reaches a daemon may also
+    /// write to the store that configures it: links are encrypted, and peers are not authenticated.
+    pub fn unauthenticated() -> Result<Identity> {
+        let identity = Authority::generate()?.sign()?;
+        Ok(Identity { ca: None, ..identity })
     }
 
     /// Writes `ca.pem`, `cert.pem` and `key.pem` into a folder.
     pub fn write(&self, dir: &Path) -> Result<()> {
+        let ca: &[u8] = self.ca.as_ref().map_or(&[], |ca| ca.as_ref());
         let files = [
-            ("ca.pem", "CERTIFICATE", self.ca.as_ref()),
+            ("ca.pem", "CERTIFICATE", ca),
             ("cert.pem", "CERTIFICATE", self.cert.as_ref()),
             ("key.pem", "PRIVATE KEY", self.key.secret_der()),
         ];
@@ -83,14 +94,17 @@
     /// What the listening side needs.
     pub fn server(&self) -> Result<Arc<QuicServerConfig>> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let verifier =
-            WebPkiClientVerifier::builder_with_provider(Arc::new(self.roots()?), provider.clone())
-                .build()
-                .map_err(broken)?;
-        let builder = rustls::ServerConfig::builder_with_provider(provider)
+        let builder = rustls::ServerConfig::builder_with_provider(provider.clone())
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(broken)?;
-        let builder = builder.with_client_cert_verifier(verifier);
+        let builder = match &self.ca {
+            Some(ca) => {
+                let roots = Arc::new(roots(ca)?);
+                let verifier = WebPkiClientVerifier::builder_with_provider(roots, provider);
+                builder.with_client_cert_verifier(verifier.build().map_err(broken)?)
+            }
+            None => builder.with_no_client_auth(),
+        };
         let mut tls = builder
             .with_single_cert(vec![self.cert.clone()], self.key.clone_key())
             .map_err(broken)?;
@@ -101,21 +115,68 @@
     /// What the connecting side needs.
     pub fn client(&self) -> Result<Arc<QuicClientConfig>> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let builder = rustls::ClientConfig::builder_with_provider(provider)
+        let builder = rustls::ClientConfig::builder_with_provider(provider.clone())
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(broken)?;
-        let builder = builder.with_root_certificates(self.roots()?);
-        let mut tls = builder
-            .with_client_auth_cert(vec![self.cert.clone()], self.key.clone_key())
-            .map_err(broken)?;
+        let mut tls = match &self.ca {
+            Some(ca) => builder
+                .with_root_certificates(roots(ca)?)
+                .with_client_auth_cert(vec![self.cert.clone()], self.key.clone_key())
+                .map_err(broken)?,
+            None => builder
+                .dangerous()
+                .with_custom_certificate_verifier(Arc::new(AnyPeer(provider)))
+                .with_no_client_auth(),
+        };
         tls.alpn_protocols = vec![PROTOCOL.to_vec()];
         Ok(Arc::new(QuicClientConfig::try_from(tls).map_err(broken)?))
     }
+}
+
+fn roots(ca: &CertificateDer<'static>) -> Result<RootCertStore> {
+    let mut roots = RootCertStore::empty();
+    roots.add(ca.clone()).map_err(broken)?;
+    Ok(roots)
+}
+
+/// Takes any peer's certificate; see [`Identity::unauthenticated`].
+#[derive(Debug)]
+struct AnyPeer(Arc<CryptoProvider>);
+
+impl ServerCertVerifier for AnyPeer {
+    fn verify_server_cert(
+        &self,
+        _: &CertificateDer<'_>,
+        _: &[CertificateDer<'_>],
+        _: &ServerName<'_>,
+        _: &[u8],
+        _: UnixTime,
+    ) -> std::result::Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        signed: &DigitallySignedStruct,
+    ) -> std::result::Result<HandshakeSignatureValid, rustls::Error> {
+        let known = &self.0.signature_verification_algorithms;
+        verify_tls12_signature(message, cert, signed, known)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        signed: &DigitallySignedStruct,
+    ) -> std::result::Result<HandshakeSignatureValid, rustls::Error> {
+        let known = &self.0.signature_verification_algorithms;
+        verify_tls13_signature(message, cert, signed, known)
+    }
 
-    fn roots(&self) -> Result<RootCertStore> {
-        let mut roots = RootCertStore::empty();
-        roots.add(self.ca.clone()).map_err(broken)?;
-        Ok(roots)
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
     }
 }
 
