--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -8,11 +8,12 @@
 use crate::error::Result;
 use crate::gateway::budget::{Others, ServiceTag, Spent};
 use crate::gateway::core::Gateway;
+use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::{Mirror, Statement, Update};
 use crate::gateway::roster::{Daemon, Roster};
 use crate::gateway::servers::{Load, LoadsByTag, ServerTag};
 use crate::message;
-use crate::peer::{Handler, Held, LinkLimits, Peers, Traffic};
+use crate::peer::{Handler, Held, LinkLimits, Peers};
 use crate::tls::Identity;
 use futures_util::future::BoxFuture;
 use log::{info, warn};
@@ -124,16 +125,20 @@
 
 impl Cluster {
     /// Listens for peers.
-    pub fn bind(
+    pub fn listen(addr: SocketAddr, gateway: &Gateway) -> Result<Peers> {
+        let identity = Identity::unauthenticated()?;
+        Peers::bind(addr, &identity, LINKS, gateway.metrics.traffic.clone())
+    }
+
+    /// A cluster of this daemon alone, until it [`runs`](Cluster::run).
+    pub fn new(
         gateway: Arc<Gateway>,
         mirror: Arc<Mirror>,
         roster: Arc<Roster>,
-        traffic: Traffic,
+        links: Peers,
         ready: Box<dyn Fn() -> bool + Send + Sync>,
-    ) -> Result<Arc<Cluster>> {
-        let identity = Identity::unauthenticated()?;
-        let links = Peers::bind(roster.own().peers, &identity, LINKS, traffic)?;
-        Ok(Arc::new(Cluster {
+    ) -> Arc<Cluster> {
+        Arc::new(Cluster {
             gateway,
             mirror,
             roster,
@@ -145,7 +150,12 @@
             ready,
             read: Mutex::default(),
             fetching: AtomicBool::new(false),
-        }))
+        })
+    }
+
+    /// The gateway's counters.
+    pub fn metrics(&self) -> &GatewayMetrics {
+        &self.gateway.metrics
     }
 
     /// Talks with peers until the process ends. `seeds` are tried for first contact.
@@ -344,6 +354,7 @@
         let known: HashSet<SocketAddr> = listed.chain(heard.map(|(addr, _)| *addr)).collect();
         let mut spent: HashMap<ServiceTag, Spent> = HashMap::new();
         let speaking: Vec<&Peer> = peers.values().filter(|p| p.speaks(now)).collect();
+        self.gateway.metrics.peers.set(speaking.len() as i64);
         for (tag, part) in speaking.iter().flat_map(|p| &p.spent) {
             *spent.entry(*tag).or_default() += *part;
         }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, ServiceTag, Spent};
 use crate::gateway::in_force::InForce;
+use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::place::{self, Candidate, FAR_COPY_COST, FAR_COST, Need, Placing};
 use crate::gateway::port::{Destination, Wire};
 use crate::gateway::request::Call;
@@ -31,6 +32,8 @@
     pub in_force: InForce,
     /// The way to backend servers.
     pub wire: Arc<dyn Wire>,
+    /// Counters.
+    pub metrics: GatewayMetrics,
     /// Hall of this daemon.
     pub hall: String,
     bounds: Bounds,
@@ -110,6 +113,7 @@
         Arc::new(Gateway {
             in_force: InForce::default(),
             wire,
+            metrics: GatewayMetrics::default(),
             hall: hall.into(),
             bounds,
             placing,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -54,7 +54,10 @@
                 sleep(LOOK).await;
                 continue;
             }
-            match self.read(asked).await {
+            let read = self.read(asked).await;
+            let outcome = if read.is_ok() { "read" } else { "failed" };
+            self.cluster.metrics().store_reads.with_label_values(&[outcome]).inc();
+            match read {
                 Ok(()) => {
                     self.cluster.has_read(Instant::now());
                     self.heard();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -51,15 +51,24 @@
     pub async fn answer(self: &Arc<Self>, call: Call) -> Result<Answer, Failure> {
         let call = Arc::new(call);
         let left = call.left(Instant::now());
-        let answered = timeout(left, self.attempt(&call)).await;
-        answered.unwrap_or_else(|_| {
+        let answered = timeout(left, self.attempt(&call)).await.unwrap_or_else(|_| {
             info!(id = call.id.as_str(), route = call.route.name.as_str(); "out of time");
             Err(Failure::unknown(Reason::new(
                 504,
                 "out_of_time",
                 "no answer within the time given",
             )))
-        })
+        });
+        let kind = call.route.kind.name();
+        let outcome = match &answered {
+            Ok(answer) if answer.status.is_server_error() => "server_error",
+            Ok(_) => "answered",
+            Err(failure) => failure.outcome().name(),
+        };
+        self.metrics.requests.with_label_values(&[kind, outcome]).inc();
+        let seconds = call.arrived.elapsed().as_secs_f64();
+        self.metrics.answer_seconds.with_label_values(&[kind]).observe(seconds);
+        answered
     }
 
     async fn attempt(self: &Arc<Self>, call: &Arc<Call>) -> Result<Answer, Failure> {
@@ -86,11 +95,11 @@
             match self.send_patiently(seat, proof.take()).await {
                 Sent::Answered(answer) => return Ok(answer),
                 Sent::NotRun(unspent, why) => {
-                    self.log("not run by a server", why);
+                    self.count_failed("not run by a server", why);
                     proof = unspent;
                 }
                 Sent::Failed(answer, why) => {
-                    self.log("failed at a server", why);
+                    self.count_failed("failed at a server", why);
                     self.runs += 1;
                     fallback = answer.or(fallback);
                     if !self.may_run_again() {
@@ -193,6 +202,11 @@
         Some(if self.call.route.kind == RouteKind::Safe { aim.mul_f64(SILENT_PART) } else { aim })
     }
 
+    fn count_failed(&self, what: &str, why: &str) {
+        self.gateway.metrics.failed_sendings.with_label_values(&[why]).inc();
+        self.log(what, why);
+    }
+
     fn log(&self, what: &str, why: &str) {
         let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
         info!(id = id, route = route, sending = self.tried.len(), why = why; "{what}");
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -89,6 +89,12 @@
     TcpListener::bind(addr).await.map_err(refused)
 }
 
+/// Where a listener listens.
+pub fn addr(listener: &TcpListener) -> Result<SocketAddr> {
+    let unknown = |e: std::io::Error| Error::Listen { addr: "?".into(), reason: e.to_string() };
+    listener.local_addr().map_err(unknown)
+}
+
 /// Takes connections until the phase is [`Phase::Closing`].
 pub async fn serve(
     listener: TcpListener,
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,116 @@
+//! Counters and latency histograms of the gateway, in the text format of `prometheus`.
+
+use crate::metrics::{counter, counters, gauge, register, text};
+use crate::peer::Traffic;
+use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
+
+/// Bounds of the buckets, in seconds: from a plain service's fast answer to a long generation.
+const SECONDS: [f64; 14] =
+    [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 1.8, 3.0, 6.0, 15.0, 40.0];
+
+/// All metrics of one daemon's gateway.
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by route kind and outcome.
+    pub requests: IntCounterVec,
+    /// Time from a request's head to its answer's, by route kind.
+    pub answer_seconds: HistogramVec,
+    /// Time between two events of a stream.
+    pub pause_seconds: HistogramVec,
+    /// Sendings to backend servers that did not end in an answer for the caller, by reason.
+    pub failed_sendings: IntCounterVec,
+    /// Moves of runs, by outcome.
+    pub moves: IntCounterVec,
+    /// Streams that were cut after they had begun.
+    pub cut_streams: IntCounter,
+    /// Reads of the store, by outcome.
+    pub store_reads: IntCounterVec,
+    /// The store's revision of the configuration in force.
+    pub config_revision: IntGauge,
+    /// Peers heard lately.
+    pub peers: IntGauge,
+    /// Messages and bytes between daemons.
+    pub traffic: Traffic,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> GatewayMetrics {
+        let r = Registry::new();
+        GatewayMetrics {
+            requests: counters(
+                &r,
+                "tidestair_gateway_requests_total",
+                "Requests by route kind and outcome",
+                &["kind", "outcome"],
+            ),
+            answer_seconds: histogram(
+                &r,
+                "tidestair_gateway_answer_seconds",
+                "Time to the head of the answer, of a stream to its first event",
+                &["kind"],
+            ),
+            pause_seconds: histogram(
+                &r,
+                "tidestair_gateway_event_pause_seconds",
+                "Time between two events of a stream",
+                &["kind"],
+            ),
+            failed_sendings: counters(
+                &r,
+                "tidestair_gateway_failed_sendings_total",
+                "Sendings to backend servers without an answer for the caller, by reason",
+                &["reason"],
+            ),
+            moves: counters(
+                &r,
+                "tidestair_gateway_moves_total",
+                "Running requests moved to another backend server, by outcome",
+                &["outcome"],
+            ),
+            cut_streams: counter(
+                &r,
+                "tidestair_gateway_cut_streams_total",
+                "Streams cut after they had begun",
+            ),
+            store_reads: counters(
+                &r,
+                "tidestair_gateway_store_reads_total",
+                "Reads of the platform's store, by outcome",
+                &["outcome"],
+            ),
+            config_revision: gauge(
+                &r,
+                "tidestair_gateway_config_revision",
+                "Store revision of the configuration in force",
+            ),
+            peers: gauge(&r, "tidestair_gateway_peers", "Other daemons heard lately"),
+            traffic: Traffic {
+                messages: counters(
+                    &r,
+                    "tidestair_gateway_peer_messages_total",
+                    "Messages between daemons",
+                    &["direction"],
+                ),
+                bytes: counters(
+                    &r,
+                    "tidestair_gateway_peer_bytes_total",
+                    "Bytes between daemons",
+                    &["direction"],
+                ),
+            },
+            registry: r,
+        }
+    }
+}
+
+impl GatewayMetrics {
+    /// The text for a scrape.
+    pub fn render(&self) -> String {
+        text(&self.registry)
+    }
+}
+
+fn histogram(r: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+    register(r, HistogramVec::new(opts, labels).expect("a valid name"))
+}
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -289,6 +289,7 @@
             Ok(table) => {
                 let (version, table) = (table.version, Arc::new(table));
                 if self.gateway.in_force.take(Declared { revision, bytes, table }, seen) {
+                    self.gateway.metrics.config_revision.set(revision as i64);
                     info!(version = version, revision = revision; "configuration in force");
                 }
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,12 +5,13 @@
 //! - [`table`], [`in_force`]: the declared configuration, and how fresh it is
 //! - [`servers`], [`place`]: backend servers, and the choice among them
 //! - [`core`]: what all requests of a daemon share
-//! - [`forward`], [`relay`], [`events`], [`moving`]: the way of a request, and of a stream over the
+//! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
 //! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read or heard from peers
 //! - [`announce`], [`roster`]: who else serves
 //! - [`listen`], [`stop`]: connections of callers, and a planned stop
+//! - [`metrics`]: counters and latencies
 //! - [`port`]: what an adapter provides
 
 pub mod announce;
@@ -22,6 +23,7 @@
 pub mod forward;
 pub mod in_force;
 pub mod listen;
+pub mod metrics;
 pub mod mirror;
 mod moving;
 pub mod place;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -62,6 +62,7 @@
         seat,
         leg,
         last: call.after,
+        passed: Instant::now(),
         out,
         runs: 1,
         moves: 0,
@@ -124,6 +125,8 @@
     leg: Leg,
     /// Id of the last event passed on.
     last: Option<u64>,
+    /// When it was passed on.
+    passed: Instant,
     out: Out,
     /// Runs begun for this answer.
     runs: u32,
@@ -157,6 +160,7 @@
             End::Complete => {}
             End::CallerLeft => info!(id = id, server = server, last = self.last; "caller left"),
             End::Broken(reason) => {
+                self.gateway.metrics.cut_streams.inc();
                 warn!(id = id, server = server, last = self.last, why = reason.as_str(); "stream cut");
                 // Refused only where the caller has left.
                 let _ = self.out.send(Err(BrokenOff { reason })).await;
@@ -211,6 +215,11 @@
             return Ok(());
         }
         self.last = event.id.or(self.last);
+        let now = Instant::now();
+        let pause = now.saturating_duration_since(self.passed);
+        self.passed = now;
+        let kind = self.call.route.kind.name();
+        self.gateway.metrics.pause_seconds.with_label_values(&[kind]).observe(pause.as_secs_f64());
         let sent = self.out.send(Ok(Frame::data(event.bytes))).await;
         sent.map_err(|_| End::CallerLeft)
     }
@@ -248,6 +257,7 @@
     async fn moved(&mut self, moved: Moved) -> Result<(), End> {
         match moved {
             Moved::Stays(why) => {
+                self.count_move(why);
                 info!(id = self.call.id.as_str(), server = self.seat.id(), why = why; "run not moved");
                 Ok(())
             }
@@ -287,6 +297,7 @@
             Ok(leg) => {
                 self.leg = leg;
                 if let Some(seat) = seat {
+                    self.count_move("moved");
                     info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), last = self.last; "run moved");
                     self.seat = seat;
                     self.moves = 0;
@@ -299,6 +310,10 @@
         if elsewhere { Box::pin(self.go_on(kept, None)).await } else { self.run_again(why).await }
     }
 
+    fn count_move(&self, outcome: &str) {
+        self.gateway.metrics.moves.with_label_values(&[outcome]).inc();
+    }
+
     /// Runs the request anew at another server, from the last event on, where it may run again.
     async fn run_again(&mut self, why: String) -> Result<(), End> {
         let now = Instant::now();
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -16,6 +16,17 @@
     Streaming,
 }
 
+impl RouteKind {
+    /// The name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RouteKind::Safe => "safe",
+            RouteKind::Unsafe => "unsafe",
+            RouteKind::Streaming => "streaming",
+        }
+    }
+}
+
 /// A service behind a route, with its share of the traffic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -164,14 +164,19 @@
 
     /// The text for `/metrics`.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        // Writing to memory does not fail.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        String::from_utf8_lossy(&text).into_owned()
+        text(&self.registry)
     }
 }
 
-fn register<C: prometheus::core::Collector + Clone + 'static>(
+/// All metrics of a registry as text.
+pub(crate) fn text(registry: &Registry) -> String {
+    let mut text = Vec::new();
+    // Writing to memory does not fail.
+    let _ = TextEncoder::new().encode(&registry.gather(), &mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+pub(crate) fn register<C: prometheus::core::Collector + Clone + 'static>(
     registry: &Registry,
     collector: C,
 ) -> C {
@@ -179,15 +184,15 @@
     collector
 }
 
-fn counter(r: &Registry, name: &str, help: &str) -> IntCounter {
+pub(crate) fn counter(r: &Registry, name: &str, help: &str) -> IntCounter {
     register(r, IntCounter::new(name, help).expect("a valid name"))
 }
 
-fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+pub(crate) fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     register(r, IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name"))
 }
 
-fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
+pub(crate) fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
     register(r, IntGauge::new(name, help).expect("a valid name"))
 }
 
