--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,263 @@
+//! The gateway's parts by themselves: freshness, the mirror of the store, budgets, events, placing.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tidestair::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, ServiceTag, Spent};
+use tidestair::gateway::events::Splitter;
+use tidestair::gateway::in_force::{Declared, InForce};
+use tidestair::gateway::servers::{Load, ServerRecord, ServerTag, Servers};
+use tidestair::gateway::table::{Limits, Route, RouteKind, Service, Table, Target, Workspace};
+
+const LIMITS: Limits = Limits {
+    header_bytes: 1_000,
+    body_bytes: 1_000,
+    header_time: Duration::from_secs(1),
+    idle_time: Duration::from_secs(1),
+};
+
+fn declared(revision: u64) -> Declared {
+    let table = Table::new(revision, LIMITS, Vec::new(), Vec::new(), Vec::new());
+    Declared { revision, bytes: Bytes::new(), table: Arc::new(table) }
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn a_configuration_is_never_replaced_by_an_older_one() {
+    let (in_force, now) = (InForce::default(), Instant::now());
+    assert!(in_force.take(declared(5), now));
+    assert!(!in_force.take(declared(5), now));
+    assert!(!in_force.take(declared(4), now + ms(1)));
+    assert_eq!(in_force.revision(), 5);
+    assert!(in_force.take(declared(6), now));
+}
+
+#[test]
+fn only_the_version_in_force_is_confirmed() {
+    let (in_force, start) = (InForce::default(), Instant::now());
+    assert_eq!(in_force.age(start), None);
+    in_force.confirm(0, start);
+    assert_eq!(in_force.age(start), None, "nothing is in force");
+    in_force.take(declared(5), start);
+    in_force.confirm(4, start + ms(500));
+    assert_eq!(in_force.age(start + ms(700)), Some(ms(700)));
+    in_force.confirm(5, start + ms(500));
+    assert_eq!(in_force.age(start + ms(700)), Some(ms(200)));
+    in_force.confirm(5, start + ms(100));
+    assert_eq!(in_force.age(start + ms(700)), Some(ms(200)), "a later confirmation counts");
+}
+
+fn route(name: &str, host: &str, prefix: &str, weights: &[u32]) -> Route {
+    let target =
+        |(i, weight): (usize, &u32)| Target { service: format!("s{i}").into(), weight: *weight };
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        resumable: false,
+        timeout: ms(1_000),
+        aim: ms(100),
+        gap_aim: None,
+        priority: 1,
+        attempts: 2,
+        anonymous: true,
+        targets: weights.iter().enumerate().map(target).collect(),
+    }
+}
+
+#[test]
+fn routes_are_found_by_host_and_longest_prefix() {
+    let routes = vec![
+        route("short", "a.example", "/x/", &[1]),
+        route("long", "a.example", "/x/y/", &[1]),
+        route("other", "b.example", "/x/y/", &[1]),
+    ];
+    let workspace = Workspace { name: "w".into(), priority: None, keys: vec!["k".into()] };
+    let table = Table::new(1, LIMITS, routes, Vec::<Service>::new(), vec![workspace]);
+    let found = |host, path| table.route(host, path).map(|r| r.name.clone());
+    assert_eq!(found("a.example", "/x/y/z").as_deref(), Some("long"));
+    assert_eq!(found("A.Example:8080", "/x/z").as_deref(), Some("short"));
+    assert_eq!(found("b.example", "/x/y/").as_deref(), Some("other"));
+    assert_eq!(found("b.example", "/x/"), None);
+    assert_eq!(found("c.example", "/x/y/"), None);
+    assert_eq!(table.workspace("k").map(|w| &*w.name), Some("w"));
+    assert!(table.workspace("").is_none());
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let mut rng = rand::rng();
+    let only_second = route("r", "h", "/", &[0, 3]);
+    for _ in 0..50 {
+        assert_eq!(only_second.draw(&mut rng).map(|s| &**s), Some("s1"));
+    }
+    let both = route("r", "h", "/", &[1, 1]);
+    let drawn: Vec<bool> = (0..200).map(|_| &**both.draw(&mut rng).unwrap() == "s0").collect();
+    assert!(drawn.contains(&true) && drawn.contains(&false));
+}
+
+const BOUNDS: BudgetBounds =
+    BudgetBounds { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
+
+fn spend(budget: &mut RepeatBudget, service: &Arc<str>, kind: Repeat, now: Instant) -> u32 {
+    (0..1_000).take_while(|_| budget.take(service, kind, now)).count() as u32
+}
+
+#[test]
+fn repeats_are_bounded_by_requests_and_slack_and_come_back_with_the_window() {
+    let (now, service) = (Instant::now(), Arc::<str>::from("app"));
+    let mut budget = RepeatBudget::new(BOUNDS, now);
+    for _ in 0..100 {
+        budget.request(&service, now);
+    }
+    let first = spend(&mut budget, &service, Repeat::Retry, now);
+    assert!(first > 0 && f64::from(first) < 0.2 * 100.0 + 50.0);
+    assert!(
+        spend(&mut budget, &service, Repeat::Continuation, now) > 0,
+        "kept for running requests"
+    );
+    assert_eq!(spend(&mut budget, &service, Repeat::Retry, now + ms(9_000)), 0);
+    assert!(spend(&mut budget, &service, Repeat::Retry, now + ms(11_000)) > 0);
+    assert!(
+        spend(&mut budget, &Arc::from("other"), Repeat::Retry, now) > 0,
+        "each service by itself"
+    );
+}
+
+/// Daemons that spend what they may without hearing of each other's last spending.
+fn spent_by_all(daemons: usize, heard: usize) -> u32 {
+    let (now, service) = (Instant::now(), Arc::<str>::from("app"));
+    let mut total = 0;
+    for _ in 0..daemons {
+        let mut budget = RepeatBudget::new(BOUNDS, now);
+        let others = Others { daemons: daemons - 1, heard, spent: Default::default() };
+        budget.set_others(others);
+        total += spend(&mut budget, &service, Repeat::Continuation, now);
+    }
+    total
+}
+
+#[test]
+fn daemons_that_lose_each_other_can_not_spend_the_slack_twice() {
+    for daemons in [2, 6, 7, 50] {
+        assert!(f64::from(spent_by_all(daemons, 0)) <= BOUNDS.slack, "{daemons} daemons");
+    }
+}
+
+#[test]
+fn what_others_have_spent_counts() {
+    let (now, service) = (Instant::now(), Arc::<str>::from("app"));
+    let mut budget = RepeatBudget::new(BOUNDS, now);
+    let spent = [(ServiceTag::of("app"), Spent { requests: 0, repeats: 34 })];
+    budget.set_others(Others { daemons: 1, heard: 1, spent: spent.into() });
+    let own = spend(&mut budget, &service, Repeat::Continuation, now);
+    assert!(own + 34 <= 50 && own <= 1, "{own}");
+}
+
+fn record(id: &str, leaving: bool) -> ServerRecord {
+    ServerRecord {
+        id: id.into(),
+        service: "app".into(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        hall: "hall".into(),
+        slots: 6,
+        leaving,
+    }
+}
+
+#[test]
+fn leaving_is_never_taken_back_and_is_told_at_once() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    servers.upsert(record("i-1", false), now);
+    let key = servers.find("i-1").unwrap();
+    let notice = servers.get(key).unwrap().notice();
+    assert_eq!(servers.open("app").count(), 1);
+    servers.upsert(record("i-1", true), now);
+    assert!(*notice.borrow());
+    servers.upsert(record("i-1", false), now);
+    assert_eq!(servers.open("app").count(), 0);
+}
+
+#[test]
+fn a_server_that_has_gone_is_kept_while_something_runs_there() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    servers.upsert(record("i-1", false), now);
+    let key = servers.find("i-1").unwrap();
+    let load = Load { runs: 1, tokens: 10, reading: 5, once: 10 };
+    servers.begin(key, load);
+    servers.remove("i-1");
+    assert_eq!(servers.open("app").count(), 0);
+    assert!(servers.get(key).is_some());
+    assert_eq!(servers.own_loads(), [(ServerTag::of("i-1"), load)]);
+    servers.end(key, load);
+    assert!(servers.get(key).is_none());
+}
+
+#[test]
+fn failures_fade() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    servers.upsert(record("i-1", false), now);
+    let key = servers.find("i-1").unwrap();
+    for _ in 0..20 {
+        servers.judge(key, true, now);
+    }
+    let rate = |at| servers.get(key).unwrap().failure_rate(at);
+    assert!(rate(now) > 0.9);
+    assert!(rate(now + ms(30_000)) < 0.01);
+}
+
+proptest! {
+    #[test]
+    fn events_come_out_whole_however_the_stream_is_cut(
+        texts in prop::collection::vec("[a-z:\\n ]{0,12}", 0..8),
+        cuts in prop::collection::vec(1usize..9, 1..40),
+        ends in prop::sample::select(vec!["\n\n", "\r\n\r\n"]),
+    ) {
+        let lines = |t: &String| t.split('\n').filter(|l| !l.is_empty()).collect::<Vec<_>>().join("\n");
+        let texts: Vec<String> = texts.iter().map(lines).collect();
+        let events: Vec<String> =
+            texts.iter().enumerate().map(|(i, t)| format!("id: {i}\ndata: {t}{ends}")).collect();
+        let whole = events.concat();
+        let (mut splitter, mut got, mut at) = (Splitter::default(), Vec::new(), 0);
+        for cut in cuts.iter().cycle() {
+            if at >= whole.len() {
+                break;
+            }
+            let end = (at + cut).min(whole.len());
+            splitter.push(&whole.as_bytes()[at..end]).unwrap();
+            at = end;
+            while let Some(event) = splitter.take() {
+                got.push((event.id, event.bytes));
+            }
+        }
+        prop_assert!(!splitter.is_inside());
+        let expected: Vec<_> =
+            events.iter().enumerate().map(|(i, e)| (Some(i as u64), Bytes::from(e.clone()))).collect();
+        prop_assert_eq!(got, expected);
+    }
+
+    #[test]
+    fn any_bytes_split_without_a_panic_and_nothing_is_lost(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut splitter = Splitter::default();
+        splitter.push(&bytes).unwrap();
+        let mut taken = 0;
+        while let Some(event) = splitter.take() {
+            taken += event.bytes.len();
+        }
+        prop_assert!(taken <= bytes.len());
+        prop_assert_eq!(splitter.is_inside(), taken < bytes.len());
+    }
+}
+
+#[test]
+fn an_event_without_end_is_not_kept_for_ever() {
+    let mut splitter = Splitter::default();
+    let part = vec![b'x'; 100_000];
+    let pushed = (0..20).take_while(|_| splitter.push(&part).is_ok()).count();
+    assert!(pushed < 20);
+}
--- /dev/null
+++ b/tests/mirror.rs
@@ -0,0 +1,281 @@
+//! The mirror of the store under random interleavings of reads, peers' words and lost messages.
+
+use futures_util::future::BoxFuture;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tidestair::gateway::budget::BudgetBounds;
+use tidestair::gateway::core::{Bounds, Gateway};
+use tidestair::gateway::mirror::Mirror;
+use tidestair::gateway::place::Headroom;
+use tidestair::gateway::port::{
+    Copied, Lost, NotCopied, Reply, Schema, Sending, Undecodable, Wire,
+};
+use tidestair::gateway::request::Call;
+use tidestair::gateway::roster::{Daemon, Roster};
+use tidestair::gateway::servers::ServerRecord;
+use tidestair::gateway::table::{Limits, Table};
+use tidestair::outcome::NotSent;
+use tidestair::platform::{Change, Entry};
+
+/// A wire that is never used.
+struct NoWire;
+
+impl Wire for NoWire {
+    fn send<'a>(
+        &'a self,
+        _: &'a Call,
+        _: Sending,
+        proof: Option<NotSent>,
+    ) -> BoxFuture<'a, Result<Reply, Lost>> {
+        Box::pin(async move { Err(Lost::Unsent { proof, reason: "no wire".into() }) })
+    }
+
+    fn copy<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a str,
+        _: SocketAddr,
+        _: bool,
+    ) -> BoxFuture<'a, Result<Copied, NotCopied>> {
+        Box::pin(async { Err(NotCopied::NoRun) })
+    }
+
+    fn free<'a>(&'a self, _: SocketAddr, _: &'a str) -> BoxFuture<'a, ()> {
+        Box::pin(async {})
+    }
+}
+
+/// Values are numbers; a server's sign of life is what stands behind a dot.
+struct Plain;
+
+impl Schema for Plain {
+    fn declaration(&self) -> &str {
+        "config"
+    }
+
+    fn servers(&self) -> &str {
+        "servers/"
+    }
+
+    fn daemons(&self) -> &str {
+        "daemons/"
+    }
+
+    fn table(&self, value: &[u8]) -> Result<Table, Undecodable> {
+        let text = String::from_utf8_lossy(value);
+        let version = text.parse().map_err(|_| Undecodable(text.into_owned()))?;
+        let limits = Limits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_time: Duration::ZERO,
+            idle_time: Duration::ZERO,
+        };
+        Ok(Table::new(version, limits, Vec::new(), Vec::new(), Vec::new()))
+    }
+
+    fn server(&self, key: &str, value: &[u8]) -> Result<ServerRecord, Undecodable> {
+        let text = String::from_utf8_lossy(value);
+        Ok(ServerRecord {
+            id: key.trim_start_matches("servers/").into(),
+            service: "app".into(),
+            addr: "127.0.0.1:9".parse().expect("an address"),
+            hall: String::new(),
+            slots: 1,
+            leaving: text.starts_with("leaving"),
+        })
+    }
+}
+
+struct Node {
+    gateway: Arc<Gateway>,
+    mirror: Mirror,
+}
+
+fn node(now: Instant) -> Node {
+    let budget = BudgetBounds { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) };
+    let bounds = Bounds { revoke: Some(Duration::from_secs(5)), budget };
+    let gateway = Gateway::new("hall", bounds, Arc::new(NoWire), Box::new(Headroom), now);
+    let addr: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let own = Daemon { vm: "vm".into(), hall: "hall".into(), callers: addr, peers: addr };
+    let mirror = Mirror::new(gateway.clone(), Arc::new(Roster::new(own)), Arc::new(Plain));
+    Node { gateway, mirror }
+}
+
+/// The true store: every change so far.
+#[derive(Default)]
+struct Truth {
+    changes: Vec<Change>,
+    /// When each came, by the same clock as the nodes'.
+    times: Vec<Instant>,
+}
+
+impl Truth {
+    fn revision(&self) -> u64 {
+        self.changes.len() as u64
+    }
+
+    fn write(&mut self, key: &str, value: Option<String>, now: Instant) {
+        let revision = self.revision() + 1;
+        let value = value.map(String::into_bytes);
+        self.changes.push(Change { key: key.into(), value, revision });
+        self.times.push(now);
+    }
+
+    fn entries(&self) -> Vec<Entry> {
+        let mut latest: BTreeMap<&str, &Change> = BTreeMap::new();
+        for change in &self.changes {
+            latest.insert(&change.key, change);
+        }
+        let live = latest.values().filter_map(|c| {
+            Some(Entry { key: c.key.clone(), value: c.value.clone()?, revision: c.revision })
+        });
+        live.collect()
+    }
+
+    /// The last declaration written up to a moment.
+    fn declared_at(&self, at: Instant) -> u64 {
+        let written = self.changes.iter().zip(&self.times).filter(|(_, time)| **time <= at);
+        let declared = written.filter(|(c, _)| c.key == "config").map(|(c, _)| c.revision);
+        declared.max().unwrap_or(0)
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Act {
+    Declare,
+    Server(u8, bool),
+    Life(u8),
+    Remove(u8),
+    /// A node reads the store: whole, or what has changed.
+    Read(usize, bool),
+    /// One node's statement reaches another, this many steps late.
+    Tell(usize, usize, u8),
+    /// One node gives another what it lacks.
+    Give(usize, usize),
+    Wait(u16),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        Just(Act::Declare),
+        (0u8..3, any::<bool>()).prop_map(|(n, leaving)| Act::Server(n, leaving)),
+        (0u8..3).prop_map(Act::Life),
+        (0u8..3).prop_map(Act::Remove),
+        (0usize..3, any::<bool>()).prop_map(|(n, whole)| Act::Read(n, whole)),
+        (0usize..3, 0usize..3, 0u8..4).prop_map(|(a, b, late)| Act::Tell(a, b, late)),
+        (0usize..3, 0usize..3).prop_map(|(a, b)| Act::Give(a, b)),
+        (1u16..900).prop_map(Act::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    /// Whatever is read, told late or lost: a configuration never goes back, and one that a node
+    /// holds for confirmed `age` ago was the newest then.
+    #[test]
+    fn a_confirmation_is_always_true(acts in prop::collection::vec(act(), 1..120)) {
+        let start = Instant::now();
+        let mut now = start + Duration::from_secs(10);
+        let nodes = [node(start), node(start), node(start)];
+        let mut truth = Truth::default();
+        // Statements on the way: what was said, and the receiver's clock that it returned.
+        let mut said: Vec<Vec<_>> = vec![Vec::new(); 3];
+        let mut highest = [0u64; 3];
+        for act in acts {
+            match act {
+                Act::Declare => {
+                    let version = truth.revision() + 1;
+                    truth.write("config", Some(version.to_string()), now);
+                }
+                Act::Server(n, leaving) => {
+                    let text = if leaving { "leaving" } else { "ready" };
+                    truth.write(&format!("servers/{n}"), Some(text.into()), now);
+                }
+                Act::Life(n) => truth.write(&format!("servers/{n}"), Some(format!("ready.{n}")), now),
+                Act::Remove(n) => truth.write(&format!("servers/{n}"), None, now),
+                Act::Read(n, whole) => {
+                    let mirror = &nodes[n].mirror;
+                    if whole || mirror.position() == 0 {
+                        mirror.replace(truth.entries(), truth.revision(), now, now);
+                    } else {
+                        let after = mirror.position();
+                        let newer = truth.changes.iter().filter(|c| c.revision > after).cloned();
+                        mirror.advance(newer.collect(), truth.revision(), now, now);
+                    }
+                }
+                Act::Tell(from, to, late) => {
+                    if let Some(statement) = nodes[from].mirror.statement(now) {
+                        said[to].push((statement, now));
+                    }
+                    let at = said[to].len().saturating_sub(1 + usize::from(late));
+                    if let Some((statement, seen)) = said[to].get(at).copied() {
+                        let age = Duration::from_millis(statement.age_ms.into());
+                        nodes[to].mirror.hear(statement, seen - age, now);
+                    }
+                }
+                Act::Give(from, to) => {
+                    let after = nodes[to].mirror.position();
+                    if let Some(update) = nodes[from].mirror.update_after(after, now) {
+                        let age = Duration::from_millis(update.statement.age_ms.into());
+                        nodes[to].mirror.apply(update, now - age, now);
+                    }
+                }
+                Act::Wait(ms) => now += Duration::from_millis(ms.into()),
+            }
+            for (node, highest) in nodes.iter().zip(&mut highest) {
+                let revision = node.gateway.in_force.revision();
+                prop_assert!(revision >= *highest, "went back from {highest} to {revision}");
+                *highest = revision;
+                if revision > 0 && let Some(age) = node.gateway.in_force.age(now) {
+                    // Ages are told in whole milliseconds, cut off.
+                    let confirmed = now - age - Duration::from_millis(2);
+                    prop_assert!(
+                        truth.declared_at(confirmed) <= revision,
+                        "held {revision} for the newest {age:?} ago"
+                    );
+                }
+            }
+        }
+    }
+
+    /// A node that reads, or is given everything by one that has read, has the servers as they are.
+    #[test]
+    fn what_is_given_is_what_there_is(acts in prop::collection::vec(act(), 1..80)) {
+        let start = Instant::now();
+        let mut now = start + Duration::from_secs(10);
+        let nodes = [node(start), node(start)];
+        let mut truth = Truth::default();
+        for act in acts {
+            match act {
+                Act::Server(n, leaving) => {
+                    let text = if leaving { "leaving" } else { "ready" };
+                    truth.write(&format!("servers/{n}"), Some(text.into()), now);
+                }
+                Act::Remove(n) => truth.write(&format!("servers/{n}"), None, now),
+                Act::Give(..) => {
+                    nodes[0].mirror.replace(truth.entries(), truth.revision(), now, now);
+                    let update = nodes[0].mirror.update_after(nodes[1].mirror.position(), now);
+                    nodes[1].mirror.apply(update.expect("it has read"), now, now);
+                }
+                Act::Wait(ms) => now += Duration::from_millis(ms.into()),
+                _ => {}
+            }
+        }
+        nodes[0].mirror.replace(truth.entries(), truth.revision(), now, now);
+        let update = nodes[0].mirror.update_after(nodes[1].mirror.position(), now);
+        nodes[1].mirror.apply(update.expect("it has read"), now, now);
+        now += Duration::from_secs(5);
+        let listed: Vec<String> = truth.entries().into_iter().map(|e| e.key).collect();
+        for node in &nodes {
+            node.mirror.tick(now);
+            let mut ids: Vec<String> =
+                node.gateway.servers().ids().map(|id| format!("servers/{id}")).collect();
+            ids.sort();
+            prop_assert_eq!(&ids, &listed);
+        }
+    }
+}
