--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -166,6 +166,14 @@
         sums.filter(|(_, spent)| *spent != Spent::default()).collect()
     }
 
+    /// Takes over other bounds; with another window, what was counted starts anew.
+    pub fn set_bounds(&mut self, bounds: BudgetBounds) {
+        if bounds.window != self.bounds.window {
+            self.services.clear();
+        }
+        self.bounds = bounds;
+    }
+
     /// Sets what is known of the other daemons.
     pub fn set_others(&mut self, others: Others) {
         self.others = others;
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -116,6 +116,8 @@
     boot: u64,
     started: Instant,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
+    /// Tried for first contact.
+    seeds: Mutex<Vec<SocketAddr>>,
     /// Peers that have a task.
     greeted: Mutex<HashSet<SocketAddr>>,
     ready: Box<dyn Fn() -> bool + Send + Sync>,
@@ -146,6 +148,7 @@
             boot: rand::rng().random(),
             started: Instant::now(),
             peers: Mutex::default(),
+            seeds: Mutex::default(),
             greeted: Mutex::default(),
             ready,
             read: Mutex::default(),
@@ -158,8 +161,13 @@
         &self.gateway.metrics
     }
 
-    /// Talks with peers until the process ends. `seeds` are tried for first contact.
-    pub async fn run(self: Arc<Self>, seeds: Vec<SocketAddr>) {
+    /// Sets the addresses that are tried for first contact.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock().expect("no holder panics") = seeds;
+    }
+
+    /// Talks with peers until the process ends.
+    pub async fn run(self: Arc<Self>) {
         let handler: Arc<dyn Handler> = Arc::new(Answering(self.clone()));
         tokio::spawn(self.links.clone().serve(handler.clone()));
         loop {
@@ -168,7 +176,8 @@
             let listed = self.roster.others().into_iter().map(|d| d.peers);
             let heard: Vec<SocketAddr> = self.peers().keys().copied().collect();
             let named = self.roster.take_named();
-            for addr in listed.chain(heard).chain(named).chain(seeds.iter().copied()) {
+            let seeds = self.seeds.lock().expect("no holder panics").clone();
+            for addr in listed.chain(heard).chain(named).chain(seeds) {
                 self.greet(addr, &handler);
             }
             self.count(now);
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -36,7 +36,7 @@
     pub metrics: GatewayMetrics,
     /// Hall of this daemon.
     pub hall: String,
-    bounds: Bounds,
+    revoke: Mutex<Option<Duration>>,
     placing: Box<dyn Placing>,
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
@@ -115,7 +115,7 @@
             wire,
             metrics: GatewayMetrics::default(),
             hall: hall.into(),
-            bounds,
+            revoke: Mutex::new(bounds.revoke),
             placing,
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
@@ -124,6 +124,12 @@
         })
     }
 
+    /// Takes over bounds that the platform has changed.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        *self.revoke.lock().expect("no holder panics") = bounds.revoke;
+        self.budget().set_bounds(bounds.budget);
+    }
+
     /// Something happened that other daemons should hear at once.
     pub fn tell(&self) {
         self.news.send_modify(|count| *count += 1);
@@ -156,7 +162,8 @@
         let Some(age) = self.in_force.age(now) else {
             return false;
         };
-        self.bounds.revoke.is_none_or(|bound| age <= bound.mul_f64(FRESH_PART))
+        let bound = *self.revoke.lock().expect("no holder panics");
+        bound.is_none_or(|bound| age <= bound.mul_f64(FRESH_PART))
     }
 
     /// Whether the caller of a request still holds its key, as far as may be relied on now.
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -43,6 +43,13 @@
     pub idle: Duration,
 }
 
+/// Connections that are open, and how many may be.
+#[derive(Debug)]
+pub struct Open {
+    count: AtomicUsize,
+    most: usize,
+}
+
 /// What answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request. With `leaving` the caller should not use the connection again.
@@ -55,30 +62,33 @@
     fn limits(&self) -> ConnectionLimits;
 }
 
-/// Connections that are open.
-#[derive(Debug, Default)]
-pub struct Open(AtomicUsize);
-
 impl Open {
+    /// None yet, of `most`.
+    pub fn new(most: usize) -> Open {
+        Open { count: AtomicUsize::new(0), most }
+    }
+
     /// How many.
     pub fn count(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.count.load(Ordering::Relaxed)
     }
-}
 
-/// Counts one connection until it is dropped.
-struct Counted(Arc<Open>);
-
-impl Counted {
-    fn new(open: Arc<Open>) -> Counted {
-        open.0.fetch_add(1, Ordering::Relaxed);
-        Counted(open)
+    /// Counts one more; `None` where too many are open.
+    fn enter(self: &Arc<Self>) -> Option<Counted> {
+        if self.count() >= self.most {
+            return None;
+        }
+        self.count.fetch_add(1, Ordering::Relaxed);
+        Some(Counted(self.clone()))
     }
 }
 
+/// One connection among those that are open.
+struct Counted(Arc<Open>);
+
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.count.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -109,8 +119,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let Some(counted) = open.enter() else {
+                    // Closed unread: the caller may try another daemon with any request.
+                    debug!("connection over the limit closed");
+                    continue;
+                };
                 let connection = connection(stream, handler.clone(), phase.clone());
-                let counted = Counted::new(open.clone());
                 tokio::spawn(async move {
                     connection.await;
                     drop(counted);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::OwnedSemaphorePermit;
 
 /// What a generation is expected to take; all 0 for plain services.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -49,6 +50,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// The part of the memory for bodies that it takes, as long as the request lives.
+    pub held: Option<Arc<OwnedSemaphorePermit>>,
     /// The route in force when it arrived.
     pub route: Arc<Route>,
     /// Present where the route needs a key.
