--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -150,7 +150,7 @@
         let unrun = proof.is_some();
         let left = self.call.left(Instant::now());
         let after = self.call.after;
-        let sending = Sending { to: seat.place.to.clone(), left, from: None, after, backup: None };
+        let sending = Sending { to: seat.place.to.clone(), left, from: None, after };
         let reply = match self.gateway.wire.send(self.call, sending, proof).await {
             Ok(reply) => reply,
             Err(lost) => return self.lost(&seat, lost),
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -11,6 +11,7 @@
 use crate::gateway::request::Call;
 use crate::gateway::table::{Engine, Service};
 use log::info;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -56,21 +57,21 @@
     stopping: Arc<AtomicBool>,
 ) -> Moved {
     let noticed = Instant::now();
-    if !gateway.take_repeat(&service.name, Repeat::Continuation, noticed) {
-        return Moved::Stays("no_repeat_left");
-    }
     let turn = gateway.turn(source.key);
     let _turn = turn.acquire().await;
     wait_for_others(&gateway, &service, &source).await;
+    if !gateway.take_repeat(&service.name, Repeat::Continuation, Instant::now()) {
+        return Moved::Stays("no_repeat_left");
+    }
     let mut refused = vec![source.key];
-    let seat = loop {
+    let (seat, mut copy) = loop {
         let now = Instant::now();
         let Some(seat) = gateway.seat_for_copy(&service, &source, &refused, now) else {
             return Moved::Stays("no_server");
         };
         let copier = Copier { gateway: &gateway, run: &call.id, from: source.to.addr, to: &seat };
         match copier.copy_until_quiet(noticed).await {
-            Ok(()) => break seat,
+            Ok(copy) => break (seat, copy),
             Err(NotCopied::NoRoom(_)) => refused.push(seat.key()),
             Err(_) => return Moved::Stays("copy_refused"),
         }
@@ -79,12 +80,35 @@
     let copier = Copier { gateway: &gateway, run: &call.id, from: source.to.addr, to: &seat };
     let kept = |handle| KeptRun { server: source.to.addr, handle };
     match copier.copy(true).await {
-        Ok(copied) => Moved::Stopped { kept: kept(copied.handle), seat },
-        Err(NotCopied::NoRoom(Some(handle))) => Moved::SourceKeeps(kept(handle)),
+        Ok(copied) => {
+            copy.handle = None;
+            Moved::Stopped { kept: kept(copied.handle), seat }
+        }
+        Err(NotCopied::NoRoom(Some(handle))) => {
+            copy.handle = None;
+            Moved::SourceKeeps(kept(handle))
+        }
         Err(_) => Moved::Stays("last_copy"),
     }
 }
 
+/// A copy that was made ahead; it is freed where nothing comes of the move.
+struct CopyAhead {
+    gateway: Arc<Gateway>,
+    from: SocketAddr,
+    /// `None` once it is needed.
+    handle: Option<String>,
+}
+
+impl Drop for CopyAhead {
+    fn drop(&mut self) {
+        if let Some(handle) = self.handle.take() {
+            let (gateway, from) = (self.gateway.clone(), self.from);
+            tokio::spawn(async move { gateway.wire.free(from, &handle).await });
+        }
+    }
+}
+
 /// Waits until the daemons that rank before this one have moved their runs away from the server, or
 /// until that should have been done.
 async fn wait_for_others(gateway: &Gateway, service: &Service, source: &Place) {
@@ -112,20 +136,21 @@
 
 /// Copies of one run to one server.
 struct Copier<'a> {
-    gateway: &'a Gateway,
+    gateway: &'a Arc<Gateway>,
     run: &'a str,
-    from: std::net::SocketAddr,
+    from: SocketAddr,
     to: &'a Seat,
 }
 
 impl Copier<'_> {
     /// Copies while the run goes on, until a copy finds the links quiet or time is short.
-    async fn copy_until_quiet(&self, noticed: Instant) -> Result<(), NotCopied> {
+    async fn copy_until_quiet(&self, noticed: Instant) -> Result<CopyAhead, NotCopied> {
+        let mut ahead = CopyAhead { gateway: self.gateway.clone(), from: self.from, handle: None };
         loop {
             let began = Instant::now();
-            self.copy(false).await?;
+            ahead.handle = Some(self.copy(false).await?.handle);
             if began.elapsed() <= QUIET || noticed.elapsed() >= STOP_BY {
-                return Ok(());
+                return Ok(ahead);
             }
         }
     }
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -43,8 +43,6 @@
     pub from: Option<KeptRun>,
     /// The last event that is not to come again.
     pub after: Option<u64>,
-    /// A server that shall keep a copy of the run up to date.
-    pub backup: Option<SocketAddr>,
 }
 
 /// A backend server's answer.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -295,7 +295,6 @@
             left: self.call.left(Instant::now()),
             from: Some(kept.clone()),
             after: self.last,
-            backup: None,
         };
         let elsewhere = seat.is_some();
         let why = match reopen(&self.gateway, &self.call, sending).await {
@@ -340,7 +339,6 @@
             left: self.call.left(now),
             from: None,
             after: self.last,
-            backup: None,
         };
         self.leg = reopen(&self.gateway, &self.call, sending).await.map_err(End::Broken)?;
         info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), why = why.as_str(), last = self.last; "run begun anew");
