--- a/src/journal.rs
+++ b/src/journal.rs
@@ -7,7 +7,7 @@
 use crate::claim::{ClaimAsk, ClaimKey, Claimed, Kept, Nonce};
 use crate::metrics::Metrics;
 use crate::platform::{Expect, Platform, PlatformError, ROOT, Swap};
-use serde::{Deserialize, Serialize};
+use crate::segment::{Claim, Record, Segment};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -20,7 +20,6 @@
 const MOST_NOTES: usize = 4_096;
 /// Most bytes of outcomes in one segment; the platform holds values up to a megabyte.
 const NOTE_BYTES: usize = 512 << 10;
-const RECORD_BYTES: usize = 64;
 /// Most records in one segment.
 const MOST_RECORDS: usize = 512;
 /// Largest body kept with an outcome, in bytes.
@@ -32,31 +31,6 @@
 /// Added to retention before anything is forgotten, for clocks that differ.
 pub const CLOCK_MARGIN_MS: u64 = 60_000;
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
-enum Record {
-    Claim { key: ClaimKey, nonce: Nonce, body: u128 },
-    Settle { key: ClaimKey, nonce: Nonce, kept: Kept },
-    Release { key: ClaimKey, nonce: Nonce },
-}
-
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct Segment {
-    nonce: Nonce,
-    /// Unix time in milliseconds after which all of it may be forgotten.
-    forget_ms: u64,
-    records: Vec<Record>,
-}
-
-impl Record {
-    /// About how many bytes it takes in a segment.
-    fn bytes(&self) -> usize {
-        match self {
-            Record::Settle { kept, .. } => RECORD_BYTES + kept.body.len(),
-            Record::Claim { .. } | Record::Release { .. } => RECORD_BYTES,
-        }
-    }
-}
-
 /// A segment to be appended, whose claims it decides, and how many notes it writes.
 struct Draft {
     segment: Segment,
@@ -135,26 +109,6 @@
     }
 }
 
-struct Claim {
-    nonce: Nonce,
-    body: u128,
-    kept: Option<Kept>,
-    segment: u64,
-}
-
-impl Claim {
-    fn answer(&self, nonce: Nonce, body: u128) -> Claimed {
-        if self.body != body {
-            return Claimed::Mismatch;
-        }
-        match &self.kept {
-            Some(kept) => Claimed::Settled(kept.clone()),
-            None if self.nonce == nonce => Claimed::Yours,
-            None => Claimed::Taken,
-        }
-    }
-}
-
 /// One shard as one daemon knows it; changed only by its own task.
 struct Shard {
     number: usize,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod replica;
 pub mod resource;
 pub mod seal;
+mod segment;
 pub mod server;
 pub mod show;
 pub mod slot;
