Bound heartbeats by six peers a beat, however many daemons there are

Change: each peer hears at a pace that grows with their number; silence and the wait for the reading daemon scale with it; loads are added up once a beat where there are more than six peers.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -30,6 +30,9 @@
 /// Time between two heartbeats to a peer: loads are at most this old plus the way, which is a few
 /// requests at a VM's usual rate.
 const BEAT: Duration = Duration::from_millis(100);
+/// Peers that hear a heartbeat within [`BEAT`]; with more of them each hears less often, so that what a
+/// daemon sends does not grow with the fleet.
+const FANOUT: usize = 6;
 /// Time between two attempts to reach a peer that does not answer.
 const GREET: Duration = Duration::from_millis(400);
 /// Silence after which a peer is taken as gone for now: callers are not sent there, and its load
@@ -41,6 +44,9 @@
 const READ_LATELY: Duration = Duration::from_millis(700);
 /// What a daemon waits longer for each one that ranks before it.
 const READ_STEP: Duration = Duration::from_millis(120);
+/// Longest that a daemon waits for those before it: a fleet whose first ranks are cut off from the
+/// store still reads within two seconds.
+const LONGEST_TURN: Duration = Duration::from_millis(1_000);
 /// Longest time for a peer to give what this daemon lacks.
 const FETCH_LIMIT: Duration = Duration::from_millis(400);
 /// Other daemons that a heartbeat names.
@@ -102,8 +108,9 @@
 }
 
 impl Peer {
-    fn speaks(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.heard) <= SILENT
+    /// Whether it was heard within `silent`.
+    fn speaks(&self, now: Instant, silent: Duration) -> bool {
+        now.saturating_duration_since(self.heard) <= silent
     }
 }
 
@@ -185,13 +192,26 @@
         }
     }
 
+    /// How many times as long as [`BEAT`] it takes until each of `peers` has heard a heartbeat.
+    fn rounds(peers: usize) -> u32 {
+        u32::try_from(peers.div_ceil(FANOUT)).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Silence after which one of `peers` is taken as gone for now.
+    fn silence(peers: usize) -> Duration {
+        SILENT.saturating_mul(Cluster::rounds(peers))
+    }
+
     /// Whether this daemon should read the store now: no daemon that ranks before it did lately.
     pub fn should_read(&self, now: Instant) -> bool {
         let own = rank(&self.roster.own().vm);
         let peers = self.peers();
+        let silence = Cluster::silence(peers.len());
         let before: Vec<&Peer> =
-            peers.values().filter(|p| p.speaks(now) && rank(&p.daemon.vm) < own).collect();
-        let lately = READ_LATELY + READ_STEP * u32::try_from(before.len()).unwrap_or(u32::MAX);
+            peers.values().filter(|p| p.speaks(now, silence) && rank(&p.daemon.vm) < own).collect();
+        let turn = READ_STEP.saturating_mul(u32::try_from(before.len()).unwrap_or(u32::MAX));
+        let told_late = BEAT * (Cluster::rounds(peers.len()) - 1);
+        let lately = READ_LATELY + told_late + turn.min(LONGEST_TURN);
         let relied = before.iter().filter_map(|p| p.read);
         relied.max().is_none_or(|read| now.saturating_duration_since(read) > lately)
     }
@@ -204,7 +224,8 @@
     /// Where callers may be sent, this daemon not among them.
     pub fn entries(&self, now: Instant) -> Vec<SocketAddr> {
         let peers = self.peers();
-        let ready = peers.values().filter(|p| p.ready && p.speaks(now));
+        let silence = Cluster::silence(peers.len());
+        let ready = peers.values().filter(|p| p.ready && p.speaks(now, silence));
         ready.map(|p| p.daemon.callers).collect()
     }
 
@@ -230,12 +251,16 @@
             let now = Instant::now();
             let beat = self.beat(addr, now);
             self.links.datagram(addr, &beat, handler).await;
-            let heard = self.peers().get(&addr).map(|p| p.heard);
+            let (heard, count) = {
+                let peers = self.peers();
+                (peers.get(&addr).map(|p| p.heard), peers.len())
+            };
             let silence = now.saturating_duration_since(heard.unwrap_or(began));
             if silence > FORGOTTEN && !self.is_listed(addr) {
                 return;
             }
-            let pause = if silence > SILENT { GREET } else { BEAT };
+            let silent = silence > Cluster::silence(count);
+            let pause = if silent { GREET } else { BEAT } * Cluster::rounds(count);
             tokio::select! {
                 () = sleep(pause.mul_f64(rand::rng().random_range(0.9..1.1))) => {}
                 // News goes out at once.
@@ -253,7 +278,8 @@
         let micros = |since: Instant| now.saturating_duration_since(since).as_micros() as u64;
         let echo =
             peers.get(&to).map(|p| Echo { boot: p.boot, stamp: p.stamp, held: micros(p.heard) });
-        let others = peers.iter().filter(|(addr, p)| **addr != to && p.speaks(now));
+        let silence = Cluster::silence(peers.len());
+        let others = peers.iter().filter(|(addr, p)| **addr != to && p.speaks(now, silence));
         let others = others.map(|(addr, _)| *addr).take(NAMED).collect();
         let read = *self.read.lock().expect("no holder panics");
         Beat {
@@ -289,7 +315,10 @@
         for addr in beat.others {
             self.note_addr(addr);
         }
-        self.share_loads(now);
+        if self.peers().len() <= FANOUT {
+            // Daemons wait for each other's moves by these. A larger fleet adds up once a beat.
+            self.share_loads(now);
+        }
         let Some(statement) = beat.statement else {
             return;
         };
@@ -362,7 +391,8 @@
             peers.iter().filter(|(_, p)| now.saturating_duration_since(p.heard) <= FORGOTTEN);
         let known: HashSet<SocketAddr> = listed.chain(heard.map(|(addr, _)| *addr)).collect();
         let mut spent: HashMap<ServiceTag, Spent> = HashMap::new();
-        let speaking: Vec<&Peer> = peers.values().filter(|p| p.speaks(now)).collect();
+        let silence = Cluster::silence(peers.len());
+        let speaking: Vec<&Peer> = peers.values().filter(|p| p.speaks(now, silence)).collect();
         self.gateway.metrics.peers.set(speaking.len() as i64);
         for (tag, part) in speaking.iter().flat_map(|p| &p.spent) {
             *spent.entry(*tag).or_default() += *part;
@@ -375,7 +405,9 @@
     fn share_loads(&self, now: Instant) {
         let own = rank(&self.roster.own().vm);
         let (mut others, mut ahead) = (LoadsByTag::new(), LoadsByTag::new());
-        for peer in self.peers().values().filter(|p| p.speaks(now)) {
+        let peers = self.peers();
+        let silence = Cluster::silence(peers.len());
+        for peer in peers.values().filter(|p| p.speaks(now, silence)) {
             let before = rank(&peer.daemon.vm) < own;
             for (tag, load) in &peer.loads {
                 *others.entry(*tag).or_default() += *load;
@@ -384,6 +416,7 @@
                 }
             }
         }
+        drop(peers);
         self.gateway.servers().set_others(&others, &ahead);
     }
 
