Make one piece of what stood twice in the gateway

Cause: a read-through of the whole change. Found and mended, behaviour unchanged: - the hash that names servers, services and daemons' ranks was written three times: Tag; a server keeps its tag instead of hashing its id at each heartbeat - whether a request may run once more, and a seat with its repeat, stood in forward and relay: Route::may_run_again, Gateway::seat_again - a body that is whole was built in three places, a request of the system's own in two - state that could be derived: the declaration's bytes beside the mirror's, the revision of a confirmation, a channel for leaving beside the phase, a mailbox in the roster for addresses that the cluster can greet at once - work in the wrong place: the listed daemons were gathered three times a beat; a whole read searched a list for each key; the mirror sorted its deletions at each change once it held 1,024 keys of any kind, where the bound is on deleted ones

Ruled out: merging the names of this InForce and of the one in src/follow.rs, or RepeatBudget with health::RetryBudget: they keep different promises.

--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -1,5 +1,6 @@
 //! This daemon's own key in the store, kept under a lease while it serves.
 
+use crate::gateway::listen::Phase;
 use crate::gateway::port::{Schema, Store};
 use crate::gateway::roster::Daemon;
 use crate::platform::{LeaseId, PlatformResult};
@@ -16,12 +17,12 @@
 /// Pause after a call that failed.
 const AFTER_FAILURE: Duration = Duration::from_millis(400);
 
-/// Keeps the key until `leaving` turns true, then takes it away.
+/// Keeps the key while the daemon serves, then takes it away.
 pub async fn run(
     store: Arc<dyn Store>,
     schema: Arc<dyn Schema>,
     own: Daemon,
-    mut leaving: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
 ) {
     let key = format!("{}{}", schema.daemons(), own.vm);
     let value = serde_json::to_vec(&own).expect("a daemon's record is JSON");
@@ -30,7 +31,7 @@
         let step = keep(&*store, &key, &value, lease);
         let kept = tokio::select! {
             kept = step => kept,
-            _ = leaving.wait_for(|leaving| *leaving) => break,
+            _ = phase.wait_for(|phase| *phase >= Phase::Leaving) => break,
         };
         let pause = match kept {
             Ok(id) => {
@@ -44,7 +45,7 @@
         };
         tokio::select! {
             () = sleep(pause) => {}
-            _ = leaving.wait_for(|leaving| *leaving) => break,
+            _ = phase.wait_for(|phase| *phase >= Phase::Leaving) => break,
         }
     }
     if let Some(lease) = lease {
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -6,9 +6,9 @@
 //! part of the constant, and it assumes the same of those that it does not hear: daemons that lose
 //! each other can't spend anything twice.
 
+use crate::gateway::tag::Tag;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::AddAssign;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -46,19 +46,6 @@
     }
 }
 
-/// A name of a service that is short enough for messages between daemons.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct ServiceTag(u64);
-
-impl ServiceTag {
-    /// The tag of a service's name.
-    pub fn of(name: &str) -> ServiceTag {
-        let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
-        ServiceTag(hasher.finish())
-    }
-}
-
 /// What is known of the other daemons that share the budget.
 #[derive(Debug, Default)]
 pub struct Others {
@@ -67,7 +54,7 @@
     /// How many of them are heard.
     pub heard: usize,
     /// What those have spent.
-    pub spent: HashMap<ServiceTag, Spent>,
+    pub spent: HashMap<Tag, Spent>,
 }
 
 #[derive(Debug, Default)]
@@ -140,7 +127,7 @@
         let number = self.number(now);
         let all = self.others.daemons as f64 + 1.0;
         let unheard = self.others.daemons.saturating_sub(self.others.heard) as f64;
-        let told = self.others.spent.get(&ServiceTag::of(service)).copied().unwrap_or_default();
+        let told = self.others.spent.get(&Tag::of(service)).copied().unwrap_or_default();
         let bounds = self.bounds;
         let window = self.window(service);
         window.slice(number);
@@ -156,12 +143,12 @@
     }
 
     /// What this daemon has spent within the window.
-    pub fn spent(&mut self, now: Instant) -> Vec<(ServiceTag, Spent)> {
+    pub fn spent(&mut self, now: Instant) -> Vec<(Tag, Spent)> {
         let number = self.number(now);
         let windows = self.services.iter_mut();
         let sums = windows.map(|(service, window)| {
             window.slice(number);
-            (ServiceTag::of(service), window.sum())
+            (Tag::of(service), window.sum())
         });
         sums.filter(|(_, spent)| *spent != Spent::default()).collect()
     }
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -6,12 +6,13 @@
 //! of the receiver's own clock, however long it was on the way.
 
 use crate::error::Result;
-use crate::gateway::budget::{Others, ServiceTag, Spent};
+use crate::gateway::budget::{Others, Spent};
 use crate::gateway::core::Gateway;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::{Mirror, Statement, Update};
 use crate::gateway::roster::{Daemon, Roster};
-use crate::gateway::servers::{Load, LoadsByTag, ServerTag};
+use crate::gateway::servers::{Load, LoadsByTag};
+use crate::gateway::tag::Tag;
 use crate::message;
 use crate::peer::{Handler, Held, LinkLimits, Peers};
 use crate::tls::Identity;
@@ -20,7 +21,6 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -69,9 +69,9 @@
     /// Age of the sender's last own read of the store, in milliseconds.
     read_ms: Option<u32>,
     /// What it has running.
-    loads: Vec<(ServerTag, Load)>,
+    loads: Vec<(Tag, Load)>,
     /// What it has spent of the budget for repeats.
-    spent: Vec<(ServiceTag, Spent)>,
+    spent: Vec<(Tag, Spent)>,
     /// Some of the daemons that it knows.
     others: Vec<SocketAddr>,
 }
@@ -103,8 +103,8 @@
     ready: bool,
     /// When it last read the store itself, at the latest.
     read: Option<Instant>,
-    loads: Vec<(ServerTag, Load)>,
-    spent: Vec<(ServiceTag, Spent)>,
+    loads: Vec<(Tag, Load)>,
+    spent: Vec<(Tag, Spent)>,
 }
 
 impl Peer {
@@ -175,23 +175,26 @@
 
     /// Talks with peers until the process ends.
     pub async fn run(self: Arc<Self>) {
-        let handler: Arc<dyn Handler> = Arc::new(Answering(self.clone()));
-        tokio::spawn(self.links.clone().serve(handler.clone()));
+        tokio::spawn(self.links.clone().serve(self.handler()));
         loop {
             let now = Instant::now();
-            self.forget(now);
-            let listed = self.roster.others().into_iter().map(|d| d.peers);
+            let listed = self.roster.peers();
+            self.forget(&listed, now);
+            self.count(&listed, now);
             let heard: Vec<SocketAddr> = self.peers().keys().copied().collect();
-            let named = self.roster.take_named();
             let seeds = self.seeds.lock().expect("no holder panics").clone();
-            for addr in listed.chain(heard).chain(named).chain(seeds) {
-                self.greet(addr, &handler);
+            for addr in listed.into_iter().chain(heard).chain(seeds) {
+                self.greet(addr);
             }
-            self.count(now);
             sleep(BEAT).await;
         }
     }
 
+    /// The side that answers peers.
+    fn handler(self: &Arc<Self>) -> Arc<dyn Handler> {
+        Arc::new(Answering(self.clone()))
+    }
+
     /// How many times as long as [`BEAT`] it takes until each of `peers` has heard a heartbeat.
     fn rounds(peers: usize) -> u32 {
         u32::try_from(peers.div_ceil(FANOUT)).unwrap_or(u32::MAX).max(1)
@@ -204,11 +207,13 @@
 
     /// Whether this daemon should read the store now: no daemon that ranks before it did lately.
     pub fn should_read(&self, now: Instant) -> bool {
-        let own = rank(&self.roster.own().vm);
+        let own = Tag::of(&self.roster.own().vm);
         let peers = self.peers();
         let silence = Cluster::silence(peers.len());
-        let before: Vec<&Peer> =
-            peers.values().filter(|p| p.speaks(now, silence) && rank(&p.daemon.vm) < own).collect();
+        let before: Vec<&Peer> = peers
+            .values()
+            .filter(|p| p.speaks(now, silence) && Tag::of(&p.daemon.vm) < own)
+            .collect();
         let turn = READ_STEP.saturating_mul(u32::try_from(before.len()).unwrap_or(u32::MAX));
         let told_late = BEAT * (Cluster::rounds(peers.len()) - 1);
         let lately = READ_LATELY + told_late + turn.min(LONGEST_TURN);
@@ -230,16 +235,16 @@
     }
 
     /// One task for each peer; it ends when the peer is forgotten.
-    fn greet(self: &Arc<Self>, addr: SocketAddr, handler: &Arc<dyn Handler>) {
+    fn greet(self: &Arc<Self>, addr: SocketAddr) {
         if addr == self.roster.own().peers {
             return;
         }
         if !self.greeted.lock().expect("no holder panics").insert(addr) {
             return;
         }
-        let (cluster, handler) = (self.clone(), handler.clone());
+        let cluster = self.clone();
         tokio::spawn(async move {
-            cluster.talk(addr, &handler).await;
+            cluster.talk(addr, &cluster.handler()).await;
             cluster.greeted.lock().expect("no holder panics").remove(&addr);
         });
     }
@@ -256,7 +261,7 @@
                 (peers.get(&addr).map(|p| p.heard), peers.len())
             };
             let silence = now.saturating_duration_since(heard.unwrap_or(began));
-            if silence > FORGOTTEN && !self.is_listed(addr) {
+            if silence > FORGOTTEN && !self.roster.peers().contains(&addr) {
                 return;
             }
             let silent = silence > Cluster::silence(count);
@@ -269,10 +274,6 @@
         }
     }
 
-    fn is_listed(&self, addr: SocketAddr) -> bool {
-        self.roster.others().iter().any(|d| d.peers == addr)
-    }
-
     fn beat(&self, to: SocketAddr, now: Instant) -> Beat {
         let peers = self.peers();
         let micros = |since: Instant| now.saturating_duration_since(since).as_micros() as u64;
@@ -313,7 +314,7 @@
             spent: beat.spent,
         });
         for addr in beat.others {
-            self.note_addr(addr);
+            self.greet(addr);
         }
         if self.peers().len() <= FANOUT {
             // Daemons wait for each other's moves by these. A larger fleet adds up once a beat.
@@ -347,16 +348,8 @@
         peers.insert(peer.daemon.peers, peer);
     }
 
-    /// A peer that another one named is greeted with the next round of [`Cluster::run`].
-    fn note_addr(&self, addr: SocketAddr) {
-        let greeted = self.greeted.lock().expect("no holder panics").contains(&addr);
-        if !greeted && addr != self.roster.own().peers {
-            self.roster.hear_of(addr);
-        }
-    }
-
     async fn fetch(self: Arc<Self>, from: SocketAddr) {
-        let handler: Arc<dyn Handler> = Arc::new(Answering(self.clone()));
+        let handler = self.handler();
         let asked = Instant::now();
         let request = Request::After(self.mirror.position());
         let answer = self.links.ask::<Option<Update>>(from, &request, FETCH_LIMIT, &handler).await;
@@ -374,9 +367,7 @@
     }
 
     /// Forgets peers that have been silent for long and are not listed.
-    fn forget(&self, now: Instant) {
-        let listed: HashSet<SocketAddr> =
-            self.roster.others().into_iter().map(|d| d.peers).collect();
+    fn forget(&self, listed: &HashSet<SocketAddr>, now: Instant) {
         self.peers().retain(|addr, peer| {
             listed.contains(addr) || now.saturating_duration_since(peer.heard) <= FORGOTTEN
         });
@@ -384,13 +375,13 @@
     }
 
     /// Adds up what the daemons that share budgets have spent: those listed and those heard of lately.
-    fn count(&self, now: Instant) {
-        let listed = self.roster.others().into_iter().map(|d| d.peers);
+    fn count(&self, listed: &HashSet<SocketAddr>, now: Instant) {
         let peers = self.peers();
         let heard =
             peers.iter().filter(|(_, p)| now.saturating_duration_since(p.heard) <= FORGOTTEN);
-        let known: HashSet<SocketAddr> = listed.chain(heard.map(|(addr, _)| *addr)).collect();
-        let mut spent: HashMap<ServiceTag, Spent> = HashMap::new();
+        let heard = heard.map(|(addr, _)| addr);
+        let known: HashSet<&SocketAddr> = listed.iter().chain(heard).collect();
+        let mut spent: HashMap<Tag, Spent> = HashMap::new();
         let silence = Cluster::silence(peers.len());
         let speaking: Vec<&Peer> = peers.values().filter(|p| p.speaks(now, silence)).collect();
         self.gateway.metrics.peers.set(speaking.len() as i64);
@@ -403,12 +394,12 @@
 
     /// Adds up what the peers have running, and what those have that rank before this daemon.
     fn share_loads(&self, now: Instant) {
-        let own = rank(&self.roster.own().vm);
+        let own = Tag::of(&self.roster.own().vm);
         let (mut others, mut ahead) = (LoadsByTag::new(), LoadsByTag::new());
         let peers = self.peers();
         let silence = Cluster::silence(peers.len());
         for peer in peers.values().filter(|p| p.speaks(now, silence)) {
-            let before = rank(&peer.daemon.vm) < own;
+            let before = Tag::of(&peer.daemon.vm) < own;
             for (tag, load) in &peer.loads {
                 *others.entry(*tag).or_default() += *load;
                 if before {
@@ -425,13 +416,6 @@
     }
 }
 
-/// The order in which daemons read the store, by name, so that all see it alike.
-fn rank(vm: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    vm.hash(&mut hasher);
-    hasher.finish()
-}
-
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -1,6 +1,6 @@
 //! The state that all requests of one daemon share.
 
-use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, ServiceTag, Spent};
+use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use crate::gateway::in_force::InForce;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::place::{self, Candidate, FAR_COPY_COST, FAR_COST, Need, Placing};
@@ -8,6 +8,7 @@
 use crate::gateway::request::Call;
 use crate::gateway::servers::{Load, ServerKey, Servers};
 use crate::gateway::table::Service;
+use crate::gateway::tag::Tag;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
@@ -223,6 +224,21 @@
         self.take_seat(&mut servers, key, load)
     }
 
+    /// Takes a seat for a request that was sent before, if the shared budget allows another sending.
+    pub fn seat_again(
+        self: &Arc<Self>,
+        service: &Service,
+        call: &Call,
+        tried: &[ServerKey],
+        now: Instant,
+    ) -> Result<Seat, &'static str> {
+        let seat = self.seat(service, call, tried, now).ok_or("no_server")?;
+        match self.take_repeat(&service.name, Repeat::Retry, now) {
+            true => Ok(seat),
+            false => Err("no_repeat_left"),
+        }
+    }
+
     /// Takes a seat for a run that is copied from `source`, not at one of `refused`. The daemons that
     /// have runs there choose at the same moment; each chooses as if those before it had chosen.
     pub fn seat_for_copy(
@@ -266,7 +282,7 @@
     }
 
     /// What this daemon has spent of the shared budget.
-    pub fn spent(&self, now: Instant) -> Vec<(ServiceTag, Spent)> {
+    pub fn spent(&self, now: Instant) -> Vec<(Tag, Spent)> {
         self.budget().spent(now)
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,16 +1,16 @@
 //! A request's way: place, send, follow, send again where that is allowed, answer.
 
-use crate::gateway::budget::Repeat;
 use crate::gateway::core::{Gateway, Seat};
 use crate::gateway::port::{Lost, Reply, Sending};
 use crate::gateway::relay;
-use crate::gateway::request::{Answer, BrokenOff, Call};
+use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call, whole};
 use crate::gateway::servers::ServerKey;
 use crate::gateway::table::{RouteKind, Service};
 use crate::outcome::{Failure, NotSent, Reason};
 use bytes::{Bytes, BytesMut};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, BodyStream, StreamBody};
+use hyper::body::Frame;
 use log::{info, warn};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -102,7 +102,7 @@
                     self.count_failed("failed at a server", why);
                     self.runs += 1;
                     fallback = answer.or(fallback);
-                    if !self.may_run_again() {
+                    if !self.call.route.may_run_again(self.runs) {
                         return self.give_up(None, fallback, why);
                     }
                 }
@@ -110,10 +110,6 @@
         }
     }
 
-    fn may_run_again(&self) -> bool {
-        self.call.route.repeatable() && self.runs < self.call.route.attempts
-    }
-
     /// The next server to try, where the rules and the budget allow one.
     fn next_seat(&self, now: Instant) -> Result<Seat, &'static str> {
         if !self.gateway.may_send(self.call, now) {
@@ -125,13 +121,10 @@
         if self.tried.len() >= MOST_SENDINGS {
             return Err("servers_refuse");
         }
-        let seat =
-            self.gateway.seat(&self.service, self.call, &self.tried, now).ok_or("no_server")?;
-        let again = !self.tried.is_empty();
-        if again && !self.gateway.take_repeat(&self.service.name, Repeat::Retry, now) {
-            return Err("no_repeat_left");
+        match self.tried.as_slice() {
+            [] => self.gateway.seat(&self.service, self.call, &[], now).ok_or("no_server"),
+            tried => self.gateway.seat_again(&self.service, self.call, tried, now),
         }
-        Ok(seat)
     }
 
     /// Sends; a silent server is given up in time for another one where that may run too.
@@ -198,7 +191,7 @@
 
     /// How long a silent server is waited for while another run is allowed.
     fn patience(&self) -> Option<Duration> {
-        if !self.call.route.repeatable() || self.runs + 1 >= self.call.route.attempts {
+        if !self.call.route.may_run_again(self.runs + 1) {
             return None;
         }
         let aim = self.call.route.aim;
@@ -251,18 +244,11 @@
             return Ok(Answer { status, headers, body: continued(held.freeze(), body) });
         }
     }
-    let body = Full::new(held.freeze()).map_err(|never| match never {}).boxed_unsync();
-    Ok(Answer { status, headers, body })
+    Ok(Answer { status, headers, body: whole(held.freeze()) })
 }
 
 /// A body whose first part has been read.
-fn continued(
-    first: Bytes,
-    rest: UnsyncBoxBody<Bytes, BrokenOff>,
-) -> UnsyncBoxBody<Bytes, BrokenOff> {
-    use futures_util::StreamExt;
-    use http_body_util::{BodyStream, StreamBody};
-    use hyper::body::Frame;
+fn continued(first: Bytes, rest: AnswerBody) -> AnswerBody {
     let first = futures_util::stream::once(async { Ok(Frame::data(first)) });
     StreamBody::new(first.chain(BodyStream::new(rest))).boxed_unsync()
 }
--- a/src/gateway/in_force.rs
+++ b/src/gateway/in_force.rs
@@ -14,23 +14,16 @@
 pub struct Declared {
     /// The store's revision that wrote it.
     pub revision: u64,
-    /// The declaration as the store holds it, for peers.
-    pub bytes: bytes::Bytes,
-    /// The declaration as it is used.
+    /// The declaration.
     pub table: Arc<Table>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct Confirmation {
-    revision: u64,
-    at: Option<Instant>,
-}
-
 /// See the module.
 #[derive(Default)]
 pub struct InForce {
     declared: ArcSwapOption<Declared>,
-    confirmed: Mutex<Confirmation>,
+    /// When the version in force was last known to be the newest.
+    confirmed: Mutex<Option<Instant>>,
 }
 
 impl InForce {
@@ -50,7 +43,7 @@
         let mut confirmed = self.confirmed.lock().expect("no holder panics");
         let newer = declared.revision > self.revision();
         if newer {
-            *confirmed = Confirmation { revision: declared.revision, at: Some(seen) };
+            *confirmed = Some(seen);
             self.declared.store(Some(Arc::new(declared)));
         }
         newer
@@ -59,17 +52,14 @@
     /// Notes that `revision` was the newest at `seen`; it counts only for the version in force.
     pub fn confirm(&self, revision: u64, seen: Instant) {
         let mut confirmed = self.confirmed.lock().expect("no holder panics");
-        if revision != self.revision() || revision == 0 {
-            return;
+        if revision == self.revision() && revision > 0 {
+            *confirmed = Some(confirmed.map_or(seen, |at| at.max(seen)));
         }
-        let at = confirmed.at.filter(|_| confirmed.revision == revision);
-        let at = at.map_or(seen, |at| at.max(seen));
-        *confirmed = Confirmation { revision, at: Some(at) };
     }
 
     /// How long ago the version in force was known to be the newest.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let confirmed = self.confirmed.lock().expect("no holder panics");
-        confirmed.at.map(|at| now.saturating_duration_since(at))
+        confirmed.map(|at| now.saturating_duration_since(at))
     }
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -112,12 +112,12 @@
             // Older than what is known: a read that was overtaken.
             return;
         }
-        let listed: Vec<&str> = entries.iter().map(|e| e.key.as_str()).collect();
+        let listed: HashSet<&str> = entries.iter().map(|e| e.key.as_str()).collect();
         let gone: Vec<String> = state
             .held
             .iter()
             .filter(|(key, held)| {
-                held.value.is_some() && held.revision <= position && !listed.contains(&key.as_str())
+                held.value.is_some() && held.revision <= position && !listed.contains(key.as_str())
             })
             .map(|(key, _)| key.clone())
             .collect();
@@ -239,9 +239,7 @@
         }
         state.changed = state.changed.max(change.revision);
         self.put_in_force(state, &change.key, change.revision, value, seen, now);
-        if state.held.len() > MOST_DELETED {
-            forget_deleted(state);
-        }
+        forget_deleted(state);
         self.gateway.tell();
     }
 
@@ -272,7 +270,7 @@
     ) {
         if key == self.schema.declaration() {
             if let Some(value) = value {
-                self.take_declaration(revision, value, seen);
+                self.take_declaration(revision, &value, seen);
             }
         } else if key.starts_with(self.schema.servers()) {
             match value {
@@ -284,11 +282,11 @@
         }
     }
 
-    fn take_declaration(&self, revision: u64, bytes: Bytes, seen: Instant) {
-        match self.schema.table(&bytes) {
+    fn take_declaration(&self, revision: u64, value: &[u8], seen: Instant) {
+        match self.schema.table(value) {
             Ok(table) => {
                 let (version, table) = (table.version, Arc::new(table));
-                if self.gateway.in_force.take(Declared { revision, bytes, table }, seen) {
+                if self.gateway.in_force.take(Declared { revision, table }, seen) {
                     self.gateway.metrics.config_revision.set(revision as i64);
                     info!(version = version, revision = revision; "configuration in force");
                 }
@@ -332,14 +330,15 @@
     }
 }
 
-/// Forgets the older half of the deleted keys.
+/// Forgets the older half of the deleted keys where there are too many.
 fn forget_deleted(state: &mut State) {
     let mut deleted: Vec<u64> =
         state.held.values().filter(|h| h.value.is_none()).map(|h| h.revision).collect();
-    deleted.sort_unstable();
-    let Some(middle) = deleted.get(deleted.len() / 2).copied() else {
+    if deleted.len() <= MOST_DELETED {
         return;
-    };
+    }
+    deleted.sort_unstable();
+    let middle = deleted[deleted.len() / 2];
     state.held.retain(|_, held| held.value.is_some() || held.revision > middle);
     state.forgotten = state.forgotten.max(middle);
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! - [`announce`], [`roster`]: who else serves
 //! - [`lookout`]: notices from servers themselves while the store is away
 //! - [`listen`], [`stop`]: connections of callers, and a planned stop
+//! - [`tag`]: short names between daemons
 //! - [`metrics`]: counters and latencies
 //! - [`port`]: what an adapter provides
 
@@ -36,3 +37,4 @@
 pub mod servers;
 pub mod stop;
 pub mod table;
+pub mod tag;
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -1,14 +1,12 @@
 //! What the gateway needs of its surroundings, as traits: an adapter translates each to what is
 //! spoken where the system runs.
 
-use crate::gateway::request::{BrokenOff, Call};
+use crate::gateway::request::{AnswerBody, Call};
 use crate::gateway::servers::ServerRecord;
 use crate::gateway::table::Table;
 use crate::outcome::NotSent;
 use crate::platform::{Change, LeaseId, PlatformResult, Range};
-use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{HeaderMap, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,7 +54,7 @@
     /// Whether another server has the address.
     pub misdirected: bool,
     /// The body. Dropping it closes the connection, which ends the work at the server.
-    pub body: UnsyncBoxBody<Bytes, BrokenOff>,
+    pub body: AnswerBody,
 }
 
 /// A request that got no answer.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,17 +3,15 @@
 //! Whole events only, in the order of their ids, each once. When the server is about to leave,
 //! the run is carried over to another one while its events go on.
 
-use crate::gateway::budget::Repeat;
 use crate::gateway::core::{Gateway, Seat};
 use crate::gateway::events::{Event, Splitter};
 use crate::gateway::forward::Sent;
 use crate::gateway::moving::{self, Moved};
 use crate::gateway::port::{KeptRun, Lost, Reply, Sending};
-use crate::gateway::request::{Answer, BrokenOff, Call};
+use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call};
 use crate::gateway::table::Service;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use log::{info, warn};
@@ -79,7 +77,7 @@
 
 /// The stream of one server.
 struct Leg {
-    body: UnsyncBoxBody<Bytes, BrokenOff>,
+    body: AnswerBody,
     splitter: Splitter,
 }
 
@@ -322,17 +320,14 @@
     async fn run_again(&mut self, why: String) -> Result<(), End> {
         let now = Instant::now();
         self.seat.judge(true);
-        let allowed = self.call.route.repeatable() && self.runs < self.call.route.attempts;
+        let allowed = self.call.route.may_run_again(self.runs);
         if !allowed || !self.gateway.may_send(&self.call, now) {
             return Err(End::Broken(why));
         }
         let tried = [self.seat.key()];
-        let Some(seat) = self.gateway.seat(&self.service, &self.call, &tried, now) else {
+        let Ok(seat) = self.gateway.seat_again(&self.service, &self.call, &tried, now) else {
             return Err(End::Broken(why));
         };
-        if !self.gateway.take_repeat(&self.service.name, Repeat::Retry, now) {
-            return Err(End::Broken(why));
-        }
         self.runs += 1;
         let sending = Sending {
             to: seat.place.to.clone(),
@@ -372,7 +367,6 @@
 
 /// Returns once the server is about to leave.
 async fn noticed(seat: &mut Seat) {
-    if seat.notice.wait_for(|leaving| *leaving).await.is_err() {
-        // The server is no longer in the table: it has gone as well.
-    }
+    // An error means that the server is no longer in the table: it has gone as well.
+    drop(seat.notice.wait_for(|leaving| *leaving).await);
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -3,6 +3,7 @@
 use crate::gateway::table::Route;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Method, StatusCode};
 use snafu::Snafu;
 use std::sync::Arc;
@@ -99,6 +100,11 @@
 /// The body of an answer.
 pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenOff>;
 
+/// A body that is there as a whole.
+pub fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
 /// The answer to a caller.
 pub struct Answer {
     /// Status.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -23,14 +23,12 @@
 pub struct Roster {
     own: Daemon,
     listed: Mutex<HashMap<String, Daemon>>,
-    /// Addresses that peers named.
-    named: Mutex<HashSet<SocketAddr>>,
 }
 
 impl Roster {
     /// A roster that knows this daemon only.
     pub fn new(own: Daemon) -> Roster {
-        Roster { own, listed: Mutex::default(), named: Mutex::default() }
+        Roster { own, listed: Mutex::default() }
     }
 
     /// This daemon.
@@ -51,22 +49,18 @@
         }
     }
 
-    /// A peer named another one.
-    pub fn hear_of(&self, addr: SocketAddr) {
-        self.named.lock().expect("no holder panics").insert(addr);
-    }
-
-    /// The addresses that were named since the last call.
-    pub fn take_named(&self) -> HashSet<SocketAddr> {
-        std::mem::take(&mut self.named.lock().expect("no holder panics"))
-    }
-
     /// The other daemons.
     pub fn others(&self) -> Vec<Daemon> {
         let listed = self.listed();
         listed.values().filter(|d| d.vm != self.own.vm).cloned().collect()
     }
 
+    /// Where the other daemons reach each other.
+    pub fn peers(&self) -> HashSet<SocketAddr> {
+        let listed = self.listed();
+        listed.values().filter(|d| d.vm != self.own.vm).map(|d| d.peers).collect()
+    }
+
     fn listed(&self) -> MutexGuard<'_, HashMap<String, Daemon>> {
         self.listed.lock().expect("no holder panics")
     }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -2,8 +2,8 @@
 
 use crate::gateway::port::Destination;
 use crate::gateway::request::Size;
+use crate::gateway::tag::Tag;
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::ops::{AddAssign, SubAssign};
 use std::sync::Arc;
@@ -77,27 +77,16 @@
     }
 }
 
-/// A name of a server that is short enough for messages between daemons.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
-pub struct ServerTag(pub u64);
-
-impl ServerTag {
-    /// The tag of a server's id.
-    pub fn of(id: &str) -> ServerTag {
-        let mut hasher = DefaultHasher::new();
-        id.hash(&mut hasher);
-        ServerTag(hasher.finish())
-    }
-}
-
 /// Loads by server.
-pub type LoadsByTag = HashMap<ServerTag, Load>;
+pub type LoadsByTag = HashMap<Tag, Load>;
 
 /// One backend server.
 #[derive(Debug)]
 pub struct Server {
     /// What the store says.
     pub record: ServerRecord,
+    /// The tag of its id.
+    tag: Tag,
     /// What this daemon has there.
     pub own: Load,
     /// What the other daemons said they have there.
@@ -113,8 +102,10 @@
 impl Server {
     fn new(record: ServerRecord, now: Instant) -> Server {
         let leaving = watch::Sender::new(record.leaving);
+        let tag = Tag::of(&record.id);
         let none = Load::default();
-        Server { record, own: none, others: none, ahead: none, leaving, failures: 0.0, judged: now }
+        let (own, others, ahead) = (none, none, none);
+        Server { record, tag, own, others, ahead, leaving, failures: 0.0, judged: now }
     }
 
     /// Where it is, and which one is meant.
@@ -257,18 +248,17 @@
     }
 
     /// This daemon's load, for the others.
-    pub fn own_loads(&self) -> Vec<(ServerTag, Load)> {
+    pub fn own_loads(&self) -> Vec<(Tag, Load)> {
         let loaded = self.arena.values().filter(|s| s.own.runs > 0);
-        loaded.map(|s| (ServerTag::of(&s.record.id), s.own)).collect()
+        loaded.map(|s| (s.tag, s.own)).collect()
     }
 
     /// Sets what the other daemons have at each server, and what those ahead of this one have there.
     /// Servers that are not named have nothing of theirs.
     pub fn set_others(&mut self, others: &LoadsByTag, ahead: &LoadsByTag) {
         for server in self.arena.values_mut() {
-            let tag = ServerTag::of(&server.record.id);
-            server.others = others.get(&tag).copied().unwrap_or_default();
-            server.ahead = ahead.get(&tag).copied().unwrap_or_default();
+            server.others = others.get(&server.tag).copied().unwrap_or_default();
+            server.ahead = ahead.get(&server.tag).copied().unwrap_or_default();
         }
     }
 }
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Whether a request that may have run so many times may run once more.
+    pub fn may_run_again(&self, runs: u32) -> bool {
+        self.repeatable() && runs < self.attempts
+    }
+
     /// A service for one request, drawn by weight.
     pub fn draw(&self, rng: &mut impl rand::Rng) -> Option<&Arc<str>> {
         let total: u32 = self.targets.iter().map(|t| t.weight).sum();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,11 +4,12 @@
 use proptest::prelude::*;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tidestair::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, ServiceTag, Spent};
+use tidestair::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use tidestair::gateway::events::Splitter;
 use tidestair::gateway::in_force::{Declared, InForce};
-use tidestair::gateway::servers::{Load, ServerRecord, ServerTag, Servers};
+use tidestair::gateway::servers::{Load, ServerRecord, Servers};
 use tidestair::gateway::table::{Limits, Route, RouteKind, Service, Table, Target, Workspace};
+use tidestair::gateway::tag::Tag;
 
 const LIMITS: Limits = Limits {
     header_bytes: 1_000,
@@ -19,7 +20,7 @@
 
 fn declared(revision: u64) -> Declared {
     let table = Table::new(revision, LIMITS, Vec::new(), Vec::new(), Vec::new());
-    Declared { revision, bytes: Bytes::new(), table: Arc::new(table) }
+    Declared { revision, table: Arc::new(table) }
 }
 
 fn ms(n: u64) -> Duration {
@@ -153,7 +154,7 @@
 fn what_others_have_spent_counts() {
     let (now, service) = (Instant::now(), Arc::<str>::from("app"));
     let mut budget = RepeatBudget::new(BOUNDS, now);
-    let spent = [(ServiceTag::of("app"), Spent { requests: 0, repeats: 34 })];
+    let spent = [(Tag::of("app"), Spent { requests: 0, repeats: 34 })];
     budget.set_others(Others { daemons: 1, heard: 1, spent: spent.into() });
     let own = spend(&mut budget, &service, Repeat::Continuation, now);
     assert!(own + 34 <= 50 && own <= 1, "{own}");
@@ -193,7 +194,7 @@
     servers.remove("i-1");
     assert_eq!(servers.open("app").count(), 0);
     assert!(servers.get(key).is_some());
-    assert_eq!(servers.own_loads(), [(ServerTag::of("i-1"), load)]);
+    assert_eq!(servers.own_loads(), [(Tag::of("i-1"), load)]);
     servers.end(key, load);
     assert!(servers.get(key).is_none());
 }
