Divide large fleets into cells; who is behind reads the store

On the grown deployments (58 and 78 daemons) heartbeats went to six of all peers a beat, so each heard of another's load once a second.

A fleet of more than 14 is divided by hall. Within a cell daemons tell each other what they run as soon as it changes, at latest every 0.25 s; a contact in each other cell gets the sums of the cell every 0.3 s. Callers are sent to their cell. Any daemon's word of a read of the store is passed on. A daemon that is behind for 0.25 s reads the store itself, and gives to three at a time. Failing reads of the store are repeated more slowly by those further back in the order.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -1,117 +1,77 @@
-//! What daemons tell each other, several times a second: who they are, how current their copy of
-//! the store is, and what they have running where.
+//! Talking with the other daemons: who they are, how current their copies of the store are, and
+//! what they have running where.
 //!
 //! Nothing rests on one daemon and nothing is agreed upon. A heartbeat carries the sender's clock
 //! and returns the receiver's, so that each statement in it is known to have been true at a moment
-//! of the receiver's own clock, however long it was on the way.
+//! of the receiver's own clock, however long it was on the way. Within a [cell](crate::gateway::cell)
+//! heartbeats come several times a second and as soon as a load changes; between cells they carry sums.
 
 use crate::error::Result;
-use crate::gateway::budget::{Others, Spent};
+use crate::gateway::beat::{Beat, Request, Told};
 use crate::gateway::core::Gateway;
 use crate::gateway::metrics::GatewayMetrics;
-use crate::gateway::mirror::{Mirror, Statement, Update};
-use crate::gateway::roster::{Daemon, Roster};
-use crate::gateway::servers::{Load, LoadsByTag};
-use crate::gateway::tag::Tag;
+use crate::gateway::mirror::{Mirror, Update};
+use crate::gateway::roster::Roster;
+use crate::gateway::view::View;
 use crate::message;
 use crate::peer::{Handler, Held, LinkLimits, Peers};
 use crate::tls::Identity;
 use futures_util::future::BoxFuture;
-use log::{info, warn};
+use log::warn;
 use rand::RngExt;
-use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
-
-/// Time between two heartbeats to a peer: loads are at most this old plus the way, which is a few
-/// requests at a VM's usual rate.
-const BEAT: Duration = Duration::from_millis(100);
-/// Peers that hear a heartbeat within [`BEAT`]; with more of them each hears less often, so that what a
-/// daemon sends does not grow with the fleet.
-const FANOUT: usize = 6;
-/// Time between two attempts to reach a peer that does not answer.
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{sleep, sleep_until};
+
+/// Time between two heartbeats within a cell where nothing changes: three of them within the silence
+/// after which a daemon is taken as gone.
+const BEAT: Duration = Duration::from_millis(250);
+/// Least time between two heartbeats to one daemon for changes of load: changes that come together
+/// are told together.
+const SPACING: Duration = Duration::from_millis(40);
+/// Time between two heartbeats to a contact in another cell.
+const FAR_BEAT: Duration = Duration::from_millis(300);
+/// Time between two attempts to reach a daemon that does not answer.
 const GREET: Duration = Duration::from_millis(400);
-/// Silence after which a peer is taken as gone for now: callers are not sent there, and its load
-/// is not counted.
-const SILENT: Duration = Duration::from_millis(700);
-/// Silence after which a peer that the store does not list is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(30);
-/// Age of the last read of a daemon up to which the others rely on it to read the store.
+/// Time between two divisions of the fleet into cells, and two looks for daemons to be greeted.
+const DIVIDE: Duration = Duration::from_millis(100);
+/// Age of the last read of the store by any daemon up to which the others need not read it.
 const READ_LATELY: Duration = Duration::from_millis(700);
-/// What a daemon waits longer for each one that ranks before it.
+/// What a daemon waits longer for each one that reads before it.
 const READ_STEP: Duration = Duration::from_millis(120);
-/// Longest that a daemon waits for those before it: a fleet whose first ranks are cut off from the
+/// Longest that a daemon waits for those before it: a fleet whose first readers are cut off from the
 /// store still reads within two seconds.
 const LONGEST_TURN: Duration = Duration::from_millis(1_000);
+/// Time that news of a read takes through other cells: a heartbeat between cells and one within.
+const TOLD_LATE: Duration = Duration::from_millis(550);
+/// Time after which a daemon that knows that its copy is behind reads the store itself: its peers
+/// may have no bandwidth for a large change.
+const BEHIND: Duration = Duration::from_millis(250);
 /// Longest time for a peer to give what this daemon lacks.
 const FETCH_LIMIT: Duration = Duration::from_millis(400);
+/// Updates given at a time; further askers get none and try another daemon or the store. Large ones
+/// fill the link of a small VM.
+const MOST_GIVEN: usize = 3;
 /// Other daemons that a heartbeat names.
-const NAMED: usize = 8;
+const NAMED: usize = 3;
 /// Links are given up soon after their peer falls silent, and made anew when it is back.
 const LINKS: LinkLimits = LinkLimits { idle_ms: 2_000, streams: 32 };
 
-/// A heartbeat.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct Beat {
-    daemon: Daemon,
-    /// Tells this start of the process from others.
-    boot: u64,
-    /// The sender's clock, in microseconds since its start.
-    stamp: u64,
-    echo: Option<Echo>,
-    /// Whether callers may be sent to it.
-    ready: bool,
-    statement: Option<Statement>,
-    /// Age of the sender's last own read of the store, in milliseconds.
-    read_ms: Option<u32>,
-    /// What it has running.
-    loads: Vec<(Tag, Load)>,
-    /// What it has spent of the budget for repeats.
-    spent: Vec<(Tag, Spent)>,
-    /// Some of the daemons that it knows.
-    others: Vec<SocketAddr>,
-}
-
-/// The receiver's clock as the sender last had it.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct Echo {
-    boot: u64,
-    stamp: u64,
-    /// How long the sender has had it, in microseconds.
-    held: u64,
-}
-
-/// A request between daemons.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-enum Request {
-    /// What a copy at this position lacks.
-    After(u64),
-}
-
-/// A daemon as its heartbeats tell.
-#[derive(Debug)]
-struct Peer {
-    daemon: Daemon,
-    boot: u64,
-    /// Its clock in its last heartbeat.
-    stamp: u64,
-    heard: Instant,
-    ready: bool,
-    /// When it last read the store itself, at the latest.
-    read: Option<Instant>,
-    loads: Vec<(Tag, Load)>,
-    spent: Vec<(Tag, Spent)>,
-}
-
-impl Peer {
-    /// Whether it was heard within `silent`.
-    fn speaks(&self, now: Instant, silent: Duration) -> bool {
-        now.saturating_duration_since(self.heard) <= silent
-    }
+/// What a daemon is to another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Relation {
+    /// Of the same cell.
+    Near,
+    /// Chosen from another cell.
+    Chosen,
+    /// From another cell, and has chosen this daemon.
+    ChoseUs,
+    /// An address from the settings or another daemon's word, which was never heard.
+    Unknown,
 }
 
 /// See the module.
@@ -122,14 +82,17 @@
     links: Arc<Peers>,
     boot: u64,
     started: Instant,
-    peers: Mutex<HashMap<SocketAddr, Peer>>,
-    /// Tried for first contact.
+    view: Mutex<View>,
+    /// Tried for first contact: from the settings, and named by other daemons.
     seeds: Mutex<Vec<SocketAddr>>,
-    /// Peers that have a task.
-    greeted: Mutex<HashSet<SocketAddr>>,
+    named: Mutex<Vec<SocketAddr>>,
+    /// Daemons that have a task, and since when.
+    greeted: Mutex<HashMap<SocketAddr, Instant>>,
     ready: Box<dyn Fn() -> bool + Send + Sync>,
-    read: Mutex<Option<Instant>>,
     fetching: AtomicBool,
+    /// Since when this copy is known to be behind.
+    behind: Mutex<Option<Instant>>,
+    giving: Semaphore,
 }
 
 impl Cluster {
@@ -147,6 +110,7 @@
         links: Peers,
         ready: Box<dyn Fn() -> bool + Send + Sync>,
     ) -> Arc<Cluster> {
+        let view = View::new(roster.own().clone());
         Arc::new(Cluster {
             gateway,
             mirror,
@@ -154,12 +118,14 @@
             links: Arc::new(links),
             boot: rand::rng().random(),
             started: Instant::now(),
-            peers: Mutex::default(),
+            view: Mutex::new(view),
             seeds: Mutex::default(),
+            named: Mutex::default(),
             greeted: Mutex::default(),
             ready,
-            read: Mutex::default(),
             fetching: AtomicBool::new(false),
+            behind: Mutex::default(),
+            giving: Semaphore::new(MOST_GIVEN),
         })
     }
 
@@ -177,16 +143,11 @@
     pub async fn run(self: Arc<Self>) {
         tokio::spawn(self.links.clone().serve(self.handler()));
         loop {
-            let now = Instant::now();
-            let listed = self.roster.peers();
-            self.forget(&listed, now);
-            self.count(&listed, now);
-            let heard: Vec<SocketAddr> = self.peers().keys().copied().collect();
-            let seeds = self.seeds.lock().expect("no holder panics").clone();
-            for addr in listed.into_iter().chain(heard).chain(seeds) {
+            self.divide(Instant::now());
+            for addr in self.wanted(Instant::now()) {
                 self.greet(addr);
             }
-            sleep(BEAT).await;
+            sleep(DIVIDE).await;
         }
     }
 
@@ -195,53 +156,96 @@
         Arc::new(Answering(self.clone()))
     }
 
-    /// How many times as long as [`BEAT`] it takes until each of `peers` has heard a heartbeat.
-    fn rounds(peers: usize) -> u32 {
-        u32::try_from(peers.div_ceil(FANOUT)).unwrap_or(u32::MAX).max(1)
-    }
-
-    /// Silence after which one of `peers` is taken as gone for now.
-    fn silence(peers: usize) -> Duration {
-        SILENT.saturating_mul(Cluster::rounds(peers))
-    }
-
-    /// Whether this daemon should read the store now: no daemon that ranks before it did lately.
+    /// Whether this daemon should read the store now: no daemon did lately, or what it lacks was
+    /// not given to it by one that has it.
     pub fn should_read(&self, now: Instant) -> bool {
-        let own = Tag::of(&self.roster.own().vm);
-        let peers = self.peers();
-        let silence = Cluster::silence(peers.len());
-        let before: Vec<&Peer> = peers
-            .values()
-            .filter(|p| p.speaks(now, silence) && Tag::of(&p.daemon.vm) < own)
-            .collect();
-        let turn = READ_STEP.saturating_mul(u32::try_from(before.len()).unwrap_or(u32::MAX));
-        let told_late = BEAT * (Cluster::rounds(peers.len()) - 1);
+        let behind = *self.behind.lock().expect("no holder panics");
+        if behind.is_some_and(|since| now.saturating_duration_since(since) > BEHIND) {
+            return true;
+        }
+        let view = self.view();
+        let before = view.readers_before(now);
+        if before == 0 {
+            return true;
+        }
+        let turn = READ_STEP.saturating_mul(u32::try_from(before).unwrap_or(u32::MAX));
+        let told_late = if view.layout().divided { TOLD_LATE } else { Duration::ZERO };
         let lately = READ_LATELY + told_late + turn.min(LONGEST_TURN);
-        let relied = before.iter().filter_map(|p| p.read);
-        relied.max().is_none_or(|read| now.saturating_duration_since(read) > lately)
+        view.read().is_none_or(|read| now.saturating_duration_since(read) > lately)
+    }
+
+    /// How many daemons are to read the store before this one.
+    pub fn readers_before(&self, now: Instant) -> usize {
+        self.view().readers_before(now)
     }
 
     /// Notes that this daemon has read the store.
     pub fn has_read(&self, now: Instant) {
-        *self.read.lock().expect("no holder panics") = Some(now);
+        self.view().has_read(Some(now));
+        *self.behind.lock().expect("no holder panics") = None;
     }
 
     /// Where callers may be sent, this daemon not among them.
     pub fn entries(&self, now: Instant) -> Vec<SocketAddr> {
-        let peers = self.peers();
-        let silence = Cluster::silence(peers.len());
-        let ready = peers.values().filter(|p| p.ready && p.speaks(now, silence));
-        ready.map(|p| p.daemon.callers).collect()
+        self.view().entries(now)
+    }
+
+    /// Divides the fleet anew and takes over what the others have running and have spent.
+    fn divide(&self, now: Instant) {
+        let listed = self.roster.others();
+        let count = listed.len();
+        let greeted = self.greeted.lock().expect("no holder panics").clone();
+        let mut view = self.view();
+        view.divide(listed, |addr| greeted.get(&addr).copied(), now);
+        self.gateway.metrics.peers.set(view.count(now) as i64);
+        self.gateway.set_others(view.spent(count, now));
+        let loads = view.loads(now);
+        drop(view);
+        self.gateway.servers().set_others(&loads.others, &loads.ahead);
     }
 
-    /// One task for each peer; it ends when the peer is forgotten.
+    /// Daemons that this one sends heartbeats to.
+    fn wanted(&self, now: Instant) -> Vec<SocketAddr> {
+        let view = self.view();
+        let layout = view.layout();
+        let mut wanted: Vec<SocketAddr> =
+            layout.near.iter().chain(&layout.contacts).copied().collect();
+        wanted.extend(view.chose_us(now));
+        let listed = self.roster.peers();
+        let unknown = |addr: &SocketAddr| !view.knows(*addr) && !listed.contains(addr);
+        let seeds = self.seeds.lock().expect("no holder panics");
+        wanted.extend(seeds.iter().copied().filter(unknown));
+        let mut named = self.named.lock().expect("no holder panics");
+        wanted.extend(named.drain(..).filter(unknown));
+        wanted
+    }
+
+    /// What a daemon is to this one; `None` where no heartbeats are due to it.
+    fn relation(&self, addr: SocketAddr, now: Instant) -> Option<Relation> {
+        let view = self.view();
+        if view.layout().near.contains(&addr) {
+            return Some(Relation::Near);
+        }
+        if view.layout().contacts.contains(&addr) {
+            return Some(Relation::Chosen);
+        }
+        if view.chose_us(now).contains(&addr) {
+            return Some(Relation::ChoseUs);
+        }
+        (!view.knows(addr) && !self.roster.peers().contains(&addr)).then_some(Relation::Unknown)
+    }
+
+    /// One task for each daemon that heartbeats are due to; it ends when they no longer are.
     fn greet(self: &Arc<Self>, addr: SocketAddr) {
         if addr == self.roster.own().peers {
             return;
         }
-        if !self.greeted.lock().expect("no holder panics").insert(addr) {
+        let mut greeted = self.greeted.lock().expect("no holder panics");
+        if greeted.contains_key(&addr) {
             return;
         }
+        greeted.insert(addr, Instant::now());
+        drop(greeted);
         let cluster = self.clone();
         tokio::spawn(async move {
             cluster.talk(addr, &cluster.handler()).await;
@@ -250,50 +254,59 @@
     }
 
     async fn talk(self: &Arc<Self>, addr: SocketAddr, handler: &Arc<dyn Handler>) {
-        let mut news = self.gateway.news();
-        let began = Instant::now();
+        let (mut news, mut loads) = (self.gateway.news(), self.gateway.load_news());
         loop {
             let now = Instant::now();
-            let beat = self.beat(addr, now);
+            let Some(relation) = self.relation(addr, now) else {
+                return;
+            };
+            let beat = self.beat(addr, relation, now);
+            // What changes from here on is not in this heartbeat.
+            news.mark_unchanged();
+            loads.mark_unchanged();
             self.links.datagram(addr, &beat, handler).await;
-            let (heard, count) = {
-                let peers = self.peers();
-                (peers.get(&addr).map(|p| p.heard), peers.len())
+            let heard = self.view().hears(addr, Instant::now());
+            let pause = match relation {
+                _ if !heard => GREET,
+                Relation::Near => BEAT,
+                _ => FAR_BEAT,
             };
-            let silence = now.saturating_duration_since(heard.unwrap_or(began));
-            if silence > FORGOTTEN && !self.roster.peers().contains(&addr) {
-                return;
-            }
-            let silent = silence > Cluster::silence(count);
-            let pause = if silent { GREET } else { BEAT } * Cluster::rounds(count);
+            let pause = pause.mul_f64(rand::rng().random_range(0.9..1.1));
+            let near = heard && relation == Relation::Near;
             tokio::select! {
-                () = sleep(pause.mul_f64(rand::rng().random_range(0.9..1.1))) => {}
+                () = sleep(pause) => {}
                 // News goes out at once.
-                told = news.changed() => if told.is_err() { return },
+                told = news.changed(), if heard => if told.is_err() { return },
+                () = changed_after(&mut loads, now + SPACING), if near => {}
             }
         }
     }
 
-    fn beat(&self, to: SocketAddr, now: Instant) -> Beat {
-        let peers = self.peers();
-        let micros = |since: Instant| now.saturating_duration_since(since).as_micros() as u64;
-        let echo =
-            peers.get(&to).map(|p| Echo { boot: p.boot, stamp: p.stamp, held: micros(p.heard) });
-        let silence = Cluster::silence(peers.len());
-        let others = peers.iter().filter(|(addr, p)| **addr != to && p.speaks(now, silence));
-        let others = others.map(|(addr, _)| *addr).take(NAMED).collect();
-        let read = *self.read.lock().expect("no holder panics");
+    fn beat(&self, to: SocketAddr, relation: Relation, now: Instant) -> Beat {
+        let view = self.view();
+        let loads = self.gateway.servers().own_loads();
+        let own = Told { loads, spent: self.gateway.spent(now) };
+        let (members, told) = match relation {
+            Relation::Near | Relation::Unknown => (None, own),
+            Relation::Chosen | Relation::ChoseUs => {
+                let (members, told) = view.cell_sum(own, now);
+                (Some(members), told)
+            }
+        };
+        let near = relation == Relation::Near;
         Beat {
             daemon: self.roster.own().clone(),
             boot: self.boot,
-            stamp: micros(self.started),
-            echo,
+            stamp: micros(self.started, now),
+            echo: view.echo(to, now),
             ready: (self.ready)(),
+            chosen: relation == Relation::Chosen,
             statement: self.mirror.statement(now),
-            read_ms: read.map(|at| millis(now.saturating_duration_since(at))),
-            loads: self.gateway.servers().own_loads(),
-            spent: self.gateway.spent(now),
-            others,
+            read_ms: view.read().map(|at| millis(now.saturating_duration_since(at))),
+            cell: view.layout().own,
+            members,
+            told,
+            others: if near { view.named(NAMED, now) } else { Vec::new() },
         }
     }
 
@@ -302,24 +315,16 @@
         let seen = beat.echo.filter(|echo| echo.boot == self.boot).and_then(|echo| {
             self.started.checked_add(Duration::from_micros(echo.stamp.checked_add(echo.held)?))
         });
-        let read = beat.read_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms.into())));
-        self.note(Peer {
-            daemon: beat.daemon,
-            boot: beat.boot,
-            stamp: beat.stamp,
-            heard: now,
-            ready: beat.ready,
-            read,
-            loads: beat.loads,
-            spent: beat.spent,
-        });
-        for addr in beat.others {
-            self.greet(addr);
-        }
-        if self.peers().len() <= FANOUT {
-            // Daemons wait for each other's moves by these. A larger fleet adds up once a beat.
-            self.share_loads(now);
+        let loads = {
+            let mut view = self.view();
+            // Daemons wait for each other's moves by what those of their cell have running.
+            let noted = view.note(&beat, now) && beat.members.is_none();
+            noted.then(|| view.loads(now))
+        };
+        if let Some(loads) = loads {
+            self.gateway.servers().set_others(&loads.others, &loads.ahead);
         }
+        self.named.lock().expect("no holder panics").extend(beat.others);
         let Some(statement) = beat.statement else {
             return;
         };
@@ -330,22 +335,13 @@
             Some(seen) => self.mirror.hear(statement, seen, now),
             None => statement.changed > self.mirror.position(),
         };
-        if behind && !self.fetching.swap(true, Ordering::AcqRel) {
-            tokio::spawn(self.clone().fetch(from));
-        }
-    }
-
-    /// Notes a peer's heartbeat, unless a later one of the same process came before it.
-    fn note(&self, peer: Peer) {
-        let mut peers = self.peers();
-        let known = peers.get(&peer.daemon.peers);
-        if known.is_some_and(|known| known.boot == peer.boot && known.stamp > peer.stamp) {
+        if !behind {
             return;
         }
-        if known.is_none_or(|known| known.boot != peer.boot) {
-            info!(peer = peer.daemon.vm.as_str(), addr = peer.daemon.peers.to_string().as_str(); "peer heard");
+        self.behind.lock().expect("no holder panics").get_or_insert(now);
+        if !self.fetching.swap(true, Ordering::AcqRel) {
+            tokio::spawn(self.clone().fetch(from));
         }
-        peers.insert(peer.daemon.peers, peer);
     }
 
     async fn fetch(self: Arc<Self>, from: SocketAddr) {
@@ -359,6 +355,7 @@
                 // Before this process's clock began, nothing can have been seen.
                 let seen = asked.checked_sub(age).unwrap_or(self.started);
                 self.mirror.apply(update, seen, Instant::now());
+                *self.behind.lock().expect("no holder panics") = None;
             }
             Ok(None) => {}
             Err(_) => warn!(peer = from.to_string().as_str(); "peer did not give what it has"),
@@ -366,63 +363,45 @@
         self.fetching.store(false, Ordering::Release);
     }
 
-    /// Forgets peers that have been silent for long and are not listed.
-    fn forget(&self, listed: &HashSet<SocketAddr>, now: Instant) {
-        self.peers().retain(|addr, peer| {
-            listed.contains(addr) || now.saturating_duration_since(peer.heard) <= FORGOTTEN
-        });
-        self.share_loads(now);
-    }
-
-    /// Adds up what the daemons that share budgets have spent: those listed and those heard of lately.
-    fn count(&self, listed: &HashSet<SocketAddr>, now: Instant) {
-        let peers = self.peers();
-        let heard =
-            peers.iter().filter(|(_, p)| now.saturating_duration_since(p.heard) <= FORGOTTEN);
-        let heard = heard.map(|(addr, _)| addr);
-        let known: HashSet<&SocketAddr> = listed.iter().chain(heard).collect();
-        let mut spent: HashMap<Tag, Spent> = HashMap::new();
-        let silence = Cluster::silence(peers.len());
-        let speaking: Vec<&Peer> = peers.values().filter(|p| p.speaks(now, silence)).collect();
-        self.gateway.metrics.peers.set(speaking.len() as i64);
-        for (tag, part) in speaking.iter().flat_map(|p| &p.spent) {
-            *spent.entry(*tag).or_default() += *part;
-        }
-        let others = Others { daemons: known.len(), heard: speaking.len(), spent };
-        self.gateway.set_others(others);
-    }
-
-    /// Adds up what the peers have running, and what those have that rank before this daemon.
-    fn share_loads(&self, now: Instant) {
-        let own = Tag::of(&self.roster.own().vm);
-        let (mut others, mut ahead) = (LoadsByTag::new(), LoadsByTag::new());
-        let peers = self.peers();
-        let silence = Cluster::silence(peers.len());
-        for peer in peers.values().filter(|p| p.speaks(now, silence)) {
-            let before = Tag::of(&peer.daemon.vm) < own;
-            for (tag, load) in &peer.loads {
-                *others.entry(*tag).or_default() += *load;
-                if before {
-                    *ahead.entry(*tag).or_default() += *load;
-                }
-            }
-        }
-        drop(peers);
-        self.gateway.servers().set_others(&others, &ahead);
+    fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().expect("no holder panics")
     }
+}
 
-    fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
-        self.peers.lock().expect("no holder panics")
+/// Returns once something has changed, but not before `least`.
+async fn changed_after(changes: &mut watch::Receiver<u64>, least: Instant) {
+    if changes.changed().await.is_err() {
+        // The daemon itself has ended.
+        std::future::pending::<()>().await;
     }
+    sleep_until(least.into()).await;
 }
 
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+fn micros(since: Instant, now: Instant) -> u64 {
+    u64::try_from(now.saturating_duration_since(since).as_micros()).unwrap_or(u64::MAX)
+}
+
 /// The side of [`Cluster`] that answers peers.
 struct Answering(Arc<Cluster>);
 
+impl Answering {
+    /// What a copy at `position` lacks; `None` while this daemon gives to others.
+    async fn give(&self, position: u64, held: &mut Held) {
+        let permit = self.0.giving.try_acquire();
+        let update = match &permit {
+            Ok(_) => self.0.mirror.update_after(position, Instant::now()),
+            Err(_) => None,
+        };
+        if held.send(&update).await.is_ok() {
+            held.finish().await;
+        }
+    }
+}
+
 impl Handler for Answering {
     fn datagram(&self, bytes: &[u8]) {
         match message::decode::<Beat>(bytes) {
@@ -433,13 +412,9 @@
 
     fn stream(&self, first: Vec<u8>, mut held: Held) -> BoxFuture<'_, ()> {
         Box::pin(async move {
-            let Ok(Request::After(position)) = message::decode::<Request>(&first) else {
-                warn!("request of a peer not readable");
-                return;
-            };
-            let update = self.0.mirror.update_after(position, Instant::now());
-            if held.send(&update).await.is_ok() {
-                held.finish().await;
+            match message::decode::<Request>(&first) {
+                Ok(Request::After(position)) => self.give(position, &mut held).await,
+                Err(e) => warn!(why = format!("{e:?}").as_str(); "request of a peer not readable"),
             }
         })
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -30,6 +30,10 @@
 /// Time before the end of the process by which answers should be complete.
 const LAST_ANSWER: Duration = Duration::from_millis(500);
 
+/// Tokens of a request from which its beginning and end are told to other daemons at once. What is
+/// smaller, as a plain service's requests are, goes with the next heartbeat.
+const TOLD_TOKENS: u32 = 100;
+
 /// The state that all requests of one daemon share.
 pub struct Gateway {
     /// The configuration in force.
@@ -48,6 +52,8 @@
     ends: Mutex<Option<Instant>>,
     /// Counts what other daemons should hear at once.
     news: watch::Sender<u64>,
+    /// Counts changes of what this daemon has running.
+    load_news: watch::Sender<u64>,
     /// Turns of this daemon's own runs that move away from a server.
     turns: Mutex<HashMap<ServerKey, Weak<Semaphore>>>,
 }
@@ -89,6 +95,7 @@
     pub fn has_read(&mut self) {
         let tokens = std::mem::take(&mut self.place.load.reading);
         self.gateway.servers().has_read(self.key(), tokens);
+        self.gateway.tell_load(self.place.load);
     }
 
     /// Notes how the exchange went.
@@ -100,6 +107,7 @@
 impl Drop for Seat {
     fn drop(&mut self) {
         self.gateway.servers().end(self.key(), self.place.load);
+        self.gateway.tell_load(self.place.load);
         if *self.notice.borrow() {
             // Other daemons wait for their turn to move what they have there.
             self.gateway.tell();
@@ -127,6 +135,7 @@
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
             ends: Mutex::default(),
             news: watch::Sender::new(0),
+            load_news: watch::Sender::new(0),
             turns: Mutex::default(),
         })
     }
@@ -158,6 +167,18 @@
         self.news.send_modify(|count| *count += 1);
     }
 
+    /// What this daemon has running has changed.
+    fn tell_load(&self, load: Load) {
+        if load.tokens >= TOLD_TOKENS {
+            self.load_news.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Tells of changes of what this daemon has running that others should hear soon.
+    pub fn load_news(&self) -> watch::Receiver<u64> {
+        self.load_news.subscribe()
+    }
+
     /// Tells of what other daemons should hear at once.
     pub fn news(&self) -> watch::Receiver<u64> {
         self.news.subscribe()
@@ -265,6 +286,7 @@
         load: Load,
     ) -> Option<Seat> {
         servers.begin(key, load);
+        self.tell_load(load);
         let server = servers.get(key)?;
         let to = server.destination();
         let place = Place { key, to, hall: server.record.hall.clone(), load };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -17,8 +17,15 @@
 const WAIT: Duration = Duration::from_millis(400);
 /// Least time between two questions, so that changes which come together are asked for once.
 const SPACING: Duration = Duration::from_millis(200);
-/// Pause after a question that failed.
+/// Pause after a question that failed; it doubles with each further one.
 const AFTER_FAILURE: Duration = Duration::from_millis(150);
+/// Longest such pause: for the first daemon in the order of reading, and further for each before it.
+/// The store's return is so found by a few, and heard by the others.
+const LONGEST_PAUSE: Duration = Duration::from_millis(300);
+/// See [`LONGEST_PAUSE`].
+const PAUSE_STEP: Duration = Duration::from_millis(150);
+/// Daemons that lengthen the pause at most.
+const MOST_STEPS: u32 = 8;
 /// Pause of a daemon that need not read, before it looks again.
 const LOOK: Duration = Duration::from_millis(50);
 /// All keys: one question then covers configuration, servers and daemons.
@@ -32,6 +39,8 @@
     schema: Arc<dyn Schema>,
     /// Whether the store answers.
     reached: bool,
+    /// Questions that failed since the last one that did not.
+    failures: u32,
 }
 
 impl Follower {
@@ -42,7 +51,7 @@
         store: Arc<dyn Store>,
         schema: Arc<dyn Schema>,
     ) -> Follower {
-        Follower { mirror, cluster, store, schema, reached: true }
+        Follower { mirror, cluster, store, schema, reached: true, failures: 0 }
     }
 
     /// Follows until the process ends.
@@ -61,11 +70,14 @@
                 Ok(()) => {
                     self.cluster.has_read(Instant::now());
                     self.heard();
+                    self.failures = 0;
                     sleep(SPACING.saturating_sub(asked.elapsed())).await;
                 }
                 Err(e) => {
                     self.lost(&e);
-                    sleep(AFTER_FAILURE).await;
+                    self.failures += 1;
+                    let before = self.cluster.readers_before(Instant::now());
+                    sleep(pause(self.failures, before)).await;
                 }
             }
         }
@@ -114,3 +126,11 @@
         }
     }
 }
+
+/// The pause after so many failures in a row, where so many daemons read before this one.
+fn pause(failures: u32, before: usize) -> Duration {
+    let steps = u32::try_from(before).unwrap_or(MOST_STEPS).min(MOST_STEPS);
+    let longest = LONGEST_PAUSE + PAUSE_STEP * steps;
+    let doubled = AFTER_FAILURE.saturating_mul(2u32.saturating_pow(failures.saturating_sub(1)));
+    doubled.min(longest)
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! - [`budget`]: the daemon's share of repeats
 //! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read or heard from peers
 //! - [`announce`], [`roster`]: who else serves
+//! - [`cell`], [`beat`], [`view`]: which daemons tell each other what, and what was heard
 //! - [`lookout`]: notices from servers themselves while the store is away
 //! - [`listen`], [`stop`]: connections of callers, and a planned stop
 //! - [`tag`]: short names between daemons
@@ -17,7 +18,9 @@
 //! - [`port`]: what an adapter provides
 
 pub mod announce;
+pub mod beat;
 pub mod budget;
+pub mod cell;
 pub mod cluster;
 pub mod core;
 pub mod events;
@@ -38,3 +41,4 @@
 pub mod stop;
 pub mod table;
 pub mod tag;
+pub mod view;
--- a/src/gateway/tag.rs
+++ b/src/gateway/tag.rs
@@ -1,4 +1,4 @@
-//! Short names for messages between daemons, and an order that all daemons see alike.
+//! Short names for messages between daemons, and orders that all daemons see alike.
 
 use serde::{Deserialize, Serialize};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -10,8 +10,27 @@
 impl Tag {
     /// The tag of a name.
     pub fn of(name: &str) -> Tag {
+        Tag::hashed(name)
+    }
+
+    /// The tag of a number.
+    pub fn number(number: u64) -> Tag {
+        Tag::hashed(&number)
+    }
+
+    /// The tag of a pair; pairs with one half in common are ordered differently for each such half.
+    pub fn with(self, other: Tag) -> Tag {
+        Tag::hashed(&(self, other))
+    }
+
+    /// Its number.
+    pub fn value(self) -> u64 {
+        self.0
+    }
+
+    fn hashed(value: &(impl Hash + ?Sized)) -> Tag {
         let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
+        value.hash(&mut hasher);
         Tag(hasher.finish())
     }
 }
