Keep requests in their cell; spread copies over the links of their targets

In a divided fleet another hall costs a request 0.6 of a server instead of 0.04. What is on its way to a server is part of its load and counts against it as a target; for copies, servers under 0.8 of full are alike. The choice of those that rank before is no longer simulated: they have chosen when one's turn comes, and their loads are told.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -200,6 +200,7 @@
         self.gateway.metrics.peers.set(view.count(now) as i64);
         self.gateway.set_others(view.spent(count, now));
         let loads = view.loads(now);
+        self.gateway.set_divided(view.layout().divided);
         drop(view);
         self.gateway.servers().set_others(&loads.others, &loads.ahead);
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -3,13 +3,16 @@
 use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use crate::gateway::in_force::InForce;
 use crate::gateway::metrics::GatewayMetrics;
-use crate::gateway::place::{self, Candidate, FAR_COPY_COST, FAR_COST, Need, Placing};
+use crate::gateway::place::{
+    ALIKE, COPY_ALIKE, Candidate, FAR_COPY_COST, FAR_COST, Need, Placing, UNSEEN_COST,
+};
 use crate::gateway::port::{Destination, Wire};
 use crate::gateway::request::Call;
 use crate::gateway::servers::{Load, ServerKey, Servers};
 use crate::gateway::table::Service;
 use crate::gateway::tag::Tag;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 use tokio::sync::{Semaphore, watch};
@@ -48,6 +51,8 @@
     placing: Box<dyn Placing>,
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
+    /// Whether loads in other halls are told late, in sums.
+    divided: AtomicBool,
     /// When the process ends, once a planned stop has begun.
     ends: Mutex<Option<Instant>>,
     /// Counts what other daemons should hear at once.
@@ -98,6 +103,13 @@
         self.gateway.tell_load(self.place.load);
     }
 
+    /// Notes that the memory of the run has been copied to the server.
+    pub fn has_arrived(&mut self) {
+        let tokens = std::mem::take(&mut self.place.load.arriving);
+        self.gateway.servers().has_arrived(self.key(), tokens);
+        self.gateway.tell_load(self.place.load);
+    }
+
     /// Notes how the exchange went.
     pub fn judge(&self, failed: bool) {
         self.gateway.servers().judge(self.key(), failed, Instant::now());
@@ -133,6 +145,7 @@
             placing,
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
+            divided: AtomicBool::new(false),
             ends: Mutex::default(),
             news: watch::Sender::new(0),
             load_news: watch::Sender::new(0),
@@ -146,6 +159,11 @@
         self.budget().set_bounds(bounds.budget);
     }
 
+    /// Sets whether the fleet is divided, so that loads in other halls are told late.
+    pub fn set_divided(&self, divided: bool) {
+        self.divided.store(divided, Ordering::Relaxed);
+    }
+
     /// A planned stop has begun, and the process ends then.
     pub fn set_end(&self, end: Instant) {
         *self.ends.lock().expect("no holder panics") = Some(end);
@@ -238,7 +256,9 @@
     ) -> Option<Seat> {
         let engine = service.engine.as_ref();
         let load = Load::of(call.size, call.route.repeatable());
-        let need = Need { hall: &self.hall, far: FAR_COST, load, engine };
+        let divided = self.divided.load(Ordering::Relaxed);
+        let far = if divided { UNSEEN_COST } else { FAR_COST };
+        let need = Need { hall: &self.hall, far, alike: ALIKE, load, engine };
         let mut servers = self.servers();
         let candidates = candidates(&servers, service, tried);
         let key = self.placing.choose(&candidates, &need, now, &mut rand::rng())?;
@@ -260,8 +280,7 @@
         }
     }
 
-    /// Takes a seat for a run that is copied from `source`, not at one of `refused`. The daemons that
-    /// have runs there choose at the same moment; each chooses as if those before it had chosen.
+    /// Takes a seat for a run that is copied from `source`, not at one of `refused`.
     pub fn seat_for_copy(
         self: &Arc<Self>,
         service: &Service,
@@ -270,12 +289,11 @@
         now: Instant,
     ) -> Option<Seat> {
         let engine = service.engine.as_ref();
-        let load = Load { reading: 0, ..source.load };
-        let need = Need { hall: &source.hall, far: FAR_COPY_COST, load, engine };
+        let load = Load { reading: 0, arriving: source.load.tokens, ..source.load };
+        let need = Need { hall: &source.hall, far: FAR_COPY_COST, alike: COPY_ALIKE, load, engine };
         let mut servers = self.servers();
-        let ahead = servers.get(source.key).map_or(0, |s| s.ahead.runs);
         let candidates = candidates(&servers, service, refused);
-        let key = place::choose_after(&candidates, &need, ahead, now)?;
+        let key = self.placing.choose(&candidates, &need, now, &mut rand::rng())?;
         self.take_seat(&mut servers, key, load)
     }
 
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -66,12 +66,15 @@
     let mut refused = vec![source.key];
     let (seat, mut copy) = loop {
         let now = Instant::now();
-        let Some(seat) = gateway.seat_for_copy(&service, &source, &refused, now) else {
+        let Some(mut seat) = gateway.seat_for_copy(&service, &source, &refused, now) else {
             return Moved::Stays("no_server");
         };
         let copier = Copier { gateway: &gateway, run: &call.id, from: source.to.addr, to: &seat };
         match copier.copy_until_quiet(noticed).await {
-            Ok(copy) => break (seat, copy),
+            Ok(copy) => {
+                seat.has_arrived();
+                break (seat, copy);
+            }
             Err(NotCopied::NoRoom(_)) => refused.push(seat.key()),
             Err(_) => return Moved::Stays("copy_refused"),
         }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -8,6 +8,9 @@
 /// Cost of a server in another hall for a request, as a share of a server's capacity: enough to stay
 /// near while loads are alike, not enough to run into a busier server.
 pub const FAR_COST: f64 = 0.04;
+/// The same where loads in other halls are told late: many daemons see the same server free there
+/// and fill it at once. About the cost of two prompts that are still to be read.
+pub const UNSEEN_COST: f64 = 0.6;
 /// The same for a run that is copied there: copies between halls take twice as long, and a server
 /// that leaves has little time; but a server that gets all runs of another one can't be emptied in
 /// its turn.
@@ -19,8 +22,19 @@
 /// Prompt tokens still to be read that weigh as much as a full memory: the time to read them is the
 /// time that the newcomer's first event waits, about 0.5 s.
 const READ_SCALE: f64 = 7_000.0;
-/// Servers whose costs differ by less are alike, and one is drawn, so that daemons don't herd.
-const ALIKE: f64 = 0.03;
+/// Tokens on their way to a server that cost a run which is copied there as much as a full memory:
+/// the copy of one run in the same hall waits as long for another one as it would take longer to
+/// another hall.
+const ARRIVING_SCALE: f64 = 14_000.0;
+/// Requests are sent to one drawn from the servers whose costs differ by less than this from the
+/// least, so that daemons don't herd.
+pub const ALIKE: f64 = 0.03;
+/// The same for runs that are copied.
+pub const COPY_ALIKE: f64 = 0.1;
+/// Cost up to which servers are alike for a run that is copied. Several servers leave at the same
+/// moment, and many daemons choose at once: a link that two copies share costs a run that has 1.5 s
+/// more than a fuller memory.
+const ROOMY: f64 = 0.8;
 
 /// What is to be placed.
 #[derive(Debug, Clone, Copy)]
@@ -29,6 +43,8 @@
     pub hall: &'a str,
     /// Cost of another hall, as a share of a server's capacity.
     pub far: f64,
+    /// Difference in cost up to which servers are alike.
+    pub alike: f64,
     /// What it is expected to take.
     pub load: Load,
     /// Present for model engines.
@@ -79,34 +95,15 @@
         let costs: Vec<(f64, ServerKey)> =
             candidates.iter().map(|c| (cost(c, need, now), c.key)).collect();
         let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
-        let alike: Vec<ServerKey> =
-            costs.iter().filter(|(cost, _)| *cost <= least + ALIKE).map(|(_, key)| *key).collect();
+        let alike: Vec<ServerKey> = costs
+            .iter()
+            .filter(|(cost, _)| *cost <= least + need.alike)
+            .map(|(_, key)| *key)
+            .collect();
         Some(alike[rng.random_range(0..alike.len())])
     }
 }
 
-/// The server for a copy, after as many others like it as `ahead` have taken theirs.
-pub fn choose_after(
-    candidates: &[Candidate<'_>],
-    need: &Need<'_>,
-    ahead: u32,
-    now: Instant,
-) -> Option<ServerKey> {
-    let mut candidates = candidates.to_vec();
-    let mut chosen = None;
-    for _ in 0..=ahead {
-        // The order of keys differs between daemons, that of ids does not.
-        let order = |a: &Candidate<'_>, b: &Candidate<'_>| {
-            let ids = || a.server.record.id.cmp(&b.server.record.id);
-            cost(a, need, now).total_cmp(&cost(b, need, now)).then_with(ids)
-        };
-        let best = candidates.iter_mut().min_by(|a, b| order(a, b))?;
-        best.load += need.load;
-        chosen = Some(best.key);
-    }
-    chosen
-}
-
 /// Cost of a server for a newcomer, as a share of a full one.
 fn cost(candidate: &Candidate<'_>, need: &Need<'_>, now: Instant) -> f64 {
     let (server, load) = (candidate.server, candidate.load);
@@ -119,6 +116,11 @@
         }
         None => f64::from(load.runs) / f64::from(server.record.slots.max(1)),
     };
+    let used = if need.load.arriving > 0 {
+        used.max(ROOMY) + f64::from(load.arriving) / ARRIVING_SCALE
+    } else {
+        used
+    };
     let far = if server.record.hall == need.hall { 0.0 } else { need.far };
     used + far + server.failure_rate(now) * FAILURE_COST
 }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -49,13 +49,16 @@
     /// The part of `tokens` that belongs to runs which may not run again: they have to be moved
     /// before their server goes.
     pub once: u32,
+    /// Tokens of runs that are being copied to the server, over its link.
+    pub arriving: u32,
 }
 
 impl Load {
     /// A request whose prompt is still to be read.
     pub fn of(size: Size, repeatable: bool) -> Load {
         let tokens = size.tokens().max(1);
-        Load { runs: 1, tokens, reading: size.prompt, once: if repeatable { 0 } else { tokens } }
+        let once = if repeatable { 0 } else { tokens };
+        Load { runs: 1, tokens, reading: size.prompt, once, arriving: 0 }
     }
 }
 
@@ -65,6 +68,7 @@
         self.tokens = self.tokens.saturating_add(other.tokens);
         self.reading = self.reading.saturating_add(other.reading);
         self.once = self.once.saturating_add(other.once);
+        self.arriving = self.arriving.saturating_add(other.arriving);
     }
 }
 
@@ -74,6 +78,7 @@
         self.tokens -= other.tokens;
         self.reading -= other.reading;
         self.once -= other.once;
+        self.arriving -= other.arriving;
     }
 }
 
@@ -229,6 +234,13 @@
         }
     }
 
+    /// Notes that a run's memory has been copied there.
+    pub fn has_arrived(&mut self, key: ServerKey, tokens: u32) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.own.arriving -= tokens;
+        }
+    }
+
     /// Notes that such work is over.
     pub fn end(&mut self, key: ServerKey, load: Load) {
         let Some(server) = self.arena.get_mut(key) else {
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -129,7 +129,7 @@
     fn beat(&self, from: &Daemon, stamp: u64) -> Beat {
         let layout = layout(&self.fleet, from);
         let far = layout.own != self.view.layout().own;
-        let load = Load { runs: 1, tokens: 1_000, reading: 0, once: 1_000 };
+        let load = Load { runs: 1, tokens: 1_000, once: 1_000, ..Load::default() };
         Beat {
             daemon: from.clone(),
             boot: 1,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -189,7 +189,7 @@
     let (mut servers, now) = (Servers::default(), Instant::now());
     servers.upsert(record("i-1", false), now);
     let key = servers.find("i-1").unwrap();
-    let load = Load { runs: 1, tokens: 10, reading: 5, once: 10 };
+    let load = Load { runs: 1, tokens: 10, reading: 5, once: 10, arriving: 0 };
     servers.begin(key, load);
     servers.remove("i-1");
     assert_eq!(servers.open("app").count(), 0);
--- /dev/null
+++ b/tests/placing.rs
@@ -0,0 +1,109 @@
+//! Which server a request, or a run that has to move, goes to.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+use tidestair::gateway::place::{
+    ALIKE, COPY_ALIKE, Candidate, FAR_COPY_COST, FAR_COST, Headroom, Need, Placing, UNSEEN_COST,
+};
+use tidestair::gateway::servers::{Load, ServerRecord, Servers};
+use tidestair::gateway::table::Engine;
+
+const ENGINE: Engine = Engine {
+    slots: 24,
+    memory: 34_000,
+    token_bytes: 131_072,
+    link_mbps: 19_000.0,
+    event_tokens: 4,
+    moves: true,
+    backups: true,
+};
+/// Draws of a choice: enough that each of ten alike servers comes up.
+const DRAWS: usize = 500;
+
+/// A run that is to be copied, and a request.
+const RUN: Load = Load { runs: 1, tokens: 4_000, reading: 0, once: 4_000, arriving: 4_000 };
+const REQUEST: Load = Load { runs: 1, tokens: 3_700, reading: 3_000, once: 3_700, arriving: 0 };
+
+fn runs(count: u32) -> Load {
+    Load { runs: count, tokens: 4_000 * count, once: 4_000 * count, ..Load::default() }
+}
+
+/// Which servers are chosen for `load`, by their numbers; each with its hall and what it has.
+fn chosen(servers: &[(&str, Load)], load: Load, far: f64, alike: f64) -> BTreeSet<usize> {
+    let (now, mut known) = (Instant::now(), Servers::default());
+    for (i, (hall, load)) in servers.iter().enumerate() {
+        let record = ServerRecord {
+            id: format!("i-{i}").into(),
+            service: "model".into(),
+            addr: "127.0.0.1:9".parse().unwrap(),
+            hall: (*hall).into(),
+            slots: 24,
+            leaving: false,
+        };
+        known.upsert(record, now);
+        let key = known.find(&format!("i-{i}")).unwrap();
+        known.begin(key, *load);
+    }
+    let need = Need { hall: "here", far, alike, load, engine: Some(&ENGINE) };
+    let candidates: Vec<Candidate<'_>> = known
+        .open("model")
+        .map(|(key, server)| Candidate { key, server, load: server.load() })
+        .collect();
+    let choose = || Headroom.choose(&candidates, &need, now, &mut rand::rng());
+    let ids = (0..DRAWS).filter_map(|_| choose()).map(|key| known.get(key).unwrap());
+    ids.map(|server| server.record.id[2..].parse().unwrap()).collect()
+}
+
+fn copied_to(servers: &[(&str, Load)]) -> BTreeSet<usize> {
+    chosen(servers, RUN, FAR_COPY_COST, COPY_ALIKE)
+}
+
+#[test]
+fn copies_are_spread_though_one_server_is_empty() {
+    let servers = [("here", runs(0)), ("here", runs(3)), ("here", runs(4))];
+    assert_eq!(copied_to(&servers), BTreeSet::from([0, 1, 2]));
+}
+
+#[test]
+fn a_copy_avoids_a_link_that_another_one_uses() {
+    let busy = Load { arriving: 4_000, ..runs(1) };
+    let servers = [("here", busy), ("here", runs(3)), ("here", busy)];
+    assert_eq!(copied_to(&servers), BTreeSet::from([1]));
+}
+
+#[test]
+fn a_copy_stays_in_its_hall_until_the_links_there_are_busy() {
+    let servers = [("there", runs(0)), ("here", runs(4))];
+    assert_eq!(copied_to(&servers), BTreeSet::from([1]));
+    let busy = Load { arriving: 12_000, ..runs(4) };
+    assert_eq!(copied_to(&[("there", runs(0)), ("here", busy)]), BTreeSet::from([0]));
+}
+
+#[test]
+fn a_copy_does_not_go_to_a_full_server() {
+    let servers = [("here", runs(8)), ("here", runs(4))];
+    assert_eq!(copied_to(&servers), BTreeSet::from([1]));
+}
+
+#[test]
+fn a_request_goes_to_the_server_with_the_most_room() {
+    let servers = [("here", runs(2)), ("there", runs(0)), ("here", runs(3))];
+    assert_eq!(chosen(&servers, REQUEST, FAR_COST, ALIKE), BTreeSet::from([1]));
+}
+
+#[test]
+fn a_request_leaves_its_hall_only_for_much_where_loads_there_are_told_late() {
+    let far = |here: u32| {
+        let servers = [("here", runs(here)), ("there", runs(0))];
+        chosen(&servers, REQUEST, UNSEEN_COST, ALIKE) == BTreeSet::from([1])
+    };
+    assert!(!far(3));
+    assert!(far(6));
+}
+
+#[test]
+fn prompts_that_are_still_to_be_read_weigh() {
+    let reading = Load { reading: 6_000, ..runs(1) };
+    let servers = [("here", reading), ("here", runs(3))];
+    assert_eq!(chosen(&servers, REQUEST, FAR_COST, ALIKE), BTreeSet::from([1]));
+}
