Call the store less: one read of everything, slower renewals and repeats

Each call to the store is priced, refused ones included.

A start reads everything in one range. The pause before the own key is tried again doubles up to 3 s.

Reading the store later at a start: peers have nothing yet, and after a loss of power callers wait.

--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -10,12 +10,16 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-/// Time after which the key of a daemon that died is gone.
-const LEASE: Duration = Duration::from_millis(4_000);
-/// Time between two renewals: one may fail and the next still comes in time.
-const RENEWAL: Duration = Duration::from_millis(1_300);
-/// Pause after a call that failed.
+/// Time after which the key of a daemon that died is gone. Others notice its silence much sooner;
+/// the key is for first contact.
+const LEASE: Duration = Duration::from_millis(8_000);
+/// Time between two renewals: two may fail and the next still comes in time.
+const RENEWAL: Duration = Duration::from_millis(2_600);
+/// Pause after a call that failed; it doubles with each further one, since every call is priced.
 const AFTER_FAILURE: Duration = Duration::from_millis(400);
+/// Longest such pause: the key is back so long after the store, while those that have heard the
+/// daemon go on without.
+const LONGEST_PAUSE: Duration = Duration::from_millis(3_000);
 
 /// Keeps the key while the daemon serves, then takes it away.
 pub async fn run(
@@ -27,6 +31,7 @@
     let key = format!("{}{}", schema.daemons(), own.vm);
     let value = serde_json::to_vec(&own).expect("a daemon's record is JSON");
     let mut lease = None;
+    let mut after_failure = AFTER_FAILURE;
     loop {
         let step = keep(&*store, &key, &value, lease);
         let kept = tokio::select! {
@@ -36,11 +41,14 @@
         let pause = match kept {
             Ok(id) => {
                 lease = Some(id);
+                after_failure = AFTER_FAILURE;
                 RENEWAL
             }
             Err(e) => {
                 warn!(why = e.to_string().as_str(); "own key not kept in the store");
-                AFTER_FAILURE
+                let pause = after_failure;
+                after_failure = (after_failure * 2).min(LONGEST_PAUSE);
+                pause
             }
         };
         tokio::select! {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::cluster::Cluster;
 use crate::gateway::mirror::Mirror;
-use crate::gateway::port::{Schema, Store};
+use crate::gateway::port::Store;
 use crate::platform::{PlatformError, PlatformResult};
 use log::{info, warn};
 use std::sync::Arc;
@@ -28,7 +28,7 @@
 const MOST_STEPS: u32 = 8;
 /// Pause of a daemon that need not read, before it looks again.
 const LOOK: Duration = Duration::from_millis(50);
-/// All keys: one question then covers configuration, servers and daemons.
+/// All keys: one question then covers configuration, servers and daemons. Every call is priced.
 const EVERYTHING: &str = "";
 
 /// See the module.
@@ -36,7 +36,6 @@
     mirror: Arc<Mirror>,
     cluster: Arc<Cluster>,
     store: Arc<dyn Store>,
-    schema: Arc<dyn Schema>,
     /// Whether the store answers.
     reached: bool,
     /// Questions that failed since the last one that did not.
@@ -45,13 +44,8 @@
 
 impl Follower {
     /// A follower that has read nothing.
-    pub fn new(
-        mirror: Arc<Mirror>,
-        cluster: Arc<Cluster>,
-        store: Arc<dyn Store>,
-        schema: Arc<dyn Schema>,
-    ) -> Follower {
-        Follower { mirror, cluster, store, schema, reached: true, failures: 0 }
+    pub fn new(mirror: Arc<Mirror>, cluster: Arc<Cluster>, store: Arc<dyn Store>) -> Follower {
+        Follower { mirror, cluster, store, reached: true, failures: 0 }
     }
 
     /// Follows until the process ends.
@@ -102,13 +96,9 @@
     }
 
     async fn read_whole(&mut self, asked: Instant) -> PlatformResult<()> {
-        // Pages and the reads are no snapshot: what changes after the first is asked for again.
-        let servers = self.store.range(self.schema.servers()).await?;
-        let daemons = self.store.range(self.schema.daemons()).await?;
-        let declared = self.store.range(self.schema.declaration()).await?;
-        let position = servers.revision;
-        let entries = [servers.entries, daemons.entries, declared.entries].concat();
-        self.mirror.replace(entries, position, asked, Instant::now());
+        // Pages are no snapshot: what changes after the first is asked for again.
+        let all = self.store.range(EVERYTHING).await?;
+        self.mirror.replace(all.entries, all.revision, asked, Instant::now());
         Ok(())
     }
 
