--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`request`]: a caller's request and its answer
 //! - [`table`], [`in_force`]: the declared configuration, and how fresh it is
-//! - [`servers`], [`place`]: backend servers, and the choice among them
+//! - [`servers`], [`place`], [`policies`]: backend servers, and the choice among them
 //! - [`core`]: what all requests of a daemon share
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
@@ -33,6 +33,7 @@
 pub mod mirror;
 mod moving;
 pub mod place;
+pub mod policies;
 pub mod port;
 mod relay;
 pub mod request;
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -5,6 +5,7 @@
 use tidestair::gateway::place::{
     ALIKE, COPY_ALIKE, Candidate, FAR_COPY_COST, FAR_COST, Headroom, Need, Placing, UNSEEN_COST,
 };
+use tidestair::gateway::policies::{NAMES, by_name};
 use tidestair::gateway::servers::{Load, ServerRecord, Servers};
 use tidestair::gateway::table::Engine;
 
@@ -30,6 +31,16 @@
 
 /// Which servers are chosen for `load`, by their numbers; each with its hall and what it has.
 fn chosen(servers: &[(&str, Load)], load: Load, far: f64, alike: f64) -> BTreeSet<usize> {
+    chosen_by(&Headroom, servers, load, far, alike)
+}
+
+fn chosen_by(
+    placing: &dyn Placing,
+    servers: &[(&str, Load)],
+    load: Load,
+    far: f64,
+    alike: f64,
+) -> BTreeSet<usize> {
     let (now, mut known) = (Instant::now(), Servers::default());
     for (i, (hall, load)) in servers.iter().enumerate() {
         let record = ServerRecord {
@@ -49,7 +60,7 @@
         .open("model")
         .map(|(key, server)| Candidate { key, server, load: server.load() })
         .collect();
-    let choose = || Headroom.choose(&candidates, &need, now, &mut rand::rng());
+    let choose = || placing.choose(&candidates, &need, now, &mut rand::rng());
     let ids = (0..DRAWS).filter_map(|_| choose()).map(|key| known.get(key).unwrap());
     ids.map(|server| server.record.id[2..].parse().unwrap()).collect()
 }
@@ -107,3 +118,23 @@
     let servers = [("here", reading), ("here", runs(3))];
     assert_eq!(chosen(&servers, REQUEST, FAR_COST, ALIKE), BTreeSet::from([1]));
 }
+
+#[test]
+fn each_policy_is_found_by_its_name_and_chooses_by_its_rule() {
+    let servers = [("here", runs(0)), ("there", runs(2)), ("here", runs(0)), ("here", runs(9))];
+    let by = |name: &str| {
+        let placing = by_name(name).expect("a policy of that name");
+        assert_eq!(placing.name(), name);
+        chosen_by(&*placing, &servers, REQUEST, FAR_COST, ALIKE)
+    };
+    assert_eq!(by("least-load"), BTreeSet::from([0, 2]));
+    assert_eq!(by("headroom"), BTreeSet::from([0, 2]));
+    assert_eq!(by("round-robin"), BTreeSet::from([0, 1, 2, 3]));
+    // Drawn twice, even the fullest one comes up.
+    assert_eq!(by("two-choices"), BTreeSet::from([0, 1, 2, 3]));
+    assert!(by_name("first").is_none());
+    for name in NAMES {
+        let placing = by_name(name).expect("a policy of that name");
+        assert!(chosen_by(&*placing, &[], REQUEST, FAR_COST, ALIKE).is_empty());
+    }
+}
