--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -83,8 +83,9 @@
     boot: u64,
     started: Instant,
     view: Mutex<View>,
-    /// Tried for first contact: from the settings, and named by other daemons.
+    /// Addresses from the settings that are tried for first contact.
     seeds: Mutex<Vec<SocketAddr>>,
+    /// Addresses that heartbeats named since the last look.
     named: Mutex<Vec<SocketAddr>>,
     /// Daemons that have a task, and since when.
     greeted: Mutex<HashMap<SocketAddr, Instant>>,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -19,12 +19,12 @@
 const SPACING: Duration = Duration::from_millis(200);
 /// Pause after a question that failed; it doubles with each further one.
 const AFTER_FAILURE: Duration = Duration::from_millis(150);
-/// Longest such pause: for the first daemon in the order of reading, and further for each before it.
-/// The store's return is so found by a few, and heard by the others.
+/// Longest such pause of the daemon that is first in the order of reading: it finds the store's return,
+/// and the others hear of it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(300);
-/// See [`LONGEST_PAUSE`].
+/// What each daemon before another one in that order adds to its longest pause.
 const PAUSE_STEP: Duration = Duration::from_millis(150);
-/// Daemons that lengthen the pause at most.
+/// Daemons that add to it at most: a daemon whose peers are all cut off reads within 1.5 s.
 const MOST_STEPS: u32 = 8;
 /// Pause of a daemon that need not read, before it looks again.
 const LOOK: Duration = Duration::from_millis(50);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -51,6 +51,13 @@
     pub engine: Option<&'a Engine>,
 }
 
+impl Need<'_> {
+    /// Whether a run is to be copied, rather than a request sent.
+    fn is_copy(&self) -> bool {
+        self.load.arriving > 0
+    }
+}
+
 /// A server that may be chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -116,7 +123,7 @@
         }
         None => f64::from(load.runs) / f64::from(server.record.slots.max(1)),
     };
-    let used = if need.load.arriving > 0 {
+    let used = if need.is_copy() {
         used.max(ROOMY) + f64::from(load.arriving) / ARRIVING_SCALE
     } else {
         used
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -148,7 +148,7 @@
         Some(Echo { boot: peer.boot, stamp: peer.stamp, held })
     }
 
-    /// Whether a daemon has ever been heard, or heard lately enough to be remembered.
+    /// Whether a daemon has been heard and is not forgotten.
     pub fn knows(&self, addr: SocketAddr) -> bool {
         self.peers.contains_key(&addr)
     }
