Let no operator of the test write before all have read

The third operator read version 22 after the first had written it, so replacing it was right; the test meant operators that have read the same version. Now they wait for each other between reading and writing, and still exactly one is accepted.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -10,6 +10,7 @@
 use tidestair::fleet::{Fleet, OPERATOR_KEY};
 use tidestair::platform::{Expect, Platform};
 use tidestair::resource::{Kind, Resource, Spec, WorkspaceSpec};
+use tokio::sync::Barrier;
 use tokio::task::JoinSet;
 
 fn workspace(name: &str, share: u32) -> Resource {
@@ -51,11 +52,16 @@
     let fleet = fleet(3, 1).await;
     let created = admin(&fleet).create(&workspace("contested", 1)).await.expect("accepted");
     in_force(&fleet, created).await;
+    let entries = fleet.entries();
+    // None writes before all have read: one that reads a written version rightly replaces it.
+    let read = Arc::new(Barrier::new(entries.len()));
     let mut writers = JoinSet::new();
-    for (i, entry) in fleet.entries().into_iter().enumerate() {
+    for (i, entry) in entries.into_iter().enumerate() {
+        let read = read.clone();
         writers.spawn(async move {
             let admin = Admin::new(&entry.to_string(), OPERATOR_KEY).expect("an address");
             let found = admin.get(Kind::Workspace, "contested").await.expect("declared");
+            read.wait().await;
             admin.replace(&found, &workspace("contested", 10 + i as u32)).await
         });
     }
