Choose seats, least costs and unknown peers in one place each

A reading of the whole change: seats for requests and for copies ended in the same four lines; headroom and least-load drew among the least alike, each with its own loop; whether a peer is unknown, and whether it chose this daemon, stood twice, once with a list that was built to ask for one entry.

Gateway::choose_seat, place::draw_least, Cluster::is_unknown and View::has_chosen_us serve both. Behaviour and tests stay as they are.

Ruled out: one body for the two verifications in tls.rs (two signatures of the trait, each one line of its own), and for the heads of the trait's methods.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -213,8 +213,7 @@
         let mut wanted: Vec<SocketAddr> =
             layout.near.iter().chain(&layout.contacts).copied().collect();
         wanted.extend(view.chose_us(now));
-        let listed = self.roster.peers();
-        let unknown = |addr: &SocketAddr| !view.knows(*addr) && !listed.contains(addr);
+        let unknown = |addr: &SocketAddr| self.is_unknown(&view, *addr);
         let seeds = self.seeds.lock().expect("no holder panics");
         wanted.extend(seeds.iter().copied().filter(unknown));
         let mut named = self.named.lock().expect("no holder panics");
@@ -231,10 +230,15 @@
         if view.layout().contacts.contains(&addr) {
             return Some(Relation::Chosen);
         }
-        if view.chose_us(now).contains(&addr) {
+        if view.has_chosen_us(addr, now) {
             return Some(Relation::ChoseUs);
         }
-        (!view.knows(addr) && !self.roster.peers().contains(&addr)).then_some(Relation::Unknown)
+        self.is_unknown(&view, addr).then_some(Relation::Unknown)
+    }
+
+    /// Whether an address is neither listed by the store nor heard.
+    fn is_unknown(&self, view: &View, addr: SocketAddr) -> bool {
+        !view.knows(addr) && !self.roster.peers().contains(&addr)
     }
 
     /// One task for each daemon that heartbeats are due to; it ends when they no longer are.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -259,10 +259,7 @@
         let divided = self.divided.load(Ordering::Relaxed);
         let far = if divided { UNSEEN_COST } else { FAR_COST };
         let need = Need { hall: &self.hall, far, alike: ALIKE, load, engine };
-        let mut servers = self.servers();
-        let candidates = candidates(&servers, service, tried);
-        let key = self.placing.choose(&candidates, &need, now, &mut rand::rng())?;
-        self.take_seat(&mut servers, key, load)
+        self.choose_seat(service, &need, tried, now)
     }
 
     /// Takes a seat for a request that was sent before, if the shared budget allows another sending.
@@ -291,18 +288,20 @@
         let engine = service.engine.as_ref();
         let load = Load { reading: 0, arriving: source.load.tokens, ..source.load };
         let need = Need { hall: &source.hall, far: FAR_COPY_COST, alike: COPY_ALIKE, load, engine };
-        let mut servers = self.servers();
-        let candidates = candidates(&servers, service, refused);
-        let key = self.placing.choose(&candidates, &need, now, &mut rand::rng())?;
-        self.take_seat(&mut servers, key, load)
+        self.choose_seat(service, &need, refused, now)
     }
 
-    fn take_seat(
+    fn choose_seat(
         self: &Arc<Self>,
-        servers: &mut Servers,
-        key: ServerKey,
-        load: Load,
+        service: &Service,
+        need: &Need<'_>,
+        except: &[ServerKey],
+        now: Instant,
     ) -> Option<Seat> {
+        let load = need.load;
+        let mut servers = self.servers();
+        let candidates = candidates(&servers, service, except);
+        let key = self.placing.choose(&candidates, need, now, &mut rand::rng())?;
         servers.begin(key, load);
         self.tell_load(load);
         let server = servers.get(key)?;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -99,18 +99,25 @@
         now: Instant,
         rng: &mut dyn Rng,
     ) -> Option<ServerKey> {
-        let costs: Vec<(f64, ServerKey)> =
-            candidates.iter().map(|c| (cost(c, need, now), c.key)).collect();
-        let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
-        let alike: Vec<ServerKey> = costs
-            .iter()
-            .filter(|(cost, _)| *cost <= least + need.alike)
-            .map(|(_, key)| *key)
-            .collect();
-        Some(alike[rng.random_range(0..alike.len())])
+        draw_least(candidates, |c| cost(c, need, now), need.alike, rng)
     }
 }
 
+/// One drawn from the candidates whose costs differ by up to `alike` from the least; `None` where
+/// there is no candidate.
+pub(crate) fn draw_least(
+    candidates: &[Candidate<'_>],
+    cost: impl Fn(&Candidate<'_>) -> f64,
+    alike: f64,
+    rng: &mut dyn Rng,
+) -> Option<ServerKey> {
+    let costs: Vec<(f64, ServerKey)> = candidates.iter().map(|c| (cost(c), c.key)).collect();
+    let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
+    let alike: Vec<ServerKey> =
+        costs.iter().filter(|(cost, _)| *cost <= least + alike).map(|(_, key)| *key).collect();
+    Some(alike[rng.random_range(0..alike.len())])
+}
+
 /// Cost of a server for a newcomer, as a share of a full one.
 fn cost(candidate: &Candidate<'_>, need: &Need<'_>, now: Instant) -> f64 {
     let (server, load) = (candidate.server, candidate.load);
--- a/src/gateway/policies.rs
+++ b/src/gateway/policies.rs
@@ -1,6 +1,6 @@
 //! The simple ways to choose a server, beside [`Headroom`], to compare with it on live traffic.
 
-use crate::gateway::place::{Candidate, Headroom, Need, Placing};
+use crate::gateway::place::{Candidate, Headroom, Need, Placing, draw_least};
 use crate::gateway::servers::ServerKey;
 use rand::{Rng, RngExt};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -36,9 +36,7 @@
         _now: Instant,
         rng: &mut dyn Rng,
     ) -> Option<ServerKey> {
-        let least = candidates.iter().map(|c| c.load.runs).min()?;
-        let alike: Vec<_> = candidates.iter().filter(|c| c.load.runs == least).collect();
-        Some(alike[rng.random_range(0..alike.len())].key)
+        draw_least(candidates, |c| f64::from(c.load.runs), 0.0, rng)
     }
 }
 
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -159,10 +159,14 @@
         self.peers.get(&addr).is_some_and(|p| since(p.heard, now) <= silent)
     }
 
-    /// The daemons of other cells that chose this one and are heard.
-    pub fn chose_us(&self, now: Instant) -> Vec<SocketAddr> {
-        let chose = self.peers.iter().filter(|(_, p)| p.chose && since(p.heard, now) <= FAR_SILENT);
-        chose.map(|(addr, _)| *addr).collect()
+    /// Whether a daemon of another cell chose this one as its contact and is heard.
+    pub fn has_chosen_us(&self, addr: SocketAddr, now: Instant) -> bool {
+        self.peers.get(&addr).is_some_and(|p| p.chose && since(p.heard, now) <= FAR_SILENT)
+    }
+
+    /// All such daemons.
+    pub fn chose_us(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        self.peers.keys().copied().filter(move |addr| self.has_chosen_us(*addr, now))
     }
 
     /// How many daemons come before this one in the order in which they read the store: those of
