Pass over servers that refuse connections, tell peers, and spend no repeat on what never arrived

Cause: while the store is away, servers that have gone stay in every daemon's table, and with nothing running there they look the freest. Each daemon learnt of each dead server by itself.

Now a server that can't be reached is passed over for 0.5 s, doubling to 4 s, unless none is left; peers hear of a refused connection and of a server that leaves by its own word at once; only what arrives at a server beyond the first time takes a repeat. Ruled out: taking a refused connection as proof that the server has gone for good, since a server also turns connections away when it has too many.

--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -4,7 +4,7 @@
 use crate::gateway::cell::CellId;
 use crate::gateway::mirror::Statement;
 use crate::gateway::roster::Daemon;
-use crate::gateway::servers::Load;
+use crate::gateway::servers::{Load, Signs};
 use crate::gateway::tag::Tag;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -35,6 +35,8 @@
     pub members: Option<u32>,
     /// What it, or its cell, has running and has spent.
     pub told: Told,
+    /// What the sender knows of servers otherwise than from the store.
+    pub signs: Signs,
     /// Some of the daemons of its cell that it hears.
     pub others: Vec<SocketAddr>,
 }
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -290,7 +290,10 @@
 
     fn beat(&self, to: SocketAddr, relation: Relation, now: Instant) -> Beat {
         let view = self.view();
-        let loads = self.gateway.servers().own_loads();
+        let (loads, signs) = {
+            let servers = self.gateway.servers();
+            (servers.own_loads(), servers.signs(now))
+        };
         let own = Told { loads, spent: self.gateway.spent(now) };
         let (members, told) = match relation {
             Relation::Near | Relation::Unknown => (None, own),
@@ -312,6 +315,7 @@
             cell: view.layout().own,
             members,
             told,
+            signs,
             others: if near { view.named(NAMED, now) } else { Vec::new() },
         }
     }
@@ -327,6 +331,7 @@
             let noted = view.note(&beat, now) && beat.members.is_none();
             noted.then(|| view.loads(now))
         };
+        self.gateway.servers().take_signs(&beat.signs, now);
         if let Some(loads) = loads {
             self.gateway.servers().set_others(&loads.others, &loads.ahead);
         }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -110,6 +110,15 @@
         self.gateway.tell_load(self.place.load);
     }
 
+    /// Notes that no connection to the server came about. Other daemons hear of it at once where it
+    /// was refused: they would be as well.
+    pub fn not_reached(&self, refused: bool) {
+        self.gateway.servers().not_reached(self.key(), refused, Instant::now());
+        if refused {
+            self.gateway.tell();
+        }
+    }
+
     /// Notes how the exchange went.
     pub fn judge(&self, failed: bool) {
         self.gateway.servers().judge(self.key(), failed, Instant::now());
@@ -300,7 +309,7 @@
     ) -> Option<Seat> {
         let load = need.load;
         let mut servers = self.servers();
-        let candidates = candidates(&servers, service, except);
+        let candidates = candidates(&servers, service, except, now);
         let key = self.placing.choose(&candidates, need, now, &mut rand::rng())?;
         servers.begin(key, load);
         self.tell_load(load);
@@ -339,7 +348,16 @@
     servers: &'a Servers,
     service: &'a Service,
     except: &[ServerKey],
+    now: Instant,
 ) -> Vec<Candidate<'a>> {
     let open = servers.open(&service.name).filter(|(key, _)| !except.contains(key));
-    open.map(|(key, server)| Candidate { key, server, load: server.load() }).collect()
+    let (passed_over, mut reached): (Vec<_>, Vec<_>) =
+        open.partition(|(_, server)| server.is_passed_over(now));
+    if reached.is_empty() {
+        reached = passed_over;
+    }
+    reached
+        .into_iter()
+        .map(|(key, server)| Candidate { key, server, load: server.load() })
+        .collect()
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,9 @@
 const MOST_HELD: usize = 256 << 10;
 /// Most sendings of one request, refusals by servers included.
 const MOST_SENDINGS: usize = 4;
+/// Most servers besides that are tried and not reached. Each may take as long as a connection is
+/// waited for, so that a plain request's aim is past.
+const MOST_UNREACHED: usize = 4;
 /// Part of a plain route's aim after which a silent server is given up for another one.
 const SILENT_PART: f64 = 0.6;
 
@@ -31,6 +34,8 @@
     Answered(Answer),
     /// It may have run and failed; with the server's answer, where there is one to pass on.
     Failed(Option<Answer>, &'static str),
+    /// No connection came about: nothing arrived at the server.
+    NotReached(Option<NotSent>),
     /// This sending did not run.
     NotRun(Option<NotSent>, &'static str),
 }
@@ -40,8 +45,10 @@
     gateway: &'a Arc<Gateway>,
     call: &'a Arc<Call>,
     service: Arc<Service>,
-    /// Servers that it was sent to.
+    /// Servers that were tried.
     tried: Vec<ServerKey>,
+    /// How many of them were not reached: the request never arrived there.
+    unreached: usize,
     /// Sendings that may have run.
     runs: u32,
 }
@@ -77,7 +84,9 @@
             return Err(refused(proof, "no_service", COME_BACK));
         };
         self.count_request(&service.name, Instant::now());
-        Attempts { gateway: self, call, service, tried: Vec::new(), runs: 0 }.run(proof).await
+        Attempts { gateway: self, call, service, tried: Vec::new(), unreached: 0, runs: 0 }
+            .run(proof)
+            .await
     }
 }
 
@@ -94,6 +103,11 @@
             self.tried.push(seat.key());
             match self.send_patiently(seat, proof.take()).await {
                 Sent::Answered(answer) => return Ok(answer),
+                Sent::NotReached(unspent) => {
+                    self.count_failed("not run by a server", "not_reached");
+                    self.unreached += 1;
+                    proof = unspent;
+                }
                 Sent::NotRun(unspent, why) => {
                     self.count_failed("not run by a server", why);
                     proof = unspent;
@@ -118,12 +132,14 @@
         if !self.gateway.outlasts(self.call, now) {
             return Err("daemon_leaves");
         }
-        if self.tried.len() >= MOST_SENDINGS {
+        let arrived = self.tried.len() - self.unreached;
+        if arrived >= MOST_SENDINGS || self.unreached > MOST_UNREACHED {
             return Err("servers_refuse");
         }
-        match self.tried.as_slice() {
-            [] => self.gateway.seat(&self.service, self.call, &[], now).ok_or("no_server"),
-            tried => self.gateway.seat_again(&self.service, self.call, tried, now),
+        // Only what arrives at a server beyond the first time counts as a repeat.
+        match arrived {
+            0 => self.gateway.seat(&self.service, self.call, &self.tried, now).ok_or("no_server"),
+            _ => self.gateway.seat_again(&self.service, self.call, &self.tried, now),
         }
     }
 
@@ -178,9 +194,10 @@
         seat.judge(true);
         let (id, server) = (self.call.id.as_str(), seat.id());
         match lost {
-            Lost::Unsent { proof, reason } => {
+            Lost::Unsent { proof, refused, reason } => {
+                seat.not_reached(refused);
                 warn!(id = id, server = server, reason = reason.as_str(); "server not reached");
-                Sent::NotRun(proof, "not_reached")
+                Sent::NotReached(proof)
             }
             Lost::Unanswered { reason } => {
                 warn!(id = id, server = server, reason = reason.as_str(); "no answer from a server");
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -64,6 +64,8 @@
     Unsent {
         /// As it was handed over.
         proof: Option<NotSent>,
+        /// Whether the connection was refused: nothing listens at the address any more.
+        refused: bool,
         /// What was seen.
         reason: String,
     },
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -3,6 +3,7 @@
 use crate::gateway::port::Destination;
 use crate::gateway::request::Size;
 use crate::gateway::tag::Tag;
+use log::info;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::ops::{AddAssign, SubAssign};
@@ -20,6 +21,21 @@
 /// Time in which a failure rate halves without news, so that a server is tried again.
 const HALF_LIFE: Duration = Duration::from_millis(2_500);
 
+/// Time for which a server that could not be reached is passed over; it doubles with each further
+/// time. Most such servers have gone, and the store says so within seconds.
+const PASSED_OVER: Duration = Duration::from_millis(500);
+/// Longest such time: a server that is back after a cut is tried again within it.
+const LONGEST_PASSED_OVER: Duration = Duration::from_secs(4);
+
+/// What a daemon has learnt of servers otherwise than from the store, for the other daemons.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Signs {
+    /// Servers that leave, by their own word or because another one answers at their address.
+    pub leaving: Vec<Tag>,
+    /// Servers that refuse connections, and for how many milliseconds they are still passed over.
+    pub refusing: Vec<(Tag, u32)>,
+}
+
 /// What the store says of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerRecord {
@@ -102,6 +118,12 @@
     leaving: watch::Sender<bool>,
     failures: f64,
     judged: Instant,
+    /// Until when it is passed over because it could not be reached.
+    passed_over: Option<Instant>,
+    /// Times in a row that it could not be reached.
+    unreached: u32,
+    /// Whether the last of them was a refused connection, which other daemons would get as well.
+    refused: bool,
 }
 
 impl Server {
@@ -110,7 +132,19 @@
         let tag = Tag::of(&record.id);
         let none = Load::default();
         let (own, others, ahead) = (none, none, none);
-        Server { record, tag, own, others, ahead, leaving, failures: 0.0, judged: now }
+        Server {
+            record,
+            tag,
+            own,
+            others,
+            ahead,
+            leaving,
+            failures: 0.0,
+            judged: now,
+            passed_over: None,
+            unreached: 0,
+            refused: false,
+        }
     }
 
     /// Where it is, and which one is meant.
@@ -141,7 +175,26 @@
         self.failures * 0.5f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
 
+    /// Whether it is passed over because it could not be reached lately.
+    pub fn is_passed_over(&self, now: Instant) -> bool {
+        self.passed_over.is_some_and(|until| now < until)
+    }
+
+    fn not_reached(&mut self, refused: bool, now: Instant) {
+        let doubled = PASSED_OVER.saturating_mul(2u32.saturating_pow(self.unreached));
+        self.unreached += 1;
+        self.refused = refused;
+        self.pass_over(now + doubled.min(LONGEST_PASSED_OVER));
+    }
+
+    fn pass_over(&mut self, until: Instant) {
+        self.passed_over = self.passed_over.max(Some(until));
+    }
+
     fn judge(&mut self, failed: bool, now: Instant) {
+        if !failed {
+            (self.passed_over, self.unreached, self.refused) = (None, 0, false);
+        }
         let rate = self.failure_rate(now);
         let newest = if failed { 1.0 } else { 0.0 };
         self.failures = rate + (newest - rate) * NEWEST_WEIGHT;
@@ -194,6 +247,38 @@
         }
     }
 
+    /// A connection to the server did not come about; `refused` says whether nothing listens there.
+    pub fn not_reached(&mut self, key: ServerKey, refused: bool, now: Instant) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.not_reached(refused, now);
+        }
+    }
+
+    /// What other daemons can't know from the store.
+    pub fn signs(&self, now: Instant) -> Signs {
+        let listed = || self.by_id.values().filter_map(|key| self.arena.get(*key));
+        let leaving = listed().filter(|s| !s.open() && !s.record.leaving);
+        let refusing = listed().filter(|s| s.refused && s.open()).filter_map(|s| {
+            let left = s.passed_over?.saturating_duration_since(now).as_millis() as u32;
+            (left > 0).then_some((s.tag, left))
+        });
+        Signs { leaving: leaving.map(|s| s.tag).collect(), refusing: refusing.collect() }
+    }
+
+    /// Takes over what another daemon has learnt of servers.
+    pub fn take_signs(&mut self, signs: &Signs, now: Instant) {
+        for server in self.arena.values_mut().filter(|s| s.open()) {
+            if signs.leaving.contains(&server.tag) {
+                info!(server = &*server.record.id; "a peer says that the server leaves");
+                server.leaving.send_replace(true);
+            }
+            let refusing = signs.refusing.iter().find(|(tag, _)| *tag == server.tag);
+            if let Some((_, left)) = refusing {
+                server.pass_over(now + Duration::from_millis((*left).into()));
+            }
+        }
+    }
+
     /// Servers that take new work and have runs of this daemon that may not run again.
     pub fn with_runs_to_keep(&self) -> Vec<(ServerKey, Destination)> {
         let kept = self.arena.iter().filter(|(_, s)| s.open() && s.own.once > 0);
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -7,7 +7,7 @@
 use tidestair::gateway::budget::Spent;
 use tidestair::gateway::cell::{Layout, MOST_CONTACTS, MOST_IN_CELL, ONE_CELL};
 use tidestair::gateway::roster::Daemon;
-use tidestair::gateway::servers::Load;
+use tidestair::gateway::servers::{Load, Signs};
 use tidestair::gateway::tag::Tag;
 use tidestair::gateway::view::View;
 
@@ -145,6 +145,7 @@
                 loads: vec![(Tag::of("server"), load)],
                 spent: vec![(Tag::of("service"), Spent { requests: 10, repeats: 2 })],
             },
+            signs: Signs::default(),
             others: Vec::new(),
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,7 +7,7 @@
 use tidestair::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use tidestair::gateway::events::Splitter;
 use tidestair::gateway::in_force::{Declared, InForce};
-use tidestair::gateway::servers::{Load, ServerRecord, Servers};
+use tidestair::gateway::servers::{Load, ServerRecord, Servers, Signs};
 use tidestair::gateway::table::{Limits, Route, RouteKind, Service, Table, Target, Workspace};
 use tidestair::gateway::tag::Tag;
 
@@ -212,6 +212,72 @@
     assert!(rate(now + ms(30_000)) < 0.01);
 }
 
+/// A table with one server, `i-1`.
+fn one_server(now: Instant) -> Servers {
+    let mut servers = Servers::default();
+    servers.upsert(record("i-1", false), now);
+    servers
+}
+
+#[test]
+fn a_server_that_is_not_reached_is_passed_over_ever_longer_until_it_answers() {
+    let now = Instant::now();
+    let mut servers = one_server(now);
+    let key = servers.find("i-1").unwrap();
+    let passed_over = |servers: &Servers, at| servers.get(key).unwrap().is_passed_over(at);
+    servers.not_reached(key, false, now);
+    assert!(passed_over(&servers, now + ms(400)));
+    assert!(!passed_over(&servers, now + ms(500)));
+    servers.not_reached(key, false, now + ms(500));
+    assert!(passed_over(&servers, now + ms(1_400)), "twice as long");
+    for _ in 0..40 {
+        servers.not_reached(key, false, now);
+    }
+    assert!(!passed_over(&servers, now + ms(4_000)), "but never for ever");
+    servers.judge(key, false, now);
+    assert!(!passed_over(&servers, now));
+}
+
+#[test]
+fn daemons_pass_over_a_server_that_refused_another_one_no_longer_than_that_one_does() {
+    let now = Instant::now();
+    let (mut told, mut hears) = (one_server(now), one_server(now));
+    let key = told.find("i-1").unwrap();
+    told.not_reached(key, false, now);
+    assert_eq!(
+        told.signs(now),
+        Signs::default(),
+        "a silent server may be cut off from one daemon only"
+    );
+    told.not_reached(key, true, now);
+    hears.take_signs(&told.signs(now + ms(300)), now + ms(300));
+    let key = hears.find("i-1").unwrap();
+    assert!(hears.get(key).unwrap().is_passed_over(now + ms(900)));
+    assert!(!hears.get(key).unwrap().is_passed_over(now + ms(1_000)));
+    assert_eq!(
+        hears.signs(now + ms(300)),
+        Signs::default(),
+        "what was heard is not told on as one's own"
+    );
+}
+
+#[test]
+fn a_leaving_that_the_store_does_not_tell_is_told_to_peers() {
+    let now = Instant::now();
+    let (mut told, mut hears) = (one_server(now), one_server(now));
+    told.leaves(told.find("i-1").unwrap());
+    assert_eq!(told.signs(now).leaving, [Tag::of("i-1")]);
+    hears.take_signs(&told.signs(now), now);
+    assert_eq!(hears.open("app").count(), 0);
+    assert_eq!(
+        hears.signs(now).leaving,
+        [Tag::of("i-1")],
+        "it reaches other cells through their contacts"
+    );
+    told.upsert(record("i-1", true), now);
+    assert_eq!(told.signs(now), Signs::default(), "the store tells it by now");
+}
+
 proptest! {
     #[test]
     fn events_come_out_whole_however_the_stream_is_cut(
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -30,7 +30,9 @@
         _: Sending,
         proof: Option<NotSent>,
     ) -> BoxFuture<'a, Result<Reply, Lost>> {
-        Box::pin(async move { Err(Lost::Unsent { proof, reason: "no wire".into() }) })
+        Box::pin(
+            async move { Err(Lost::Unsent { proof, refused: false, reason: "no wire".into() }) },
+        )
     }
 
     fn copy<'a>(
