Add up the outcomes of all daemons' exchanges with a server

Now each daemon keeps how many recent exchanges with a server were tried and failed, both fading by half in 2.5 s, tells those where some failed with its loads, and weighs the sum over all daemons. Sound exchanges elsewhere are told as soon as somebody saw a failure: a daemon that is cut off from a server does not talk the others out of it. Streams that end well now have a log line, from which the pace is read.

--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -3,6 +3,7 @@
 use crate::gateway::budget::Spent;
 use crate::gateway::cell::CellId;
 use crate::gateway::mirror::Statement;
+use crate::gateway::outcomes::Outcomes;
 use crate::gateway::roster::Daemon;
 use crate::gateway::servers::{Load, Signs};
 use crate::gateway::tag::Tag;
@@ -48,6 +49,8 @@
     pub loads: Vec<(Tag, Load)>,
     /// What was spent of the budget for repeats.
     pub spent: Vec<(Tag, Spent)>,
+    /// How exchanges with servers went where some failed.
+    pub outcomes: Vec<(Tag, Outcomes)>,
 }
 
 /// A clock that is returned to its owner.
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -200,10 +200,10 @@
         view.divide(listed, |addr| greeted.get(&addr).copied(), now);
         self.gateway.metrics.peers.set(view.count(now) as i64);
         self.gateway.set_others(view.spent(count, now));
-        let loads = view.loads(now);
+        let heard = view.heard(now);
         self.gateway.set_divided(view.layout().divided);
         drop(view);
-        self.gateway.servers().set_others(&loads.others, &loads.ahead);
+        self.gateway.servers().set_others(&heard);
     }
 
     /// Daemons that this one sends heartbeats to.
@@ -290,11 +290,12 @@
 
     fn beat(&self, to: SocketAddr, relation: Relation, now: Instant) -> Beat {
         let view = self.view();
-        let (loads, signs) = {
+        let spent = self.gateway.spent(now);
+        let (own, signs) = {
             let servers = self.gateway.servers();
-            (servers.own_loads(), servers.signs(now))
+            let (loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
+            (Told { loads, spent, outcomes }, servers.signs(now))
         };
-        let own = Told { loads, spent: self.gateway.spent(now) };
         let (members, told) = match relation {
             Relation::Near | Relation::Unknown => (None, own),
             Relation::Chosen | Relation::ChoseUs => {
@@ -325,15 +326,15 @@
         let seen = beat.echo.filter(|echo| echo.boot == self.boot).and_then(|echo| {
             self.started.checked_add(Duration::from_micros(echo.stamp.checked_add(echo.held)?))
         });
-        let loads = {
+        let heard = {
             let mut view = self.view();
             // Daemons wait for each other's moves by what those of their cell have running.
             let noted = view.note(&beat, now) && beat.members.is_none();
-            noted.then(|| view.loads(now))
+            noted.then(|| view.heard(now))
         };
         self.gateway.servers().take_signs(&beat.signs, now);
-        if let Some(loads) = loads {
-            self.gateway.servers().set_others(&loads.others, &loads.ahead);
+        if let Some(heard) = heard {
+            self.gateway.servers().set_others(&heard);
         }
         self.named.lock().expect("no holder panics").extend(beat.others);
         let Some(statement) = beat.statement else {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -121,7 +121,7 @@
 
     /// Notes how the exchange went.
     pub fn judge(&self, failed: bool) {
-        self.gateway.servers().judge(self.key(), failed, Instant::now());
+        self.gateway.judge(self.key(), failed);
     }
 }
 
@@ -319,6 +319,14 @@
         Some(Seat { gateway: self.clone(), place, notice: server.notice() })
     }
 
+    /// Notes how an exchange with a server went; other daemons hear of a failure soon.
+    pub(crate) fn judge(&self, server: ServerKey, failed: bool) {
+        self.servers().judge(server, failed, Instant::now());
+        if failed {
+            self.load_news.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Notes a request for a service.
     pub fn count_request(&self, service: &Arc<str>, now: Instant) {
         self.budget().request(service, now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -150,7 +150,7 @@
             return self.send(seat, proof).await;
         };
         timeout(limit, self.send(seat, proof)).await.unwrap_or_else(|_| {
-            self.gateway.servers().judge(key, true, Instant::now());
+            self.gateway.judge(key, true);
             Sent::Failed(None, "silent")
         })
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! - [`request`]: a caller's request and its answer
 //! - [`table`], [`in_force`]: the declared configuration, and how fresh it is
-//! - [`servers`], [`place`], [`policies`]: backend servers, and the choice among them
+//! - [`servers`], [`outcomes`], [`place`], [`policies`]: backend servers, how exchanges with them
+//!   went, and the choice among them
 //! - [`core`]: what all requests of a daemon share
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
@@ -32,6 +33,7 @@
 pub mod metrics;
 pub mod mirror;
 mod moving;
+pub mod outcomes;
 pub mod place;
 pub mod policies;
 pub mod port;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -158,7 +158,10 @@
         };
         let (id, server) = (self.call.id.as_str(), self.seat.id());
         match end {
-            End::Complete => {}
+            End::Complete => {
+                let ms = self.call.arrived.elapsed().as_millis() as u64;
+                info!(id = id, server = server, last = self.last, ms = ms; "stream complete");
+            }
             End::CallerLeft => info!(id = id, server = server, last = self.last; "caller left"),
             End::Broken(reason) => {
                 self.gateway.metrics.cut_streams.inc();
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,5 +1,6 @@
 //! The backend servers as this daemon knows them: who they are, who leaves, how loaded, how well.
 
+use crate::gateway::outcomes::{Fading, Outcomes};
 use crate::gateway::port::Destination;
 use crate::gateway::request::Size;
 use crate::gateway::tag::Tag;
@@ -16,11 +17,6 @@
     pub struct ServerKey;
 }
 
-/// Weight of the newest exchange in a server's failure rate.
-const NEWEST_WEIGHT: f64 = 0.25;
-/// Time in which a failure rate halves without news, so that a server is tried again.
-const HALF_LIFE: Duration = Duration::from_millis(2_500);
-
 /// Time for which a server that could not be reached is passed over; it doubles with each further
 /// time. Most such servers have gone, and the store says so within seconds.
 const PASSED_OVER: Duration = Duration::from_millis(500);
@@ -98,8 +94,16 @@
     }
 }
 
-/// Loads by server.
-pub type LoadsByTag = HashMap<Tag, Load>;
+/// Sums of what the other daemons told of servers.
+#[derive(Debug, Default)]
+pub struct Heard {
+    /// What all of them have running.
+    pub loads: HashMap<Tag, Load>,
+    /// What the daemons of the same cell have running that rank before this one.
+    pub ahead: HashMap<Tag, Load>,
+    /// How their exchanges went.
+    pub outcomes: HashMap<Tag, Outcomes>,
+}
 
 /// One backend server.
 #[derive(Debug)]
@@ -116,8 +120,10 @@
     pub ahead: Load,
     /// Turns true when the server is about to leave or has gone.
     leaving: watch::Sender<bool>,
-    failures: f64,
-    judged: Instant,
+    /// How this daemon's recent exchanges with it went.
+    outcomes: Fading,
+    /// How those of the other daemons went, as they said.
+    others_outcomes: Outcomes,
     /// Until when it is passed over because it could not be reached.
     passed_over: Option<Instant>,
     /// Times in a row that it could not be reached.
@@ -139,8 +145,8 @@
             others,
             ahead,
             leaving,
-            failures: 0.0,
-            judged: now,
+            outcomes: Fading::new(now),
+            others_outcomes: Outcomes::default(),
             passed_over: None,
             unreached: 0,
             refused: false,
@@ -169,10 +175,11 @@
         load
     }
 
-    /// Share of recent exchanges that failed, fading with time.
+    /// Share of recent exchanges that failed, of all daemons, fading with time.
     pub fn failure_rate(&self, now: Instant) -> f64 {
-        let elapsed = now.saturating_duration_since(self.judged);
-        self.failures * 0.5f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64())
+        let mut all = self.outcomes.at(now);
+        all += self.others_outcomes;
+        all.failure_rate()
     }
 
     /// Whether it is passed over because it could not be reached lately.
@@ -195,10 +202,7 @@
         if !failed {
             (self.passed_over, self.unreached, self.refused) = (None, 0, false);
         }
-        let rate = self.failure_rate(now);
-        let newest = if failed { 1.0 } else { 0.0 };
-        self.failures = rate + (newest - rate) * NEWEST_WEIGHT;
-        self.judged = now;
+        self.outcomes.note(failed, now);
     }
 }
 
@@ -350,12 +354,21 @@
         loaded.map(|s| (s.tag, s.own)).collect()
     }
 
-    /// Sets what the other daemons have at each server, and what those ahead of this one have there.
-    /// Servers that are not named have nothing of theirs.
-    pub fn set_others(&mut self, others: &LoadsByTag, ahead: &LoadsByTag) {
+    /// How this daemon's exchanges went at servers where some failed, here or at another daemon: a
+    /// failure that others don't see must be weighed against what they do see.
+    pub fn own_outcomes(&self, now: Instant) -> Vec<(Tag, Outcomes)> {
+        let outcomes = self.arena.values().map(|s| (s, s.outcomes.at(now)));
+        let matter = outcomes.filter(|(s, own)| own.matter() || s.others_outcomes.matter());
+        matter.map(|(s, own)| (s.tag, own)).collect()
+    }
+
+    /// Sets what the other daemons have at each server and how their exchanges went. Servers that are
+    /// not named have nothing of theirs.
+    pub fn set_others(&mut self, heard: &Heard) {
         for server in self.arena.values_mut() {
-            server.others = others.get(&server.tag).copied().unwrap_or_default();
-            server.ahead = ahead.get(&server.tag).copied().unwrap_or_default();
+            server.others = heard.loads.get(&server.tag).copied().unwrap_or_default();
+            server.ahead = heard.ahead.get(&server.tag).copied().unwrap_or_default();
+            server.others_outcomes = heard.outcomes.get(&server.tag).copied().unwrap_or_default();
         }
     }
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -4,7 +4,7 @@
 use crate::gateway::budget::Others;
 use crate::gateway::cell::{CellId, Layout};
 use crate::gateway::roster::Daemon;
-use crate::gateway::servers::LoadsByTag;
+use crate::gateway::servers::Heard;
 use crate::gateway::tag::Tag;
 use log::info;
 use std::collections::{HashMap, HashSet};
@@ -45,15 +45,6 @@
     told: Told,
 }
 
-/// Sums of what runs where.
-#[derive(Debug, Default)]
-pub struct Loads {
-    /// Of all other daemons.
-    pub others: LoadsByTag,
-    /// Of the daemons of the same cell that rank before this one.
-    pub ahead: LoadsByTag,
-}
-
 /// See the module.
 #[derive(Debug)]
 pub struct View {
@@ -200,30 +191,34 @@
     pub fn cell_sum(&self, own: Told, now: Instant) -> (u32, Told) {
         let mut loads = own.loads.into_iter().collect();
         let mut spent = own.spent.into_iter().collect();
+        let mut outcomes = own.outcomes.into_iter().collect();
         let mut members = 1;
         for peer in self.near(now) {
             members += 1;
             add(&mut loads, &peer.told.loads);
             add(&mut spent, &peer.told.spent);
+            add(&mut outcomes, &peer.told.outcomes);
         }
         let (loads, spent) = (loads.into_iter().collect(), spent.into_iter().collect());
-        (members, Told { loads, spent })
+        (members, Told { loads, spent, outcomes: outcomes.into_iter().collect() })
     }
 
-    /// What the other daemons have running.
-    pub fn loads(&self, now: Instant) -> Loads {
+    /// What the other daemons told of servers.
+    pub fn heard(&self, now: Instant) -> Heard {
         let own = Tag::of(&self.own.vm);
-        let mut loads = Loads::default();
+        let mut heard = Heard::default();
         for peer in self.near(now) {
-            add(&mut loads.others, &peer.told.loads);
+            add(&mut heard.loads, &peer.told.loads);
+            add(&mut heard.outcomes, &peer.told.outcomes);
             if Tag::of(&peer.daemon.vm) < own {
-                add(&mut loads.ahead, &peer.told.loads);
+                add(&mut heard.ahead, &peer.told.loads);
             }
         }
         for (_, sums) in self.other_cells(now) {
-            add(&mut loads.others, &sums.told.loads);
+            add(&mut heard.loads, &sums.told.loads);
+            add(&mut heard.outcomes, &sums.told.outcomes);
         }
-        loads
+        heard
     }
 
     /// What the daemons that share budgets have spent, as far as they are heard. `listed` is how
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -6,6 +6,7 @@
 use tidestair::gateway::beat::{Beat, Told};
 use tidestair::gateway::budget::Spent;
 use tidestair::gateway::cell::{Layout, MOST_CONTACTS, MOST_IN_CELL, ONE_CELL};
+use tidestair::gateway::outcomes::Outcomes;
 use tidestair::gateway::roster::Daemon;
 use tidestair::gateway::servers::{Load, Signs};
 use tidestair::gateway::tag::Tag;
@@ -144,6 +145,7 @@
             told: Told {
                 loads: vec![(Tag::of("server"), load)],
                 spent: vec![(Tag::of("service"), Spent { requests: 10, repeats: 2 })],
+                outcomes: vec![(Tag::of("server"), Outcomes { tried: 2.0, failed: 1.0 })],
             },
             signs: Signs::default(),
             others: Vec::new(),
@@ -156,8 +158,8 @@
     }
 
     fn runs(&self, at: Duration) -> u32 {
-        let loads = self.view.loads(self.start + at);
-        loads.others.get(&Tag::of("server")).map_or(0, |load| load.runs)
+        let heard = self.view.heard(self.start + at);
+        heard.loads.get(&Tag::of("server")).map_or(0, |load| load.runs)
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,7 +7,7 @@
 use tidestair::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use tidestair::gateway::events::Splitter;
 use tidestair::gateway::in_force::{Declared, InForce};
-use tidestair::gateway::servers::{Load, ServerRecord, Servers, Signs};
+use tidestair::gateway::servers::{Heard, Load, ServerRecord, Servers, Signs};
 use tidestair::gateway::table::{Limits, Route, RouteKind, Service, Table, Target, Workspace};
 use tidestair::gateway::tag::Tag;
 
@@ -261,6 +261,43 @@
     );
 }
 
+/// What a daemon hears of the outcomes of one other daemon.
+fn heard(from: &Servers, now: Instant) -> Heard {
+    Heard { outcomes: from.own_outcomes(now).into_iter().collect(), ..Heard::default() }
+}
+
+#[test]
+fn a_server_that_failed_another_daemon_is_not_trusted_here_either() {
+    let now = Instant::now();
+    let (mut told, mut hears) = (one_server(now), one_server(now));
+    let key = |servers: &Servers| servers.find("i-1").unwrap();
+    told.judge(key(&told), true, now);
+    hears.set_others(&heard(&told, now));
+    let rate = |servers: &Servers| servers.get(key(servers)).unwrap().failure_rate(now);
+    assert!(rate(&hears) >= 0.5, "{}", rate(&hears));
+    assert!(
+        hears.own_outcomes(now).iter().any(|(tag, own)| *tag == Tag::of("i-1") && own.tried == 0.0)
+    );
+    hears.set_others(&Heard::default());
+    assert_eq!(rate(&hears), 0.0, "the daemon is no longer heard");
+}
+
+#[test]
+fn one_daemons_failure_weighs_little_against_what_the_others_see() {
+    let now = Instant::now();
+    let (mut cut_off, mut sees) = (one_server(now), one_server(now));
+    let key = sees.find("i-1").unwrap();
+    (0..19).for_each(|_| sees.judge(key, false, now));
+    assert_eq!(sees.own_outcomes(now), [], "where nothing fails, nothing is told");
+    cut_off.judge(cut_off.find("i-1").unwrap(), true, now);
+    sees.set_others(&heard(&cut_off, now));
+    let rate = sees.get(key).unwrap().failure_rate(now);
+    assert!(rate < 0.06, "{rate}");
+    cut_off.set_others(&heard(&sees, now));
+    let rate = cut_off.get(cut_off.find("i-1").unwrap()).unwrap().failure_rate(now);
+    assert!(rate < 0.06, "the sound exchanges are told once a failure was: {rate}");
+}
+
 #[test]
 fn a_leaving_that_the_store_does_not_tell_is_told_to_peers() {
     let now = Instant::now();
