Check servers' health while the store is silent, and settle the suspicion by their report

Cause: while the store is away a leaving server was known by its report, which is half a second old: 0.6 s of the 1.5 to 2.1 s that a notice gives.

A health check may be wrong, so a server that fails it is only suspected: its runs move away and nothing new goes there, until its report says that it leaves, or 0.8 s later still doesn't. Then the server is trusted, and its health check isn't believed for 10 s. Suspicions aren't told to peers; leavings are.

--- a/src/gateway/lookout.rs
+++ b/src/gateway/lookout.rs
@@ -1,9 +1,13 @@
 //! Asking backend servers themselves whether they leave, while the store can't tell.
 //!
-//! Notices come through the store. When it is away or slow, each daemon asks the servers on which it
-//! has runs that would be lost; such a report is a little old, and costs as much as a probe.
+//! Notices come through the store. When it is away or slow, each daemon checks the servers on which it
+//! has runs that would be lost. A health check tells of a leaving at once, but not only of that; a report
+//! is sure, but half a second old, a third of the time that a server's notice gives. So a server that is
+//! not well is suspected: its runs move away and no new work goes there until its report says whether it
+//! leaves.
 
 use crate::gateway::core::Gateway;
+use crate::gateway::servers::Watched;
 use log::{debug, info};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,29 +19,64 @@
 /// Time between two rounds of questions, and the longest time for an answer. A server leaves 1.5 s
 /// after its notice.
 const ROUND: Duration = Duration::from_millis(300);
+/// Time after which a report that does not tell of a leaving clears a suspected server: reports are
+/// about 500 ms old, and may be a round trip late.
+const REPORT_SURE: Duration = Duration::from_millis(800);
+
+/// Time for which a health check that was wrong is not believed again: its runs would be moved back and
+/// forth at the expense of the shared budget.
+const DISBELIEF: Duration = Duration::from_secs(10);
 
 /// Looks out until the process ends.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
         sleep(ROUND).await;
         let now = Instant::now();
-        if gateway.in_force.age(now).is_none_or(|age| age <= STORE_LATE) {
-            continue;
+        let late = gateway.in_force.age(now).is_some_and(|age| age > STORE_LATE);
+        let watched = gateway.servers().watched();
+        for server in watched.into_iter().filter(|w| late || w.suspected.is_some()) {
+            tokio::spawn(look(gateway.clone(), server));
+        }
+    }
+}
+
+async fn look(gateway: Arc<Gateway>, server: Watched) {
+    let declared = gateway.in_force.get();
+    let service = declared.as_ref().and_then(|d| d.table.service(&server.service));
+    let health = service.and_then(|service| service.health.clone());
+    let wrong_lately = server.cleared.is_some_and(|at| at.elapsed() < DISBELIEF);
+    match (server.suspected, health) {
+        (None, Some(path)) if !wrong_lately => check(&gateway, &server, &path).await,
+        (since, _) => ask(&gateway, &server, since).await,
+    }
+}
+
+/// Suspects a server that is not well.
+async fn check(gateway: &Gateway, server: &Watched, path: &str) {
+    match gateway.wire.is_well(server.to.addr, path, ROUND).await {
+        Ok(true) => {}
+        Ok(false) => {
+            info!(server = &*server.to.id; "server is not well, it may leave");
+            gateway.servers().suspect(server.key, Instant::now());
+        }
+        Err(why) => debug!(server = &*server.to.id; "no health: {why}"),
+    }
+}
+
+/// Asks a server for its report, which decides whether it leaves.
+async fn ask(gateway: &Gateway, server: &Watched, suspected: Option<Instant>) {
+    let asked = Instant::now();
+    match gateway.wire.is_leaving(server.to.addr, ROUND).await {
+        Ok(true) => {
+            info!(server = &*server.to.id; "server says that it leaves");
+            gateway.servers().leaves(server.key);
+            gateway.tell();
         }
-        let asked = gateway.servers().with_runs_to_keep();
-        for (key, to) in asked {
-            let gateway = gateway.clone();
-            tokio::spawn(async move {
-                match gateway.wire.is_leaving(to.addr, ROUND).await {
-                    Ok(true) => {
-                        info!(server = &*to.id; "server says that it leaves");
-                        gateway.servers().leaves(key);
-                        gateway.tell();
-                    }
-                    Ok(false) => {}
-                    Err(why) => debug!(server = &*to.id; "no report: {why}"),
-                }
-            });
+        Ok(false) if suspected.is_some_and(|since| asked.duration_since(since) >= REPORT_SURE) => {
+            info!(server = &*server.to.id; "server does not leave");
+            gateway.servers().trust(server.key, asked);
         }
+        Ok(false) => {}
+        Err(why) => debug!(server = &*server.to.id; "no report: {why}"),
     }
 }
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -117,7 +117,16 @@
         last: bool,
     ) -> BoxFuture<'a, Result<Copied, NotCopied>>;
 
-    /// Asks a server whether it is about to leave.
+    /// Checks a server's health at `path`. It is not well when it is about to leave, and tells so
+    /// without the delay of a report; but it may be unwell, or be wrong, for other reasons.
+    fn is_well<'a>(
+        &'a self,
+        server: SocketAddr,
+        path: &'a str,
+        limit: Duration,
+    ) -> BoxFuture<'a, Result<bool, String>>;
+
+    /// Asks a server whether it is about to leave. Its report is some hundred milliseconds old.
     fn is_leaving(
         &self,
         server: SocketAddr,
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -130,6 +130,10 @@
     unreached: u32,
     /// Whether the last of them was a refused connection, which other daemons would get as well.
     refused: bool,
+    /// Since when it is treated as leaving only because it is not well.
+    suspected: Option<Instant>,
+    /// When it was last found not to leave although its health check said it was not well.
+    cleared: Option<Instant>,
 }
 
 impl Server {
@@ -150,6 +154,8 @@
             passed_over: None,
             unreached: 0,
             refused: false,
+            suspected: None,
+            cleared: None,
         }
     }
 
@@ -187,6 +193,12 @@
         self.passed_over.is_some_and(|until| now < until)
     }
 
+    /// It leaves, which is never taken back.
+    fn leaves(&mut self) {
+        self.suspected = None;
+        self.leaving.send_replace(true);
+    }
+
     fn not_reached(&mut self, refused: bool, now: Instant) {
         let doubled = PASSED_OVER.saturating_mul(2u32.saturating_pow(self.unreached));
         self.unreached += 1;
@@ -206,6 +218,21 @@
     }
 }
 
+/// A server that is asked about itself.
+#[derive(Debug, Clone)]
+pub struct Watched {
+    /// The server.
+    pub key: ServerKey,
+    /// Where it is.
+    pub to: Destination,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Since when it is suspected to leave.
+    pub suspected: Option<Instant>,
+    /// When its health check was last found to be wrong.
+    pub cleared: Option<Instant>,
+}
+
 /// All backend servers.
 #[derive(Debug, Default)]
 pub struct Servers {
@@ -220,7 +247,7 @@
             Some(key) => {
                 let server = &mut self.arena[*key];
                 if record.leaving {
-                    server.leaving.send_replace(true);
+                    server.leaves();
                 }
                 server.record = record;
             }
@@ -237,7 +264,7 @@
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
-        self.arena[key].leaving.send_replace(true);
+        self.arena[key].leaves();
         if self.arena[key].own.runs == 0 {
             self.arena.remove(key);
         }
@@ -246,11 +273,29 @@
     /// The server is about to leave or has gone, by its own word or because another one answers at
     /// its address.
     pub fn leaves(&mut self, key: ServerKey) {
-        if let Some(server) = self.arena.get(key) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.leaves();
+        }
+    }
+
+    /// The server is not well, which it is as well when it is about to leave: it is treated as
+    /// leaving until its report says otherwise.
+    pub fn suspect(&mut self, key: ServerKey, now: Instant) {
+        if let Some(server) = self.arena.get_mut(key).filter(|s| s.open()) {
+            server.suspected = Some(now);
             server.leaving.send_replace(true);
         }
     }
 
+    /// A server that was suspected does not leave.
+    pub fn trust(&mut self, key: ServerKey, now: Instant) {
+        if let Some(server) = self.arena.get_mut(key).filter(|s| s.suspected.is_some()) {
+            server.suspected = None;
+            server.cleared = Some(now);
+            server.leaving.send_replace(false);
+        }
+    }
+
     /// A connection to the server did not come about; `refused` says whether nothing listens there.
     pub fn not_reached(&mut self, key: ServerKey, refused: bool, now: Instant) {
         if let Some(server) = self.arena.get_mut(key) {
@@ -261,7 +306,7 @@
     /// What other daemons can't know from the store.
     pub fn signs(&self, now: Instant) -> Signs {
         let listed = || self.by_id.values().filter_map(|key| self.arena.get(*key));
-        let leaving = listed().filter(|s| !s.open() && !s.record.leaving);
+        let leaving = listed().filter(|s| !s.open() && !s.record.leaving && s.suspected.is_none());
         let refusing = listed().filter(|s| s.refused && s.open()).filter_map(|s| {
             let left = s.passed_over?.saturating_duration_since(now).as_millis() as u32;
             (left > 0).then_some((s.tag, left))
@@ -271,10 +316,10 @@
 
     /// Takes over what another daemon has learnt of servers.
     pub fn take_signs(&mut self, signs: &Signs, now: Instant) {
-        for server in self.arena.values_mut().filter(|s| s.open()) {
+        for server in self.arena.values_mut().filter(|s| s.open() || s.suspected.is_some()) {
             if signs.leaving.contains(&server.tag) {
                 info!(server = &*server.record.id; "a peer says that the server leaves");
-                server.leaving.send_replace(true);
+                server.leaves();
             }
             let refusing = signs.refusing.iter().find(|(tag, _)| *tag == server.tag);
             if let Some((_, left)) = refusing {
@@ -283,10 +328,19 @@
         }
     }
 
-    /// Servers that take new work and have runs of this daemon that may not run again.
-    pub fn with_runs_to_keep(&self) -> Vec<(ServerKey, Destination)> {
-        let kept = self.arena.iter().filter(|(_, s)| s.open() && s.own.once > 0);
-        kept.map(|(key, s)| (key, s.destination())).collect()
+    /// Servers that take new work and have runs of this daemon that may not run again, and those that
+    /// are suspected.
+    pub fn watched(&self) -> Vec<Watched> {
+        let has_runs = |s: &Server| s.open() && s.own.once > 0;
+        let watched = self.arena.iter().filter(|(_, s)| has_runs(s) || s.suspected.is_some());
+        let watched = watched.map(|(key, s)| Watched {
+            key,
+            to: s.destination(),
+            service: s.record.service.clone(),
+            suspected: s.suspected,
+            cleared: s.cleared,
+        });
+        watched.collect()
     }
 
     /// A server by key; `None` once it has gone.
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -123,6 +123,8 @@
     pub name: Arc<str>,
     /// Connections that one replica takes from all callers.
     pub connections: u32,
+    /// Path of the health check of its replicas; `None` where none is declared.
+    pub health: Option<Arc<str>>,
     /// Present where the replicas are model engines.
     pub engine: Option<Engine>,
 }
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -45,6 +45,15 @@
         Box::pin(async { Err(NotCopied::NoRun) })
     }
 
+    fn is_well<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a str,
+        _: Duration,
+    ) -> BoxFuture<'a, Result<bool, String>> {
+        Box::pin(async { Ok(true) })
+    }
+
     fn is_leaving(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<bool, String>> {
         Box::pin(async { Ok(false) })
     }
