Let no copy of the store vouch for deletions that it has not seen

Cause: a daemon that starts reads the store as a whole and has no trace of keys deleted before. Its statement carried its position but no later change, so peers that had not yet seen a deletion took over the position and passed over it for good; and asked for what they lacked, it gave them only what it holds.

A statement now says from which revision on its sender knows every deletion. A copy older than that does not take over the position; it waits for a daemon that knows more, and after 0.6 s without confirmation asks for everything.

Test that failed before, by its first cases: a_copy_lacks_nothing_up_to_its_position (any order of writes, reads, statements and updates between three daemons).

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -25,6 +25,10 @@
 /// Deleted keys that are remembered, so that peers can be told of each deletion.
 const MOST_DELETED: usize = 1_024;
 
+/// Time without confirmation after which a copy that is older than a peer's asks that peer for
+/// everything. Longer than two heartbeats: usually the daemon that reads for all tells sooner.
+const UNTOLD: Duration = Duration::from_millis(600);
+
 /// What a daemon says of its copy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Statement {
@@ -32,6 +36,9 @@
     pub position: u64,
     /// The last revision that changed something that matters.
     pub changed: u64,
+    /// The revision from which on it knows every deletion: a copy that was read as a whole does not show
+    /// what went before.
+    pub since: u64,
     /// How long ago the store was known to stand so, in milliseconds.
     pub age_ms: u32,
 }
@@ -102,7 +109,8 @@
         let state = self.state();
         let age = now.saturating_duration_since(state.confirmed?);
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        Some(Statement { position: state.position, changed: state.changed, age_ms })
+        let (position, changed, since) = (state.position, state.changed, state.forgotten);
+        Some(Statement { position, changed, since, age_ms })
     }
 
     /// Takes in all keys, read at `position`, as the store stood at `seen`.
@@ -121,6 +129,8 @@
             })
             .map(|(key, _)| key.clone())
             .collect();
+        // Keys that were written and deleted since this copy's last position were never seen.
+        state.forgotten = position;
         self.confirm(&mut state, position, seen, now);
         for key in gone {
             self.take(&mut state, Change { key, value: None, revision: position }, seen, now);
@@ -147,6 +157,11 @@
         if statement.position < state.position {
             return false;
         }
+        if state.position < statement.since {
+            // The peer can't tell what was deleted between the two; another one may.
+            let age = state.confirmed.map(|at| now.saturating_duration_since(at));
+            return age.is_none_or(|age| age > UNTOLD);
+        }
         let behind = statement.changed > state.position;
         if !behind {
             self.confirm(&mut state, statement.position, seen, now);
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::BoxFuture;
 use proptest::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -150,6 +150,21 @@
         live.collect()
     }
 
+    /// Ids of the servers that were listed at a revision.
+    fn servers_at(&self, revision: u64) -> BTreeSet<&str> {
+        let mut listed = BTreeSet::new();
+        for change in self.changes.iter().filter(|c| c.revision <= revision) {
+            let Some(id) = change.key.strip_prefix("servers/") else {
+                continue;
+            };
+            match change.value {
+                Some(_) => listed.insert(id),
+                None => listed.remove(id),
+            };
+        }
+        listed
+    }
+
     /// The last declaration written up to a moment.
     fn declared_at(&self, at: Instant) -> u64 {
         let written = self.changes.iter().zip(&self.times).filter(|(_, time)| **time <= at);
@@ -158,6 +173,16 @@
     }
 }
 
+/// Reads the store as a daemon does: everything once, then what has changed.
+fn read(mirror: &Mirror, truth: &Truth, now: Instant) {
+    let after = mirror.position();
+    if after == 0 {
+        return mirror.replace(truth.entries(), truth.revision(), now, now);
+    }
+    let newer = truth.changes.iter().filter(|c| c.revision > after).cloned();
+    mirror.advance(newer.collect(), truth.revision(), now, now);
+}
+
 #[derive(Debug, Clone)]
 enum Act {
     Declare,
@@ -214,12 +239,9 @@
                 Act::Remove(n) => truth.write(&format!("servers/{n}"), None, now),
                 Act::Read(n, whole) => {
                     let mirror = &nodes[n].mirror;
-                    if whole || mirror.position() == 0 {
-                        mirror.replace(truth.entries(), truth.revision(), now, now);
-                    } else {
-                        let after = mirror.position();
-                        let newer = truth.changes.iter().filter(|c| c.revision > after).cloned();
-                        mirror.advance(newer.collect(), truth.revision(), now, now);
+                    match whole {
+                        true => mirror.replace(truth.entries(), truth.revision(), now, now),
+                        false => read(mirror, &truth, now),
                     }
                 }
                 Act::Tell(from, to, late) => {
@@ -257,6 +279,45 @@
         }
     }
 
+    /// However a node came to its position, it has exactly the servers that the store had there.
+    #[test]
+    fn a_copy_lacks_nothing_up_to_its_position(acts in prop::collection::vec(act(), 1..120)) {
+        let start = Instant::now();
+        let mut now = start + Duration::from_secs(10);
+        let nodes = [node(start), node(start), node(start)];
+        let mut truth = Truth::default();
+        for act in acts {
+            match act {
+                Act::Server(n, leaving) => {
+                    let text = if leaving { "leaving" } else { "ready" };
+                    truth.write(&format!("servers/{n}"), Some(text.into()), now);
+                }
+                Act::Remove(n) => truth.write(&format!("servers/{n}"), None, now),
+                // A daemon reads everything only when it has nothing yet.
+                Act::Read(n, _) => read(&nodes[n].mirror, &truth, now),
+                Act::Tell(from, to, _) => {
+                    if let Some(statement) = nodes[from].mirror.statement(now) {
+                        nodes[to].mirror.hear(statement, now, now);
+                    }
+                }
+                Act::Give(from, to) => {
+                    let after = nodes[to].mirror.position();
+                    if let Some(update) = nodes[from].mirror.update_after(after, now) {
+                        nodes[to].mirror.apply(update, now, now);
+                    }
+                }
+                Act::Wait(ms) => now += Duration::from_millis(ms.into()),
+                Act::Declare | Act::Life(_) => {}
+            }
+        }
+        for node in &nodes {
+            node.mirror.tick(now + Duration::from_secs(10));
+            let servers = node.gateway.servers();
+            let listed: BTreeSet<&str> = servers.ids().map(|id| &**id).collect();
+            prop_assert_eq!(listed, truth.servers_at(node.mirror.position()));
+        }
+    }
+
     /// A node that reads, or is given everything by one that has read, has the servers as they are.
     #[test]
     fn what_is_given_is_what_there_is(acts in prop::collection::vec(act(), 1..80)) {
