Spend a continuation's repeat when the run is stopped; pause between moves that come to nothing

Cause: a move took its part of the shared budget at its turn and lost it where no server had room; the run was then tried three more times within a millisecond and logged each time.

Test that failed before: a_move_that_finds_no_room_spends_no_repeat.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -124,6 +124,16 @@
 
     /// Spends one repeat where what all daemons have spent allows it.
     pub fn take(&mut self, service: &Arc<str>, repeat: Repeat, now: Instant) -> bool {
+        let allowed = self.allows(service, repeat, now);
+        if allowed {
+            let number = self.number(now);
+            self.window(service).slice(number).repeats += 1;
+        }
+        allowed
+    }
+
+    /// Whether what all daemons have spent allows one more repeat.
+    pub fn allows(&mut self, service: &Arc<str>, repeat: Repeat, now: Instant) -> bool {
         let number = self.number(now);
         let all = self.others.daemons as f64 + 1.0;
         let unheard = self.others.daemons.saturating_sub(self.others.heard) as f64;
@@ -135,11 +145,7 @@
         let requests = f64::from(own.requests + told.requests);
         let slack = bounds.slack * (1.0 - unheard / all);
         let spent = f64::from(own.repeats + told.repeats + 1);
-        let allowed = spent <= (bounds.ratio * requests + slack) * USED_PART * repeat.part();
-        if allowed {
-            window.slice(number).repeats += 1;
-        }
-        allowed
+        spent <= (bounds.ratio * requests + slack) * USED_PART * repeat.part()
     }
 
     /// What this daemon has spent within the window.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -332,6 +332,11 @@
         self.budget().request(service, now);
     }
 
+    /// Whether the shared budget allows one more repeat.
+    pub fn has_repeat(&self, service: &Arc<str>, repeat: Repeat, now: Instant) -> bool {
+        self.budget().allows(service, repeat, now)
+    }
+
     /// Spends one repeat, if the shared budget allows it.
     pub fn take_repeat(&self, service: &Arc<str>, repeat: Repeat, now: Instant) -> bool {
         self.budget().take(service, repeat, now)
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -60,7 +60,7 @@
     let turn = gateway.turn(source.key);
     let _turn = turn.acquire().await;
     wait_for_others(&gateway, &service, &source).await;
-    if !gateway.take_repeat(&service.name, Repeat::Continuation, Instant::now()) {
+    if !gateway.has_repeat(&service.name, Repeat::Continuation, Instant::now()) {
         return Moved::Stays("no_repeat_left");
     }
     let mut refused = vec![source.key];
@@ -79,6 +79,10 @@
             Err(_) => return Moved::Stays("copy_refused"),
         }
     };
+    // Only what goes on elsewhere is a repeat, and other runs may have spent the last one meanwhile.
+    if !gateway.take_repeat(&service.name, Repeat::Continuation, Instant::now()) {
+        return Moved::Stays("no_repeat_left");
+    }
     stopping.store(true, Ordering::Relaxed);
     let copier = Copier { gateway: &gateway, run: &call.id, from: source.to.addr, to: &seat };
     let kept = |handle| KeptRun { server: source.to.addr, handle };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,6 +25,9 @@
 const QUEUE: usize = 16;
 /// Moves tried for one run at one server.
 const MOST_MOVES: u32 = 4;
+/// Pause before a run that could not be moved is tried again: about the time of one copy, after which
+/// there may be room elsewhere.
+const MOVE_PAUSE: Duration = Duration::from_millis(100);
 /// How long the last events of a stopped run may take to arrive after the copy is complete.
 const LAST_EVENTS: Duration = Duration::from_millis(60);
 /// How long a run whose stream has ended is waited for by its copy.
@@ -67,6 +70,7 @@
         out,
         runs: 1,
         moves: 0,
+        stays: None,
     };
     tokio::spawn(relay.run(first));
     let events = futures_util::stream::unfold(events, |mut events| async {
@@ -133,6 +137,8 @@
     runs: u32,
     /// Moves tried from the present server.
     moves: u32,
+    /// When the last of them came to nothing.
+    stays: Option<Instant>,
 }
 
 /// A move under way.
@@ -178,7 +184,8 @@
         tokio::pin!(deadline);
         let mut moving: Option<Moving> = None;
         loop {
-            let may_move = moving.is_none() && self.may_move();
+            // Events come more often than the pause between moves, so that its end is not missed.
+            let may_move = moving.is_none() && self.may_move(Instant::now());
             let happened = tokio::select! {
                 biased;
                 () = self.out.closed() => Happened::CallerLeft,
@@ -229,9 +236,13 @@
         sent.map_err(|_| End::CallerLeft)
     }
 
-    fn may_move(&self) -> bool {
+    fn may_move(&self, now: Instant) -> bool {
         let again = self.call.route.repeatable();
-        !again && self.moves < MOST_MOVES && self.service.engine.as_ref().is_some_and(|e| e.moves)
+        let paused = self.stays.is_some_and(|at| now.saturating_duration_since(at) < MOVE_PAUSE);
+        !again
+            && !paused
+            && self.moves < MOST_MOVES
+            && self.service.engine.as_ref().is_some_and(|e| e.moves)
     }
 
     fn start_moving(&mut self) -> Moving {
@@ -264,6 +275,7 @@
         match moved {
             Moved::Stays(why) => {
                 self.count_move(why);
+                self.stays = Some(Instant::now());
                 info!(id = self.call.id.as_str(), server = self.seat.id(), why = why; "run not moved");
                 Ok(())
             }
