tidestair losses: a ledger of what the daemons lost and why, from their log lines

Streams cut are put down to how far their move had come, to a server that gave no notice or to a daemon that started anew under them; what ended without success to the reason in its line. Rows by route and cause with their share of the weight lost. Left out: late answers by cause, since lines don't tell a route's aim.

--- a/src/bin/tidestair/app.rs
+++ b/src/bin/tidestair/app.rs
@@ -12,7 +12,7 @@
 use tidestair::error::{Error, Result};
 use tidestair::measure::{self, Figures};
 use tidestair::resource::{Kind, Resource};
-use tidestair::{quickstart, replay, show, trace};
+use tidestair::{losses, quickstart, replay, show, trace};
 
 /// Carries out a command; `false` where something stated does not hold.
 pub async fn run(command: Command) -> Result<bool> {
@@ -34,6 +34,7 @@
         Command::Status { server, json } => return status(server, json).await,
         Command::RotateKeys { server } => admin(&server)?.rotate_keys().await?,
         Command::Capacity { check } => return show_capacity(check.as_deref()),
+        Command::Losses { files, weights, json } => show_losses(&files, &weights, json)?,
     }
     Ok(true)
 }
@@ -129,6 +130,24 @@
     Config::load(path).map(|_| "settings file")
 }
 
+/// What the daemons whose logs these are have lost.
+fn show_losses(files: &[PathBuf], weights: &BTreeMap<String, f64>, as_json: bool) -> Result<()> {
+    if files.is_empty() {
+        return Err(Error::Usage { message: "name one log file or more".into() });
+    }
+    let read = |path: &PathBuf| {
+        std::fs::read_to_string(path).map_err(|source| Error::Read { path: path.into(), source })
+    };
+    let texts = files.iter().map(read).collect::<Result<Vec<String>>>()?;
+    let ledger = losses::ledger(texts.iter().flat_map(|text| text.lines()));
+    let rows = ledger.rows(weights);
+    match as_json {
+        true => println!("{}", json!({"ledger": ledger, "rows": rows})),
+        false => print!("{}", show::losses(&ledger, &rows)),
+    }
+    Ok(())
+}
+
 fn admin(server: &Server) -> Result<Admin> {
     Admin::new(&server.addr, &server.key)
 }
--- a/src/bin/tidestair/args.rs
+++ b/src/bin/tidestair/args.rs
@@ -1,6 +1,7 @@
 //! Reads the command line.
 
 use pico_args::Arguments;
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use tidestair::error::{Error, Result};
 
@@ -18,6 +19,7 @@
   tidestair status [-o json]
   tidestair rotate-keys
   tidestair capacity [--check FILE]
+  tidestair losses FILE... [--weight ROUTE=NUMBER]... [--json]
 
   --server ADDR  a daemon, for apply, get, delete, watch, status, rotate-keys
                  (or TIDESTAIR_SERVER)
@@ -43,6 +45,7 @@
     Status { server: Server, json: bool },
     RotateKeys { server: Server },
     Capacity { check: Option<PathBuf> },
+    Losses { files: Vec<PathBuf>, weights: BTreeMap<String, f64>, json: bool },
 }
 
 /// A replay to run.
@@ -109,6 +112,7 @@
         "capacity" => {
             Command::Capacity { check: args.opt_value_from_str("--check").map_err(usage)? }
         }
+        "losses" => return losses(args),
         "" => {
             return Err(Error::Usage { message: "name a command".into() });
         }
@@ -124,6 +128,27 @@
     }
 }
 
+fn losses(mut args: Arguments) -> Result<Command> {
+    let json = args.contains("--json");
+    let weights: Vec<String> = args.values_from_str("--weight").map_err(usage)?;
+    let weights = weights.iter().map(|text| weight(text)).collect::<Result<_>>()?;
+    let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
+    let option = files.iter().find(|file| file.to_string_lossy().starts_with('-'));
+    match option {
+        Some(option) => {
+            Err(Error::Usage { message: format!("`{}` is not known here", option.display()) })
+        }
+        None => Ok(Command::Losses { files, weights, json }),
+    }
+}
+
+fn weight(text: &str) -> Result<(String, f64)> {
+    let parts = text.split_once('=').and_then(|(route, n)| Some((route, n.parse::<f64>().ok()?)));
+    let valid = parts.filter(|(_, n)| n.is_finite() && *n >= 0.0);
+    let message = format!("`--weight {text}` is not known; use ROUTE=NUMBER, 0 or more");
+    valid.map(|(route, n)| (route.to_string(), n)).ok_or(Error::Usage { message })
+}
+
 fn replay(args: &mut Arguments) -> Result<Replay> {
     Ok(Replay {
         deployment: args.value_from_str("--deployment").map_err(usage)?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod health;
 pub mod journal;
 pub mod logging;
+pub mod losses;
 pub mod measure;
 pub mod member;
 pub mod message;
--- /dev/null
+++ b/src/losses.rs
@@ -0,0 +1,232 @@
+//! A ledger of what a gateway's daemons lost, from their own log lines: which attempts of callers,
+//! when, and for what reason.
+//!
+//! An attempt is lost where its stream was cut, where it ended without success, or where its daemon
+//! started anew before it had ended. Lines of all daemons are read together, in any order; what
+//! stands before the first brace of a line is passed over.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+/// Why an attempt was lost.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Its server broke the stream off without having been known to leave.
+    NoNotice,
+    /// Its server left before the run's turn to be moved came.
+    MoveNotBegun,
+    /// Its server left while the run was being copied.
+    MoveUnfinished,
+    /// No other server had room for it.
+    NoRoom,
+    /// The shared budget for repeats was spent.
+    NoRepeat,
+    /// Its daemon started anew under it.
+    DaemonGone,
+    /// It ended without success for the reason that the daemon gave.
+    Ended(String),
+}
+
+impl Cause {
+    /// The name in tables.
+    pub fn name(&self) -> &str {
+        match self {
+            Cause::NoNotice => "server gone without notice",
+            Cause::MoveNotBegun => "server gone before the move began",
+            Cause::MoveUnfinished => "server gone during the move",
+            Cause::NoRoom => "no room elsewhere",
+            Cause::NoRepeat => "no repeat left for the move",
+            Cause::DaemonGone => "daemon gone",
+            Cause::Ended(why) => why,
+        }
+    }
+}
+
+/// One lost attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Loss {
+    /// The caller's id of the attempt.
+    pub id: String,
+    /// Its route; empty where no line told it.
+    pub route: String,
+    /// Why.
+    pub cause: Cause,
+    /// When, in milliseconds since the Unix epoch on the daemon's clock.
+    pub at: u64,
+}
+
+/// What was lost, and of how much.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Ledger {
+    /// Lost attempts in the order of their moments.
+    pub losses: Vec<Loss>,
+    /// Streams that began.
+    pub begun: usize,
+    /// Streams that ended well.
+    pub complete: usize,
+    /// Lines without a daemon's record.
+    pub skipped: usize,
+}
+
+/// Losses of one route and cause.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Row {
+    /// The route.
+    pub route: String,
+    /// The cause's name.
+    pub cause: String,
+    /// Lost attempts.
+    pub count: usize,
+    /// Seconds from the first loss of the ledger to the first and to the last of the row.
+    pub span: (f64, f64),
+    /// Part of all lost weight; a route without a weight counts 1 for each attempt.
+    pub share: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Line {
+    what: String,
+    vm: String,
+    unix_ms: u64,
+    #[serde(default)]
+    id: String,
+    #[serde(default)]
+    route: String,
+    #[serde(default)]
+    why: String,
+    #[serde(default)]
+    outcome: String,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// What is known of one attempt that has not ended.
+#[derive(Debug, Default)]
+struct Story {
+    route: String,
+    /// The daemon that passes its stream on.
+    vm: Option<String>,
+    copied: bool,
+    no_room: bool,
+    no_repeat: bool,
+}
+
+impl Story {
+    fn why_cut(&self, leaving: bool) -> Cause {
+        match self {
+            _ if !leaving => Cause::NoNotice,
+            Story { no_repeat: true, .. } => Cause::NoRepeat,
+            Story { copied: true, .. } => Cause::MoveUnfinished,
+            Story { no_room: true, .. } => Cause::NoRoom,
+            _ => Cause::MoveNotBegun,
+        }
+    }
+
+    /// A move was tried and came to nothing, or the run has a new server.
+    fn forget_move(&mut self) {
+        (self.copied, self.no_room, self.no_repeat) = (false, false, false);
+    }
+}
+
+/// Reads the lines of any number of daemons.
+pub fn ledger<'a>(lines: impl Iterator<Item = &'a str>) -> Ledger {
+    let mut ledger = Ledger::default();
+    let mut read = Vec::new();
+    for line in lines {
+        match line.find('{').and_then(|at| serde_json::from_str::<Line>(&line[at..]).ok()) {
+            Some(line) => read.push(line),
+            None => ledger.skipped += 1,
+        }
+    }
+    // Stable: the lines of one daemon stay in the order in which it wrote them.
+    read.sort_by_key(|line| line.unix_ms);
+    let mut stories = HashMap::new();
+    for line in read {
+        ledger.take(&mut stories, line);
+    }
+    ledger.losses.sort_by_key(|loss| loss.at);
+    ledger
+}
+
+impl Ledger {
+    fn take(&mut self, stories: &mut HashMap<String, Story>, line: Line) {
+        if line.what == "starting" {
+            return self.daemon_started(stories, &line);
+        }
+        if line.id.is_empty() {
+            return;
+        }
+        let story = stories.entry(line.id.clone()).or_default();
+        if !line.route.is_empty() {
+            story.route = line.route.clone();
+        }
+        let ended = match line.what.as_str() {
+            "stream begun" => {
+                self.begun += 1;
+                story.vm = Some(line.vm);
+                return;
+            }
+            "copy of a run" => {
+                story.copied |= line.outcome == "made";
+                story.no_room |= line.outcome.starts_with("NoRoom");
+                return;
+            }
+            "run not moved" => {
+                story.no_repeat |= line.why == "no_repeat_left";
+                return;
+            }
+            "run moved" => return story.forget_move(),
+            "stream complete" => {
+                self.complete += 1;
+                None
+            }
+            "caller left" => None,
+            "stream cut" => Some(story.why_cut(line.leaving)),
+            "ended without success" | "refused unread" => Some(Cause::Ended(line.why)),
+            "out of time" => Some(Cause::Ended("out of time".into())),
+            _ => return,
+        };
+        let story = stories.remove(&line.id).unwrap_or_default();
+        if let Some(cause) = ended {
+            self.losses.push(Loss { id: line.id, route: story.route, cause, at: line.unix_ms });
+        }
+    }
+
+    /// Whatever the daemon was passing on is lost.
+    fn daemon_started(&mut self, stories: &mut HashMap<String, Story>, line: &Line) {
+        stories.retain(|id, story| {
+            let lost = story.vm.as_ref() == Some(&line.vm);
+            if lost {
+                let (id, route) = (id.clone(), story.route.clone());
+                self.losses.push(Loss { id, route, cause: Cause::DaemonGone, at: line.unix_ms });
+            }
+            !lost
+        });
+    }
+
+    /// The losses by route and cause, the heaviest first. `weights` gives what one attempt of a route
+    /// is worth.
+    pub fn rows(&self, weights: &BTreeMap<String, f64>) -> Vec<Row> {
+        let first = self.losses.first().map_or(0, |loss| loss.at);
+        let weight = |route: &str| weights.get(route).copied().unwrap_or(1.0);
+        let all: f64 = self.losses.iter().map(|loss| weight(&loss.route)).sum();
+        let mut groups: BTreeMap<(&str, &Cause), Vec<&Loss>> = BTreeMap::new();
+        for loss in &self.losses {
+            groups.entry((&loss.route, &loss.cause)).or_default().push(loss);
+        }
+        let seconds = |loss: Option<&&Loss>| loss.map_or(0.0, |l| (l.at - first) as f64 / 1_000.0);
+        let mut rows: Vec<Row> = groups
+            .into_iter()
+            .map(|((route, cause), losses)| Row {
+                route: route.into(),
+                cause: cause.name().into(),
+                count: losses.len(),
+                span: (seconds(losses.first()), seconds(losses.last())),
+                share: losses.len() as f64 * weight(route) / all,
+            })
+            .collect();
+        rows.sort_by(|a, b| b.share.total_cmp(&a.share));
+        rows
+    }
+}
--- a/src/show.rs
+++ b/src/show.rs
@@ -1,5 +1,6 @@
 //! Tables for the terminal.
 
+use crate::losses::{Ledger, Row};
 use crate::measure::{Figures, MEASURES, Verdict};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -38,6 +39,23 @@
     text
 }
 
+/// A ledger of losses: a row for each route and cause, the heaviest first.
+pub fn losses(ledger: &Ledger, rows: &[Row]) -> String {
+    let cells = |row: &Row| {
+        let span = format!("{:.1} to {:.1}", row.span.0, row.span.1);
+        let share = format!("{:.1}%", row.share * 100.0);
+        vec![row.route.clone(), row.cause.clone(), row.count.to_string(), share, span]
+    };
+    let heading = ["route", "cause", "lost", "share", "seconds"];
+    let mut text = table(&heading, &rows.iter().map(cells).collect::<Vec<_>>());
+    let Ledger { begun, complete, skipped, .. } = ledger;
+    let _ = writeln!(
+        text,
+        "{begun} streams began, {complete} were complete; {skipped} lines had no record"
+    );
+    text
+}
+
 /// Rows under a heading, in columns as wide as needed.
 pub fn table(heading: &[&str], rows: &[Vec<String>]) -> String {
     let width = |i: usize| {
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -209,3 +209,29 @@
     assert!(files.len() >= 4);
     tidestair().arg("check").args(files).assert().success();
 }
+
+#[test]
+fn losses_are_read_from_logs_and_bad_input_names_the_remedy() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let log = dir.path().join("vm-1.log");
+    let lines = [
+        r#"{"unix_ms":1,"vm":"vm-1","what":"stream begun","id":"a","route":"recap"}"#,
+        r#"{"unix_ms":2,"vm":"vm-1","what":"stream cut","id":"a","leaving":false}"#,
+    ];
+    std::fs::write(&log, lines.join("\n")).expect("written");
+    let run = |args: &[&str]| tidestair().arg("losses").args(args).assert();
+    let log = log.display().to_string();
+    let table = run(&[&log]).success().get_output().stdout.clone();
+    assert!(String::from_utf8_lossy(&table).contains("server gone without notice  1"));
+    let json = run(&["--json", "--weight", "recap=3", &log]).success().get_output().stdout.clone();
+    let json: serde_json::Value = serde_json::from_slice(&json).expect("one object");
+    assert_eq!(json["ledger"]["losses"][0]["cause"], "no_notice");
+    for (args, remedy) in [
+        (vec![], "name one log file"),
+        (vec!["--weight", "recap", log.as_str()], "use ROUTE=NUMBER"),
+        (vec!["--wieght", log.as_str()], "not known"),
+    ] {
+        let told = run(&args).code(2).get_output().stderr.clone();
+        assert!(String::from_utf8_lossy(&told).contains(remedy), "{args:?}");
+    }
+}
