--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! - [`request`]: a caller's request and its answer
 //! - [`table`], [`in_force`]: the declared configuration, and how fresh it is
-//! - [`servers`], [`outcomes`], [`place`], [`policies`]: backend servers, how exchanges with them
-//!   went, and the choice among them
+//! - [`servers`], `reach`, [`outcomes`], [`place`], [`policies`]: backend servers, whether they are
+//!   reached, how exchanges with them went, and the choice among them
 //! - [`core`]: what all requests of a daemon share
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
@@ -37,6 +37,7 @@
 pub mod place;
 pub mod policies;
 pub mod port;
+mod reach;
 mod relay;
 pub mod request;
 pub mod roster;
--- /dev/null
+++ b/src/gateway/reach.rs
@@ -0,0 +1,53 @@
+//! Whether connections to a server come about. One that could not be reached is passed over for a
+//! while: it has most often gone, and where the store is away nothing else tells.
+
+use std::time::{Duration, Instant};
+
+/// Time for which a server that could not be reached is passed over; it doubles with each further
+/// time. Most such servers have gone, and the store says so within seconds.
+const PASSED_OVER: Duration = Duration::from_millis(500);
+/// Longest such time: a server that is back after a cut is tried again within it.
+const LONGEST_PASSED_OVER: Duration = Duration::from_secs(4);
+
+/// What is known of one server's reach.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Reach {
+    /// Until when it is passed over.
+    until: Option<Instant>,
+    /// Times in a row that this daemon did not reach it.
+    misses: u32,
+    /// Whether the last of them was a refused connection, which other daemons would get as well.
+    refused: bool,
+}
+
+impl Reach {
+    /// Whether the server is passed over.
+    pub(crate) fn is_passed_over(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// No connection came about; `refused` says whether nothing listens there.
+    pub(crate) fn miss(&mut self, refused: bool, now: Instant) {
+        let doubled = PASSED_OVER.saturating_mul(2u32.saturating_pow(self.misses));
+        self.misses += 1;
+        self.refused = refused;
+        self.pass_over(now + doubled.min(LONGEST_PASSED_OVER));
+    }
+
+    /// Passes over the server until then, or longer where it already is.
+    pub(crate) fn pass_over(&mut self, until: Instant) {
+        self.until = self.until.max(Some(until));
+    }
+
+    /// The server has answered.
+    pub(crate) fn hit(&mut self) {
+        *self = Reach::default();
+    }
+
+    /// For how long other daemons should pass over the server as well; `None` where only this one may
+    /// have lost it.
+    pub(crate) fn told(&self, now: Instant) -> Option<Duration> {
+        let left = self.until.filter(|_| self.refused)?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+}
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::outcomes::{Fading, Outcomes};
 use crate::gateway::port::Destination;
+use crate::gateway::reach::Reach;
 use crate::gateway::request::Size;
 use crate::gateway::tag::Tag;
 use log::info;
@@ -17,12 +18,6 @@
     pub struct ServerKey;
 }
 
-/// Time for which a server that could not be reached is passed over; it doubles with each further
-/// time. Most such servers have gone, and the store says so within seconds.
-const PASSED_OVER: Duration = Duration::from_millis(500);
-/// Longest such time: a server that is back after a cut is tried again within it.
-const LONGEST_PASSED_OVER: Duration = Duration::from_secs(4);
-
 /// What a daemon has learnt of servers otherwise than from the store, for the other daemons.
 #[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Signs {
@@ -124,12 +119,7 @@
     outcomes: Fading,
     /// How those of the other daemons went, as they said.
     others_outcomes: Outcomes,
-    /// Until when it is passed over because it could not be reached.
-    passed_over: Option<Instant>,
-    /// Times in a row that it could not be reached.
-    unreached: u32,
-    /// Whether the last of them was a refused connection, which other daemons would get as well.
-    refused: bool,
+    reach: Reach,
     /// Since when it is treated as leaving only because it is not well.
     suspected: Option<Instant>,
     /// When it was last found not to leave although its health check said it was not well.
@@ -151,9 +141,7 @@
             leaving,
             outcomes: Fading::new(now),
             others_outcomes: Outcomes::default(),
-            passed_over: None,
-            unreached: 0,
-            refused: false,
+            reach: Reach::default(),
             suspected: None,
             cleared: None,
         }
@@ -190,7 +178,7 @@
 
     /// Whether it is passed over because it could not be reached lately.
     pub fn is_passed_over(&self, now: Instant) -> bool {
-        self.passed_over.is_some_and(|until| now < until)
+        self.reach.is_passed_over(now)
     }
 
     /// It leaves, which is never taken back.
@@ -199,20 +187,9 @@
         self.leaving.send_replace(true);
     }
 
-    fn not_reached(&mut self, refused: bool, now: Instant) {
-        let doubled = PASSED_OVER.saturating_mul(2u32.saturating_pow(self.unreached));
-        self.unreached += 1;
-        self.refused = refused;
-        self.pass_over(now + doubled.min(LONGEST_PASSED_OVER));
-    }
-
-    fn pass_over(&mut self, until: Instant) {
-        self.passed_over = self.passed_over.max(Some(until));
-    }
-
     fn judge(&mut self, failed: bool, now: Instant) {
         if !failed {
-            (self.passed_over, self.unreached, self.refused) = (None, 0, false);
+            self.reach.hit();
         }
         self.outcomes.note(failed, now);
     }
@@ -299,7 +276,7 @@
     /// A connection to the server did not come about; `refused` says whether nothing listens there.
     pub fn not_reached(&mut self, key: ServerKey, refused: bool, now: Instant) {
         if let Some(server) = self.arena.get_mut(key) {
-            server.not_reached(refused, now);
+            server.reach.miss(refused, now);
         }
     }
 
@@ -307,9 +284,9 @@
     pub fn signs(&self, now: Instant) -> Signs {
         let listed = || self.by_id.values().filter_map(|key| self.arena.get(*key));
         let leaving = listed().filter(|s| !s.open() && !s.record.leaving && s.suspected.is_none());
-        let refusing = listed().filter(|s| s.refused && s.open()).filter_map(|s| {
-            let left = s.passed_over?.saturating_duration_since(now).as_millis() as u32;
-            (left > 0).then_some((s.tag, left))
+        let refusing = listed().filter(|s| s.open()).filter_map(|s| {
+            let left = s.reach.told(now)?;
+            Some((s.tag, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
         });
         Signs { leaving: leaving.map(|s| s.tag).collect(), refusing: refusing.collect() }
     }
@@ -323,7 +300,7 @@
             }
             let refusing = signs.refusing.iter().find(|(tag, _)| *tag == server.tag);
             if let Some((_, left)) = refusing {
-                server.pass_over(now + Duration::from_millis((*left).into()));
+                server.reach.pass_over(now + Duration::from_millis((*left).into()));
             }
         }
     }
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -109,6 +109,13 @@
     mirror: Mirror,
 }
 
+impl Node {
+    /// Ids of the servers that it lists.
+    fn servers(&self) -> BTreeSet<String> {
+        self.gateway.servers().ids().map(|id| id.to_string()).collect()
+    }
+}
+
 fn node(now: Instant) -> Node {
     let budget = BudgetBounds { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) };
     let bounds = Bounds { revoke: Some(Duration::from_secs(5)), budget };
@@ -132,6 +139,23 @@
         self.changes.len() as u64
     }
 
+    /// Carries out what an act writes to the store, if anything.
+    fn take(&mut self, act: &Act, now: Instant) {
+        match act {
+            Act::Declare => {
+                let version = self.revision() + 1;
+                self.write("config", Some(version.to_string()), now);
+            }
+            Act::Server(n, leaving) => {
+                let text = if *leaving { "leaving" } else { "ready" };
+                self.write(&format!("servers/{n}"), Some(text.into()), now);
+            }
+            Act::Life(n) => self.write(&format!("servers/{n}"), Some(format!("ready.{n}")), now),
+            Act::Remove(n) => self.write(&format!("servers/{n}"), None, now),
+            _ => {}
+        }
+    }
+
     fn write(&mut self, key: &str, value: Option<String>, now: Instant) {
         let revision = self.revision() + 1;
         let value = value.map(String::into_bytes);
@@ -151,14 +175,14 @@
     }
 
     /// Ids of the servers that were listed at a revision.
-    fn servers_at(&self, revision: u64) -> BTreeSet<&str> {
+    fn servers_at(&self, revision: u64) -> BTreeSet<String> {
         let mut listed = BTreeSet::new();
         for change in self.changes.iter().filter(|c| c.revision <= revision) {
             let Some(id) = change.key.strip_prefix("servers/") else {
                 continue;
             };
             match change.value {
-                Some(_) => listed.insert(id),
+                Some(_) => listed.insert(id.to_string()),
                 None => listed.remove(id),
             };
         }
@@ -226,17 +250,8 @@
         let mut said: Vec<Vec<_>> = vec![Vec::new(); 3];
         let mut highest = [0u64; 3];
         for act in acts {
+            truth.take(&act, now);
             match act {
-                Act::Declare => {
-                    let version = truth.revision() + 1;
-                    truth.write("config", Some(version.to_string()), now);
-                }
-                Act::Server(n, leaving) => {
-                    let text = if leaving { "leaving" } else { "ready" };
-                    truth.write(&format!("servers/{n}"), Some(text.into()), now);
-                }
-                Act::Life(n) => truth.write(&format!("servers/{n}"), Some(format!("ready.{n}")), now),
-                Act::Remove(n) => truth.write(&format!("servers/{n}"), None, now),
                 Act::Read(n, whole) => {
                     let mirror = &nodes[n].mirror;
                     match whole {
@@ -262,6 +277,7 @@
                     }
                 }
                 Act::Wait(ms) => now += Duration::from_millis(ms.into()),
+                _ => {}
             }
             for (node, highest) in nodes.iter().zip(&mut highest) {
                 let revision = node.gateway.in_force.revision();
@@ -287,12 +303,8 @@
         let nodes = [node(start), node(start), node(start)];
         let mut truth = Truth::default();
         for act in acts {
+            truth.take(&act, now);
             match act {
-                Act::Server(n, leaving) => {
-                    let text = if leaving { "leaving" } else { "ready" };
-                    truth.write(&format!("servers/{n}"), Some(text.into()), now);
-                }
-                Act::Remove(n) => truth.write(&format!("servers/{n}"), None, now),
                 // A daemon reads everything only when it has nothing yet.
                 Act::Read(n, _) => read(&nodes[n].mirror, &truth, now),
                 Act::Tell(from, to, _) => {
@@ -307,14 +319,12 @@
                     }
                 }
                 Act::Wait(ms) => now += Duration::from_millis(ms.into()),
-                Act::Declare | Act::Life(_) => {}
+                _ => {}
             }
         }
         for node in &nodes {
             node.mirror.tick(now + Duration::from_secs(10));
-            let servers = node.gateway.servers();
-            let listed: BTreeSet<&str> = servers.ids().map(|id| &**id).collect();
-            prop_assert_eq!(listed, truth.servers_at(node.mirror.position()));
+            prop_assert_eq!(node.servers(), truth.servers_at(node.mirror.position()));
         }
     }
 
@@ -326,12 +336,8 @@
         let nodes = [node(start), node(start)];
         let mut truth = Truth::default();
         for act in acts {
+            truth.take(&act, now);
             match act {
-                Act::Server(n, leaving) => {
-                    let text = if leaving { "leaving" } else { "ready" };
-                    truth.write(&format!("servers/{n}"), Some(text.into()), now);
-                }
-                Act::Remove(n) => truth.write(&format!("servers/{n}"), None, now),
                 Act::Give(..) => {
                     nodes[0].mirror.replace(truth.entries(), truth.revision(), now, now);
                     let update = nodes[0].mirror.update_after(nodes[1].mirror.position(), now);
@@ -344,14 +350,9 @@
         nodes[0].mirror.replace(truth.entries(), truth.revision(), now, now);
         let update = nodes[0].mirror.update_after(nodes[1].mirror.position(), now);
         nodes[1].mirror.apply(update.expect("it has read"), now, now);
-        now += Duration::from_secs(5);
-        let listed: Vec<String> = truth.entries().into_iter().map(|e| e.key).collect();
         for node in &nodes {
-            node.mirror.tick(now);
-            let mut ids: Vec<String> =
-                node.gateway.servers().ids().map(|id| format!("servers/{id}")).collect();
-            ids.sort();
-            prop_assert_eq!(&ids, &listed);
+            node.mirror.tick(now + Duration::from_secs(5));
+            prop_assert_eq!(node.servers(), truth.servers_at(truth.revision()));
         }
     }
 }
