--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,8 +22,8 @@
 const MOST_HELD: usize = 256 << 10;
 /// Most sendings of one request, refusals by servers included.
 const MOST_SENDINGS: usize = 4;
-/// Most servers besides that are tried and not reached. Each may take as long as a connection is
-/// waited for, so that a plain request's aim is past.
+/// Servers besides that may be tried and not reached before a request is given up. Each may take as
+/// long as a connection is waited for, so that a plain request's aim is past.
 const MOST_UNREACHED: usize = 4;
 /// Part of a plain route's aim after which a silent server is given up for another one.
 const SILENT_PART: f64 = 0.6;
@@ -133,7 +133,7 @@
             return Err("daemon_leaves");
         }
         let arrived = self.tried.len() - self.unreached;
-        if arrived >= MOST_SENDINGS || self.unreached > MOST_UNREACHED {
+        if arrived >= MOST_SENDINGS || self.unreached >= MOST_UNREACHED {
             return Err("servers_refuse");
         }
         // Only what arrives at a server beyond the first time counts as a repeat.
--- a/src/gateway/lookout.rs
+++ b/src/gateway/lookout.rs
@@ -35,46 +35,48 @@
         let late = gateway.in_force.age(now).is_some_and(|age| age > STORE_LATE);
         let watched = gateway.servers().watched();
         for server in watched.into_iter().filter(|w| late || w.suspected.is_some()) {
-            tokio::spawn(look(gateway.clone(), server));
+            tokio::spawn(look(gateway.clone(), server, now));
         }
     }
 }
 
-async fn look(gateway: Arc<Gateway>, server: Watched) {
+async fn look(gateway: Arc<Gateway>, server: Watched, now: Instant) {
     let declared = gateway.in_force.get();
     let service = declared.as_ref().and_then(|d| d.table.service(&server.service));
     let health = service.and_then(|service| service.health.clone());
-    let wrong_lately = server.cleared.is_some_and(|at| at.elapsed() < DISBELIEF);
+    let since = |at: Instant| now.saturating_duration_since(at);
+    let wrong_lately = server.cleared.is_some_and(|at| since(at) < DISBELIEF);
+    let sure = server.suspected.is_some_and(|at| since(at) >= REPORT_SURE);
     match (server.suspected, health) {
-        (None, Some(path)) if !wrong_lately => check(&gateway, &server, &path).await,
-        (since, _) => ask(&gateway, &server, since).await,
+        (None, Some(path)) if !wrong_lately => check(&gateway, &server, &path, now).await,
+        _ => ask(&gateway, &server, sure, now).await,
     }
 }
 
 /// Suspects a server that is not well.
-async fn check(gateway: &Gateway, server: &Watched, path: &str) {
+async fn check(gateway: &Gateway, server: &Watched, path: &str, now: Instant) {
     match gateway.wire.is_well(server.to.addr, path, ROUND).await {
         Ok(true) => {}
         Ok(false) => {
             info!(server = &*server.to.id; "server is not well, it may leave");
-            gateway.servers().suspect(server.key, Instant::now());
+            gateway.servers().suspect(server.key, now);
         }
         Err(why) => debug!(server = &*server.to.id; "no health: {why}"),
     }
 }
 
-/// Asks a server for its report, which decides whether it leaves.
-async fn ask(gateway: &Gateway, server: &Watched, suspected: Option<Instant>) {
-    let asked = Instant::now();
+/// Asks a server for its report, which decides whether it leaves. `sure` says whether a report that does
+/// not tell of a leaving clears a suspected server.
+async fn ask(gateway: &Gateway, server: &Watched, sure: bool, now: Instant) {
     match gateway.wire.is_leaving(server.to.addr, ROUND).await {
         Ok(true) => {
             info!(server = &*server.to.id; "server says that it leaves");
             gateway.servers().leaves(server.key);
             gateway.tell();
         }
-        Ok(false) if suspected.is_some_and(|since| asked.duration_since(since) >= REPORT_SURE) => {
+        Ok(false) if sure => {
             info!(server = &*server.to.id; "server does not leave");
-            gateway.servers().trust(server.key, asked);
+            gateway.servers().trust(server.key, now);
         }
         Ok(false) => {}
         Err(why) => debug!(server = &*server.to.id; "no report: {why}"),
