--- a/src/bin/tidestair/app.rs
+++ b/src/bin/tidestair/app.rs
@@ -114,8 +114,7 @@
     if path.extension().is_some_and(|e| e == "jsonl") {
         return trace::load(path).map(|_| "trace");
     }
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| Error::Read { path: path.into(), source })?;
+    let text = read_text(path)?;
     let value: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
     if value.get("halls").is_some() {
         return Deployment::load(path).map(|_| "deployment");
@@ -130,15 +129,16 @@
     Config::load(path).map(|_| "settings file")
 }
 
+fn read_text(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|source| Error::Read { path: path.into(), source })
+}
+
 /// What the daemons whose logs these are have lost.
 fn show_losses(files: &[PathBuf], weights: &BTreeMap<String, f64>, as_json: bool) -> Result<()> {
     if files.is_empty() {
         return Err(Error::Usage { message: "name one log file or more".into() });
     }
-    let read = |path: &PathBuf| {
-        std::fs::read_to_string(path).map_err(|source| Error::Read { path: path.into(), source })
-    };
-    let texts = files.iter().map(read).collect::<Result<Vec<String>>>()?;
+    let texts = files.iter().map(|path| read_text(path)).collect::<Result<Vec<String>>>()?;
     let ledger = losses::ledger(texts.iter().flat_map(|text| text.lines()));
     let rows = ledger.rows(weights);
     match as_json {
@@ -244,8 +244,7 @@
     match check {
         None => print!("{table}"),
         Some(path) => {
-            let page = std::fs::read_to_string(path)
-                .map_err(|source| Error::Read { path: path.into(), source })?;
+            let page = read_text(path)?;
             if !page.contains(&table) {
                 eprintln!(
                     "{} does not hold the table worked out from docs/slopes.json; paste what `tidestair capacity` prints",
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    /// A move was tried and came to nothing, or the run has a new server.
+    /// The run has a new server: what was tried before explains nothing there.
     fn forget_move(&mut self) {
         (self.copied, self.no_room, self.no_repeat) = (false, false, false);
     }
--- a/tools/yardstick.py
+++ b/tools/yardstick.py
@@ -7,8 +7,8 @@
 
 BENCH is the users' bench, SITE a site file. DAY is the name of a day or a TOML file of one. `play` runs in
 the current folder, which must be a checkout of the project, and writes one JSON object to FILE:
-{"DAY": {"SEED": {"worth": W, "parts": {PART: VALUE}, "prices": P, "breaks": [RULE]}}}. Worth is the bench's
-own, with processor time left out. `compare` pairs plays of the same day and seed; its interval is Student's,
+{"DAY": {"SEED": {"worth": W, "parts": {PART: VALUE}, "prices": {PRICE: WORTH}, "failed": SHARE, "refused": SHARE,
+"classes": {CLASS: {...}}, "breaks": [RULE]}}}. Worth is the bench's own, with processor time left out. `compare` pairs plays of the same day and seed; its interval is Student's,
 at 95 in 100. Exit code 1 where a play broke a rule or could not be read.
 """
 
