Sight: how old a daemon's knowledge is at each sending, and how late daemons learn of leavings

Now each sending notes the age of the copy (a histogram, and knowledge_ms in its line), a copy that is current again writes for how long it was not and for how long no word of the store was heard, and `tidestair lags` works out from any set of logs how late each daemon learnt of each leaving, with the cause as far as the lines tell and a bound that it can be held to.

No decision changes. The parsing of log lines that losses had is shared.

--- a/src/bin/tidestair/app.rs
+++ b/src/bin/tidestair/app.rs
@@ -12,7 +12,7 @@
 use tidestair::error::{Error, Result};
 use tidestair::measure::{self, Figures};
 use tidestair::resource::{Kind, Resource};
-use tidestair::{losses, quickstart, replay, show, trace};
+use tidestair::{lags, losses, quickstart, replay, show, trace};
 
 /// Carries out a command; `false` where something stated does not hold.
 pub async fn run(command: Command) -> Result<bool> {
@@ -35,6 +35,7 @@
         Command::RotateKeys { server } => admin(&server)?.rotate_keys().await?,
         Command::Capacity { check } => return show_capacity(check.as_deref()),
         Command::Losses { files, weights, json } => show_losses(&files, &weights, json)?,
+        Command::Lags { files, bound, json } => return show_lags(&files, bound, json),
     }
     Ok(true)
 }
@@ -135,10 +136,7 @@
 
 /// What the daemons whose logs these are have lost.
 fn show_losses(files: &[PathBuf], weights: &BTreeMap<String, f64>, as_json: bool) -> Result<()> {
-    if files.is_empty() {
-        return Err(Error::Usage { message: "name one log file or more".into() });
-    }
-    let texts = files.iter().map(|path| read_text(path)).collect::<Result<Vec<String>>>()?;
+    let texts = read_texts(files)?;
     let ledger = losses::ledger(texts.iter().flat_map(|text| text.lines()));
     let rows = ledger.rows(weights);
     match as_json {
@@ -148,6 +146,23 @@
     Ok(())
 }
 
+/// How late the daemons whose logs these are learnt that servers leave; `false` where one was later
+/// than the bound.
+fn show_lags(files: &[PathBuf], bound: Option<u64>, as_json: bool) -> Result<bool> {
+    let texts = read_texts(files)?;
+    let lags = lags::lags(texts.iter().flat_map(|text| text.lines()));
+    let spread = lags.spread();
+    match as_json {
+        true => println!("{}", json!({"lags": lags, "rows": lags.rows(), "spread": spread})),
+        false => print!("{}", show::lags(&lags)),
+    }
+    Ok(spread.is_none_or(|spread| bound.is_none_or(|bound| spread.longest <= bound)))
+}
+
+fn read_texts(files: &[PathBuf]) -> Result<Vec<String>> {
+    files.iter().map(|path| read_text(path)).collect()
+}
+
 fn admin(server: &Server) -> Result<Admin> {
     Admin::new(&server.addr, &server.key)
 }
--- a/src/bin/tidestair/args.rs
+++ b/src/bin/tidestair/args.rs
@@ -20,6 +20,7 @@
   tidestair rotate-keys
   tidestair capacity [--check FILE]
   tidestair losses FILE... [--weight ROUTE=NUMBER]... [--json]
+  tidestair lags FILE... [--bound MS] [--json]
 
   --server ADDR  a daemon, for apply, get, delete, watch, status, rotate-keys
                  (or TIDESTAIR_SERVER)
@@ -27,7 +28,7 @@
   -h, --help     this text
   -V, --version  the version
 
-Exit codes: 0 done; 1 failed, a stated outcome does not hold, or daemons lag;
+Exit codes: 0 done; 1 failed, a stated outcome or bound does not hold, or daemons lag;
 2 the command line does not hold.
 ";
 
@@ -46,6 +47,7 @@
     RotateKeys { server: Server },
     Capacity { check: Option<PathBuf> },
     Losses { files: Vec<PathBuf>, weights: BTreeMap<String, f64>, json: bool },
+    Lags { files: Vec<PathBuf>, bound: Option<u64>, json: bool },
 }
 
 /// A replay to run.
@@ -113,6 +115,7 @@
             Command::Capacity { check: args.opt_value_from_str("--check").map_err(usage)? }
         }
         "losses" => return losses(args),
+        "lags" => return lags(args),
         "" => {
             return Err(Error::Usage { message: "name a command".into() });
         }
@@ -132,14 +135,25 @@
     let json = args.contains("--json");
     let weights: Vec<String> = args.values_from_str("--weight").map_err(usage)?;
     let weights = weights.iter().map(|text| weight(text)).collect::<Result<_>>()?;
+    Ok(Command::Losses { files: log_files(args)?, weights, json })
+}
+
+fn lags(mut args: Arguments) -> Result<Command> {
+    let json = args.contains("--json");
+    let bound = args.opt_value_from_str("--bound").map_err(usage)?;
+    Ok(Command::Lags { files: log_files(args)?, bound, json })
+}
+
+/// The rest of the line, all of it names of files.
+fn log_files(args: Arguments) -> Result<Vec<PathBuf>> {
     let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
-    let option = files.iter().find(|file| file.to_string_lossy().starts_with('-'));
-    match option {
-        Some(option) => {
-            Err(Error::Usage { message: format!("`{}` is not known here", option.display()) })
-        }
-        None => Ok(Command::Losses { files, weights, json }),
+    if let Some(option) = files.iter().find(|file| file.to_string_lossy().starts_with('-')) {
+        return Err(Error::Usage { message: format!("`{}` is not known here", option.display()) });
+    }
+    if files.is_empty() {
+        return Err(Error::Usage { message: "name one log file or more".into() });
     }
+    Ok(files)
 }
 
 fn weight(text: &str) -> Result<(String, f64)> {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -83,6 +83,8 @@
     pub place: Place,
     /// Tells when the server is about to leave.
     pub notice: watch::Receiver<bool>,
+    /// Age of the copy of the store when the request was sent there.
+    pub knowledge: Option<Duration>,
 }
 
 impl Seat {
@@ -96,6 +98,11 @@
         &self.place.to.id
     }
 
+    /// Age of the copy of the store when the request was sent there, in milliseconds, for logs.
+    pub fn knowledge_ms(&self) -> Option<u64> {
+        Some(self.knowledge?.as_millis() as u64)
+    }
+
     /// Notes that the server has read the prompt.
     pub fn has_read(&mut self) {
         let tokens = std::mem::take(&mut self.place.load.reading);
@@ -228,6 +235,13 @@
         self.servers.lock().expect("no holder panics")
     }
 
+    /// Notes how old this daemon's knowledge of the store is as it sends a request.
+    pub(crate) fn note_knowledge(&self, now: Instant) -> Option<Duration> {
+        let age = self.in_force.age(now)?;
+        self.metrics.knowledge_seconds.observe(age.as_secs_f64());
+        Some(age)
+    }
+
     /// Whether the configuration is known to be new enough for requests with a key.
     pub fn is_fresh(&self, now: Instant) -> bool {
         let Some(age) = self.in_force.age(now) else {
@@ -316,7 +330,8 @@
         let server = servers.get(key)?;
         let to = server.destination();
         let place = Place { key, to, hall: server.record.hall.clone(), load };
-        Some(Seat { gateway: self.clone(), place, notice: server.notice() })
+        let notice = server.notice();
+        Some(Seat { gateway: self.clone(), place, notice, knowledge: None })
     }
 
     /// Notes how an exchange with a server went; other daemons hear of a failure soon.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -155,9 +155,11 @@
         })
     }
 
-    async fn send(&self, seat: Seat, proof: Option<NotSent>) -> Sent {
+    async fn send(&self, mut seat: Seat, proof: Option<NotSent>) -> Sent {
         let unrun = proof.is_some();
-        let left = self.call.left(Instant::now());
+        let now = Instant::now();
+        seat.knowledge = self.gateway.note_knowledge(now);
+        let left = self.call.left(now);
         let after = self.call.after;
         let sending = Sending { to: seat.place.to.clone(), left, from: None, after };
         let reply = match self.gateway.wire.send(self.call, sending, proof).await {
@@ -182,7 +184,8 @@
         let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
         let (server, whole) = (seat.id(), answer.is_ok());
         let ms = self.call.arrived.elapsed().as_millis() as u64;
-        info!(id = id, route = route, server = server, status = status, whole = whole, ms = ms; "answer from a server");
+        let knew = seat.knowledge_ms();
+        info!(id = id, route = route, server = server, status = status, whole = whole, ms = ms, knowledge_ms = knew; "answer from a server");
         match answer {
             Ok(answer) if failed => Sent::Failed(Some(answer), "server_error"),
             Ok(answer) => Sent::Answered(answer),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -2,12 +2,18 @@
 
 use crate::metrics::{counter, counters, gauge, register, text};
 use crate::peer::Traffic;
-use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry,
+};
 
 /// Bounds of the buckets, in seconds: from a plain service's fast answer to a long generation.
 const SECONDS: [f64; 14] =
     [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 1.8, 3.0, 6.0, 15.0, 40.0];
 
+/// Bounds of the buckets of ages of knowledge, in seconds: from a peer's word of just now to past every
+/// bound that the users set.
+const AGES: [f64; 10] = [0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 2.0, 3.0, 4.0, 6.0];
+
 /// All metrics of one daemon's gateway.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -19,6 +25,8 @@
     pub pause_seconds: HistogramVec,
     /// Sendings to backend servers that did not end in an answer for the caller, by reason.
     pub failed_sendings: IntCounterVec,
+    /// Age of this daemon's knowledge of the store at each sending to a backend server.
+    pub knowledge_seconds: Histogram,
     /// Moves of runs, by outcome.
     pub moves: IntCounterVec,
     /// Streams that were cut after they had begun.
@@ -61,6 +69,17 @@
                 "Sendings to backend servers without an answer for the caller, by reason",
                 &["reason"],
             ),
+            knowledge_seconds: register(
+                &r,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "tidestair_gateway_knowledge_age_seconds",
+                        "Time since the copy of the store was confirmed, at each sending",
+                    )
+                    .buckets(AGES.to_vec()),
+                )
+                .expect("a valid name"),
+            ),
             moves: counters(
                 &r,
                 "tidestair_gateway_moves_total",
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -79,12 +79,25 @@
     /// Deletions up to this revision are forgotten.
     forgotten: u64,
     confirmed: Option<Instant>,
+    /// The last moment at which the store is known to have answered any daemon.
+    answered: Option<Instant>,
+    /// The longest time without such a moment since the copy was last confirmed.
+    unheard: Duration,
     /// When the store last came back.
     returned: Option<Instant>,
     /// Servers whose entries lapsed while the store was away, and until when they are waited for.
     missing: HashMap<String, Instant>,
 }
 
+impl State {
+    /// Notes that the store answered some daemon at `seen`.
+    fn hear_of_store(&mut self, seen: Instant) {
+        let unheard = self.answered.map(|at| seen.saturating_duration_since(at));
+        self.unheard = self.unheard.max(unheard.unwrap_or_default());
+        self.answered = self.answered.max(Some(seen));
+    }
+}
+
 /// See the module.
 pub struct Mirror {
     gateway: Arc<Gateway>,
@@ -154,6 +167,7 @@
     /// Hears a peer's statement that was true at `seen` or later. Says whether this copy is behind.
     pub fn hear(&self, statement: Statement, seen: Instant, now: Instant) -> bool {
         let mut state = self.state();
+        state.hear_of_store(seen);
         if statement.position < state.position {
             return false;
         }
@@ -228,10 +242,15 @@
 
     fn confirm(&self, state: &mut State, position: u64, seen: Instant, now: Instant) {
         state.position = state.position.max(position);
+        state.hear_of_store(seen);
         let known = state.confirmed;
-        if known.is_some_and(|at| now.saturating_duration_since(at) > AWAY) {
+        let late = known.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        if late > AWAY {
             state.returned = Some(now);
+            let (late, unheard) = (millis(late), millis(state.unheard));
+            info!(late_ms = late, unheard_ms = unheard; "copy of the store is current again");
         }
+        state.unheard = Duration::ZERO;
         state.confirmed = Some(known.map_or(seen, |at| at.max(seen)));
         self.gateway.in_force.confirm(self.gateway.in_force.revision(), seen);
     }
@@ -345,6 +364,11 @@
     }
 }
 
+/// Whole milliseconds, for log lines.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Forgets the older half of the deleted keys where there are too many.
 fn forget_deleted(state: &mut State) {
     let mut deleted: Vec<u64> =
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -57,7 +57,8 @@
     seat.has_read();
     let (id, route) = (call.id.as_str(), call.route.name.as_str());
     let ms = call.arrived.elapsed().as_millis() as u64;
-    info!(id = id, route = route, server = seat.id(), ms = ms, tokens = call.size.tokens(); "stream begun");
+    let knew = seat.knowledge_ms();
+    info!(id = id, route = route, server = seat.id(), ms = ms, tokens = call.size.tokens(), knowledge_ms = knew; "stream begun");
     let (out, events) = mpsc::channel(QUEUE);
     let relay = Relay {
         gateway: gateway.clone(),
@@ -360,6 +361,7 @@
 
 /// Sends the request of a stream that has begun.
 async fn reopen(gateway: &Gateway, call: &Call, sending: Sending) -> Result<Leg, String> {
+    gateway.note_knowledge(Instant::now());
     match gateway.wire.send(call, sending, None).await {
         Ok(reply) if reply.status.is_success() => {
             Ok(Leg { body: reply.body, splitter: Splitter::default() })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,8 @@
 pub mod headroom;
 pub mod health;
 pub mod journal;
+pub mod lags;
+mod lines;
 pub mod logging;
 pub mod losses;
 pub mod measure;
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -5,6 +5,7 @@
 //! started anew before it had ended. Lines of all daemons are read together, in any order; what
 //! stands before the first brace of a line is passed over.
 
+use crate::lines::{Records, records};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
@@ -131,14 +132,8 @@
 
 /// Reads the lines of any number of daemons.
 pub fn ledger<'a>(lines: impl Iterator<Item = &'a str>) -> Ledger {
-    let mut ledger = Ledger::default();
-    let mut read = Vec::new();
-    for line in lines {
-        match line.find('{').and_then(|at| serde_json::from_str::<Line>(&line[at..]).ok()) {
-            Some(line) => read.push(line),
-            None => ledger.skipped += 1,
-        }
-    }
+    let Records { mut read, skipped } = records::<Line>(lines);
+    let mut ledger = Ledger { skipped, ..Ledger::default() };
     // Stable: the lines of one daemon stay in the order in which it wrote them.
     read.sort_by_key(|line| line.unix_ms);
     let mut stories = HashMap::new();
--- a/src/show.rs
+++ b/src/show.rs
@@ -1,5 +1,6 @@
 //! Tables for the terminal.
 
+use crate::lags::Lags;
 use crate::losses::{Ledger, Row};
 use crate::measure::{Figures, MEASURES, Verdict};
 use std::collections::BTreeMap;
@@ -56,6 +57,26 @@
     text
 }
 
+/// Lags: a row for each server, the longest first, and their spread.
+pub fn lags(lags: &Lags) -> String {
+    let seconds = |ms: u64| format!("{:.2}", ms as f64 / 1_000.0);
+    let cells = |row: crate::lags::Row| {
+        let (median, longest) = (seconds(row.median), seconds(row.longest));
+        let cause = row.cause.name().to_string();
+        vec![row.server, row.daemons.to_string(), median, longest, row.slowest, cause]
+    };
+    let heading = ["server", "daemons", "median s", "longest s", "slowest", "cause"];
+    let mut text = table(&heading, &lags.rows().into_iter().map(cells).collect::<Vec<_>>());
+    let excused = lags.all.len() - lags.unexcused().count();
+    if let Some(spread) = lags.spread() {
+        let (median, high) = (seconds(spread.median), seconds(spread.high));
+        let (count, longest) = (spread.count, seconds(spread.longest));
+        let _ = writeln!(text, "{count} lags: median {median}, p99 {high}, longest {longest} s");
+    }
+    let _ = writeln!(text, "{excused} excused; {} lines had no record", lags.skipped);
+    text
+}
+
 /// Rows under a heading, in columns as wide as needed.
 pub fn table(heading: &[&str], rows: &[Vec<String>]) -> String {
     let width = |i: usize| {
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -235,3 +235,35 @@
         assert!(String::from_utf8_lossy(&told).contains(remedy), "{args:?}");
     }
 }
+
+#[test]
+fn lags_are_held_against_a_bound() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let log = dir.path().join("fleet.log");
+    let line = |vm: &str, up: u64, what: &str| {
+        format!(r#"{{"unix_ms":{up},"up_ms":{up},"vm":"{vm}","what":"{what}","server":"i-1"}}"#)
+    };
+    let lines = [
+        line("vm-1", 1, "started"),
+        line("vm-2", 1, "started"),
+        line("vm-1", 50, "backend server gone"),
+        line("vm-2", 3_050, "backend server gone"),
+    ];
+    std::fs::write(&log, lines.join("\n")).expect("written");
+    let run = |args: &[&str]| tidestair().arg("lags").args(args).assert();
+    let log = log.display().to_string();
+    let table = run(&["--bound", "3000", &log]).success().get_output().stdout.clone();
+    assert!(String::from_utf8_lossy(&table).contains("longest 3.00 s"));
+    run(&["--bound", "2999", &log]).code(1);
+    let json = run(&["--json", &log]).success().get_output().stdout.clone();
+    let json: serde_json::Value = serde_json::from_slice(&json).expect("one object");
+    assert_eq!(json["lags"]["all"][0]["late"], 3_000);
+    for (args, remedy) in [
+        (vec![], "name one log file"),
+        (vec!["--bound", "soon", log.as_str()], "soon"),
+        (vec!["--bond", log.as_str()], "not known"),
+    ] {
+        let told = run(&args).code(2).get_output().stderr.clone();
+        assert!(String::from_utf8_lossy(&told).contains(remedy), "{args:?}");
+    }
+}
