--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -90,6 +90,11 @@
 }
 
 impl State {
+    /// How long ago the copy was known to be current; nothing before the first time.
+    fn age(&self, now: Instant) -> Duration {
+        self.confirmed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Notes that the store answered some daemon at `seen`.
     fn hear_of_store(&mut self, seen: Instant) {
         let unheard = self.answered.map(|at| seen.saturating_duration_since(at));
@@ -243,15 +248,18 @@
     fn confirm(&self, state: &mut State, position: u64, seen: Instant, now: Instant) {
         state.position = state.position.max(position);
         state.hear_of_store(seen);
-        let known = state.confirmed;
-        let late = known.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let late = state.age(now);
+        state.confirmed = state.confirmed.max(Some(seen));
         if late > AWAY {
             state.returned = Some(now);
-            let (late, unheard) = (millis(late), millis(state.unheard));
-            info!(late_ms = late, unheard_ms = unheard; "copy of the store is current again");
         }
-        state.unheard = Duration::ZERO;
-        state.confirmed = Some(known.map_or(seen, |at| at.max(seen)));
+        if state.age(now) <= AWAY {
+            let unheard = std::mem::take(&mut state.unheard);
+            if late > AWAY {
+                let (late, unheard) = (millis(late), millis(unheard));
+                info!(late_ms = late, unheard_ms = unheard; "copy of the store is current again");
+            }
+        }
         self.gateway.in_force.confirm(self.gateway.in_force.revision(), seen);
     }
 
