Judge the store's absence by all daemons' answers, and give small values ahead of large ones

Cause: a daemon that waited for a large configuration took its own lateness for the store's absence, and then let every entry that had gone wait 1.9 s for its return; and as a leaving came in the same message as the configuration, it was late already. Class: knowledge held up behind bulk, and one's own silence taken for another's failure.

- outage: the store counts as having been away only where no daemon is known to have had an answer for 1.5 s and some daemon asked in vain meanwhile; heartbeats tell the age of the last failed read beside that of the last one that succeeded.
The wait for lapsed entries counts from the store's return.
- mirror: a copy that is behind is given small values first, which are in force at once; its position moves on with the large ones only.
- cluster: entries that don't come back are given up by a timer of their own, not between two reads of the store.
A daemon that reads the store by now doesn't also take the large value from a peer.

--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -30,6 +30,8 @@
     /// Age of the last read of the store that the sender knows of, its own or another daemon's, in
     /// milliseconds.
     pub read_ms: Option<u32>,
+    /// Age of the last read that failed, in the same way.
+    pub failed_ms: Option<u32>,
     /// The sender's cell.
     pub cell: CellId,
     /// Of how many daemons `told` is the sum; `None` where it is the sender's own.
@@ -67,6 +69,8 @@
 /// A request between daemons.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub enum Request {
-    /// What a copy at this position lacks.
+    /// What a copy at this position lacks, large values left out.
     After(u64),
+    /// All that a copy at this position lacks.
+    AllAfter(u64),
 }
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -10,7 +10,7 @@
 use crate::gateway::beat::{Beat, Request, Told};
 use crate::gateway::core::Gateway;
 use crate::gateway::metrics::GatewayMetrics;
-use crate::gateway::mirror::{Mirror, Update};
+use crate::gateway::mirror::{Lack, Mirror, Update};
 use crate::gateway::roster::Roster;
 use crate::gateway::view::View;
 use crate::message;
@@ -91,6 +91,8 @@
     greeted: Mutex<HashMap<SocketAddr, Instant>>,
     ready: Box<dyn Fn() -> bool + Send + Sync>,
     fetching: AtomicBool,
+    /// Whether this daemon last asked the store in vain.
+    in_vain: AtomicBool,
     /// Since when this copy is known to be behind.
     behind: Mutex<Option<Instant>>,
     giving: Semaphore,
@@ -125,6 +127,7 @@
             greeted: Mutex::default(),
             ready,
             fetching: AtomicBool::new(false),
+            in_vain: AtomicBool::new(false),
             behind: Mutex::default(),
             giving: Semaphore::new(MOST_GIVEN),
         })
@@ -144,6 +147,7 @@
     pub async fn run(self: Arc<Self>) {
         tokio::spawn(self.links.clone().serve(self.handler()));
         loop {
+            self.mirror.tick(Instant::now());
             self.divide(Instant::now());
             for addr in self.wanted(Instant::now()) {
                 self.greet(addr);
@@ -160,8 +164,7 @@
     /// Whether this daemon should read the store now: no daemon did lately, or what it lacks was
     /// not given to it by one that has it.
     pub fn should_read(&self, now: Instant) -> bool {
-        let behind = *self.behind.lock().expect("no holder panics");
-        if behind.is_some_and(|since| now.saturating_duration_since(since) > BEHIND) {
+        if self.is_behind(now) {
             return true;
         }
         let view = self.view();
@@ -183,9 +186,16 @@
     /// Notes that this daemon has read the store.
     pub fn has_read(&self, now: Instant) {
         self.view().has_read(Some(now));
+        self.in_vain.store(false, Ordering::Release);
         *self.behind.lock().expect("no holder panics") = None;
     }
 
+    /// Notes that this daemon asked the store in vain.
+    pub fn has_failed(&self, now: Instant) {
+        self.in_vain.store(true, Ordering::Release);
+        self.mirror.store_failed(now);
+    }
+
     /// Where callers may be sent, this daemon not among them.
     pub fn entries(&self, now: Instant) -> Vec<SocketAddr> {
         self.view().entries(now)
@@ -313,6 +323,10 @@
             chosen: relation == Relation::Chosen,
             statement: self.mirror.statement(now),
             read_ms: view.read().map(|at| millis(now.saturating_duration_since(at))),
+            failed_ms: self
+                .mirror
+                .last_failure()
+                .map(|at| millis(now.saturating_duration_since(at))),
             cell: view.layout().own,
             members,
             told,
@@ -336,6 +350,7 @@
         if let Some(heard) = heard {
             self.gateway.servers().set_others(&heard);
         }
+        self.hear_of_store(&beat, now);
         self.named.lock().expect("no holder panics").extend(beat.others);
         let Some(statement) = beat.statement else {
             return;
@@ -343,36 +358,70 @@
         // What was true when the peer last had this daemon's clock, less the age it tells.
         let age = Duration::from_millis(statement.age_ms.into());
         let seen = seen.filter(|seen| *seen <= now).and_then(|seen| seen.checked_sub(age));
-        let behind = match seen {
+        let lack = match seen {
             Some(seen) => self.mirror.hear(statement, seen, now),
-            None => statement.changed > self.mirror.position(),
+            None => self.mirror.lack(&statement),
         };
-        if !behind {
+        if lack == Lack::Nothing {
             return;
         }
         self.behind.lock().expect("no holder panics").get_or_insert(now);
         if !self.fetching.swap(true, Ordering::AcqRel) {
-            tokio::spawn(self.clone().fetch(from));
+            tokio::spawn(self.clone().fetch(from, lack));
+        }
+    }
+
+    /// Takes over when the store was last read, and last asked in vain, as far as a peer knows.
+    fn hear_of_store(&self, beat: &Beat, now: Instant) {
+        let at = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
+        if let Some(failed) = beat.failed_ms.and_then(at) {
+            self.mirror.store_failed(failed);
+        }
+        if let Some(read) = beat.read_ms.and_then(at) {
+            self.mirror.store_answered(read, now);
         }
     }
 
-    async fn fetch(self: Arc<Self>, from: SocketAddr) {
+    /// Asks a peer for what this copy lacks: small values first, and the large ones too, unless the
+    /// store is being asked for them by now: on a narrow link the two would hold each other up.
+    async fn fetch(self: Arc<Self>, from: SocketAddr, lack: Lack) {
+        let complete = match lack {
+            Lack::Changes => self.take_from(from, Request::After(self.mirror.position())).await,
+            Lack::LargeValues | Lack::Nothing => Some(false),
+        };
+        let from_store = self.is_behind(Instant::now()) && !self.in_vain.load(Ordering::Acquire);
+        if complete == Some(false) && !from_store {
+            self.take_from(from, Request::AllAfter(self.mirror.position())).await;
+        }
+        self.fetching.store(false, Ordering::Release);
+    }
+
+    /// Takes in what a peer gives. Says whether it was all that this copy lacked; `None` where
+    /// nothing came.
+    async fn take_from(self: &Arc<Self>, from: SocketAddr, request: Request) -> Option<bool> {
         let handler = self.handler();
         let asked = Instant::now();
-        let request = Request::After(self.mirror.position());
         let answer = self.links.ask::<Option<Update>>(from, &request, FETCH_LIMIT, &handler).await;
-        match answer {
-            Ok(Some(update)) => {
-                let age = Duration::from_millis(update.statement.age_ms.into());
-                // Before this process's clock began, nothing can have been seen.
-                let seen = asked.checked_sub(age).unwrap_or(self.started);
-                self.mirror.apply(update, seen, Instant::now());
-                *self.behind.lock().expect("no holder panics") = None;
-            }
-            Ok(None) => {}
-            Err(_) => warn!(peer = from.to_string().as_str(); "peer did not give what it has"),
+        let Ok(given) = answer else {
+            warn!(peer = from.to_string().as_str(); "peer did not give what it has");
+            return None;
+        };
+        let update = given?;
+        let age = Duration::from_millis(update.statement.age_ms.into());
+        // Before this process's clock began, nothing can have been seen.
+        let seen = asked.checked_sub(age).unwrap_or(self.started);
+        let complete = update.complete;
+        self.mirror.apply(update, seen, Instant::now());
+        if complete {
+            *self.behind.lock().expect("no holder panics") = None;
         }
-        self.fetching.store(false, Ordering::Release);
+        Some(complete)
+    }
+
+    /// Whether this copy has been behind for so long that the daemon reads the store itself.
+    fn is_behind(&self, now: Instant) -> bool {
+        let behind = *self.behind.lock().expect("no holder panics");
+        behind.is_some_and(|since| now.saturating_duration_since(since) > BEHIND)
     }
 
     fn view(&self) -> MutexGuard<'_, View> {
@@ -401,16 +450,29 @@
 struct Answering(Arc<Cluster>);
 
 impl Answering {
-    /// What a copy at `position` lacks; `None` while this daemon gives to others.
-    async fn give(&self, position: u64, held: &mut Held) {
+    /// Small values that a copy at `position` lacks. A copy that lacks everything waits its turn.
+    async fn give_small(&self, position: u64, held: &mut Held) {
+        let now = Instant::now();
+        match self.0.mirror.update_after(position, now).filter(|update| !update.whole) {
+            Some(update) => send(Some(update), held).await,
+            None => self.give_all(position, held).await,
+        }
+    }
+
+    /// All that a copy at `position` lacks; nothing while this daemon gives to others.
+    async fn give_all(&self, position: u64, held: &mut Held) {
         let permit = self.0.giving.try_acquire();
         let update = match &permit {
-            Ok(_) => self.0.mirror.update_after(position, Instant::now()),
+            Ok(_) => self.0.mirror.all_after(position, Instant::now()),
             Err(_) => None,
         };
-        if held.send(&update).await.is_ok() {
-            held.finish().await;
-        }
+        send(update, held).await;
+    }
+}
+
+async fn send(update: Option<Update>, held: &mut Held) {
+    if held.send(&update).await.is_ok() {
+        held.finish().await;
     }
 }
 
@@ -425,7 +487,8 @@
     fn stream(&self, first: Vec<u8>, mut held: Held) -> BoxFuture<'_, ()> {
         Box::pin(async move {
             match message::decode::<Request>(&first) {
-                Ok(Request::After(position)) => self.give(position, &mut held).await,
+                Ok(Request::After(position)) => self.give_small(position, &mut held).await,
+                Ok(Request::AllAfter(position)) => self.give_all(position, &mut held).await,
                 Err(e) => warn!(why = format!("{e:?}").as_str(); "request of a peer not readable"),
             }
         })
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -52,7 +52,6 @@
     pub async fn run(mut self) {
         loop {
             let asked = Instant::now();
-            self.mirror.tick(asked);
             if !self.cluster.should_read(asked) {
                 sleep(LOOK).await;
                 continue;
@@ -68,6 +67,7 @@
                     sleep(SPACING.saturating_sub(asked.elapsed())).await;
                 }
                 Err(e) => {
+                    self.cluster.has_failed(Instant::now());
                     self.lost(&e);
                     self.failures += 1;
                     let before = self.cluster.readers_before(Instant::now());
@@ -85,6 +85,7 @@
         match self.store.changes(EVERYTHING, after, WAIT).await? {
             Some(changes) => {
                 let now = Instant::now();
+                self.mirror.store_answered(now, now);
                 self.mirror.advance(changes.changes, changes.revision, asked, now);
                 Ok(())
             }
@@ -98,7 +99,9 @@
     async fn read_whole(&mut self, asked: Instant) -> PlatformResult<()> {
         // Pages are no snapshot: what changes after the first is asked for again.
         let all = self.store.range(EVERYTHING).await?;
-        self.mirror.replace(all.entries, all.revision, asked, Instant::now());
+        let now = Instant::now();
+        self.mirror.store_answered(now, now);
+        self.mirror.replace(all.entries, all.revision, asked, now);
         Ok(())
     }
 
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -4,9 +4,13 @@
 //! revision `p`; a statement "nothing that matters changed after revision `c`, up to `p`, and that
 //! was so `age` ago" makes any copy at `c` or later current up to `p`. Changes come with the store's
 //! revisions, and for one key a lower revision never replaces a higher one.
+//!
+//! A copy that is behind is given small values first: that a server leaves is in force at once, however
+//! long a large configuration takes. Only with all of them the copy's position moves on.
 
 use crate::gateway::core::Gateway;
 use crate::gateway::in_force::Declared;
+use crate::gateway::outage::Outages;
 use crate::gateway::port::Schema;
 use crate::gateway::roster::Roster;
 use crate::platform::{Change, Entry};
@@ -17,11 +21,14 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-/// Time without confirmation after which the store counts as having been away.
-const AWAY: Duration = Duration::from_millis(1_500);
+/// Time without confirmation after which it is logged that the copy is current again.
+const LATE: Duration = Duration::from_millis(1_500);
 /// After the store was away, entries that lapsed meanwhile have this long to come back. Servers that
 /// live write again within about two seconds.
 const COME_BACK: Duration = Duration::from_millis(1_900);
+/// Bytes up to which a value is small: servers' and daemons' entries have some hundred, a configuration
+/// of a few routes some thousand.
+const SMALL: usize = 4 << 10;
 /// Deleted keys that are remembered, so that peers can be told of each deletion.
 const MOST_DELETED: usize = 1_024;
 
@@ -61,10 +68,23 @@
     pub statement: Statement,
     /// Whether the cells are all there is: other keys are gone.
     pub whole: bool,
+    /// Whether the cells have every change; otherwise large values were left out.
+    pub complete: bool,
     /// Keys with their latest changes.
     pub cells: Vec<Cell>,
 }
 
+/// What a copy lacks against a peer's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// Nothing that matters.
+    Nothing,
+    /// Large values only.
+    LargeValues,
+    /// Changes of any kind.
+    Changes,
+}
+
 #[derive(Debug, Clone)]
 struct Held {
     revision: u64,
@@ -75,16 +95,16 @@
 struct State {
     held: HashMap<String, Held>,
     position: u64,
+    /// The last change that matters among those up to the position.
     changed: u64,
+    /// The last one beyond the position, of those that were given ahead of large values.
+    ahead: u64,
+    /// The revision up to which no small value is missing, where that is beyond the position.
+    small: u64,
     /// Deletions up to this revision are forgotten.
     forgotten: u64,
     confirmed: Option<Instant>,
-    /// The last moment at which the store is known to have answered any daemon.
-    answered: Option<Instant>,
-    /// The longest time without such a moment since the copy was last confirmed.
-    unheard: Duration,
-    /// When the store last came back.
-    returned: Option<Instant>,
+    outages: Outages,
     /// Servers whose entries lapsed while the store was away, and until when they are waited for.
     missing: HashMap<String, Instant>,
 }
@@ -95,11 +115,19 @@
         self.confirmed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
-    /// Notes that the store answered some daemon at `seen`.
-    fn hear_of_store(&mut self, seen: Instant) {
-        let unheard = self.answered.map(|at| seen.saturating_duration_since(at));
-        self.unheard = self.unheard.max(unheard.unwrap_or_default());
-        self.answered = self.answered.max(Some(seen));
+    /// What this copy lacks against one of which a peer states so much.
+    fn lack(&self, statement: &Statement) -> Lack {
+        match statement.changed {
+            changed if changed <= self.position => Lack::Nothing,
+            changed if changed <= self.small => Lack::LargeValues,
+            _ => Lack::Changes,
+        }
+    }
+
+    /// The last revision up to the position that may have changed something that matters.
+    fn last_change(&self) -> u64 {
+        // Changes that were given ahead are not told apart: some may lie below the position by now.
+        if self.ahead > self.position { self.position } else { self.changed.max(self.ahead) }
     }
 }
 
@@ -127,7 +155,7 @@
         let state = self.state();
         let age = now.saturating_duration_since(state.confirmed?);
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        let (position, changed, since) = (state.position, state.changed, state.forgotten);
+        let (position, changed, since) = (state.position, state.last_change(), state.forgotten);
         Some(Statement { position, changed, since, age_ms })
     }
 
@@ -169,27 +197,55 @@
         }
     }
 
-    /// Hears a peer's statement that was true at `seen` or later. Says whether this copy is behind.
-    pub fn hear(&self, statement: Statement, seen: Instant, now: Instant) -> bool {
+    /// Hears a peer's statement that was true at `seen` or later. Says what this copy lacks.
+    pub fn hear(&self, statement: Statement, seen: Instant, now: Instant) -> Lack {
         let mut state = self.state();
-        state.hear_of_store(seen);
         if statement.position < state.position {
-            return false;
+            return Lack::Nothing;
         }
         if state.position < statement.since {
             // The peer can't tell what was deleted between the two; another one may.
-            let age = state.confirmed.map(|at| now.saturating_duration_since(at));
-            return age.is_none_or(|age| age > UNTOLD);
+            let untold = state.confirmed.is_none() || state.age(now) > UNTOLD;
+            return if untold { Lack::Changes } else { Lack::Nothing };
         }
-        let behind = statement.changed > state.position;
-        if !behind {
+        let lack = state.lack(&statement);
+        if lack == Lack::Nothing {
             self.confirm(&mut state, statement.position, seen, now);
         }
-        behind
+        lack
     }
 
-    /// What a copy at `after` lacks.
+    /// What this copy lacks against a peer's statement of which it is not known when it was true.
+    pub fn lack(&self, statement: &Statement) -> Lack {
+        self.state().lack(statement)
+    }
+
+    /// Notes at `now` that the store answered some daemon at `at`.
+    pub fn store_answered(&self, at: Instant, now: Instant) {
+        self.state().outages.answered(at, now);
+    }
+
+    /// Notes that some daemon asked the store in vain at `at`.
+    pub fn store_failed(&self, at: Instant) {
+        self.state().outages.failed(at);
+    }
+
+    /// When some daemon last asked the store in vain, as far as known.
+    pub fn last_failure(&self) -> Option<Instant> {
+        self.state().outages.last_failure()
+    }
+
+    /// What a copy at `after` lacks, large values left out.
     pub fn update_after(&self, after: u64, now: Instant) -> Option<Update> {
+        let mut update = self.all_after(after, now)?;
+        let cells = update.cells.len();
+        update.cells.retain(|cell| cell.value.as_ref().is_none_or(|value| value.len() <= SMALL));
+        update.complete = update.cells.len() == cells;
+        Some(update)
+    }
+
+    /// All that a copy at `after` lacks.
+    pub fn all_after(&self, after: u64, now: Instant) -> Option<Update> {
         let statement = self.statement(now)?;
         let state = self.state();
         let whole = after < state.forgotten;
@@ -203,13 +259,13 @@
                 value: held.value.as_ref().map(|v| v.to_vec()),
             })
             .collect();
-        Some(Update { statement, whole, cells })
+        Some(Update { statement, whole, complete: true, cells })
     }
 
     /// Takes in what a peer gave, true at `seen` or later.
     pub fn apply(&self, update: Update, seen: Instant, now: Instant) {
         let position = update.statement.position;
-        if update.whole {
+        if update.whole && update.complete {
             let live = update.cells.into_iter().filter_map(|cell| {
                 Some(Entry { key: cell.key, value: cell.value?, revision: cell.revision })
             });
@@ -223,7 +279,20 @@
         });
         let mut changes: Vec<Change> = changes.collect();
         changes.sort_by_key(|change| change.revision);
-        self.advance(changes, position, seen, now);
+        match update.complete {
+            true => self.advance(changes, position, seen, now),
+            false => self.take_ahead(changes, (!update.whole).then_some(position), seen, now),
+        }
+    }
+
+    /// Takes in small values ahead of large ones. With `small`, no small value up to that revision is
+    /// missing from then on.
+    fn take_ahead(&self, changes: Vec<Change>, small: Option<u64>, seen: Instant, now: Instant) {
+        let mut state = self.state();
+        for change in changes {
+            self.take(&mut state, change, seen, now);
+        }
+        state.small = state.small.max(small.unwrap_or(0));
     }
 
     /// Gives up servers whose entries did not come back in time.
@@ -247,15 +316,11 @@
 
     fn confirm(&self, state: &mut State, position: u64, seen: Instant, now: Instant) {
         state.position = state.position.max(position);
-        state.hear_of_store(seen);
         let late = state.age(now);
         state.confirmed = state.confirmed.max(Some(seen));
-        if late > AWAY {
-            state.returned = Some(now);
-        }
-        if state.age(now) <= AWAY {
-            let unheard = std::mem::take(&mut state.unheard);
-            if late > AWAY {
+        if state.age(now) <= LATE {
+            let unheard = state.outages.take_unheard();
+            if late > LATE {
                 let (late, unheard) = (millis(late), millis(unheard));
                 info!(late_ms = late, unheard_ms = unheard; "copy of the store is current again");
             }
@@ -279,7 +344,10 @@
         if !matters {
             return;
         }
-        state.changed = state.changed.max(change.revision);
+        match change.revision > state.position {
+            true => state.ahead = state.ahead.max(change.revision),
+            false => state.changed = state.changed.max(change.revision),
+        }
         self.put_in_force(state, &change.key, change.revision, value, seen, now);
         forget_deleted(state);
         self.gateway.tell();
@@ -349,7 +417,7 @@
     }
 
     fn server_gone(&self, state: &mut State, key: &str, now: Instant) {
-        let until = state.returned.map(|returned| returned + COME_BACK);
+        let until = state.outages.returned().map(|returned| returned + COME_BACK);
         match until.filter(|until| now < *until) {
             Some(until) => {
                 state.missing.insert(key.to_string(), until);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
 //! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read or heard from peers
+//! - [`outage`]: whether the store was away
 //! - [`announce`], [`roster`]: who else serves
 //! - [`cell`], [`beat`], [`view`]: which daemons tell each other what, and what was heard
 //! - [`lookout`]: notices from servers themselves while the store is away
@@ -33,6 +34,7 @@
 pub mod metrics;
 pub mod mirror;
 mod moving;
+pub mod outage;
 pub mod outcomes;
 pub mod place;
 pub mod policies;
--- /dev/null
+++ b/src/gateway/outage.rs
@@ -0,0 +1,59 @@
+//! Whether the platform's store was away, from what all daemons know of it.
+//!
+//! A daemon's own silence proves nothing: its copy may be late, its link full, or its process may have
+//! been paused. The store counts as having been away where no daemon is known to have had an answer
+//! for a while and some daemon is known to have asked in vain meanwhile.
+
+use std::time::{Duration, Instant};
+
+/// Time without an answer to any daemon from which failed reads mean that the store was away. An entry
+/// lapses after three silent heartbeats of its server, which are over a second apart, so that a shorter
+/// time makes none lapse.
+const AWAY: Duration = Duration::from_millis(1_500);
+
+/// See the module.
+#[derive(Debug, Default)]
+pub struct Outages {
+    /// The last moment at which the store is known to have answered a daemon.
+    answered: Option<Instant>,
+    /// The last moment at which a read by any daemon is known to have failed.
+    failed: Option<Instant>,
+    /// When the store was known to be back from its last absence.
+    returned: Option<Instant>,
+    /// The longest time without a known answer since it was last asked for.
+    unheard: Duration,
+}
+
+impl Outages {
+    /// Notes at `now` that the store answered some daemon at `at`.
+    pub fn answered(&mut self, at: Instant, now: Instant) {
+        if let Some(before) = self.answered {
+            let unheard = at.saturating_duration_since(before);
+            self.unheard = self.unheard.max(unheard);
+            if unheard > AWAY && self.failed.is_some_and(|failed| failed > before) {
+                self.returned = Some(now);
+            }
+        }
+        self.answered = self.answered.max(Some(at));
+    }
+
+    /// Notes that a read by some daemon failed at `at`.
+    pub fn failed(&mut self, at: Instant) {
+        self.failed = self.failed.max(Some(at));
+    }
+
+    /// When a read by any daemon last failed, as far as known.
+    pub fn last_failure(&self) -> Option<Instant> {
+        self.failed
+    }
+
+    /// When the store was last known to be back; `None` where it was never away.
+    pub fn returned(&self) -> Option<Instant> {
+        self.returned
+    }
+
+    /// The longest time without a known answer since the last call.
+    pub fn take_unheard(&mut self) -> Duration {
+        std::mem::take(&mut self.unheard)
+    }
+}
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -140,6 +140,7 @@
             chosen: far,
             statement: None,
             read_ms: None,
+            failed_ms: None,
             cell: layout.own,
             members: far.then_some(5),
             told: Told {
