--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -73,9 +73,14 @@
         self.count.load(Ordering::Relaxed)
     }
 
+    /// Whether no further one is taken.
+    pub fn is_full(&self) -> bool {
+        self.count() >= self.most
+    }
+
     /// Counts one more; `None` where too many are open.
     fn enter(self: &Arc<Self>) -> Option<Counted> {
-        if self.count() >= self.most {
+        if self.is_full() {
             return None;
         }
         self.count.fetch_add(1, Ordering::Relaxed);
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -133,6 +133,15 @@
         limit: Duration,
     ) -> BoxFuture<'_, Result<bool, String>>;
 
+    /// Asks a server how many events a run has made, as of some hundred milliseconds ago; `None` where
+    /// it runs no such request.
+    fn progress<'a>(
+        &'a self,
+        server: SocketAddr,
+        run: &'a str,
+        limit: Duration,
+    ) -> BoxFuture<'a, Result<Option<u64>, String>>;
+
     /// Frees a copy that is not needed.
     fn free<'a>(&'a self, source: SocketAddr, handle: &'a str) -> BoxFuture<'a, ()>;
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,6 +28,13 @@
 /// Pause before a run that could not be moved is tried again: about the time of one copy, after which
 /// there may be room elsewhere.
 const MOVE_PAUSE: Duration = Duration::from_millis(100);
+/// Silence of a stream after which its server is asked whether the run goes on: longer than almost all
+/// pauses of a sound stream, and a small part of what callers wait.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// Time between two such questions: reports are about so old.
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
+/// Longest time for the answer.
+const LOOK_LIMIT: Duration = Duration::from_millis(300);
 /// How long the last events of a stopped run may take to arrive after the copy is complete.
 const LAST_EVENTS: Duration = Duration::from_millis(60);
 /// How long a run whose stream has ended is waited for by its copy.
@@ -72,6 +79,7 @@
         runs: 1,
         moves: 0,
         stays: None,
+        looked: None,
     };
     tokio::spawn(relay.run(first));
     let events = futures_util::stream::unfold(events, |mut events| async {
@@ -140,6 +148,16 @@
     moves: u32,
     /// When the last of them came to nothing.
     stays: Option<Instant>,
+    /// What the server last said of a run whose stream is silent.
+    looked: Option<Looked>,
+}
+
+/// What a server said of a run.
+#[derive(Debug, Clone, Copy)]
+struct Looked {
+    at: Instant,
+    /// Events that the run had made; `None` where the server did not run it or did not answer.
+    made: Option<u64>,
 }
 
 /// A move under way.
@@ -150,18 +168,21 @@
 }
 
 enum Happened {
-    CallerLeft,
     OutOfTime,
     Notice,
+    Silence,
     Moved(Moved),
     Step(Step),
 }
 
 impl Relay {
     async fn run(mut self, first: Event) {
-        let end = match self.pass_on(first).await {
-            Ok(()) => self.follow().await,
-            Err(end) => end,
+        let caller = self.out.clone();
+        let end = tokio::select! {
+            biased;
+            // Whatever is under way is given up with its caller.
+            () = caller.closed() => End::CallerLeft,
+            end = self.pass_all_on(first) => end,
         };
         let (id, server) = (self.call.id.as_str(), self.seat.id());
         match end {
@@ -180,6 +201,13 @@
         }
     }
 
+    async fn pass_all_on(&mut self, first: Event) -> End {
+        match self.pass_on(first).await {
+            Ok(()) => self.follow().await,
+            Err(end) => end,
+        }
+    }
+
     async fn follow(&mut self) -> End {
         let deadline = sleep_until(self.call.deadline.into());
         tokio::pin!(deadline);
@@ -187,19 +215,26 @@
         loop {
             // Events come more often than the pause between moves, so that its end is not missed.
             let may_move = moving.is_none() && self.may_move(Instant::now());
+            let may_look = moving.is_none() && self.can_move();
+            let look = sleep_until(self.next_look().into());
             let happened = tokio::select! {
                 biased;
-                () = self.out.closed() => Happened::CallerLeft,
                 () = &mut deadline => Happened::OutOfTime,
                 moved = finished(&mut moving) => Happened::Moved(moved),
                 () = noticed(&mut self.seat), if may_move => Happened::Notice,
                 step = self.leg.next() => Happened::Step(step),
+                () = look, if may_look => Happened::Silence,
             };
             let ended = match happened {
-                Happened::CallerLeft => return End::CallerLeft,
                 Happened::OutOfTime => return End::Broken("out of time".into()),
                 Happened::Notice => {
-                    moving = Some(self.start_moving());
+                    moving = Some(self.start_moving("server leaves"));
+                    continue;
+                }
+                Happened::Silence => {
+                    if self.goes_on_unheard().await {
+                        moving = Some(self.start_moving("connection silent"));
+                    }
                     continue;
                 }
                 Happened::Moved(moved) => {
@@ -231,6 +266,7 @@
         let now = Instant::now();
         let pause = now.saturating_duration_since(self.passed);
         self.passed = now;
+        self.looked = None;
         let kind = self.call.route.kind.name();
         self.gateway.metrics.pause_seconds.with_label_values(&[kind]).observe(pause.as_secs_f64());
         let sent = self.out.send(Ok(Frame::data(event.bytes))).await;
@@ -240,15 +276,37 @@
     fn may_move(&self, now: Instant) -> bool {
         let again = self.call.route.repeatable();
         let paused = self.stays.is_some_and(|at| now.saturating_duration_since(at) < MOVE_PAUSE);
-        !again
-            && !paused
-            && self.moves < MOST_MOVES
-            && self.service.engine.as_ref().is_some_and(|e| e.moves)
+        !again && !paused && self.can_move()
+    }
+
+    fn can_move(&self) -> bool {
+        self.moves < MOST_MOVES && self.service.engine.as_ref().is_some_and(|e| e.moves)
+    }
+
+    /// When the server is to be asked about a silent stream.
+    fn next_look(&self) -> Instant {
+        self.looked.map_or(self.passed + SILENCE, |looked| looked.at + LOOK_AGAIN)
+    }
+
+    /// Whether a run whose stream is silent goes on at its server: then it is the connection that is
+    /// silent. A run that makes nothing, as one that waits for memory, stays where it is.
+    async fn goes_on_unheard(&mut self) -> bool {
+        let (server, run) = (self.seat.place.to.addr, self.call.id.as_str());
+        let made = match self.gateway.wire.progress(server, run, LOOK_LIMIT).await {
+            Ok(made) => made,
+            Err(why) => {
+                info!(id = run, server = self.seat.id(), why = why.as_str(); "silent stream, no report");
+                None
+            }
+        };
+        let before = self.looked.and_then(|looked| looked.made);
+        self.looked = Some(Looked { at: Instant::now(), made });
+        made.zip(before).is_some_and(|(made, before)| made > before)
     }
 
-    fn start_moving(&mut self) -> Moving {
+    fn start_moving(&mut self, why: &str) -> Moving {
         self.moves += 1;
-        info!(id = self.call.id.as_str(), server = self.seat.id(), last = self.last; "server leaves, run is to be moved");
+        info!(id = self.call.id.as_str(), server = self.seat.id(), last = self.last, why = why; "run is to be moved");
         let stopping = Arc::new(AtomicBool::new(false));
         let done = moving::move_run(
             self.gateway.clone(),
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -59,6 +59,15 @@
         Box::pin(async { Ok(false) })
     }
 
+    fn progress<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a str,
+        _: Duration,
+    ) -> BoxFuture<'a, Result<Option<u64>, String>> {
+        Box::pin(async { Ok(None) })
+    }
+
     fn free<'a>(&'a self, _: SocketAddr, _: &'a str) -> BoxFuture<'a, ()> {
         Box::pin(async {})
     }
