Read servers' entries apart from a large answer of the store, and tell them on ahead of it

A reader's own answer held the small changes behind the large configuration, so that for 2.2 s no daemon at all knew of a leaving, and lags between daemons could not show it.

Servers' entries have a position of their own now. A read of the store that takes longer than its wait and a slow store's answer is overtaken by one of the servers' entries alone, which is a call more only where a read is slow; peers are told that position and take the entries from it. The messages between copies stand in a module of their own (update).

Random interleavings now read servers apart too.

--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -2,11 +2,11 @@
 
 use crate::gateway::budget::Spent;
 use crate::gateway::cell::CellId;
-use crate::gateway::mirror::Statement;
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::roster::Daemon;
 use crate::gateway::servers::{Load, Signs};
 use crate::gateway::tag::Tag;
+use crate::gateway::update::Statement;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -8,13 +8,18 @@
 use crate::gateway::mirror::Mirror;
 use crate::gateway::port::Store;
 use crate::platform::{PlatformError, PlatformResult};
-use log::{info, warn};
+use futures_util::future::BoxFuture;
+use log::{debug, info, warn};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Longest wait of one question for changes: the age that a confirmation may reach by waiting.
 const WAIT: Duration = Duration::from_millis(400);
+/// Time for an answer after which the servers' entries are asked for apart: with a large value in it, it
+/// takes seconds on a narrow link, and that a server leaves may not wait for it. Longer than the wait
+/// and a slow store's answer to it.
+const SLOW: Duration = Duration::from_millis(650);
 /// Least time between two questions, so that changes which come together are asked for once.
 const SPACING: Duration = Duration::from_millis(200);
 /// Pause after a question that failed; it doubles with each further one.
@@ -82,7 +87,7 @@
         if after == 0 {
             return self.read_whole(asked).await;
         }
-        match self.store.changes(EVERYTHING, after, WAIT).await? {
+        match self.overtake(self.store.changes(EVERYTHING, after, WAIT)).await? {
             Some(changes) => {
                 let now = Instant::now();
                 self.mirror.store_answered(now, now);
@@ -98,13 +103,50 @@
 
     async fn read_whole(&mut self, asked: Instant) -> PlatformResult<()> {
         // Pages are no snapshot: what changes after the first is asked for again.
-        let all = self.store.range(EVERYTHING).await?;
+        let all = self.overtake(self.store.range(EVERYTHING)).await?;
         let now = Instant::now();
         self.mirror.store_answered(now, now);
         self.mirror.replace(all.entries, all.revision, asked, now);
         Ok(())
     }
 
+    /// Waits for an answer, and follows the servers' entries apart while it takes long.
+    async fn overtake<T>(&self, mut answer: BoxFuture<'_, T>) -> T {
+        loop {
+            if let Ok(answer) = timeout(SLOW, &mut answer).await {
+                return answer;
+            }
+            let read = tokio::select! {
+                answer = &mut answer => return answer,
+                read = self.read_servers() => read,
+            };
+            if !read {
+                // The store doesn't answer: asking it more often would cost more and tell nothing.
+                return answer.await;
+            }
+        }
+    }
+
+    /// Reads what has changed of servers' entries. Says whether that came.
+    async fn read_servers(&self) -> bool {
+        let after = self.mirror.servers_position();
+        let asked = Instant::now();
+        if after == 0 {
+            return false;
+        }
+        let read = self.store.changes(self.mirror.servers_prefix(), after, WAIT).await;
+        let outcome = if read.is_ok() { "servers" } else { "failed" };
+        self.cluster.metrics().store_reads.with_label_values(&[outcome]).inc();
+        let Ok(Some(changes)) = read else {
+            debug!(after = after; "servers' entries not read apart");
+            return false;
+        };
+        let now = Instant::now();
+        self.mirror.store_answered(now, now);
+        self.mirror.advance_servers(changes.changes, changes.revision, asked, now);
+        true
+    }
+
     fn heard(&mut self) {
         if !self.reached {
             self.reached = true;
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -6,17 +6,19 @@
 //! revisions, and for one key a lower revision never replaces a higher one.
 //!
 //! A copy that is behind is given small values first: that a server leaves is in force at once, however
-//! long a large configuration takes. Only with all of them the copy's position moves on.
+//! long a large configuration takes. Only with all of them the copy's position moves on. The servers'
+//! entries have a position of their own, which may be beyond it: they are read apart from a large
+//! answer that is still on its way.
 
 use crate::gateway::core::Gateway;
 use crate::gateway::in_force::Declared;
 use crate::gateway::outage::Outages;
 use crate::gateway::port::Schema;
 use crate::gateway::roster::Roster;
+use crate::gateway::update::{Cell, Lack, Statement, Update};
 use crate::platform::{Change, Entry};
 use bytes::Bytes;
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -36,55 +38,6 @@
 /// everything. Longer than two heartbeats: usually the daemon that reads for all tells sooner.
 const UNTOLD: Duration = Duration::from_millis(600);
 
-/// What a daemon says of its copy.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Statement {
-    /// The revision up to which nothing is missing.
-    pub position: u64,
-    /// The last revision that changed something that matters.
-    pub changed: u64,
-    /// The revision from which on it knows every deletion: a copy that was read as a whole does not show
-    /// what went before.
-    pub since: u64,
-    /// How long ago the store was known to stand so, in milliseconds.
-    pub age_ms: u32,
-}
-
-/// One key on its way between daemons.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Cell {
-    /// The key.
-    pub key: String,
-    /// The revision of its last change.
-    pub revision: u64,
-    /// Its value; `None` where it was deleted.
-    pub value: Option<Vec<u8>>,
-}
-
-/// What a daemon that is behind is given.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Update {
-    /// How the giver's copy stands.
-    pub statement: Statement,
-    /// Whether the cells are all there is: other keys are gone.
-    pub whole: bool,
-    /// Whether the cells have every change; otherwise large values were left out.
-    pub complete: bool,
-    /// Keys with their latest changes.
-    pub cells: Vec<Cell>,
-}
-
-/// What a copy lacks against a peer's.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Lack {
-    /// Nothing that matters.
-    Nothing,
-    /// Large values only.
-    LargeValues,
-    /// Changes of any kind.
-    Changes,
-}
-
 #[derive(Debug, Clone)]
 struct Held {
     revision: u64,
@@ -101,6 +54,10 @@
     ahead: u64,
     /// The revision up to which no small value is missing, where that is beyond the position.
     small: u64,
+    /// The same of servers' entries, where that is beyond both.
+    servers: u64,
+    /// The last change that matters of a server's entry.
+    server_change: u64,
     /// Deletions up to this revision are forgotten.
     forgotten: u64,
     confirmed: Option<Instant>,
@@ -117,13 +74,19 @@
 
     /// What this copy lacks against one of which a peer states so much.
     fn lack(&self, statement: &Statement) -> Lack {
+        let servers = statement.servers_changed > self.servers();
         match statement.changed {
-            changed if changed <= self.position => Lack::Nothing,
-            changed if changed <= self.small => Lack::LargeValues,
+            changed if changed <= self.position && !servers => Lack::Nothing,
+            changed if changed <= self.position.max(self.small) && !servers => Lack::LargeValues,
             _ => Lack::Changes,
         }
     }
 
+    /// The revision up to which no server's entry is missing.
+    fn servers(&self) -> u64 {
+        self.servers.max(self.small).max(self.position)
+    }
+
     /// The last revision up to the position that may have changed something that matters.
     fn last_change(&self) -> u64 {
         // Changes that were given ahead are not told apart: some may lie below the position by now.
@@ -155,8 +118,16 @@
         let state = self.state();
         let age = now.saturating_duration_since(state.confirmed?);
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        let (position, changed, since) = (state.position, state.last_change(), state.forgotten);
-        Some(Statement { position, changed, since, age_ms })
+        let servers = state.servers();
+        Some(Statement {
+            position: state.position,
+            changed: state.last_change(),
+            servers,
+            // Beyond that revision some may be missing.
+            servers_changed: state.server_change.min(servers),
+            since: state.forgotten,
+            age_ms,
+        })
     }
 
     /// Takes in all keys, read at `position`, as the store stood at `seen`.
@@ -200,9 +171,6 @@
     /// Hears a peer's statement that was true at `seen` or later. Says what this copy lacks.
     pub fn hear(&self, statement: Statement, seen: Instant, now: Instant) -> Lack {
         let mut state = self.state();
-        if statement.position < state.position {
-            return Lack::Nothing;
-        }
         if state.position < statement.since {
             // The peer can't tell what was deleted between the two; another one may.
             let untold = state.confirmed.is_none() || state.age(now) > UNTOLD;
@@ -210,7 +178,10 @@
         }
         let lack = state.lack(&statement);
         if lack == Lack::Nothing {
-            self.confirm(&mut state, statement.position, seen, now);
+            state.servers = state.servers.max(statement.servers);
+            if statement.position >= state.position {
+                self.confirm(&mut state, statement.position, seen, now);
+            }
         }
         lack
     }
@@ -264,7 +235,7 @@
 
     /// Takes in what a peer gave, true at `seen` or later.
     pub fn apply(&self, update: Update, seen: Instant, now: Instant) {
-        let position = update.statement.position;
+        let Statement { position, servers, .. } = update.statement;
         if update.whole && update.complete {
             let live = update.cells.into_iter().filter_map(|cell| {
                 Some(Entry { key: cell.key, value: cell.value?, revision: cell.revision })
@@ -281,18 +252,44 @@
         changes.sort_by_key(|change| change.revision);
         match update.complete {
             true => self.advance(changes, position, seen, now),
-            false => self.take_ahead(changes, (!update.whole).then_some(position), seen, now),
+            false => self.take_ahead(changes, seen, now),
+        }
+        if !update.whole {
+            let mut state = self.state();
+            state.small = state.small.max(position);
+            state.servers = state.servers.max(servers);
         }
     }
 
-    /// Takes in small values ahead of large ones. With `small`, no small value up to that revision is
-    /// missing from then on.
-    fn take_ahead(&self, changes: Vec<Change>, small: Option<u64>, seen: Instant, now: Instant) {
+    /// Takes in all changes of servers' entries up to `position`, as the store stood at `seen`, ahead of
+    /// all else.
+    pub fn advance_servers(
+        &self,
+        changes: Vec<Change>,
+        position: u64,
+        seen: Instant,
+        now: Instant,
+    ) {
+        self.take_ahead(changes, seen, now);
+        let mut state = self.state();
+        state.servers = state.servers.max(position);
+    }
+
+    /// The revision up to which no server's entry is missing.
+    pub fn servers_position(&self) -> u64 {
+        self.state().servers()
+    }
+
+    /// The prefix of the servers' entries.
+    pub fn servers_prefix(&self) -> &str {
+        self.schema.servers()
+    }
+
+    fn take_ahead(&self, changes: Vec<Change>, seen: Instant, now: Instant) {
         let mut state = self.state();
         for change in changes {
             self.take(&mut state, change, seen, now);
         }
-        state.small = state.small.max(small.unwrap_or(0));
     }
 
     /// Gives up servers whose entries did not come back in time.
@@ -344,6 +341,9 @@
         if !matters {
             return;
         }
+        if change.key.starts_with(self.schema.servers()) {
+            state.server_change = state.server_change.max(change.revision);
+        }
         match change.revision > state.position {
             true => state.ahead = state.ahead.max(change.revision),
             false => state.changed = state.changed.max(change.revision),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
 //! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read or heard from peers
+//! - [`update`]: what daemons tell and give each other of their copies
 //! - [`outage`]: whether the store was away
 //! - [`announce`], [`roster`]: who else serves
 //! - [`cell`], [`beat`], [`view`]: which daemons tell each other what, and what was heard
@@ -47,4 +48,5 @@
 pub mod stop;
 pub mod table;
 pub mod tag;
+pub mod update;
 pub mod view;
--- /dev/null
+++ b/src/gateway/update.rs
@@ -0,0 +1,56 @@
+//! What daemons tell and give each other of their copies of the store.
+
+use serde::{Deserialize, Serialize};
+
+/// What a daemon says of its copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    /// The revision up to which nothing is missing.
+    pub position: u64,
+    /// The last revision that changed something that matters.
+    pub changed: u64,
+    /// The revision up to which no server's entry is missing; the position or beyond it.
+    pub servers: u64,
+    /// The last revision up to there that changed a server's entry.
+    pub servers_changed: u64,
+    /// The revision from which on it knows every deletion: a copy that was read as a whole does not show
+    /// what went before.
+    pub since: u64,
+    /// How long ago the store was known to stand so, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// One key on its way between daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cell {
+    /// The key.
+    pub key: String,
+    /// The revision of its last change.
+    pub revision: u64,
+    /// Its value; `None` where it was deleted.
+    pub value: Option<Vec<u8>>,
+}
+
+/// What a daemon that is behind is given.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// How the giver's copy stands.
+    pub statement: Statement,
+    /// Whether the cells are all there is: other keys are gone.
+    pub whole: bool,
+    /// Whether the cells have every change; otherwise large values were left out.
+    pub complete: bool,
+    /// Keys with their latest changes.
+    pub cells: Vec<Cell>,
+}
+
+/// What a copy lacks against a peer's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// Nothing that matters.
+    Nothing,
+    /// Large values only.
+    LargeValues,
+    /// Changes of any kind.
+    Changes,
+}
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use tidestair::gateway::budget::BudgetBounds;
 use tidestair::gateway::core::{Bounds, Gateway};
-use tidestair::gateway::mirror::{Lack, Mirror, Statement, Update};
+use tidestair::gateway::mirror::Mirror;
 use tidestair::gateway::place::Headroom;
 use tidestair::gateway::port::{
     Copied, Lost, NotCopied, Reply, Schema, Sending, Undecodable, Wire,
@@ -17,6 +17,7 @@
 use tidestair::gateway::roster::{Daemon, Roster};
 use tidestair::gateway::servers::ServerRecord;
 use tidestair::gateway::table::{Limits, Table};
+use tidestair::gateway::update::{Lack, Statement, Update};
 use tidestair::message;
 use tidestair::outcome::NotSent;
 use tidestair::platform::{Change, Entry};
@@ -137,7 +138,14 @@
         self.mirror.store_answered(now - age, now);
         let revision = truth.revision();
         let age_ms = age.as_millis() as u32;
-        let statement = Statement { position: revision, changed: revision, since: 0, age_ms };
+        let statement = Statement {
+            position: revision,
+            changed: revision,
+            servers: revision,
+            servers_changed: revision,
+            since: 0,
+            age_ms,
+        };
         self.mirror.hear(statement, now - age, now);
     }
 
@@ -255,6 +263,17 @@
     mirror.advance(newer.collect(), truth.revision(), now, now);
 }
 
+/// Reads the servers' entries apart, as a daemon does whose answer of the store is slow.
+fn read_servers(mirror: &Mirror, truth: &Truth, now: Instant) {
+    let after = mirror.servers_position();
+    if after == 0 {
+        return;
+    }
+    let newer = truth.changes.iter().filter(|c| c.revision > after);
+    let newer = newer.filter(|c| c.key.starts_with("servers/")).cloned();
+    mirror.advance_servers(newer.collect(), truth.revision(), now, now);
+}
+
 #[derive(Debug, Clone)]
 enum Act {
     /// A configuration, large or small.
@@ -264,6 +283,8 @@
     Remove(u8),
     /// A node reads the store: whole, or what has changed.
     Read(usize, bool),
+    /// A node reads the servers' entries apart.
+    ReadServers(usize),
     /// One node's statement reaches another, this many steps late.
     Tell(usize, usize, u8),
     /// One node gives another what it lacks, small values only or all.
@@ -278,6 +299,7 @@
         (0u8..3).prop_map(Act::Life),
         (0u8..3).prop_map(Act::Remove),
         (0usize..3, any::<bool>()).prop_map(|(n, whole)| Act::Read(n, whole)),
+        (0usize..3).prop_map(Act::ReadServers),
         (0usize..3, 0usize..3, 0u8..4).prop_map(|(a, b, late)| Act::Tell(a, b, late)),
         (0usize..3, 0usize..3, any::<bool>()).prop_map(|(a, b, all)| Act::Give(a, b, all)),
         (1u16..900).prop_map(Act::Wait),
@@ -308,6 +330,7 @@
                         false => read(mirror, &truth, now),
                     }
                 }
+                Act::ReadServers(n) => read_servers(&nodes[n].mirror, &truth, now),
                 Act::Tell(from, to, late) => {
                     if let Some(statement) = nodes[from].mirror.statement(now) {
                         said[to].push((statement, now));
@@ -353,9 +376,14 @@
             match act {
                 // A daemon reads everything only when it has nothing yet.
                 Act::Read(n, _) => read(&nodes[n].mirror, &truth, now),
+                Act::ReadServers(n) => {
+                    read_servers(&nodes[n].mirror, &truth, now);
+                    ahead[n] = truth.revision();
+                }
                 Act::Tell(from, to, _) => {
                     if let Some(statement) = nodes[from].mirror.statement(now) {
                         nodes[to].mirror.hear(statement, now, now);
+                        ahead[to] = ahead[to].max(ahead[from]);
                     }
                 }
                 Act::Give(from, to, all) => {
@@ -369,8 +397,9 @@
         for (node, ahead) in nodes.iter().zip(ahead) {
             node.mirror.tick(now + Duration::from_secs(10));
             let position = node.mirror.position();
+            let servers = node.mirror.servers_position();
             let had = |id: &String| {
-                let mut had = (position..=ahead.max(position)).map(|r| truth.servers_at(r).contains(id));
+                let mut had = (servers..=ahead.max(servers)).map(|r| truth.servers_at(r).contains(id));
                 let has = node.servers().contains(id);
                 had.any(|had| had == has)
             };
@@ -516,7 +545,8 @@
     read(&giver.mirror, &truth, now);
     giver.give(&taker, false, now);
     let ahead = taker.mirror.statement(now).expect("it has read");
-    assert_eq!(other.mirror.lack(&ahead), Lack::Nothing, "it vouches for no more than it holds");
+    assert_eq!((ahead.position, ahead.servers), (3, 5), "it vouches for no more than it holds");
+    assert_eq!(other.mirror.hear(ahead, now, now), Lack::Changes, "a server's leaving is told on");
     giver.give(&taker, true, now);
     let whole = taker.mirror.statement(now).expect("it has read");
     assert_eq!(other.mirror.hear(whole, now, now), Lack::Changes);
@@ -540,3 +570,19 @@
     assert_eq!(taker.mirror.hear(statement, now, now), Lack::Nothing);
     assert_eq!(taker.gateway.in_force.revision(), 4);
 }
+
+#[test]
+fn servers_that_were_read_apart_are_told_on() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let (mut truth, reader, taker) = two_that_have_read(now);
+    truth.take(&Act::Declare(true), now);
+    truth.take(&Act::Remove(1), now);
+    read_servers(&reader.mirror, &truth, now);
+    assert!(!reader.takes_work("1"));
+    let statement = reader.mirror.statement(now).expect("it has read");
+    assert_eq!((statement.position, statement.changed), (3, 3), "the configuration is lacking");
+    assert_eq!(taker.mirror.hear(statement, now, now), Lack::Changes);
+    reader.give(&taker, false, now);
+    assert!(!taker.takes_work("1"));
+    assert_eq!(taker.mirror.hear(statement, now, now), Lack::Nothing);
+}
