--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,10 +4,11 @@
 use crate::message;
 use crate::tls::{Identity, NAME};
 use futures_util::future::BoxFuture;
+use log::warn;
 use prometheus::IntCounterVec;
 use quinn::{
-    ClientConfig, Connection, Endpoint, IdleTimeout, RecvStream, SendStream, ServerConfig,
-    TransportConfig, VarInt,
+    ClientConfig, Connection, ConnectionError, Endpoint, IdleTimeout, RecvStream, SendStream,
+    ServerConfig, TransportConfig, VarInt,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -64,7 +65,12 @@
 pub struct Peers {
     endpoint: Endpoint,
     links: Mutex<HashMap<SocketAddr, Connection>>,
+    /// Peers that were last not reached, or fell silent, on the way between the two usual ports. Such a
+    /// way may be silent for good, and only a new one works.
+    silent: Mutex<HashSet<SocketAddr>>,
     cut: Mutex<HashSet<SocketAddr>>,
+    /// For connections from other ports than the one that is listened on.
+    client: ClientConfig,
     traffic: Traffic,
 }
 
@@ -87,8 +93,15 @@
         let refused =
             |e: std::io::Error| Error::Listen { addr: addr.to_string(), reason: e.to_string() };
         let mut endpoint = Endpoint::server(server, addr).map_err(refused)?;
-        endpoint.set_default_client_config(client);
-        Ok(Peers { endpoint, links: Mutex::default(), cut: Mutex::default(), traffic })
+        endpoint.set_default_client_config(client.clone());
+        Ok(Peers {
+            endpoint,
+            links: Mutex::default(),
+            silent: Mutex::default(),
+            cut: Mutex::default(),
+            client,
+            traffic,
+        })
     }
 
     /// Where it listens.
@@ -187,16 +200,43 @@
             return None;
         }
         let known = self.links.lock().expect("links").get(&to).cloned();
-        if let Some(link) = known.filter(|l| l.close_reason().is_none()) {
-            return Some(link);
+        match known.as_ref().map(Connection::close_reason) {
+            Some(None) => return known,
+            Some(Some(ConnectionError::TimedOut)) => {
+                self.links.lock().expect("links").remove(&to);
+                self.silent.lock().expect("silent").insert(to);
+            }
+            _ => {}
         }
-        let connecting = self.endpoint.connect(to, NAME).ok()?;
-        let link = timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()?;
+        let link = self.connect(to).await?;
         self.keep(link.clone());
         tokio::spawn(self.clone().read_owned(link.clone(), handler.clone()));
         Some(link)
     }
 
+    /// Connects from the usual port, or from a new one where that way was silent the last time.
+    async fn connect(&self, to: SocketAddr) -> Option<Connection> {
+        let was_silent = self.silent.lock().expect("silent").remove(&to);
+        let endpoint = if was_silent { self.on_new_port()? } else { self.endpoint.clone() };
+        let connecting = endpoint.connect(to, NAME).ok()?;
+        let link = timeout(CONNECT_LIMIT, connecting).await.ok().and_then(Result::ok);
+        if link.is_none() && !was_silent {
+            self.silent.lock().expect("silent").insert(to);
+        }
+        link
+    }
+
+    /// An endpoint that lasts as long as its connections.
+    fn on_new_port(&self) -> Option<Endpoint> {
+        let ip = self.endpoint.local_addr().ok()?.ip();
+        let bound = Endpoint::client(SocketAddr::new(ip, 0));
+        let mut endpoint = bound
+            .inspect_err(|e| warn!(why = e.to_string().as_str(); "no new port for a peer"))
+            .ok()?;
+        endpoint.set_default_client_config(self.client.clone());
+        Some(endpoint)
+    }
+
     fn keep(&self, link: Connection) {
         let mut links = self.links.lock().expect("links");
         links.retain(|_, l| l.close_reason().is_none());
