Test that fails: word of a read of the store grows younger as it goes round (known red)

The same class once more, found in reading the change: read_ms counts no time on the way, and each daemon takes the youngest word that it hears, so that 50 heartbeats of 20 ms make a read one second younger. Daemons may leave reading to one that has ended.

--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -243,6 +243,34 @@
     assert_eq!(watcher.view.read(), Some(watcher.start + ms(800)));
 }
 
+#[test]
+fn word_of_a_read_does_not_grow_younger_as_it_goes_round() {
+    // Time that a heartbeat is on its way, as on a busy link.
+    let way = ms(20);
+    let fleet = fleet(1, 3);
+    let mut watchers = [0, 1].map(|own| {
+        let mut view = View::new(fleet[own].clone());
+        let start = Instant::now();
+        view.divide(without(&fleet, &fleet[own]), |_| None, start);
+        Watcher { view, fleet: fleet.clone(), start }
+    });
+    let start = watchers[0].start;
+    watchers[1].start = start;
+    watchers[0].view.has_read(Some(start));
+    let mut now = start;
+    for round in 0..50 {
+        let (from, to) = (round % 2, (round + 1) % 2);
+        let read = watchers[from].view.read().expect("it was told");
+        let mut beat = watchers[from].beat(&fleet[from], round as u64 + 1);
+        beat.read_ms = Some((now - read).as_millis() as u32);
+        now += way;
+        watchers[to].view.note(&beat, now);
+    }
+    for watcher in &watchers {
+        assert!(watcher.view.read() <= Some(start), "nobody has read since");
+    }
+}
+
 #[test]
 fn one_daemon_of_a_divided_fleet_reads_first() {
     let fleet = fleet(4, 15);
