--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -208,29 +208,30 @@
 
     /// What a copy at `after` lacks, large values left out.
     pub fn update_after(&self, after: u64, now: Instant) -> Option<Update> {
-        let mut update = self.all_after(after, now)?;
-        let cells = update.cells.len();
-        update.cells.retain(|cell| cell.value.as_ref().is_none_or(|value| value.len() <= SMALL));
-        update.complete = update.cells.len() == cells;
-        Some(update)
+        self.update(after, SMALL, now)
     }
 
     /// All that a copy at `after` lacks.
     pub fn all_after(&self, after: u64, now: Instant) -> Option<Update> {
+        self.update(after, usize::MAX, now)
+    }
+
+    /// What a copy at `after` lacks, of values with up to `most` bytes.
+    fn update(&self, after: u64, most: usize, now: Instant) -> Option<Update> {
         let statement = self.statement(now)?;
         let state = self.state();
         let whole = after < state.forgotten;
-        let cells = state
-            .held
-            .iter()
-            .filter(|(_, held)| whole || held.revision > after)
-            .map(|(key, held)| Cell {
-                key: key.clone(),
-                revision: held.revision,
-                value: held.value.as_ref().map(|v| v.to_vec()),
-            })
-            .collect();
-        Some(Update { statement, whole, complete: true, cells })
+        let lacking = state.held.iter().filter(|(_, held)| whole || held.revision > after);
+        // Told apart before any value is copied: a large one may have a megabyte.
+        let (given, left): (Vec<_>, Vec<_>) =
+            lacking.partition(|(_, held)| held.value.as_ref().is_none_or(|v| v.len() <= most));
+        let cell = |(key, held): (&String, &Held)| Cell {
+            key: key.clone(),
+            revision: held.revision,
+            value: held.value.as_ref().map(|v| v.to_vec()),
+        };
+        let cells = given.into_iter().map(cell).collect();
+        Some(Update { statement, whole, complete: left.is_empty(), cells })
     }
 
     /// Takes in what a peer gave, true at `seen` or later.
