--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -1,39 +1,58 @@
 //! This daemon's own key in the store, kept under a lease while it serves.
 
 use crate::gateway::listen::Phase;
+use crate::gateway::mirror::Mirror;
 use crate::gateway::port::{Schema, Store};
-use crate::gateway::roster::Daemon;
+use crate::gateway::roster::Roster;
 use crate::platform::{LeaseId, PlatformResult};
 use log::{info, warn};
+use rand::RngExt;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// Time after which the key of a daemon that died is gone. Others notice its silence much sooner;
-/// the key is for first contact.
-const LEASE: Duration = Duration::from_millis(8_000);
-/// Time between two renewals: two may fail and the next still comes in time.
-const RENEWAL: Duration = Duration::from_millis(2_600);
-/// Pause after a call that failed; it doubles with each further one, since every call is priced.
-const AFTER_FAILURE: Duration = Duration::from_millis(400);
-/// Longest such pause: the key is back so long after the store, while those that have heard the
-/// daemon go on without.
-const LONGEST_PAUSE: Duration = Duration::from_millis(3_000);
+/// the key is for first contact and for the division into cells, where a silent daemon is passed over.
+const LEASE: Duration = Duration::from_secs(30);
+/// Time between two renewals: two may fail and the next still comes in time. A fleet's renewals are
+/// calls to the store that grow with it.
+const RENEWAL: Duration = Duration::from_secs(9);
+/// Pause after a first call that failed; it doubles with each further one, since every call is priced.
+const AFTER_FAILURE: Duration = Duration::from_millis(500);
+/// Longest such pause, and the pause where an earlier lease still runs.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Time between two looks at whether the store is back.
+const LOOK: Duration = Duration::from_millis(200);
+/// Time between two looks at whether the store was read for the first time.
+const FIRST_LOOK: Duration = Duration::from_millis(10);
+/// Longest time for the first read of the store, which tells whether the key still stands.
+const FIRST_READ: Duration = Duration::from_secs(1);
+/// Part of a pause that is drawn at random, so that daemons which started together don't call together.
+const DRAWN_PART: f64 = 0.3;
 
 /// Keeps the key while the daemon serves, then takes it away.
 pub async fn run(
     store: Arc<dyn Store>,
     schema: Arc<dyn Schema>,
-    own: Daemon,
+    roster: Arc<Roster>,
+    mirror: Arc<Mirror>,
     mut phase: watch::Receiver<Phase>,
 ) {
+    let own = roster.own();
     let key = format!("{}{}", schema.daemons(), own.vm);
-    let value = serde_json::to_vec(&own).expect("a daemon's record is JSON");
+    let value = serde_json::to_vec(own).expect("a daemon's record is JSON");
     let mut lease = None;
     let mut after_failure = AFTER_FAILURE;
+    let mut first = first_pause(&roster, &mirror).await;
     loop {
-        let step = keep(&*store, &key, &value, lease);
+        let step = async {
+            sleep(std::mem::take(&mut first)).await;
+            while mirror.store_is_away() {
+                sleep(LOOK).await;
+            }
+            keep(&*store, &key, &value, lease).await
+        };
         let kept = tokio::select! {
             kept = step => kept,
             _ = phase.wait_for(|phase| *phase >= Phase::Leaving) => break,
@@ -42,13 +61,13 @@
             Ok(id) => {
                 lease = Some(id);
                 after_failure = AFTER_FAILURE;
-                RENEWAL
+                drawn(RENEWAL)
             }
             Err(e) => {
                 warn!(why = e.to_string().as_str(); "own key not kept in the store");
-                let pause = after_failure;
+                let pause = if lease.is_some() { LONGEST_PAUSE } else { after_failure };
                 after_failure = (after_failure * 2).min(LONGEST_PAUSE);
-                pause
+                drawn(pause)
             }
         };
         tokio::select! {
@@ -64,6 +83,21 @@
     }
 }
 
+/// Time until the key has to be written: none, unless the key that an earlier start of the daemon left
+/// still stands. It is then due when that start would have renewed its lease.
+async fn first_pause(roster: &Roster, mirror: &Mirror) -> Duration {
+    let began = Instant::now();
+    while mirror.position() == 0 && began.elapsed() < FIRST_READ {
+        sleep(FIRST_LOOK).await;
+    }
+    if roster.lists_own() { drawn(RENEWAL) } else { Duration::ZERO }
+}
+
+/// A pause with a part of it drawn at random.
+fn drawn(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(1.0 - DRAWN_PART..=1.0))
+}
+
 /// Renews the lease, or opens one and writes the key under it.
 async fn keep(
     store: &dyn Store,
--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::budget::Spent;
 use crate::gateway::cell::CellId;
+use crate::gateway::clock::Echo;
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::roster::Daemon;
 use crate::gateway::servers::{Load, Signs};
@@ -34,17 +35,17 @@
     pub failed_ms: Option<u32>,
     /// The sender's cell.
     pub cell: CellId,
-    /// Of how many daemons `told` is the sum; `None` where it is the sender's own.
-    pub members: Option<u32>,
-    /// What it, or its cell, has running and has spent.
+    /// What it has running and has spent; nothing for a receiver of another cell.
     pub told: Told,
+    /// Sums of other daemons' words, made by the sender or passed on.
+    pub sums: Vec<Sum>,
     /// What the sender knows of servers otherwise than from the store.
     pub signs: Signs,
     /// Some of the daemons of its cell that it hears.
     pub others: Vec<SocketAddr>,
 }
 
-/// What one daemon, or all of a cell, have running and have spent.
+/// What one daemon, or several together, have running and have spent.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Told {
     /// What runs where.
@@ -55,15 +56,36 @@
     pub outcomes: Vec<(Tag, Outcomes)>,
 }
 
-/// A clock that is returned to its owner.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub struct Echo {
-    /// The start of the process whose clock it is.
-    pub boot: u64,
-    /// The clock, in microseconds since that start.
-    pub stamp: u64,
-    /// How long the returning daemon has had it, in microseconds.
-    pub held: u64,
+/// Whose words a sum adds up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Origin {
+    /// The daemons of a cell; told in its hall.
+    Cell(CellId),
+    /// The daemons of a hall; told to other halls.
+    Hall(Tag),
+    /// The daemons of all halls but the receiver's; told in a cell.
+    OtherHalls,
+}
+
+/// What several daemons told, added up by one of them.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Sum {
+    /// Whose words it adds up.
+    pub origin: Origin,
+    /// The start of the process that made it.
+    pub maker: u64,
+    /// That process's clock then, in microseconds: a later sum of the same maker has a higher one.
+    pub made: u64,
+    /// How long ago that was, in milliseconds.
+    pub age_ms: u32,
+    /// Names of the daemons of a cell, or of the halls of `OtherHalls`, that it holds.
+    pub members: Vec<Tag>,
+    /// How many daemons it holds.
+    pub daemons: u32,
+    /// Where callers may be sent: some of these daemons.
+    pub entries: Vec<SocketAddr>,
+    /// What they have running and have spent.
+    pub told: Told,
 }
 
 /// A request between daemons.
--- a/src/gateway/cell.rs
+++ b/src/gateway/cell.rs
@@ -1,29 +1,34 @@
 //! Which daemons tell each other everything, and which pass on sums.
 //!
 //! A small fleet is one cell: every daemon hears every other one. A larger fleet is divided into
-//! cells by hall, and a hall with many daemons into several. Within a cell daemons tell each other
-//! their own loads; to each other cell a daemon has one contact, which it tells the sums of its
-//! cell. What a daemon sends is so bounded by the size of a cell and the number of contacts, not by
-//! the size of the fleet. Nothing is agreed upon: each daemon derives the division from the daemons
-//! that it knows, and where two see it differently for a moment, a sum is late.
+//! cells by hall, and a hall with many daemons into several of even size. Within a cell daemons tell
+//! each other their own loads. One daemon of each cell, its relay, tells the sum of the cell to the
+//! relays of the hall's other cells; for each other hall, the relay of one cell tells the sum of the
+//! hall to a relay there; and each relay passes on to its cell what it hears. A daemon that others take
+//! for a relay gives what it is told to the one that is. So a daemon's messages
+//! are bounded by the size of a cell, a relay's also by the number of halls, and each pair of halls is
+//! crossed by one pair of daemons.
+//!
+//! Nothing is agreed upon: each daemon derives the division from the daemons that it knows, and
+//! says in which cell it sees itself; it counts there and nowhere else.
 
 use crate::gateway::roster::Daemon;
 use crate::gateway::tag::Tag;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
 /// Daemons up to which a fleet is one cell: twice the users' small deployments.
 pub const ONE_CELL: usize = 14;
 /// Daemons of one hall up to which the hall is one cell. A cell's heartbeats are its size squared.
 pub const MOST_IN_CELL: usize = 20;
-/// Other cells to which a daemon has a contact; further ones are heard through them.
-pub const MOST_CONTACTS: usize = 8;
 
 /// A cell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellId {
-    hall: Tag,
+    /// The hall's name; no name where the whole fleet is one cell.
+    pub hall: Tag,
     part: u32,
 }
 
@@ -34,59 +39,93 @@
     pub own: CellId,
     /// The daemons of its cell, itself not among them.
     pub near: HashSet<SocketAddr>,
-    /// The daemons of other cells that it tells the sums of its own.
-    pub contacts: HashSet<SocketAddr>,
+    /// Whether it is the relay of its cell.
+    pub relay: bool,
+    /// The cell's relay where that is another daemon.
+    pub through: Option<SocketAddr>,
+    /// Relays of the hall's other cells, which a relay tells the sum of its own.
+    pub siblings: HashSet<SocketAddr>,
+    /// Relays in other halls, which it tells the sum of its hall.
+    pub halls: HashSet<SocketAddr>,
     /// Whether the fleet is more than one cell.
     pub divided: bool,
 }
 
 impl Layout {
-    /// The division of a fleet of `own` and `others`. Contacts that `is_silent` says don't answer are
-    /// passed over where another daemon of their cell does.
+    /// The division of a fleet of `own` and `others`. A cell's relay is its strongest daemon of which
+    /// `is_silent` does not say that it doesn't answer.
     pub fn of(own: &Daemon, others: &[Daemon], is_silent: impl Fn(SocketAddr) -> bool) -> Layout {
         let divided = others.len() + 1 > ONE_CELL;
-        let sizes = hall_sizes(own, others);
-        let cell = |daemon: &Daemon| match divided {
-            true => cell_of(daemon, sizes.get(daemon.hall.as_str()).copied().unwrap_or(1)),
-            false => CellId { hall: Tag::of(""), part: 0 },
-        };
-        let mut cells: BTreeMap<CellId, Vec<&Daemon>> = BTreeMap::new();
-        for daemon in others {
-            cells.entry(cell(daemon)).or_default().push(daemon);
+        let mut halls: BTreeMap<Tag, Vec<&Daemon>> = BTreeMap::new();
+        for daemon in others.iter().chain([own]) {
+            let hall = if divided { hall_of(daemon) } else { Tag::of("") };
+            halls.entry(hall).or_default().push(daemon);
         }
-        let own_cell = cell(own);
-        let near = cells.remove(&own_cell).unwrap_or_default();
-        let own_tag = Tag::of(&own.vm);
-        let mut distant: Vec<(Tag, Vec<&Daemon>)> = cells
-            .into_iter()
-            .map(|(id, daemons)| (own_tag.with(id.hall.with(Tag::number(id.part.into()))), daemons))
-            .collect();
-        distant.sort_by_key(|(order, _)| *order);
-        let contact = |daemons: &[&Daemon]| {
-            let order = |d: &&&Daemon| (is_silent(d.peers), own_tag.with(Tag::of(&d.vm)));
-            daemons.iter().min_by_key(order).map(|d| d.peers)
-        };
-        let contacts = distant.iter().take(MOST_CONTACTS);
-        Layout {
+        let own_hall = if divided { hall_of(own) } else { Tag::of("") };
+        let cells = cells(halls.remove(&own_hall).unwrap_or_default(), divided);
+        let part = cells.iter().position(|cell| cell.iter().any(|d| d.vm == own.vm)).unwrap_or(0);
+        let near: Vec<&Daemon> = cells[part].iter().copied().filter(|d| d.vm != own.vm).collect();
+        let before = near.iter().filter(|d| !is_silent(d.peers) && rank(d) < rank(own));
+        let through = before.min_by_key(|d| rank(d)).map(|d| d.peers).filter(|_| divided);
+        let relay = divided && through.is_none();
+        let near = near.into_iter().map(|d| d.peers).collect();
+        // Halls have far fewer cells than 2^32.
+        let own_cell = CellId { hall: own_hall, part: part as u32 };
+        let mut layout = Layout {
             own: own_cell,
-            near: near.into_iter().map(|d| d.peers).collect(),
-            contacts: contacts.filter_map(|(_, daemons)| contact(daemons)).collect(),
+            near,
+            relay,
+            through,
+            siblings: HashSet::new(),
+            halls: HashSet::new(),
             divided,
+        };
+        if relay {
+            let siblings = cells.iter().enumerate().filter(|(i, _)| *i != part);
+            layout.siblings = siblings.filter_map(|(_, cell)| contact(cell, &is_silent)).collect();
+            let duties = halls
+                .into_iter()
+                .filter(|(hall, _)| duty(own_hall, *hall) % cells.len() as u64 == part as u64);
+            let reached = duties.filter_map(|(hall, daemons)| {
+                let theirs = self::cells(daemons, true);
+                let at = (duty(own_hall, hall) % theirs.len() as u64) as usize;
+                contact(&theirs[at], &is_silent)
+            });
+            layout.halls = reached.collect();
         }
+        layout
     }
-}
 
-fn hall_sizes<'a>(own: &'a Daemon, others: &'a [Daemon]) -> HashMap<&'a str, usize> {
-    let mut sizes = HashMap::new();
-    for daemon in others.iter().chain([own]) {
-        *sizes.entry(daemon.hall.as_str()).or_default() += 1;
+    /// All daemons that this one tells something unasked.
+    pub fn partners(&self) -> impl Iterator<Item = SocketAddr> {
+        self.near.iter().chain(&self.siblings).chain(&self.halls).copied()
     }
-    sizes
 }
 
-fn cell_of(daemon: &Daemon, in_hall: usize) -> CellId {
-    let parts = in_hall.div_ceil(MOST_IN_CELL).max(1) as u64;
-    // Below the number of parts, which is small.
-    let part = (Tag::of(&daemon.vm).value() % parts) as u32;
-    CellId { hall: Tag::of(&daemon.hall), part }
+fn hall_of(daemon: &Daemon) -> Tag {
+    Tag::of(&daemon.hall)
+}
+
+/// The order of a cell's daemons as its relay: strong ones first, since a relay passes on for all.
+fn rank(daemon: &Daemon) -> (Reverse<u32>, Tag) {
+    (Reverse(daemon.strength), Tag::of(&daemon.vm))
+}
+
+/// The cells of one hall, at least one: parts of even size of its daemons in the order of their
+/// names' tags, so that one that comes or goes moves at most one daemon between two parts.
+fn cells(mut daemons: Vec<&Daemon>, divided: bool) -> Vec<Vec<&Daemon>> {
+    daemons.sort_by_cached_key(|d| Tag::of(&d.vm));
+    let count = if divided { daemons.len().div_ceil(MOST_IN_CELL).max(1) } else { 1 };
+    let bound = |i: usize| daemons.len() * i / count;
+    (0..count).map(|i| daemons[bound(i)..bound(i + 1)].to_vec()).collect()
+}
+
+/// The daemon of a cell that is told its sums: its relay, as far as this daemon can tell.
+fn contact(cell: &[&Daemon], is_silent: impl Fn(SocketAddr) -> bool) -> Option<SocketAddr> {
+    cell.iter().min_by_key(|d| (is_silent(d.peers), rank(d))).map(|d| d.peers)
+}
+
+/// A number for a pair of halls, the same seen from both: it chooses the cells whose relays cross.
+fn duty(one: Tag, other: Tag) -> u64 {
+    one.min(other).with(one.max(other)).value()
 }
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -4,16 +4,19 @@
 //! Nothing rests on one daemon and nothing is agreed upon. A heartbeat carries the sender's clock
 //! and returns the receiver's, so that each statement in it is known to have been true at a moment
 //! of the receiver's own clock, however long it was on the way. Within a [cell](crate::gateway::cell)
-//! heartbeats come several times a second and as soon as a load changes; between cells they carry sums.
+//! heartbeats come several times a second and as soon as a load changes; between cells and halls, relays
+//! tell sums.
 
 use crate::error::Result;
 use crate::gateway::beat::{Beat, Request, Told};
+use crate::gateway::clock::{Clock, millis};
 use crate::gateway::core::Gateway;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::Mirror;
+use crate::gateway::partner::{self, Pace, Relation};
 use crate::gateway::roster::Roster;
 use crate::gateway::update::{Lack, Update};
-use crate::gateway::view::View;
+use crate::gateway::view::{Own, View};
 use crate::message;
 use crate::peer::{Handler, Held, LinkLimits, Peers};
 use crate::tls::Identity;
@@ -28,16 +31,9 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, sleep_until};
 
-/// Time between two heartbeats within a cell where nothing changes: three of them within the silence
-/// after which a daemon is taken as gone.
-const BEAT: Duration = Duration::from_millis(250);
 /// Least time between two heartbeats to one daemon for changes of load: changes that come together
 /// are told together.
 const SPACING: Duration = Duration::from_millis(40);
-/// Time between two heartbeats to a contact in another cell.
-const FAR_BEAT: Duration = Duration::from_millis(300);
-/// Time between two attempts to reach a daemon that does not answer.
-const GREET: Duration = Duration::from_millis(400);
 /// Time between two divisions of the fleet into cells, and two looks for daemons to be greeted.
 const DIVIDE: Duration = Duration::from_millis(100);
 /// Age of the last read of the store by any daemon up to which the others need not read it.
@@ -62,27 +58,12 @@
 /// Links are given up soon after their peer falls silent, and made anew when it is back.
 const LINKS: LinkLimits = LinkLimits { idle_ms: 2_000, streams: 32 };
 
-/// What a daemon is to another one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Relation {
-    /// Of the same cell.
-    Near,
-    /// Chosen from another cell.
-    Chosen,
-    /// From another cell, and has chosen this daemon.
-    ChoseUs,
-    /// An address from the settings or another daemon's word, which was never heard.
-    Unknown,
-}
-
 /// See the module.
 pub struct Cluster {
     gateway: Arc<Gateway>,
     mirror: Arc<Mirror>,
     roster: Arc<Roster>,
     links: Arc<Peers>,
-    boot: u64,
-    started: Instant,
     view: Mutex<View>,
     /// Addresses from the settings that are tried for first contact.
     seeds: Mutex<Vec<SocketAddr>>,
@@ -114,14 +95,13 @@
         links: Peers,
         ready: Box<dyn Fn() -> bool + Send + Sync>,
     ) -> Arc<Cluster> {
-        let view = View::new(roster.own().clone());
+        let clock = Clock::new(rand::rng().random(), Instant::now());
+        let view = View::new(roster.own().clone(), clock);
         Arc::new(Cluster {
             gateway,
             mirror,
             roster,
             links: Arc::new(links),
-            boot: rand::rng().random(),
-            started: Instant::now(),
             view: Mutex::new(view),
             seeds: Mutex::default(),
             named: Mutex::default(),
@@ -163,7 +143,7 @@
     }
 
     /// Whether this daemon should read the store now: no daemon did lately, or what it lacks was
-    /// not given to it by one that has it.
+    /// not given to it by one that has it. Where others ask in vain, daemons join them one by one.
     pub fn should_read(&self, now: Instant) -> bool {
         if self.is_behind(now) {
             return true;
@@ -173,10 +153,16 @@
         if before == 0 {
             return true;
         }
+        let read = view.read();
+        if self.mirror.last_failure().is_some_and(|failed| Some(failed) > read) {
+            let since = read.unwrap_or(view.clock().started());
+            let turn = READ_STEP.saturating_mul(view.knock_turn(self.roster.count()));
+            return now.saturating_duration_since(since) > READ_LATELY + turn;
+        }
         let turn = READ_STEP.saturating_mul(u32::try_from(before).unwrap_or(u32::MAX));
         let told_late = if view.layout().divided { TOLD_LATE } else { Duration::ZERO };
         let lately = READ_LATELY + told_late + turn.min(LONGEST_TURN);
-        view.read().is_none_or(|read| now.saturating_duration_since(read) > lately)
+        read.is_none_or(|read| now.saturating_duration_since(read) > lately)
     }
 
     /// How many daemons are to read the store before this one.
@@ -220,10 +206,7 @@
     /// Daemons that this one sends heartbeats to.
     fn wanted(&self, now: Instant) -> Vec<SocketAddr> {
         let view = self.view();
-        let layout = view.layout();
-        let mut wanted: Vec<SocketAddr> =
-            layout.near.iter().chain(&layout.contacts).copied().collect();
-        wanted.extend(view.chose_us(now));
+        let mut wanted = view.partners(now);
         let unknown = |addr: &SocketAddr| self.is_unknown(&view, *addr);
         let seeds = self.seeds.lock().expect("no holder panics");
         wanted.extend(seeds.iter().copied().filter(unknown));
@@ -235,16 +218,8 @@
     /// What a daemon is to this one; `None` where no heartbeats are due to it.
     fn relation(&self, addr: SocketAddr, now: Instant) -> Option<Relation> {
         let view = self.view();
-        if view.layout().near.contains(&addr) {
-            return Some(Relation::Near);
-        }
-        if view.layout().contacts.contains(&addr) {
-            return Some(Relation::Chosen);
-        }
-        if view.has_chosen_us(addr, now) {
-            return Some(Relation::ChoseUs);
-        }
-        self.is_unknown(&view, addr).then_some(Relation::Unknown)
+        let stranger = || self.is_unknown(&view, addr).then_some(Relation::Unknown);
+        view.relation(addr, now).or_else(stranger)
     }
 
     /// Whether an address is neither listed by the store nor heard.
@@ -272,22 +247,22 @@
 
     async fn talk(self: &Arc<Self>, addr: SocketAddr, handler: &Arc<dyn Handler>) {
         let (mut news, mut loads) = (self.gateway.news(), self.gateway.load_news());
+        let mut pace = Pace::default();
         loop {
             let now = Instant::now();
             let Some(relation) = self.relation(addr, now) else {
                 return;
             };
-            let beat = self.beat(addr, relation, now);
+            let beat = self.beat(addr, relation, &mut pace, now);
             // What changes from here on is not in this heartbeat.
             news.mark_unchanged();
             loads.mark_unchanged();
-            self.links.datagram(addr, &beat, handler).await;
-            let heard = self.view().hears(addr, Instant::now());
-            let pause = match relation {
-                _ if !heard => GREET,
-                Relation::Near => BEAT,
-                _ => FAR_BEAT,
+            self.links.tell(addr, &beat, handler).await;
+            let (heard, relay) = {
+                let view = self.view();
+                (view.hears(addr, Instant::now()), view.layout().relay)
             };
+            let pause = partner::pause(relation, relay, heard);
             let pause = pause.mul_f64(rand::rng().random_range(0.9..1.1));
             let near = heard && relation == Relation::Near;
             tokio::select! {
@@ -299,38 +274,29 @@
         }
     }
 
-    fn beat(&self, to: SocketAddr, relation: Relation, now: Instant) -> Beat {
-        let view = self.view();
+    fn beat(&self, to: SocketAddr, relation: Relation, pace: &mut Pace, now: Instant) -> Beat {
+        let mut view = self.view();
         let spent = self.gateway.spent(now);
-        let (own, signs) = {
+        let (told, signs) = {
             let servers = self.gateway.servers();
             let (loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
             (Told { loads, spent, outcomes }, servers.signs(now))
         };
-        let (members, told) = match relation {
-            Relation::Near | Relation::Unknown => (None, own),
-            Relation::Chosen | Relation::ChoseUs => {
-                let (members, told) = view.cell_sum(own, now);
-                (Some(members), told)
-            }
-        };
+        let own = Own { told, ready: (self.ready)() };
         let near = relation == Relation::Near;
         Beat {
             daemon: self.roster.own().clone(),
-            boot: self.boot,
-            stamp: micros(self.started, now),
+            boot: view.clock().boot(),
+            stamp: view.clock().stamp(now),
             echo: view.echo(to, now),
-            ready: (self.ready)(),
-            chosen: relation == Relation::Chosen,
+            ready: own.ready,
+            chosen: relation == Relation::Unknown || view.has_chosen(to),
             statement: self.mirror.statement(now),
-            read_ms: view.read().map(|at| millis(now.saturating_duration_since(at))),
-            failed_ms: self
-                .mirror
-                .last_failure()
-                .map(|at| millis(now.saturating_duration_since(at))),
+            read_ms: view.read().map(|at| millis(at, now)),
+            failed_ms: self.mirror.last_failure().map(|at| millis(at, now)),
             cell: view.layout().own,
-            members,
-            told,
+            sums: view.sums_for(to, relation, &own, pace, now),
+            told: if near { own.told } else { Told::default() },
             signs,
             others: if near { view.named(NAMED, now) } else { Vec::new() },
         }
@@ -338,27 +304,23 @@
 
     fn hear(self: &Arc<Self>, beat: Beat, now: Instant) {
         let from = beat.daemon.peers;
-        let seen = beat.echo.filter(|echo| echo.boot == self.boot).and_then(|echo| {
-            self.started.checked_add(Duration::from_micros(echo.stamp.checked_add(echo.held)?))
-        });
-        let heard = {
+        let (sent, heard) = {
             let mut view = self.view();
+            let noted = view.note(&beat, now);
             // Daemons wait for each other's moves by what those of their cell have running.
-            let noted = view.note(&beat, now) && beat.members.is_none();
-            noted.then(|| view.heard(now))
+            let near = noted && view.relation(from, now) == Some(Relation::Near);
+            (view.clock().sent(beat.echo, now), near.then(|| view.heard(now)))
         };
-        self.gateway.servers().take_signs(&beat.signs, now);
+        self.gateway.servers().take_signs(&beat.signs, sent, now);
         if let Some(heard) = heard {
             self.gateway.servers().set_others(&heard);
         }
-        self.hear_of_store(&beat, now);
+        self.hear_of_store(&beat, sent, now);
         self.named.lock().expect("no holder panics").extend(beat.others);
         let Some(statement) = beat.statement else {
             return;
         };
-        // What was true when the peer last had this daemon's clock, less the age it tells.
-        let age = Duration::from_millis(statement.age_ms.into());
-        let seen = seen.filter(|seen| *seen <= now).and_then(|seen| seen.checked_sub(age));
+        let seen = sent.and_then(|sent| before(sent, statement.age_ms));
         let lack = match seen {
             Some(seen) => self.mirror.hear(statement, seen, now),
             None => self.mirror.lack(&statement),
@@ -373,8 +335,8 @@
     }
 
     /// Takes over when the store was last read, and last asked in vain, as far as a peer knows.
-    fn hear_of_store(&self, beat: &Beat, now: Instant) {
-        let at = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
+    fn hear_of_store(&self, beat: &Beat, sent: Option<Instant>, now: Instant) {
+        let at = |ms: u32| sent.and_then(|sent| before(sent, ms));
         if let Some(failed) = beat.failed_ms.and_then(at) {
             self.mirror.store_failed(failed);
         }
@@ -408,9 +370,9 @@
             return None;
         };
         let update = given?;
-        let age = Duration::from_millis(update.statement.age_ms.into());
         // Before this process's clock began, nothing can have been seen.
-        let seen = asked.checked_sub(age).unwrap_or(self.started);
+        let seen =
+            before(asked, update.statement.age_ms).unwrap_or_else(|| self.view().clock().started());
         let complete = update.complete;
         self.mirror.apply(update, seen, Instant::now());
         if complete {
@@ -439,12 +401,9 @@
     sleep_until(least.into()).await;
 }
 
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn micros(since: Instant, now: Instant) -> u64 {
-    u64::try_from(now.saturating_duration_since(since).as_micros()).unwrap_or(u64::MAX)
+/// The moment so many milliseconds before another one.
+fn before(at: Instant, ms: u32) -> Option<Instant> {
+    at.checked_sub(Duration::from_millis(ms.into()))
 }
 
 /// The side of [`Cluster`] that answers peers.
@@ -478,7 +437,7 @@
 }
 
 impl Handler for Answering {
-    fn datagram(&self, bytes: &[u8]) {
+    fn told(&self, bytes: &[u8]) {
         match message::decode::<Beat>(bytes) {
             Ok(beat) => self.0.hear(beat, Instant::now()),
             Err(e) => warn!(why = format!("{e:?}").as_str(); "heartbeat not readable"),
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -64,6 +64,27 @@
     outages: Outages,
     /// Servers whose entries lapsed while the store was away, and until when they are waited for.
     missing: HashMap<String, Instant>,
+    /// What of servers' entries is not logged yet.
+    news: ServerNews,
+}
+
+/// Changes of servers' entries that came together, for one log line: with a line for each, a daemon's
+/// lines would grow with the fleet.
+#[derive(Default)]
+struct ServerNews {
+    came: usize,
+    leaving: Vec<String>,
+    gone: Vec<String>,
+}
+
+impl ServerNews {
+    fn log(&mut self) {
+        let ServerNews { came, leaving, gone } = std::mem::take(self);
+        if came > 0 || !leaving.is_empty() || !gone.is_empty() {
+            let (leaving, gone) = (leaving.join(","), gone.join(","));
+            info!(came = came, leaving_ids = leaving.as_str(), gone_ids = gone.as_str(); "backend servers");
+        }
+    }
 }
 
 impl State {
@@ -157,6 +178,7 @@
                 Change { key: entry.key, value: Some(entry.value), revision: entry.revision };
             self.take(&mut state, change, seen, now);
         }
+        state.news.log();
     }
 
     /// Takes in all changes up to `position`, as the store stood at `seen`.
@@ -166,6 +188,7 @@
         for change in changes {
             self.take(&mut state, change, seen, now);
         }
+        state.news.log();
     }
 
     /// Hears a peer's statement that was true at `seen` or later. Says what this copy lacks.
@@ -201,6 +224,11 @@
         self.state().outages.failed(at);
     }
 
+    /// Whether the store answers no daemon at present, as far as known.
+    pub fn store_is_away(&self) -> bool {
+        self.state().outages.is_away()
+    }
+
     /// When some daemon last asked the store in vain, as far as known.
     pub fn last_failure(&self) -> Option<Instant> {
         self.state().outages.last_failure()
@@ -291,6 +319,7 @@
         for change in changes {
             self.take(&mut state, change, seen, now);
         }
+        state.news.log();
     }
 
     /// Gives up servers whose entries did not come back in time.
@@ -304,8 +333,9 @@
             .collect();
         for key in due {
             state.missing.remove(&key);
-            self.drop_server(&key);
+            self.drop_server(&mut state, &key);
         }
+        state.news.log();
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -410,7 +440,10 @@
         state.missing.remove(key);
         match self.schema.server(key, value) {
             Ok(record) => {
-                info!(server = &*record.id, service = &*record.service, leaving = record.leaving; "backend server");
+                match record.leaving {
+                    true => state.news.leaving.push(record.id.to_string()),
+                    false => state.news.came += 1,
+                }
                 self.gateway.servers().upsert(record, now);
             }
             Err(e) => warn!(key = key, why = e.0.as_str(); "backend server's entry not readable"),
@@ -423,13 +456,13 @@
             Some(until) => {
                 state.missing.insert(key.to_string(), until);
             }
-            None => self.drop_server(key),
+            None => self.drop_server(state, key),
         }
     }
 
-    fn drop_server(&self, key: &str) {
+    fn drop_server(&self, state: &mut State, key: &str) {
         let id = key.strip_prefix(self.schema.servers()).unwrap_or(key);
-        info!(server = id; "backend server gone");
+        state.news.gone.push(id.to_string());
         self.gateway.servers().remove(id);
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,7 +13,8 @@
 //! - [`update`]: what daemons tell and give each other of their copies
 //! - [`outage`]: whether the store was away
 //! - [`announce`], [`roster`]: who else serves
-//! - [`cell`], [`beat`], [`view`]: which daemons tell each other what, and what was heard
+//! - [`cell`], [`partner`], [`beat`]: which daemons tell each other what, and how often
+//! - [`view`], `sums`, [`clock`]: what was heard, and how old it is
 //! - [`lookout`]: notices from servers themselves while the store is away
 //! - [`listen`], [`stop`]: connections of callers, and a planned stop
 //! - [`tag`]: short names between daemons
@@ -24,6 +25,7 @@
 pub mod beat;
 pub mod budget;
 pub mod cell;
+pub mod clock;
 pub mod cluster;
 pub mod core;
 pub mod events;
@@ -37,6 +39,7 @@
 mod moving;
 pub mod outage;
 pub mod outcomes;
+pub mod partner;
 pub mod place;
 pub mod policies;
 pub mod port;
@@ -46,6 +49,7 @@
 pub mod roster;
 pub mod servers;
 pub mod stop;
+mod sums;
 pub mod table;
 pub mod tag;
 pub mod update;
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -42,6 +42,11 @@
         self.failed = self.failed.max(Some(at));
     }
 
+    /// Whether the store answers no daemon at present, as far as known.
+    pub fn is_away(&self) -> bool {
+        self.failed > self.answered
+    }
+
     /// When a read by any daemon last failed, as far as known.
     pub fn last_failure(&self) -> Option<Instant> {
         self.failed
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -16,8 +16,9 @@
     until: Option<Instant>,
     /// Times in a row that this daemon did not reach it.
     misses: u32,
-    /// Whether the last of them was a refused connection, which other daemons would get as well.
-    refused: bool,
+    /// Until when it is known to refuse connections, here or at another daemon: all others would be
+    /// refused as well.
+    refuses: Option<Instant>,
 }
 
 impl Reach {
@@ -30,13 +31,19 @@
     pub(crate) fn miss(&mut self, refused: bool, now: Instant) {
         let doubled = PASSED_OVER.saturating_mul(2u32.saturating_pow(self.misses));
         self.misses += 1;
-        self.refused = refused;
-        self.pass_over(now + doubled.min(LONGEST_PASSED_OVER));
+        let until = now + doubled.min(LONGEST_PASSED_OVER);
+        self.until = self.until.max(Some(until));
+        if refused {
+            self.refuses = self.refuses.max(Some(until));
+        }
     }
 
-    /// Passes over the server until then, or longer where it already is.
-    pub(crate) fn pass_over(&mut self, until: Instant) {
-        self.until = self.until.max(Some(until));
+    /// Another daemon passes over the server until then, since it refuses connections.
+    pub(crate) fn refuses(&mut self, until: Instant, now: Instant) {
+        if until > now {
+            self.until = self.until.max(Some(until));
+            self.refuses = self.refuses.max(Some(until));
+        }
     }
 
     /// The server has answered.
@@ -45,9 +52,9 @@
     }
 
     /// For how long other daemons should pass over the server as well; `None` where only this one may
-    /// have lost it.
+    /// have lost it. Passed on from daemon to daemon it does not grow.
     pub(crate) fn told(&self, now: Instant) -> Option<Duration> {
-        let left = self.until.filter(|_| self.refused)?.saturating_duration_since(now);
+        let left = self.refuses?.saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
     }
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -16,6 +16,9 @@
     pub callers: SocketAddr,
     /// Where daemons reach it.
     pub peers: SocketAddr,
+    /// Its VM's share of the processor, in thousandths of a core.
+    #[serde(default)]
+    pub strength: u32,
 }
 
 /// All daemons known, this one included.
@@ -55,6 +58,16 @@
         listed.values().filter(|d| d.vm != self.own.vm).cloned().collect()
     }
 
+    /// How many other daemons the store lists.
+    pub fn count(&self) -> usize {
+        self.listed().values().filter(|d| d.vm != self.own.vm).count()
+    }
+
+    /// Whether the store lists this daemon as it is.
+    pub fn lists_own(&self) -> bool {
+        self.listed().values().any(|d| *d == self.own)
+    }
+
     /// Where the other daemons reach each other.
     pub fn peers(&self) -> HashSet<SocketAddr> {
         let listed = self.listed();
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -291,18 +291,26 @@
         Signs { leaving: leaving.map(|s| s.tag).collect(), refusing: refusing.collect() }
     }
 
-    /// Takes over what another daemon has learnt of servers.
-    pub fn take_signs(&mut self, signs: &Signs, now: Instant) {
+    /// Takes over what another daemon has learnt of servers, told by a message sent at `sent` at the
+    /// earliest. What passes is not taken over where that isn't known.
+    pub fn take_signs(&mut self, signs: &Signs, sent: Option<Instant>, now: Instant) {
+        if signs.leaving.is_empty() && signs.refusing.is_empty() {
+            return;
+        }
+        let mut leaving = Vec::new();
         for server in self.arena.values_mut().filter(|s| s.open() || s.suspected.is_some()) {
             if signs.leaving.contains(&server.tag) {
-                info!(server = &*server.record.id; "a peer says that the server leaves");
+                leaving.push(server.record.id.to_string());
                 server.leaves();
             }
             let refusing = signs.refusing.iter().find(|(tag, _)| *tag == server.tag);
-            if let Some((_, left)) = refusing {
-                server.reach.pass_over(now + Duration::from_millis((*left).into()));
+            if let (Some((_, left)), Some(sent)) = (refusing, sent) {
+                server.reach.refuses(sent + Duration::from_millis((*left).into()), now);
             }
         }
+        if !leaving.is_empty() {
+            info!(leaving_ids = leaving.join(",").as_str(); "a peer says that servers leave");
+        }
     }
 
     /// Servers that take new work and have runs of this daemon that may not run again, and those that
--- /dev/null
+++ b/src/gateway/sums.rs
@@ -0,0 +1,167 @@
+//! Sums of what distant daemons told, as they are passed on from relay to relay.
+//!
+//! For each origin the latest sum counts and takes the place of the one before, so that nothing counts
+//! twice however it came here. Sums of one hall's cells name their members: where two of them hold the
+//! same daemon, which has just changed its cell, the later one counts and the other waits for its next.
+
+use crate::gateway::beat::{Origin, Sum, Told};
+use crate::gateway::cell::CellId;
+use crate::gateway::clock::millis;
+use crate::gateway::outcomes::Outcomes;
+use crate::gateway::servers::Load;
+use crate::gateway::tag::Tag;
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use crate::gateway::budget::Spent;
+
+/// Age at which a cell's sum no longer counts: a new relay takes over 0.7 s after the last heartbeat
+/// of the one before it, and its first sums need a few heartbeats.
+const CELL_LAPSE: Duration = Duration::from_millis(1_500);
+/// The same for sums of halls, which come less often and over more daemons.
+const HALL_LAPSE: Duration = Duration::from_millis(2_500);
+/// How much younger another maker's sum must be to take the place of one: as long as a relay is heard,
+/// a second daemon that takes itself for it changes nothing.
+const OTHER_MAKER: Duration = Duration::from_millis(450);
+
+/// From where a sum came here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// From a daemon of this cell.
+    OwnCell,
+    /// From another cell of this hall.
+    OwnHall,
+    /// From another hall.
+    OtherHall,
+}
+
+#[derive(Debug)]
+struct Held {
+    sum: Sum,
+    /// The earliest moment at which it can have been made.
+    made: Instant,
+    /// When and how it came here.
+    came: Instant,
+    way: Way,
+}
+
+impl Held {
+    fn counts(&self, now: Instant) -> bool {
+        let lapse = match self.sum.origin {
+            Origin::Cell(_) => CELL_LAPSE,
+            Origin::Hall(_) | Origin::OtherHalls => HALL_LAPSE,
+        };
+        now.saturating_duration_since(self.made) <= lapse
+    }
+}
+
+/// The latest sum of each origin.
+#[derive(Debug, Default)]
+pub(crate) struct Sums {
+    held: HashMap<Origin, Held>,
+}
+
+impl Sums {
+    /// Takes in a sum that was told by a message sent at `sent` at the earliest.
+    pub(crate) fn take(&mut self, sum: &Sum, sent: Instant, way: Way, now: Instant) {
+        let Some(made) = sent.checked_sub(Duration::from_millis(sum.age_ms.into())) else {
+            return;
+        };
+        let held = Held { sum: sum.clone(), made, came: now, way };
+        let newer =
+            self.held.get(&sum.origin).is_none_or(|known| match known.sum.maker == sum.maker {
+                true => known.sum.made < sum.made,
+                false => made.saturating_duration_since(known.made) > OTHER_MAKER,
+            });
+        if newer && held.counts(now) {
+            self.held.insert(sum.origin, held);
+        }
+    }
+
+    /// Forgets what no longer counts.
+    pub(crate) fn forget(&mut self, now: Instant) {
+        self.held.retain(|_, held| held.counts(now));
+    }
+
+    /// Sums of cells of `hall` but `own`, of which no two hold the same daemon and none one of `near`.
+    pub(crate) fn cells(&self, own: CellId, near: HashSet<Tag>, now: Instant) -> Vec<&Sum> {
+        let wanted = |held: &&Held| match held.sum.origin {
+            Origin::Cell(id) => id != own && id.hall == own.hall,
+            Origin::Hall(_) | Origin::OtherHalls => false,
+        };
+        let mut cells: Vec<&Held> =
+            self.held.values().filter(wanted).filter(|held| held.counts(now)).collect();
+        cells.sort_by_key(|held| (std::cmp::Reverse(held.made), held.sum.maker));
+        let mut counted = near;
+        let mut disjoint = Vec::new();
+        for held in cells {
+            if held.sum.members.iter().all(|member| !counted.contains(member)) {
+                counted.extend(&held.sum.members);
+                disjoint.push(&held.sum);
+            }
+        }
+        disjoint
+    }
+
+    /// Sums of other halls: for a relay each hall's own, for its cell what the relay made of them. A
+    /// daemon that has just become a relay, or has just lost its own, has the other ones for a while.
+    pub(crate) fn halls(&self, relay: bool, now: Instant) -> Vec<&Sum> {
+        let counts = self.held.values().filter(|held| held.counts(now)).map(|held| &held.sum);
+        let (halls, others): (Vec<&Sum>, Vec<&Sum>) = counts
+            .filter(|sum| !matches!(sum.origin, Origin::Cell(_)))
+            .partition(|sum| matches!(sum.origin, Origin::Hall(_)));
+        let (first, second) = if relay { (halls, others) } else { (others, halls) };
+        if first.is_empty() { second } else { first }
+    }
+
+    /// Sums that came after `last` and are to be passed on by their origin and way, with their ages.
+    pub(crate) fn passed_on(
+        &self,
+        wanted: impl Fn(Origin, Way) -> bool,
+        last: Option<Instant>,
+        now: Instant,
+    ) -> impl Iterator<Item = Sum> {
+        let came = self.held.values().filter(move |held| wanted(held.sum.origin, held.way));
+        let fresh = came.filter(move |held| held.counts(now) && Some(held.came) > last);
+        fresh.map(move |held| Sum { age_ms: millis(held.made, now), ..held.sum.clone() })
+    }
+}
+
+/// Adds up what was told.
+#[derive(Debug, Default)]
+pub(crate) struct Adder {
+    /// What runs at each server.
+    pub(crate) loads: HashMap<Tag, Load>,
+    /// What was spent of each service's budget.
+    pub(crate) spent: HashMap<Tag, Spent>,
+    /// How exchanges with each server went.
+    pub(crate) outcomes: HashMap<Tag, Outcomes>,
+}
+
+impl Adder {
+    /// Adds one daemon's word, or a sum.
+    pub(crate) fn add(&mut self, told: &Told) {
+        add(&mut self.loads, &told.loads);
+        add(&mut self.spent, &told.spent);
+        add(&mut self.outcomes, &told.outcomes);
+    }
+
+    /// The sum.
+    pub(crate) fn told(self) -> Told {
+        Told {
+            loads: self.loads.into_iter().collect(),
+            spent: self.spent.into_iter().collect(),
+            outcomes: self.outcomes.into_iter().collect(),
+        }
+    }
+}
+
+/// Adds parts to sums by name.
+pub(crate) fn add<T: Default + std::ops::AddAssign + Copy>(
+    sums: &mut HashMap<Tag, T>,
+    parts: &[(Tag, T)],
+) {
+    for (tag, part) in parts {
+        *sums.entry(*tag).or_default() += *part;
+    }
+}
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,10 +1,13 @@
 //! What a daemon has heard of the others: who speaks, who is ready, what runs where, what is spent.
 
-use crate::gateway::beat::{Beat, Echo, Told};
+use crate::gateway::beat::{Beat, Origin, Sum, Told};
 use crate::gateway::budget::Others;
 use crate::gateway::cell::{CellId, Layout};
+use crate::gateway::clock::{Clock, Echo};
+use crate::gateway::partner::{Pace, Relation};
 use crate::gateway::roster::Daemon;
 use crate::gateway::servers::Heard;
+use crate::gateway::sums::{Adder, Sums, Way, add};
 use crate::gateway::tag::Tag;
 use log::info;
 use std::collections::{HashMap, HashSet};
@@ -12,12 +15,18 @@
 use std::time::{Duration, Instant};
 
 /// Silence after which a daemon of the same cell is taken as gone for now: callers are not sent
-/// there, and its load is not counted. Almost three heartbeats.
+/// there, and its load is not counted; a relay has a successor. Almost three heartbeats. The same for
+/// a daemon that was greeted and has not answered.
 const SILENT: Duration = Duration::from_millis(700);
-/// The same for a contact, and for what is heard of another cell.
-const FAR_SILENT: Duration = Duration::from_millis(2_500);
+/// The same for a daemon of another hall.
+const FAR_SILENT: Duration = Duration::from_millis(1_200);
+/// Time for which a daemon that was greeted in vain is not chosen again, unless it is heard.
+const MISSED: Duration = Duration::from_secs(10);
 /// Silence after which a daemon that the store does not list is forgotten.
 const FORGOTTEN: Duration = Duration::from_secs(30);
+/// Time for which a relay tells its cell the same sum of other halls, in milliseconds: adding it up for
+/// each daemon of the cell would cost a relay most of its time where the fleet is large.
+const RELAYED_MS: u64 = 90;
 /// Places that callers are told of at least, so that one loss does not leave them without.
 const LEAST_ENTRIES: usize = 3;
 
@@ -33,34 +42,46 @@
     /// Whether it chose this daemon as its contact.
     chose: bool,
     cell: CellId,
-    /// Its own; nothing where it told sums.
+    /// Its own; nothing where it is of another cell.
     told: Told,
 }
 
-/// Another cell as one of its daemons told last.
-#[derive(Debug)]
-struct Sums {
-    heard: Instant,
-    members: u32,
-    told: Told,
+/// What a daemon tells of itself.
+#[derive(Debug, Clone, Default)]
+pub struct Own {
+    /// What it has running and has spent.
+    pub told: Told,
+    /// Whether callers may be sent to it.
+    pub ready: bool,
 }
 
 /// See the module.
 #[derive(Debug)]
 pub struct View {
     own: Daemon,
+    clock: Clock,
     layout: Layout,
     peers: HashMap<SocketAddr, Peer>,
-    cells: HashMap<CellId, Sums>,
+    /// Daemons that were greeted in vain, and when that was last seen.
+    missed: HashMap<SocketAddr, Instant>,
+    sums: Sums,
+    /// The sum of other halls that this daemon, as a relay, made last for all of its cell.
+    relayed: Option<Sum>,
     /// The latest read of the store by any daemon, as far as told.
     read: Option<Instant>,
 }
 
 impl View {
     /// A view of one that has heard nothing.
-    pub fn new(own: Daemon) -> View {
+    pub fn new(own: Daemon, clock: Clock) -> View {
         let layout = Layout::of(&own, &[], |_| false);
-        View { own, layout, peers: HashMap::new(), cells: HashMap::new(), read: None }
+        let (peers, missed, sums) = (HashMap::new(), HashMap::new(), Sums::default());
+        View { own, clock, layout, peers, missed, sums, relayed: None, read: None }
+    }
+
+    /// The clock by which others' words are dated.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
     }
 
     /// How the fleet is divided.
@@ -78,18 +99,28 @@
     ) {
         let addrs: HashSet<SocketAddr> = listed.iter().map(|d| d.peers).collect();
         self.peers.retain(|addr, peer| addrs.contains(addr) || since(peer.heard, now) <= FORGOTTEN);
-        self.cells.retain(|_, sums| since(sums.heard, now) <= FORGOTTEN);
+        self.sums.forget(now);
         let unlisted = self.peers.values().filter(|p| !addrs.contains(&p.daemon.peers));
         let mut others = listed;
         others.extend(unlisted.map(|p| p.daemon.clone()));
-        let is_silent = |addr: SocketAddr| {
-            let heard = self.peers.get(&addr).map(|p| p.heard);
-            let from = heard.max(tried(addr));
-            from.is_some_and(|from| since(from, now) > FAR_SILENT)
-        };
+        let partners = self.layout.partners();
+        let missed: Vec<SocketAddr> =
+            partners.filter(|addr| self.is_silent(*addr, tried(*addr), now)).collect();
+        self.missed.retain(|_, at| since(*at, now) <= MISSED);
+        self.missed.extend(missed.into_iter().map(|addr| (addr, now)));
+        let is_silent =
+            |addr| self.missed.contains_key(&addr) || self.is_silent(addr, tried(addr), now);
         self.layout = Layout::of(&self.own, &others, is_silent);
     }
 
+    /// Whether a daemon, which is being greeted since `tried`, does not answer.
+    fn is_silent(&self, addr: SocketAddr, tried: Option<Instant>, now: Instant) -> bool {
+        let peer = self.peers.get(&addr);
+        let from = peer.map(|p| p.heard).max(tried);
+        let silent = peer.map_or(SILENT, |p| self.silence(p.cell));
+        from.is_some_and(|from| since(from, now) > silent)
+    }
+
     /// Notes a heartbeat, unless a later one of the same process came before it. Says whether it
     /// was noted.
     pub fn note(&mut self, beat: &Beat, now: Instant) -> bool {
@@ -101,12 +132,11 @@
         if known.is_none_or(|known| known.boot != beat.boot) {
             info!(peer = beat.daemon.vm.as_str(), addr = addr.to_string().as_str(); "peer heard");
         }
-        let read = beat.read_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms.into())));
-        self.has_read(read);
-        let mut own = beat.told.clone();
-        if let Some(members) = beat.members {
-            let told = std::mem::take(&mut own);
-            self.cells.insert(beat.cell, Sums { heard: now, members, told });
+        // What can't be dated is told again with the next heartbeat, which can.
+        if let Some(sent) = self.clock.sent(beat.echo, now) {
+            let age = beat.read_ms.map(|ms| Duration::from_millis(ms.into()));
+            self.has_read(age.and_then(|age| sent.checked_sub(age)));
+            self.take_sums(beat, sent, now);
         }
         let peer = Peer {
             daemon: beat.daemon.clone(),
@@ -116,12 +146,33 @@
             ready: beat.ready,
             chose: beat.chosen,
             cell: beat.cell,
-            told: own,
+            told: beat.told.clone(),
         };
         self.peers.insert(addr, peer);
+        self.missed.remove(&addr);
         true
     }
 
+    /// Takes in the sums that this daemon does not make itself.
+    fn take_sums(&mut self, beat: &Beat, sent: Instant, now: Instant) {
+        let own = self.layout.own;
+        let way = match beat.cell {
+            cell if cell == own => Way::OwnCell,
+            cell if cell.hall == own.hall => Way::OwnHall,
+            _ => Way::OtherHall,
+        };
+        for sum in &beat.sums {
+            let wanted = match sum.origin {
+                Origin::Cell(cell) => cell != own && cell.hall == own.hall,
+                Origin::Hall(hall) => hall != own.hall,
+                Origin::OtherHalls => way == Way::OwnCell,
+            };
+            if wanted {
+                self.sums.take(sum, sent, way, now);
+            }
+        }
+    }
+
     /// Notes that some daemon has read the store.
     pub fn has_read(&mut self, at: Option<Instant>) {
         self.read = self.read.max(at);
@@ -146,30 +197,66 @@
 
     /// Whether a daemon is heard.
     pub fn hears(&self, addr: SocketAddr, now: Instant) -> bool {
-        let silent = if self.layout.near.contains(&addr) { SILENT } else { FAR_SILENT };
-        self.peers.get(&addr).is_some_and(|p| since(p.heard, now) <= silent)
+        self.peers.get(&addr).is_some_and(|p| since(p.heard, now) <= self.silence(p.cell))
     }
 
-    /// Whether a daemon of another cell chose this one as its contact and is heard.
-    pub fn has_chosen_us(&self, addr: SocketAddr, now: Instant) -> bool {
-        self.peers.get(&addr).is_some_and(|p| p.chose && since(p.heard, now) <= FAR_SILENT)
+    fn silence(&self, cell: CellId) -> Duration {
+        if cell.hall == self.layout.own.hall { SILENT } else { FAR_SILENT }
     }
 
-    /// All such daemons.
-    pub fn chose_us(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
-        self.peers.keys().copied().filter(move |addr| self.has_chosen_us(*addr, now))
+    /// What a daemon is to this one; `None` where no heartbeats are due to it, or it was never heard.
+    pub fn relation(&self, addr: SocketAddr, now: Instant) -> Option<Relation> {
+        let layout = &self.layout;
+        let chosen = [
+            (&layout.near, Relation::Near),
+            (&layout.siblings, Relation::Sibling),
+            (&layout.halls, Relation::Hall),
+        ];
+        let chosen = chosen.into_iter().find(|(addrs, _)| addrs.contains(&addr));
+        if let Some((_, relation)) = chosen {
+            return Some(relation);
+        }
+        let peer = self.peers.get(&addr).filter(|_| self.hears(addr, now))?;
+        match peer.cell {
+            cell if cell == layout.own => Some(Relation::Near),
+            _ if !peer.chose => None,
+            cell if cell.hall == layout.own.hall => Some(Relation::Sibling),
+            _ => Some(Relation::Hall),
+        }
+    }
+
+    /// Whether a daemon is a contact of this one's choice, which should answer.
+    pub fn has_chosen(&self, addr: SocketAddr) -> bool {
+        self.layout.siblings.contains(&addr) || self.layout.halls.contains(&addr)
+    }
+
+    /// All daemons that heartbeats are due to.
+    pub fn partners(&self, now: Instant) -> Vec<SocketAddr> {
+        let heard = self.peers.keys().copied().filter(|addr| self.relation(*addr, now).is_some());
+        let all: HashSet<SocketAddr> = self.layout.partners().chain(heard).collect();
+        all.into_iter().collect()
     }
 
     /// How many daemons come before this one in the order in which they read the store: those of
-    /// its cell that rank before it, and a daemon for each cell that does.
+    /// its cell that rank before it, and a daemon for each cell of its hall and each hall that does.
     pub fn readers_before(&self, now: Instant) -> usize {
         let own = Tag::of(&self.own.vm);
         let near = self.near(now).filter(|p| Tag::of(&p.daemon.vm) < own).count();
-        near + self.other_cells(now).filter(|(id, _)| **id < self.layout.own).count()
+        let cell_before = |sum: &&Sum| matches!(sum.origin, Origin::Cell(c) if c < self.layout.own);
+        let cells = self.other_cells(now).into_iter().filter(cell_before).count();
+        let halls: Vec<Tag> = self.other_halls(now).into_iter().flat_map(halls_of).collect();
+        near + cells + halls.into_iter().filter(|hall| *hall < self.layout.own.hall).count()
     }
 
-    /// Where callers may be sent, this daemon not among them: to its own cell, and to contacts where
-    /// the cell has few.
+    /// The place of this daemon in the order in which all daemons begin to ask a store that doesn't
+    /// answer, among `others` and itself. It is derived from its name alone: who is heard doesn't matter.
+    pub fn knock_turn(&self, others: usize) -> u32 {
+        let drawn = Tag::of(&self.own.vm).value() as f64 / u64::MAX as f64;
+        (drawn * (others + 1) as f64) as u32
+    }
+
+    /// Where callers may be sent, this daemon not among them: to its own cell, and further where the
+    /// cell has few.
     pub fn entries(&self, now: Instant) -> Vec<SocketAddr> {
         let ready = |p: &&Peer| p.ready;
         let mut entries: Vec<SocketAddr> =
@@ -178,6 +265,10 @@
             let others = self.peers.values().filter(|p| p.cell != self.layout.own);
             let heard = others.filter(|p| since(p.heard, now) <= FAR_SILENT);
             entries.extend(heard.filter(ready).map(|p| p.daemon.callers));
+            let told = self.other_cells(now).into_iter().chain(self.other_halls(now));
+            entries.extend(told.flat_map(|sum| sum.entries.iter().copied()));
+            entries.sort_unstable();
+            entries.dedup();
         }
         entries
     }
@@ -187,38 +278,130 @@
         self.near(now).map(|p| p.daemon.peers).take(most).collect()
     }
 
-    /// The sum of `own` and what the daemons of this cell told, and of how many daemons it is.
-    pub fn cell_sum(&self, own: Told, now: Instant) -> (u32, Told) {
-        let mut loads = own.loads.into_iter().collect();
-        let mut spent = own.spent.into_iter().collect();
-        let mut outcomes = own.outcomes.into_iter().collect();
-        let mut members = 1;
+    /// The sums that a heartbeat to such a partner carries, as far as they are due.
+    pub fn sums_for(
+        &mut self,
+        to: SocketAddr,
+        relation: Relation,
+        own: &Own,
+        pace: &mut Pace,
+        now: Instant,
+    ) -> Vec<Sum> {
+        let mut sums = Vec::new();
+        match relation {
+            Relation::Near if self.layout.relay => {
+                let last = pace.pass_on(now);
+                sums.extend(self.sums.passed_on(|origin, _| is_cell(origin), last, now));
+                if pace.is_due(relation, now) {
+                    sums.extend(self.halls_sum(now));
+                }
+            }
+            Relation::Near if self.layout.through == Some(to) => {
+                let last = pace.pass_on(now);
+                sums.extend(self.sums.passed_on(|_, way| way != Way::OwnCell, last, now));
+            }
+            Relation::Sibling => {
+                let last = pace.pass_on(now);
+                let wanted = |origin, way| is_hall(origin) && way != Way::OwnHall;
+                sums.extend(self.sums.passed_on(wanted, last, now));
+                if pace.is_due(relation, now) {
+                    sums.push(self.cell_sum(own, now));
+                }
+            }
+            Relation::Hall if pace.is_due(relation, now) => sums.push(self.hall_sum(own, now)),
+            Relation::Near | Relation::Hall | Relation::Unknown => {}
+        }
+        sums
+    }
+
+    /// What this daemon's cell told.
+    fn cell_sum(&self, own: &Own, now: Instant) -> Sum {
+        let mut adder = Adder::default();
+        adder.add(&own.told);
+        let mut members = vec![Tag::of(&self.own.vm)];
+        let mut entries = Vec::new();
+        entries.extend(own.ready.then_some(self.own.callers));
         for peer in self.near(now) {
-            members += 1;
-            add(&mut loads, &peer.told.loads);
-            add(&mut spent, &peer.told.spent);
-            add(&mut outcomes, &peer.told.outcomes);
+            adder.add(&peer.told);
+            members.push(Tag::of(&peer.daemon.vm));
+            entries.extend(peer.ready.then_some(peer.daemon.callers));
         }
-        let (loads, spent) = (loads.into_iter().collect(), spent.into_iter().collect());
-        (members, Told { loads, spent, outcomes: outcomes.into_iter().collect() })
+        entries.truncate(LEAST_ENTRIES);
+        // A cell has a few dozen daemons.
+        let daemons = members.len() as u32;
+        self.make(Origin::Cell(self.layout.own), members, daemons, entries, adder, now)
+    }
+
+    /// What this daemon's hall told.
+    fn hall_sum(&self, own: &Own, now: Instant) -> Sum {
+        let cell = self.cell_sum(own, now);
+        let cells = self.other_cells(now);
+        let origin = Origin::Hall(self.layout.own.hall);
+        self.add_up(origin, Vec::new(), cells.into_iter().chain([&cell]), now)
+    }
+
+    /// What other halls told, made anew once in a while; `None` where none did.
+    fn halls_sum(&mut self, now: Instant) -> Option<Sum> {
+        let age = |sum: &Sum| self.clock.stamp(now).saturating_sub(sum.made) / 1_000;
+        let recent = self.relayed.take().filter(|sum| age(sum) < RELAYED_MS);
+        let sum = recent.or_else(|| self.make_halls_sum(now))?;
+        self.relayed = Some(sum.clone());
+        // Below the bound above.
+        Some(Sum { age_ms: age(&sum) as u32, ..sum })
+    }
+
+    fn make_halls_sum(&self, now: Instant) -> Option<Sum> {
+        let halls = self.other_halls(now);
+        let members = halls.iter().copied().flat_map(halls_of).collect();
+        let sum = self.add_up(Origin::OtherHalls, members, halls.iter().copied(), now);
+        (!halls.is_empty()).then_some(sum)
+    }
+
+    fn add_up<'a>(
+        &self,
+        origin: Origin,
+        members: Vec<Tag>,
+        parts: impl Iterator<Item = &'a Sum>,
+        now: Instant,
+    ) -> Sum {
+        let (mut adder, mut daemons, mut entries) = (Adder::default(), 0, Vec::new());
+        for part in parts {
+            adder.add(&part.told);
+            daemons += part.daemons;
+            entries.extend(part.entries.iter().copied().take(1));
+        }
+        entries.truncate(LEAST_ENTRIES);
+        self.make(origin, members, daemons, entries, adder, now)
+    }
+
+    fn make(
+        &self,
+        origin: Origin,
+        members: Vec<Tag>,
+        daemons: u32,
+        entries: Vec<SocketAddr>,
+        adder: Adder,
+        now: Instant,
+    ) -> Sum {
+        let (maker, made) = (self.clock.boot(), self.clock.stamp(now));
+        Sum { origin, maker, made, age_ms: 0, members, daemons, entries, told: adder.told() }
     }
 
     /// What the other daemons told of servers.
     pub fn heard(&self, now: Instant) -> Heard {
         let own = Tag::of(&self.own.vm);
-        let mut heard = Heard::default();
+        let mut ahead = HashMap::new();
+        let mut adder = Adder::default();
         for peer in self.near(now) {
-            add(&mut heard.loads, &peer.told.loads);
-            add(&mut heard.outcomes, &peer.told.outcomes);
+            adder.add(&peer.told);
             if Tag::of(&peer.daemon.vm) < own {
-                add(&mut heard.ahead, &peer.told.loads);
+                add(&mut ahead, &peer.told.loads);
             }
         }
-        for (_, sums) in self.other_cells(now) {
-            add(&mut heard.loads, &sums.told.loads);
-            add(&mut heard.outcomes, &sums.told.outcomes);
+        for sum in self.distant(now) {
+            adder.add(&sum.told);
         }
-        heard
+        Heard { loads: adder.loads, ahead, outcomes: adder.outcomes }
     }
 
     /// What the daemons that share budgets have spent, as far as they are heard. `listed` is how
@@ -230,9 +413,9 @@
             heard += 1;
             add(&mut spent, &peer.told.spent);
         }
-        for (_, sums) in self.other_cells(now) {
-            heard += sums.members as usize;
-            add(&mut spent, &sums.told.spent);
+        for sum in self.distant(now) {
+            heard += sum.daemons as usize;
+            add(&mut spent, &sum.told.spent);
         }
         let lately = self.peers.values().filter(|p| since(p.heard, now) <= FORGOTTEN).count();
         Others { daemons: listed.max(lately).max(heard), heard, spent }
@@ -249,16 +432,38 @@
         same.filter(move |p| since(p.heard, now) <= SILENT)
     }
 
-    /// The other cells that are heard.
-    fn other_cells(&self, now: Instant) -> impl Iterator<Item = (&CellId, &Sums)> {
-        let others = self.cells.iter().filter(|(id, _)| **id != self.layout.own);
-        others.filter(move |(_, sums)| since(sums.heard, now) <= FAR_SILENT)
+    /// Sums of the hall's other cells.
+    fn other_cells(&self, now: Instant) -> Vec<&Sum> {
+        let mut near: HashSet<Tag> = self.near(now).map(|p| Tag::of(&p.daemon.vm)).collect();
+        near.insert(Tag::of(&self.own.vm));
+        self.sums.cells(self.layout.own, near, now)
+    }
+
+    /// Sums of other halls, or one of all of them.
+    fn other_halls(&self, now: Instant) -> Vec<&Sum> {
+        self.sums.halls(self.layout.relay, now)
     }
+
+    /// Sums of all daemons but those of this cell.
+    fn distant(&self, now: Instant) -> impl Iterator<Item = &Sum> {
+        self.other_cells(now).into_iter().chain(self.other_halls(now))
+    }
+}
+
+fn is_cell(origin: Origin) -> bool {
+    matches!(origin, Origin::Cell(_))
+}
+
+fn is_hall(origin: Origin) -> bool {
+    matches!(origin, Origin::Hall(_))
 }
 
-fn add<T: Default + std::ops::AddAssign + Copy>(sums: &mut HashMap<Tag, T>, parts: &[(Tag, T)]) {
-    for (tag, part) in parts {
-        *sums.entry(*tag).or_default() += *part;
+/// The halls that a sum of other halls holds.
+fn halls_of(sum: &Sum) -> Vec<Tag> {
+    match sum.origin {
+        Origin::Hall(hall) => vec![hall],
+        Origin::OtherHalls => sum.members.clone(),
+        Origin::Cell(_) => Vec::new(),
     }
 }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -126,7 +126,7 @@
             // Each in its own task: a dead peer must not hold up the others.
             let (peers, handler, heartbeat) =
                 (self.peers.clone(), handler.clone(), heartbeat.clone());
-            tokio::spawn(async move { peers.datagram(to, &heartbeat, &handler).await });
+            tokio::spawn(async move { peers.tell(to, &heartbeat, &handler).await });
         }
     }
 
@@ -208,7 +208,7 @@
 struct Answering(Arc<Gossip>);
 
 impl Handler for Answering {
-    fn datagram(&self, bytes: &[u8]) {
+    fn told(&self, bytes: &[u8]) {
         // One that can't be read is of a newer version or broken; the next heartbeat comes soon.
         if let Ok(heartbeat) = message::decode::<Heartbeat>(bytes) {
             self.heartbeat(heartbeat);
--- a/src/lags.rs
+++ b/src/lags.rs
@@ -112,6 +112,11 @@
     server: String,
     #[serde(default)]
     leaving: bool,
+    /// Servers that leave, and that have gone, of a line on several: ids with commas between them.
+    #[serde(default)]
+    leaving_ids: String,
+    #[serde(default)]
+    gone_ids: String,
     /// How long the copy had not been confirmed.
     #[serde(default)]
     late_ms: u64,
@@ -130,6 +135,13 @@
             _ => false,
         }
     }
+
+    /// The servers of whose leaving it tells.
+    fn leavings(&self) -> impl Iterator<Item = &str> {
+        let one = self.tells_of_leaving().then_some(self.server.as_str());
+        let listed = self.leaving_ids.split(',').chain(self.gone_ids.split(','));
+        one.into_iter().chain(listed).filter(|id| !id.is_empty())
+    }
 }
 
 /// A time in which a daemon's copy of the store was not confirmed.
@@ -160,8 +172,10 @@
     fn learnt(&self) -> HashMap<&str, u64> {
         let offset = self.offset();
         let mut learnt = HashMap::new();
-        for line in self.lines.iter().filter(|line| line.tells_of_leaving()) {
-            learnt.entry(line.server.as_str()).or_insert(offset + line.up_ms);
+        for line in &self.lines {
+            for server in line.leavings() {
+                learnt.entry(server).or_insert(offset + line.up_ms);
+            }
         }
         learnt
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,7 +4,7 @@
 use crate::message;
 use crate::tls::{Identity, NAME};
 use futures_util::future::BoxFuture;
-use log::warn;
+use log::{debug, warn};
 use prometheus::IntCounterVec;
 use quinn::{
     ClientConfig, Connection, ConnectionError, Endpoint, IdleTimeout, RecvStream, SendStream,
@@ -21,6 +21,10 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
 /// Largest request or answer, in bytes.
 const MOST_BYTES: usize = 64 << 20;
+/// Largest message that is told unasked, in bytes: one with the loads of some 20,000 servers.
+const MOST_TOLD: usize = 512 << 10;
+/// Such messages that one peer may have on their way, each on its stream: one heartbeat follows the other.
+const TOLD_AT_ONCE: u32 = 4;
 const LENGTH_BYTES: usize = 4;
 
 /// How connections to peers are kept.
@@ -51,8 +55,8 @@
 
 /// What a daemon does with what its peers send.
 pub trait Handler: Send + Sync + 'static {
-    /// A datagram came.
-    fn datagram(&self, bytes: &[u8]);
+    /// A message came that was told unasked.
+    fn told(&self, bytes: &[u8]);
     /// A stream was opened; `first` is its first message.
     fn stream(&self, first: Vec<u8>, held: Held) -> BoxFuture<'_, ()>;
 }
@@ -85,6 +89,7 @@
         let mut transport = TransportConfig::default();
         transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(limits.idle_ms))));
         transport.max_concurrent_bidi_streams(VarInt::from_u32(limits.streams));
+        transport.max_concurrent_uni_streams(VarInt::from_u32(TOLD_AT_ONCE));
         let transport = Arc::new(transport);
         let mut server = ServerConfig::with_crypto(identity.server()?);
         server.transport_config(transport.clone());
@@ -125,8 +130,9 @@
         }
     }
 
-    /// Sends a datagram; losing it does no harm.
-    pub async fn datagram(
+    /// Sends a message that may be lost without harm: as a datagram, or on a stream of its own where
+    /// it is too large for one.
+    pub async fn tell(
         self: &Arc<Self>,
         to: SocketAddr,
         message: &impl Serialize,
@@ -137,7 +143,16 @@
         };
         let bytes = message::encode(message);
         self.traffic.count("out", bytes.len());
-        let _ = link.send_datagram(bytes.into());
+        let fits = link.max_datagram_size().is_some_and(|most| bytes.len() <= most);
+        let told = match fits {
+            true => link.send_datagram(bytes.into()).map_err(|e| e.to_string()),
+            false => timeout(CONNECT_LIMIT, send_whole(&link, &bytes))
+                .await
+                .unwrap_or_else(|_| Err("no stream in time".into())),
+        };
+        if let Err(why) = told {
+            debug!(peer = to.to_string().as_str(), why = why.as_str(); "message not sent");
+        }
     }
 
     /// Sends a request and waits for its answer.
@@ -254,10 +269,17 @@
             tokio::select! {
                 datagram = link.read_datagram() => {
                     let Ok(bytes) = datagram else { return };
-                    self.traffic.count("in", bytes.len());
-                    if !self.is_cut(from) {
-                        handler.datagram(&bytes);
-                    }
+                    self.heard(from, &bytes, &*handler);
+                }
+                stream = link.accept_uni() => {
+                    let Ok(mut recv) = stream else { return };
+                    let (peers, handler) = (self.clone(), handler.clone());
+                    tokio::spawn(async move {
+                        match recv.read_to_end(MOST_TOLD).await {
+                            Ok(bytes) => peers.heard(from, &bytes, &*handler),
+                            Err(e) => debug!(peer = from.to_string().as_str(), why = e.to_string().as_str(); "message not received"),
+                        }
+                    });
                 }
                 stream = link.accept_bi() => {
                     let Ok((send, recv)) = stream else { return };
@@ -269,6 +291,14 @@
         }
     }
 
+    /// A message came, as a datagram or on a stream of its own.
+    fn heard(&self, from: SocketAddr, bytes: &[u8], handler: &dyn Handler) {
+        self.traffic.count("in", bytes.len());
+        if !self.is_cut(from) {
+            handler.told(bytes);
+        }
+    }
+
     async fn answer(
         self: Arc<Self>,
         send: SendStream,
@@ -282,6 +312,13 @@
     }
 }
 
+/// Sends a message on a stream of its own.
+async fn send_whole(link: &Connection, bytes: &[u8]) -> Result<(), String> {
+    let mut stream = link.open_uni().await.map_err(|e| e.to_string())?;
+    stream.write_all(bytes).await.map_err(|e| e.to_string())?;
+    stream.finish().map_err(|e| e.to_string())
+}
+
 /// A stream to a peer that carries messages both ways, each behind its length.
 pub struct Held {
     send: SendStream,
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,450 @@
+//! What daemons of large fleets hear of each other, in simulated time.
+//!
+//! Real views, divisions and heartbeats of every daemon, passed on by a network that delays and loses
+//! some and cuts halls from each other. The clock is simulated: a fleet of 1,000 is played in seconds.
+//!
+//! The pattern: each daemon sends what it likes to servers that all others see. A load that isn't heard
+//! makes a server look free to hundreds of daemons at once; one that counts twice makes it look full.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tidestair::gateway::beat::{Beat, Told};
+use tidestair::gateway::budget::Spent;
+use tidestair::gateway::clock::{Clock, millis};
+use tidestair::gateway::partner::{Pace, Relation, pause};
+use tidestair::gateway::roster::Daemon;
+use tidestair::gateway::servers::{Load, Signs};
+use tidestair::gateway::tag::Tag;
+use tidestair::gateway::view::{Own, View};
+
+/// Time in which a load is heard in its hall, and in all others: a prompt is read in about 0.25 s, so
+/// that what is heard of the own hall is as old as two prompts.
+const IN_HALL: Duration = Duration::from_millis(600);
+const EVERYWHERE: Duration = Duration::from_millis(1_500);
+/// Time that the successor of a dead relay needs besides: the silence after which it is missed, and a
+/// greeting that is answered.
+const SUCCESSION: Duration = Duration::from_millis(1_300);
+/// The same where it greets another dead relay first: two silences of 0.7 s, two divisions, and a greeting
+/// whose first heartbeats can't be dated, at both ends.
+const TWO_SUCCESSIONS: Duration = Duration::from_millis(2_400);
+/// Step of the simulated clock.
+const STEP: Duration = Duration::from_millis(5);
+/// Time between two divisions of the fleet at a daemon.
+const DIVIDE: Duration = Duration::from_millis(100);
+/// Delays within a hall and between two, as on the users' deployments with a busy VM's turn added.
+const NEAR_DELAY: Duration = Duration::from_millis(3);
+const FAR_DELAY: Duration = Duration::from_millis(10);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// One daemon with its process's start.
+struct Node {
+    daemon: Daemon,
+    view: View,
+    own: Own,
+    alive: bool,
+    divided: Option<Instant>,
+    /// When each partner was greeted, is due its next heartbeat, and was told sums.
+    partners: BTreeMap<SocketAddr, (Instant, Instant, Pace)>,
+    sent: u64,
+}
+
+/// The simulated fleet.
+struct Fleet {
+    nodes: Vec<Node>,
+    at: HashMap<SocketAddr, usize>,
+    listed: Vec<Daemon>,
+    now: Instant,
+    rng: StdRng,
+    /// Part of the messages that are lost.
+    loss: f64,
+    /// Pairs of halls that don't reach each other.
+    cut: HashSet<(String, String)>,
+    flying: BTreeMap<(Instant, u64), (SocketAddr, Beat)>,
+    count: u64,
+    boots: u64,
+    /// Bytes sent within halls and between them.
+    bytes: [u64; 2],
+}
+
+impl Fleet {
+    fn new(halls: usize, in_hall: usize, seed: u64) -> Fleet {
+        let now = Instant::now();
+        let daemon = |hall: usize, n: usize| {
+            let addr = |port| SocketAddr::from(([10, hall as u8, 0, n as u8], port));
+            let (vm, name) = (format!("vm-{hall}-{n}"), format!("hall-{hall}"));
+            Daemon { vm, hall: name, callers: addr(80), peers: addr(70), strength: 120 }
+        };
+        let listed: Vec<Daemon> = (0..halls)
+            .flat_map(|hall| (0..in_hall).map(move |n| (hall, n)))
+            .map(|(hall, n)| daemon(hall, n))
+            .collect();
+        let at = listed.iter().enumerate().map(|(i, d)| (d.peers, i)).collect();
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            at,
+            listed: listed.clone(),
+            now,
+            rng: StdRng::seed_from_u64(seed),
+            loss: 0.0,
+            cut: HashSet::new(),
+            flying: BTreeMap::new(),
+            count: 0,
+            boots: 0,
+            bytes: [0; 2],
+        };
+        for daemon in listed {
+            let node = fleet.start(daemon);
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    fn start(&mut self, daemon: Daemon) -> Node {
+        self.boots += 1;
+        let view = View::new(daemon.clone(), Clock::new(self.boots, self.now));
+        let own = Own { told: told(&daemon.vm, 1), ready: true };
+        let partners = BTreeMap::new();
+        Node { daemon, view, own, alive: true, divided: None, partners, sent: 0 }
+    }
+
+    fn kill(&mut self, i: usize) {
+        self.nodes[i].alive = false;
+    }
+
+    fn restart(&mut self, i: usize) {
+        let daemon = self.nodes[i].daemon.clone();
+        self.nodes[i] = self.start(daemon);
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            for i in 0..self.nodes.len() {
+                if self.nodes[i].alive {
+                    self.act(i);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let later = self.flying.split_off(&(self.now, u64::MAX));
+        for (_, (to, beat)) in std::mem::replace(&mut self.flying, later) {
+            let node = &mut self.nodes[self.at[&to]];
+            if node.alive {
+                node.view.note(&beat, self.now);
+            }
+        }
+    }
+
+    fn act(&mut self, i: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let due = node.divided.is_none_or(|at| now - at >= DIVIDE);
+        if due {
+            node.divided = Some(now);
+            let others = self.listed.iter().filter(|d| d.vm != node.daemon.vm).cloned().collect();
+            let partners = &node.partners;
+            node.view.divide(others, |addr| partners.get(&addr).map(|(at, ..)| *at), now);
+            let wanted = node.view.partners(now);
+            node.partners.retain(|addr, _| wanted.contains(addr));
+            for addr in wanted {
+                node.partners.entry(addr).or_insert((now, now, Pace::default()));
+            }
+        }
+        let due: Vec<SocketAddr> =
+            node.partners.iter().filter(|(_, (_, at, _))| *at <= now).map(|(a, _)| *a).collect();
+        for to in due {
+            self.send(i, to);
+        }
+    }
+
+    fn send(&mut self, i: usize, to: SocketAddr) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let Some(relation) = node.view.relation(to, now) else {
+            node.partners.remove(&to);
+            return;
+        };
+        let pace = &mut node.partners.get_mut(&to).expect("it is due").2;
+        let near = relation == Relation::Near;
+        let beat = Beat {
+            daemon: node.daemon.clone(),
+            boot: node.view.clock().boot(),
+            stamp: node.view.clock().stamp(now),
+            echo: node.view.echo(to, now),
+            ready: true,
+            chosen: node.view.has_chosen(to),
+            statement: None,
+            read_ms: node.view.read().map(|at| millis(at, now)),
+            failed_ms: None,
+            cell: node.view.layout().own,
+            told: if near { node.own.told.clone() } else { Told::default() },
+            sums: node.view.sums_for(to, relation, &node.own, pace, now),
+            signs: Signs::default(),
+            others: Vec::new(),
+        };
+        let heard = node.view.hears(to, now);
+        let wait = pause(relation, node.view.layout().relay, heard);
+        let wait = wait.mul_f64(self.rng.random_range(0.9..1.1));
+        node.partners.get_mut(&to).expect("it is due").1 = now + wait;
+        node.sent += 1;
+        let pair = (beat.daemon.hall.clone(), self.nodes[self.at[&to]].daemon.hall.clone());
+        let far = pair.0 != pair.1;
+        self.bytes[usize::from(far)] += tidestair::message::encode(&beat).len() as u64;
+        if self.cut.contains(&pair) || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let delay = if far { FAR_DELAY } else { NEAR_DELAY };
+        let delay = delay.mul_f64(self.rng.random_range(0.3..1.0));
+        self.count += 1;
+        self.flying.insert((now + delay, self.count), (to, beat));
+    }
+
+    /// Sets what each living daemon has running at a server of its own name, and at one that all use.
+    fn set_loads(&mut self, runs: u32) {
+        for node in &mut self.nodes {
+            node.own.told = told(&node.daemon.vm, runs);
+        }
+    }
+
+    /// Of each pair of a hearing and a heard daemon with the same hall, or with other ones: how many,
+    /// and how many of them the one has at another number than `runs` of the other.
+    fn unheard(&self, same_hall: bool, runs: u32) -> (usize, usize) {
+        let (mut pairs, mut wrong) = (0, 0);
+        for node in self.nodes.iter().filter(|n| n.alive) {
+            let heard = node.view.heard(self.now);
+            for other in self.nodes.iter().filter(|o| o.alive && o.daemon.vm != node.daemon.vm) {
+                if (other.daemon.hall == node.daemon.hall) != same_hall {
+                    continue;
+                }
+                pairs += 1;
+                let load = heard.loads.get(&Tag::of(&other.daemon.vm));
+                wrong += usize::from(load.is_none_or(|load| load.runs != runs));
+            }
+        }
+        (pairs, wrong)
+    }
+
+    /// The most that any daemon counts at the server which all use, beside its own.
+    fn most_counted(&self) -> u32 {
+        let counted = self.nodes.iter().filter(|n| n.alive).map(|node| {
+            let heard = node.view.heard(self.now);
+            heard.loads.get(&Tag::of("all")).map_or(0, |load| load.runs)
+        });
+        counted.max().unwrap_or(0)
+    }
+
+    fn relays(&self) -> Vec<usize> {
+        let relay = |i: &usize| self.nodes[*i].alive && self.nodes[*i].view.layout().relay;
+        (0..self.nodes.len()).filter(relay).collect()
+    }
+}
+
+fn told(vm: &str, runs: u32) -> Told {
+    let load = Load { runs, tokens: 1_000 * runs, ..Load::default() };
+    Told {
+        loads: vec![(Tag::of(vm), load), (Tag::of("all"), load)],
+        spent: vec![(Tag::of("service"), Spent { requests: 10, repeats: 1 })],
+        outcomes: Vec::new(),
+    }
+}
+
+/// The users' deployments by halls and daemons in each, and their target.
+const SIZES: [(usize, usize); 3] = [(4, 15), (6, 49), (4, 75)];
+const TARGET: (usize, usize) = (20, 50);
+/// Time after which a fleet that starts at once hears itself whole.
+const SETTLED: Duration = Duration::from_millis(3_000);
+
+fn assert_all_heard(fleet: &Fleet, same_hall: bool, runs: u32) {
+    let (pairs, wrong) = fleet.unheard(same_hall, runs);
+    assert!(wrong == 0, "{wrong} of {pairs} pairs, same hall: {same_hall}");
+}
+
+#[test]
+fn each_daemon_hears_each_load_of_its_hall_and_of_all_others_in_time() {
+    for (halls, in_hall) in SIZES {
+        let mut fleet = Fleet::new(halls, in_hall, 1);
+        fleet.run(SETTLED);
+        assert_all_heard(&fleet, true, 1);
+        assert_all_heard(&fleet, false, 1);
+        for runs in 2..4 {
+            fleet.set_loads(runs);
+            fleet.run(IN_HALL);
+            assert_all_heard(&fleet, true, runs);
+            fleet.run(EVERYWHERE - IN_HALL);
+            assert_all_heard(&fleet, false, runs);
+        }
+    }
+}
+
+#[test]
+fn a_thousand_daemons_in_twenty_halls_hear_each_other_in_time() {
+    let (halls, in_hall) = TARGET;
+    let mut fleet = Fleet::new(halls, in_hall, 2);
+    fleet.run(ms(2_000));
+    fleet.set_loads(2);
+    fleet.run(IN_HALL);
+    assert_all_heard(&fleet, true, 2);
+    fleet.run(EVERYWHERE - IN_HALL);
+    assert_all_heard(&fleet, false, 2);
+}
+
+#[test]
+fn what_all_daemons_have_spent_is_heard_by_each() {
+    let (halls, in_hall) = SIZES[1];
+    let mut fleet = Fleet::new(halls, in_hall, 3);
+    fleet.run(SETTLED);
+    let all = halls * in_hall;
+    for node in &fleet.nodes {
+        let spent = node.view.spent(all - 1, fleet.now);
+        assert_eq!((spent.daemons, spent.heard), (all - 1, all - 1));
+        let repeats = spent.spent[&Tag::of("service")].repeats;
+        assert_eq!(repeats as usize, all - 1);
+    }
+}
+
+#[test]
+fn a_read_of_the_store_is_known_everywhere_before_the_next_reader_takes_over() {
+    // What the first reader's successors wait at least, less its own time between two reads.
+    let known = ms(1_250) - ms(600);
+    let (halls, in_hall) = SIZES[1];
+    let mut fleet = Fleet::new(halls, in_hall, 4);
+    fleet.run(SETTLED);
+    let read = fleet.now;
+    fleet.nodes[0].view.has_read(Some(read));
+    fleet.run(known + ms(100));
+    let late = fleet.nodes.iter().filter(|n| n.view.read().is_none()).count();
+    assert_eq!(late, 0, "daemons that don't know of the read");
+    let oldest = fleet.nodes.iter().filter_map(|n| n.view.read()).min().unwrap();
+    assert!(read - oldest < ms(150), "dated {:?} too old", read - oldest);
+    assert!(fleet.nodes.iter().all(|n| n.view.read() <= Some(read)), "dated too young");
+}
+
+#[test]
+fn no_load_counts_twice_while_daemons_come_and_go() {
+    let (halls, in_hall) = SIZES[1];
+    for seed in 0..3 {
+        let mut fleet = Fleet::new(halls, in_hall, 10 + seed);
+        fleet.loss = 0.02;
+        fleet.run(SETTLED);
+        let all = (halls * in_hall) as u32;
+        let mut down: Vec<usize> = Vec::new();
+        for _ in 0..40 {
+            let i = fleet.rng.random_range(0..fleet.nodes.len());
+            if down.len() < 20 && !down.contains(&i) {
+                fleet.kill(i);
+                down.push(i);
+                // Those that the store lists no longer change the division.
+                let gone = fleet.nodes[i].daemon.vm.clone();
+                fleet.listed.retain(|d| d.vm != gone);
+            } else if let Some(i) = down.pop() {
+                let daemon = fleet.nodes[i].daemon.clone();
+                fleet.listed.push(daemon);
+                fleet.restart(i);
+            }
+            fleet.at = fleet.nodes.iter().enumerate().map(|(i, n)| (n.daemon.peers, i)).collect();
+            fleet.run(ms(75));
+            // A daemon that has just changed its cell, or died, is missing for a while.
+            assert!(fleet.most_counted() < all, "{} of {all}", fleet.most_counted());
+        }
+    }
+}
+
+#[test]
+fn halls_are_crossed_by_few_bytes() {
+    // One relay to each other hall, with sums of some 20 servers: bounds in bytes a second.
+    const A_PAIR: f64 = 6_000.0;
+    for (halls, in_hall) in [SIZES[0], SIZES[1]] {
+        let mut fleet = Fleet::new(halls, in_hall, 5);
+        fleet.run(SETTLED);
+        fleet.bytes = [0; 2];
+        fleet.run(ms(2_000));
+        let a_second = fleet.bytes.map(|bytes| bytes as f64 / 2.0);
+        let pairs = (halls * (halls - 1)) as f64;
+        println!(
+            "{halls} halls of {in_hall}: {:.0} B/s each within its hall, {:.0} B/s a pair of halls",
+            a_second[0] / fleet.nodes.len() as f64,
+            a_second[1] / pairs
+        );
+        assert!(a_second[1] <= pairs * A_PAIR * in_hall as f64 / 15.0);
+    }
+}
+
+/// Kills relays and checks that after such a time all others hear each other again.
+fn relays_die(seed: u64, dying: impl Fn(&[usize]) -> Vec<usize>, succession: Duration) {
+    let (halls, in_hall) = SIZES[1];
+    let mut fleet = Fleet::new(halls, in_hall, seed);
+    fleet.run(SETTLED);
+    let relays = fleet.relays();
+    assert_eq!(relays.len(), halls * 3);
+    for i in dying(&relays) {
+        fleet.kill(i);
+    }
+    fleet.run(succession);
+    fleet.set_loads(2);
+    fleet.run(IN_HALL);
+    assert_all_heard(&fleet, true, 2);
+    fleet.run(EVERYWHERE - IN_HALL);
+    assert_all_heard(&fleet, false, 2);
+}
+
+#[test]
+fn a_dead_relay_is_missing_for_a_stated_time_only() {
+    for seed in 20..24 {
+        relays_die(seed, |relays| vec![relays[seed as usize % relays.len()]], SUCCESSION);
+    }
+}
+
+#[test]
+fn relays_of_one_hall_that_die_together_are_missing_for_a_stated_time_only() {
+    for seed in 24..28 {
+        relays_die(seed, |relays| relays[..3].to_vec(), TWO_SUCCESSIONS);
+    }
+}
+
+#[test]
+fn restarted_daemons_are_heard_with_what_they_have_now() {
+    let (halls, in_hall) = SIZES[1];
+    let mut fleet = Fleet::new(halls, in_hall, 30);
+    fleet.run(SETTLED);
+    for i in (0..fleet.nodes.len()).step_by(3) {
+        fleet.restart(i);
+    }
+    fleet.run(SUCCESSION);
+    fleet.set_loads(3);
+    fleet.run(EVERYWHERE);
+    assert_all_heard(&fleet, true, 3);
+    assert_all_heard(&fleet, false, 3);
+}
+
+#[test]
+fn a_hall_that_is_cut_off_no_longer_counts_and_is_heard_again() {
+    let (halls, in_hall) = SIZES[0];
+    let mut fleet = Fleet::new(halls, in_hall, 40);
+    fleet.run(SETTLED);
+    for other in 1..halls {
+        let pair = ("hall-0".to_string(), format!("hall-{other}"));
+        fleet.cut.insert((pair.1.clone(), pair.0.clone()));
+        fleet.cut.insert(pair);
+    }
+    fleet.run(ms(6_000));
+    let inside = &fleet.nodes[0];
+    let listed = fleet.nodes.len() - 1;
+    assert_eq!(inside.view.spent(listed, fleet.now).heard, in_hall - 1);
+    let outside = fleet.nodes.last().unwrap();
+    assert_eq!(outside.view.spent(listed, fleet.now).heard, listed - in_hall);
+    fleet.cut.clear();
+    fleet.run(TWO_SUCCESSIONS + EVERYWHERE);
+    fleet.set_loads(2);
+    fleet.run(EVERYWHERE);
+    assert_all_heard(&fleet, false, 2);
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -250,15 +250,37 @@
         "a silent server may be cut off from one daemon only"
     );
     told.not_reached(key, true, now);
-    hears.take_signs(&told.signs(now + ms(300)), now + ms(300));
+    let signs = told.signs(now + ms(300));
+    hears.take_signs(&signs, None, now + ms(300));
     let key = hears.find("i-1").unwrap();
+    assert!(!hears.get(key).unwrap().is_passed_over(now + ms(300)), "it can't be dated");
+    // On its way for a while: what passes is counted from its sending.
+    hears.take_signs(&signs, Some(now + ms(300)), now + ms(350));
     assert!(hears.get(key).unwrap().is_passed_over(now + ms(900)));
     assert!(!hears.get(key).unwrap().is_passed_over(now + ms(1_000)));
-    assert_eq!(
-        hears.signs(now + ms(300)),
-        Signs::default(),
-        "what was heard is not told on as one's own"
-    );
+}
+
+#[test]
+fn that_a_server_refuses_goes_round_through_relays_and_no_longer_than_it_was_first_told() {
+    let now = Instant::now();
+    let mut fleet: Vec<Servers> = (0..5).map(|_| one_server(now)).collect();
+    let key = |servers: &Servers| servers.find("i-1").unwrap();
+    let first = key(&fleet[0]);
+    fleet[0].not_reached(first, true, now);
+    let told = fleet[0].signs(now).refusing[0].1;
+    // Each heartbeat is on its way for 20 ms, which its receiver may not know.
+    for round in 0..40u32 {
+        let (from, to) = (round as usize % 5, (round as usize + 1) % 5);
+        let sent = now + ms(20) * round;
+        let signs = fleet[from].signs(sent);
+        fleet[to].take_signs(&signs, Some(sent), sent + ms(20));
+    }
+    let until = now + ms(u64::from(told));
+    for servers in &fleet {
+        let server = servers.get(key(servers)).unwrap();
+        assert!(server.is_passed_over(until - ms(5)));
+        assert!(!server.is_passed_over(until));
+    }
 }
 
 /// What a daemon hears of the outcomes of one other daemon.
@@ -304,12 +326,12 @@
     let (mut told, mut hears) = (one_server(now), one_server(now));
     told.leaves(told.find("i-1").unwrap());
     assert_eq!(told.signs(now).leaving, [Tag::of("i-1")]);
-    hears.take_signs(&told.signs(now), now);
+    hears.take_signs(&told.signs(now), Some(now), now);
     assert_eq!(hears.open("app").count(), 0);
     assert_eq!(
         hears.signs(now).leaving,
         [Tag::of("i-1")],
-        "it reaches other cells through their contacts"
+        "it reaches other cells through their relays"
     );
     told.upsert(record("i-1", true), now);
     assert_eq!(told.signs(now), Signs::default(), "the store tells it by now");
--- a/tests/lags.rs
+++ b/tests/lags.rs
@@ -126,3 +126,22 @@
     let lags = read(&[line(5, "vm-1", "starting", "")]);
     assert!(lags.spread().is_none() && lags.rows().is_empty());
 }
+
+#[test]
+fn a_line_on_several_servers_tells_of_each() {
+    let several = |up, vm, what, fields: &str| line(up, vm, what, fields);
+    let leave = ",\"came\":2,\"leaving_ids\":\"i-1,i-2\",\"gone_ids\":\"i-3\"";
+    let lines = [
+        several(500, "vm-1", "backend servers", leave),
+        several(700, "vm-2", "a peer says that servers leave", ",\"leaving_ids\":\"i-2\""),
+        several(
+            900,
+            "vm-3",
+            "backend servers",
+            ",\"came\":1,\"leaving_ids\":\"\",\"gone_ids\":\"i-1\"",
+        ),
+    ];
+    let lags = read(&lines);
+    let told: Vec<(&str, u64)> = lags.all.iter().map(|l| (l.server.as_str(), l.late)).collect();
+    assert_eq!(told, [("i-1", 400), ("i-2", 200), ("i-1", 0), ("i-2", 0), ("i-3", 0)]);
+}
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -23,7 +23,7 @@
 struct Counting(AtomicUsize);
 
 impl Handler for Counting {
-    fn datagram(&self, _: &[u8]) {
+    fn told(&self, _: &[u8]) {
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -111,7 +111,7 @@
     let before = came.0.load(Ordering::Relaxed);
     let sending = async {
         while came.0.load(Ordering::Relaxed) == before {
-            from.datagram(to, &1u8, &handler).await;
+            from.tell(to, &1u8, &handler).await;
             sleep(Duration::from_millis(10)).await;
         }
     };
@@ -132,3 +132,21 @@
         gets_through(&sender, way.addr(), &came).await;
     }
 }
+
+#[tokio::test]
+async fn what_does_not_fit_a_datagram_is_told_all_the_same() {
+    let (sender, receiver) = (peers(), peers());
+    let came = Arc::new(Counting::default());
+    tokio::spawn(receiver.clone().serve(came.clone()));
+    let to = receiver.addr().expect("it listens");
+    let handler: Arc<dyn Handler> = Arc::new(Counting::default());
+    // As the loads of some hundred servers.
+    let message = vec![7u8; 20_000];
+    let sending = async {
+        while came.0.load(Ordering::Relaxed) < 3 {
+            sender.tell(to, &message, &handler).await;
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(PATIENCE, sending).await.expect("nothing gets through");
+}
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -169,7 +169,8 @@
     let bounds = Bounds { revoke: Some(Duration::from_secs(5)), budget };
     let gateway = Gateway::new("hall", bounds, Arc::new(NoWire), Box::new(Headroom), now);
     let addr: SocketAddr = "127.0.0.1:9".parse().expect("an address");
-    let own = Daemon { vm: "vm".into(), hall: "hall".into(), callers: addr, peers: addr };
+    let (vm, hall) = ("vm".into(), "hall".into());
+    let own = Daemon { vm, hall, callers: addr, peers: addr, strength: 120 };
     let mirror = Mirror::new(gateway.clone(), Arc::new(Roster::new(own)), Arc::new(Plain));
     Node { gateway, mirror }
 }
