--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -148,6 +148,17 @@
         spent <= (bounds.ratio * requests + slack) * USED_PART * repeat.part()
     }
 
+    /// Requests for a service a second, of all daemons that are heard.
+    pub fn rate(&mut self, service: &Arc<str>, now: Instant) -> f64 {
+        let number = self.number(now);
+        let told = self.others.spent.get(&Tag::of(service)).map_or(0, |spent| spent.requests);
+        let counted = now.saturating_duration_since(self.started).min(self.bounds.window);
+        let window = self.window(service);
+        window.slice(number);
+        let requests = f64::from(window.sum().requests + told);
+        requests / counted.as_secs_f64().max(1.0)
+    }
+
     /// What this daemon has spent within the window.
     pub fn spent(&mut self, now: Instant) -> Vec<(Tag, Spent)> {
         let number = self.number(now);
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -199,6 +199,7 @@
         self.gateway.set_others(view.spent(count, now));
         let heard = view.heard(now);
         self.gateway.set_divided(view.layout().divided);
+        self.gateway.set_late(view.late_share(now));
         drop(view);
         self.gateway.servers().set_others(&heard);
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -33,6 +33,10 @@
 /// Time before the end of the process by which answers should be complete.
 const LAST_ANSWER: Duration = Duration::from_millis(500);
 
+/// Time after which a load of another cell of the hall is heard, on average: a heartbeat of its daemon, the
+/// relays' and that of this cell's relay, half of each on average, and their ways.
+const TOLD_LATE: Duration = Duration::from_millis(70);
+
 /// Tokens of a request from which its beginning and end are told to other daemons at once. What is
 /// smaller, as a plain service's requests are, goes with the next heartbeat.
 const TOLD_TOKENS: u32 = 100;
@@ -53,6 +57,8 @@
     budget: Mutex<RepeatBudget>,
     /// Whether loads in other halls are told late, in sums.
     divided: AtomicBool,
+    /// Share of all daemons that are of this hall and tell their loads late, in sums.
+    late: Mutex<f64>,
     /// When the process ends, once a planned stop has begun.
     ends: Mutex<Option<Instant>>,
     /// Counts what other daemons should hear at once.
@@ -162,6 +168,7 @@
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
             divided: AtomicBool::new(false),
+            late: Mutex::new(0.0),
             ends: Mutex::default(),
             news: watch::Sender::new(0),
             load_news: watch::Sender::new(0),
@@ -180,6 +187,17 @@
         self.divided.store(divided, Ordering::Relaxed);
     }
 
+    /// Sets the share of all daemons that are of this hall and tell their loads late, in sums.
+    pub fn set_late(&self, share: f64) {
+        *self.late.lock().expect("no holder panics") = share;
+    }
+
+    /// Requests for a service that daemons of this hall are expected to have sent since they told.
+    fn unseen(&self, service: &Arc<str>, now: Instant) -> f64 {
+        let late = *self.late.lock().expect("no holder panics");
+        late * self.budget().rate(service, now) * TOLD_LATE.as_secs_f64()
+    }
+
     /// A planned stop has begun, and the process ends then.
     pub fn set_end(&self, end: Instant) {
         *self.ends.lock().expect("no holder panics") = Some(end);
@@ -281,7 +299,8 @@
         let load = Load::of(call.size, call.route.repeatable());
         let divided = self.divided.load(Ordering::Relaxed);
         let far = if divided { UNSEEN_COST } else { FAR_COST };
-        let need = Need { hall: &self.hall, far, alike: ALIKE, load, engine };
+        let unseen = self.unseen(&service.name, now);
+        let need = Need { hall: &self.hall, far, alike: ALIKE, unseen, load, engine };
         self.choose_seat(service, &need, tried, now)
     }
 
@@ -310,7 +329,8 @@
     ) -> Option<Seat> {
         let engine = service.engine.as_ref();
         let load = Load { reading: 0, arriving: source.load.tokens, ..source.load };
-        let need = Need { hall: &source.hall, far: FAR_COPY_COST, alike: COPY_ALIKE, load, engine };
+        let (hall, far) = (source.hall.as_str(), FAR_COPY_COST);
+        let need = Need { hall, far, alike: COPY_ALIKE, unseen: 0.0, load, engine };
         self.choose_seat(service, &need, refused, now)
     }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -45,6 +45,9 @@
     pub far: f64,
     /// Difference in cost up to which servers are alike.
     pub alike: f64,
+    /// Requests like this one that other daemons are expected to have sent since they told what they have
+    /// running.
+    pub unseen: f64,
     /// What it is expected to take.
     pub load: Load,
     /// Present for model engines.
@@ -99,10 +102,55 @@
         now: Instant,
         rng: &mut dyn Rng,
     ) -> Option<ServerKey> {
+        let unseen = need.unseen * weight(need);
+        if unseen > need.alike {
+            return draw_below(candidates, |c| cost(c, need, now), unseen, rng);
+        }
         draw_least(candidates, |c| cost(c, need, now), need.alike, rng)
     }
 }
 
+/// One drawn where `unseen` more has been placed than the costs tell, by daemons that knew as little as
+/// this one and went where it seemed least. They have raised the least costs to one level: a server is as
+/// likely to be the right one as its cost lies below it (the "basic load interpretation" of M. Dahlin,
+/// Interpreting Stale Load Information, ICDCS 1999). To go to the least would send all of them to one server.
+fn draw_below(
+    candidates: &[Candidate<'_>],
+    cost: impl Fn(&Candidate<'_>) -> f64,
+    unseen: f64,
+    rng: &mut dyn Rng,
+) -> Option<ServerKey> {
+    let mut costs: Vec<(f64, ServerKey)> = candidates.iter().map(|c| (cost(c), c.key)).collect();
+    costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+    let level = level(costs.iter().map(|(cost, _)| *cost), unseen)?;
+    let below: Vec<(f64, ServerKey)> = costs
+        .into_iter()
+        .map(|(cost, key)| (level - cost, key))
+        .take_while(|(room, _)| *room > 0.0)
+        .collect();
+    let all: f64 = below.iter().map(|(room, _)| room).sum();
+    let mut at = rng.random_range(0.0..1.0) * all;
+    let drawn = below.iter().find(|(room, _)| {
+        at -= room;
+        at < 0.0
+    });
+    drawn.or(below.last()).map(|(_, key)| *key)
+}
+
+/// The level to which `more` raises the least of some costs, which rise; `None` where there are none.
+fn level(costs: impl Iterator<Item = f64>, more: f64) -> Option<f64> {
+    let (mut sum, mut count, mut level) = (more, 0.0, None);
+    for cost in costs {
+        if level.is_some_and(|level| level <= cost) {
+            break;
+        }
+        sum += cost;
+        count += 1.0;
+        level = Some(sum / count);
+    }
+    level
+}
+
 /// One drawn from the candidates whose costs differ by up to `alike` from the least; `None` where
 /// there is no candidate.
 pub(crate) fn draw_least(
@@ -118,6 +166,15 @@
     Some(alike[rng.random_range(0..alike.len())])
 }
 
+/// What a newcomer adds to the cost of a server.
+fn weight(need: &Need<'_>) -> f64 {
+    need.engine.map_or(0.0, |engine| {
+        f64::from(need.load.tokens) / f64::from(engine.memory.max(1))
+            + 1.0 / BATCH_SCALE
+            + f64::from(need.load.reading) / READ_SCALE
+    })
+}
+
 /// Cost of a server for a newcomer, as a share of a full one.
 fn cost(candidate: &Candidate<'_>, need: &Need<'_>, now: Instant) -> f64 {
     let (server, load) = (candidate.server, candidate.load);
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -26,7 +26,7 @@
 const FORGOTTEN: Duration = Duration::from_secs(30);
 /// Time for which a relay tells its cell the same sum of other halls, in milliseconds: adding it up for
 /// each daemon of the cell would cost a relay most of its time where the fleet is large.
-const RELAYED_MS: u64 = 90;
+const RELAYED_MS: u64 = 100;
 /// Places that callers are told of at least, so that one loss does not leave them without.
 const LEAST_ENTRIES: usize = 3;
 
@@ -421,6 +421,14 @@
         Others { daemons: listed.max(lately).max(heard), heard, spent }
     }
 
+    /// The share of all daemons that are of this hall and are heard through sums.
+    pub fn late_share(&self, now: Instant) -> f64 {
+        let count = |sums: Vec<&Sum>| sums.iter().map(|sum| sum.daemons).sum::<u32>();
+        let (late, far) = (count(self.other_cells(now)), count(self.other_halls(now)));
+        let near = 1 + self.near(now).count();
+        f64::from(late) / (f64::from(late) + f64::from(far) + near as f64)
+    }
+
     /// Daemons that are heard themselves.
     pub fn count(&self, now: Instant) -> usize {
         self.peers.keys().filter(|addr| self.hears(**addr, now)).count()
--- /dev/null
+++ b/tests/herd.rs
@@ -0,0 +1,110 @@
+//! Many daemons that choose a server at the same moment, by the same loads.
+//!
+//! The pattern: the 49 daemons of a hall hear of most of each other's loads 0.07 s late. Some 26 prompts a
+//! second come to a hall of 15 servers, each read in 0.4 s; some are sent before the first of them is heard
+//! of, and more when many callers come at once. Whoever goes where it seemed least meets all others there.
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::time::Instant;
+use tidestair::gateway::place::{ALIKE, Candidate, Headroom, Need, Placing, UNSEEN_COST};
+use tidestair::gateway::servers::{Load, ServerRecord, Servers};
+use tidestair::gateway::table::Engine;
+
+const ENGINE: Engine = Engine {
+    slots: 24,
+    memory: 33_640,
+    token_bytes: 131_072,
+    link_mbps: 19_000.0,
+    event_tokens: 4,
+    moves: true,
+    backups: true,
+};
+/// Servers of a hall.
+const SERVERS: usize = 15;
+/// A draft's prompt with its answer.
+const REQUEST: Load = Load { runs: 1, tokens: 3_540, reading: 3_079, once: 3_540, arriving: 0 };
+/// Plays, over which the figures are means.
+const PLAYS: usize = 200;
+const SEED: u64 = 7;
+
+fn record(i: usize) -> ServerRecord {
+    ServerRecord {
+        id: format!("i-{i}").into(),
+        service: "model".into(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        hall: "here".into(),
+        slots: 24,
+        leaving: false,
+    }
+}
+
+/// The servers of a hall with two to five runs each, one of them just come and empty.
+fn hall(now: Instant) -> Servers {
+    let mut servers = Servers::default();
+    for i in 0..SERVERS {
+        servers.upsert(record(i), now);
+        let count = if i == 0 { 0 } else { 2 + (i as u32 % 4) };
+        let load = Load { runs: count, tokens: 3_500 * count, ..Load::default() };
+        servers.begin(servers.find(&format!("i-{i}")).unwrap(), load);
+    }
+    servers
+}
+
+/// The most that come to one server where so many choose blindly, each with the same need.
+fn most_at_one(servers: &Servers, need: &Need<'_>, choosers: usize, now: Instant) -> f64 {
+    let open = servers.open("model");
+    let candidates: Vec<Candidate<'_>> =
+        open.map(|(key, server)| Candidate { key, server, load: server.load() }).collect();
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut sum = 0;
+    for _ in 0..PLAYS {
+        let mut came = std::collections::HashMap::new();
+        for _ in 0..choosers {
+            let key = Headroom.choose(&candidates, need, now, &mut rng).unwrap();
+            *came.entry(key).or_insert(0) += 1;
+        }
+        sum += came.values().copied().max().unwrap_or(0);
+    }
+    f64::from(sum) / PLAYS as f64
+}
+
+fn request(unseen: f64) -> Need<'static> {
+    let engine = Some(&ENGINE);
+    Need { hall: "here", far: UNSEEN_COST, alike: ALIKE, unseen, load: REQUEST, engine }
+}
+
+#[test]
+fn prompts_that_are_sent_before_they_are_heard_of_do_not_meet_at_one_server() {
+    let now = Instant::now();
+    let servers = hall(now);
+    let blind = 4;
+    assert_eq!(most_at_one(&servers, &request(0.0), blind, now), blind as f64);
+    let levelled = most_at_one(&servers, &request(blind as f64), blind, now);
+    assert!(levelled < 2.2, "{levelled} of {blind}");
+}
+
+#[test]
+fn a_single_daemon_goes_to_the_least_loaded_server() {
+    let now = Instant::now();
+    let servers = hall(now);
+    let few = most_at_one(&servers, &request(0.01), 10, now);
+    assert_eq!(few, 10.0, "what is unseen is less than what makes no difference");
+}
+
+#[test]
+fn the_emptiest_server_stays_the_likeliest() {
+    let now = Instant::now();
+    let servers = hall(now);
+    let need = request(4.0);
+    let open = servers.open("model");
+    let candidates: Vec<Candidate<'_>> =
+        open.map(|(key, server)| Candidate { key, server, load: server.load() }).collect();
+    let first = servers.find("i-0").unwrap();
+    let draws = 4_000;
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut choose = || Headroom.choose(&candidates, &need, now, &mut rng).unwrap();
+    let came = (0..draws).filter(|_| choose() == first).count();
+    let share = came as f64 / f64::from(draws);
+    assert!(share > 2.0 / SERVERS as f64, "{share}");
+}
