--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -264,6 +264,15 @@
 /// Time after which a fleet that starts at once hears itself whole.
 const SETTLED: Duration = Duration::from_millis(3_000);
 
+/// Gives all daemons other loads, and checks that each is heard in time, in its hall and elsewhere.
+fn assert_heard_in_time(fleet: &mut Fleet, runs: u32) {
+    fleet.set_loads(runs);
+    fleet.run(IN_HALL);
+    assert_all_heard(fleet, true, runs);
+    fleet.run(EVERYWHERE - IN_HALL);
+    assert_all_heard(fleet, false, runs);
+}
+
 fn assert_all_heard(fleet: &Fleet, same_hall: bool, runs: u32) {
     let (pairs, wrong) = fleet.unheard(same_hall, runs);
     assert!(wrong == 0, "{wrong} of {pairs} pairs, same hall: {same_hall}");
@@ -277,11 +286,7 @@
         assert_all_heard(&fleet, true, 1);
         assert_all_heard(&fleet, false, 1);
         for runs in 2..4 {
-            fleet.set_loads(runs);
-            fleet.run(IN_HALL);
-            assert_all_heard(&fleet, true, runs);
-            fleet.run(EVERYWHERE - IN_HALL);
-            assert_all_heard(&fleet, false, runs);
+            assert_heard_in_time(&mut fleet, runs);
         }
     }
 }
@@ -291,11 +296,7 @@
     let (halls, in_hall) = TARGET;
     let mut fleet = Fleet::new(halls, in_hall, 2);
     fleet.run(ms(2_000));
-    fleet.set_loads(2);
-    fleet.run(IN_HALL);
-    assert_all_heard(&fleet, true, 2);
-    fleet.run(EVERYWHERE - IN_HALL);
-    assert_all_heard(&fleet, false, 2);
+    assert_heard_in_time(&mut fleet, 2);
 }
 
 #[test]
@@ -390,11 +391,7 @@
         fleet.kill(i);
     }
     fleet.run(succession);
-    fleet.set_loads(2);
-    fleet.run(IN_HALL);
-    assert_all_heard(&fleet, true, 2);
-    fleet.run(EVERYWHERE - IN_HALL);
-    assert_all_heard(&fleet, false, 2);
+    assert_heard_in_time(&mut fleet, 2);
 }
 
 #[test]
