--- a/src/answer.rs
+++ b/src/answer.rs
@@ -5,6 +5,7 @@
 use crate::seal::GenerationId;
 use crate::server::json;
 use bytes::Bytes;
+use salvo::http::header::CONNECTION;
 use salvo::http::{HeaderValue, StatusCode};
 use salvo::prelude::Response;
 use serde::Serialize;
@@ -51,6 +52,11 @@
         res.headers_mut().insert("retry-after-ms", ms.into());
     }
     let status = StatusCode::from_u16(reason.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if status == StatusCode::PAYLOAD_TOO_LARGE {
+        // The rest of the body is not read, and the connection is reset by it: a caller that was not told
+        // would lose its next request on it.
+        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     json(res, status, &error_body(reason, outcome));
 }
 
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -8,9 +8,12 @@
 use hyper::Method;
 use serde_json::{Value, json};
 use tidestair::client::{Called, Client};
+use tidestair::deployment::Deployment;
 use tidestair::outcome::Outcome;
 use tidestair::standin::engine::EngineStandin;
 use tidestair::standin::orders::{Action, Order};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const CHAT: &str = "/v1/chat/completions";
 
@@ -61,6 +64,30 @@
     assert_eq!(fleet.engines["m1-1"].counts().accepted, 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_whose_body_is_not_read_is_told_that_its_connection_closes() {
+    let fleet = fleet(1, 1).await;
+    let mut connection = TcpStream::connect(fleet.entries()[0]).await.expect("it listens");
+    let key = Deployment::key("w1");
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n",
+        3 << 20
+    );
+    connection.write_all(head.as_bytes()).await.expect("it is connected");
+    // More than the daemon takes; the rest never comes.
+    connection.write_all(&vec![b'x'; 1 << 20]).await.expect("it is read or waits");
+    connection.write_all(&vec![b'x'; 4 << 10]).await.expect("it is read or waits");
+    let mut answer = Vec::new();
+    let mut byte = [0];
+    while !answer.ends_with(b"\r\n\r\n") {
+        connection.read_exact(&mut byte).await.expect("an answer comes");
+        answer.extend_from_slice(&byte);
+    }
+    let answer = String::from_utf8(answer).expect("a head").to_lowercase();
+    assert!(answer.starts_with("http/1.1 413"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_text_and_model_answers_have_the_usual_shape() {
     let fleet = fleet(1, 1).await;
