--- a/tests/command.rs
+++ b/tests/command.rs
@@ -1,6 +1,7 @@
 //! The real binaries: settings, a daemon against the platform's gateway, and the quickstart.
 
 use assert_cmd::Command;
+use assert_cmd::assert::Assert;
 use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Child, Stdio};
@@ -226,14 +227,12 @@
     let json = run(&["--json", "--weight", "recap=3", &log]).success().get_output().stdout.clone();
     let json: serde_json::Value = serde_json::from_slice(&json).expect("one object");
     assert_eq!(json["ledger"]["losses"][0]["cause"], "no_notice");
-    for (args, remedy) in [
+    let cases = [
         (vec![], "name one log file"),
         (vec!["--weight", "recap", log.as_str()], "use ROUTE=NUMBER"),
         (vec!["--wieght", log.as_str()], "not known"),
-    ] {
-        let told = run(&args).code(2).get_output().stderr.clone();
-        assert!(String::from_utf8_lossy(&told).contains(remedy), "{args:?}");
-    }
+    ];
+    assert_remedies(&run, &cases);
 }
 
 #[test]
@@ -258,12 +257,18 @@
     let json = run(&["--json", &log]).success().get_output().stdout.clone();
     let json: serde_json::Value = serde_json::from_slice(&json).expect("one object");
     assert_eq!(json["lags"]["all"][0]["late"], 3_000);
-    for (args, remedy) in [
+    let cases = [
         (vec![], "name one log file"),
         (vec!["--bound", "soon", log.as_str()], "soon"),
         (vec!["--bond", log.as_str()], "not known"),
-    ] {
-        let told = run(&args).code(2).get_output().stderr.clone();
+    ];
+    assert_remedies(&run, &cases);
+}
+
+/// Checks that each of these argument lists is refused with its remedy.
+fn assert_remedies(run: &dyn Fn(&[&str]) -> Assert, cases: &[(Vec<&str>, &str)]) {
+    for (args, remedy) in cases {
+        let told = run(args).code(2).get_output().stderr.clone();
         assert!(String::from_utf8_lossy(&told).contains(remedy), "{args:?}");
     }
 }
--- a/tests/herd.rs
+++ b/tests/herd.rs
@@ -4,22 +4,19 @@
 //! second come to a hall of 15 servers, each read in 0.4 s; some are sent before the first of them is heard
 //! of, and more when many callers come at once. Whoever goes where it seemed least meets all others there.
 
+#[path = "common/servers.rs"]
+mod servers;
+
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use servers::{ENGINE, add_server};
 use std::time::Instant;
 use tidestair::gateway::place::{ALIKE, Candidate, Headroom, Need, Placing, UNSEEN_COST};
-use tidestair::gateway::servers::{Load, ServerRecord, Servers};
+use tidestair::gateway::servers::{Load, Servers};
 use tidestair::gateway::table::Engine;
 
-const ENGINE: Engine = Engine {
-    slots: 24,
-    memory: 33_640,
-    token_bytes: 131_072,
-    link_mbps: 19_000.0,
-    event_tokens: 4,
-    moves: true,
-    backups: true,
-};
+/// An engine with the memory of the users' largest deployment.
+const LARGE: Engine = Engine { memory: 33_640, ..ENGINE };
 /// Servers of a hall.
 const SERVERS: usize = 15;
 /// A draft's prompt with its answer.
@@ -28,25 +25,13 @@
 const PLAYS: usize = 200;
 const SEED: u64 = 7;
 
-fn record(i: usize) -> ServerRecord {
-    ServerRecord {
-        id: format!("i-{i}").into(),
-        service: "model".into(),
-        addr: "127.0.0.1:9".parse().unwrap(),
-        hall: "here".into(),
-        slots: 24,
-        leaving: false,
-    }
-}
-
 /// The servers of a hall with two to five runs each, one of them just come and empty.
-fn hall(now: Instant) -> Servers {
+fn hall() -> Servers {
     let mut servers = Servers::default();
     for i in 0..SERVERS {
-        servers.upsert(record(i), now);
         let count = if i == 0 { 0 } else { 2 + (i as u32 % 4) };
         let load = Load { runs: count, tokens: 3_500 * count, ..Load::default() };
-        servers.begin(servers.find(&format!("i-{i}")).unwrap(), load);
+        add_server(&mut servers, i, "here", load);
     }
     servers
 }
@@ -70,14 +55,14 @@
 }
 
 fn request(unseen: f64) -> Need<'static> {
-    let engine = Some(&ENGINE);
+    let engine = Some(&LARGE);
     Need { hall: "here", far: UNSEEN_COST, alike: ALIKE, unseen, load: REQUEST, engine }
 }
 
 #[test]
 fn prompts_that_are_sent_before_they_are_heard_of_do_not_meet_at_one_server() {
     let now = Instant::now();
-    let servers = hall(now);
+    let servers = hall();
     let blind = 4;
     assert_eq!(most_at_one(&servers, &request(0.0), blind, now), blind as f64);
     let levelled = most_at_one(&servers, &request(blind as f64), blind, now);
@@ -87,7 +72,7 @@
 #[test]
 fn a_single_daemon_goes_to_the_least_loaded_server() {
     let now = Instant::now();
-    let servers = hall(now);
+    let servers = hall();
     let few = most_at_one(&servers, &request(0.01), 10, now);
     assert_eq!(few, 10.0, "what is unseen is less than what makes no difference");
 }
@@ -95,7 +80,7 @@
 #[test]
 fn the_emptiest_server_stays_the_likeliest() {
     let now = Instant::now();
-    let servers = hall(now);
+    let servers = hall();
     let need = request(4.0);
     let open = servers.open("model");
     let candidates: Vec<Candidate<'_>> =
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -1,7 +1,10 @@
 //! The mirror of the store under random interleavings of reads, peers' words and lost messages.
 
-use futures_util::future::BoxFuture;
+#[path = "mirror/stand_ins.rs"]
+mod stand_ins;
+
 use proptest::prelude::*;
+use stand_ins::{NoWire, Plain};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,111 +13,11 @@
 use tidestair::gateway::core::{Bounds, Gateway};
 use tidestair::gateway::mirror::Mirror;
 use tidestair::gateway::place::Headroom;
-use tidestair::gateway::port::{
-    Copied, Lost, NotCopied, Reply, Schema, Sending, Undecodable, Wire,
-};
-use tidestair::gateway::request::Call;
 use tidestair::gateway::roster::{Daemon, Roster};
-use tidestair::gateway::servers::ServerRecord;
-use tidestair::gateway::table::{Limits, Table};
 use tidestair::gateway::update::{Lack, Statement, Update};
 use tidestair::message;
-use tidestair::outcome::NotSent;
 use tidestair::platform::{Change, Entry};
 
-/// A wire that is never used.
-struct NoWire;
-
-impl Wire for NoWire {
-    fn send<'a>(
-        &'a self,
-        _: &'a Call,
-        _: Sending,
-        proof: Option<NotSent>,
-    ) -> BoxFuture<'a, Result<Reply, Lost>> {
-        Box::pin(
-            async move { Err(Lost::Unsent { proof, refused: false, reason: "no wire".into() }) },
-        )
-    }
-
-    fn copy<'a>(
-        &'a self,
-        _: SocketAddr,
-        _: &'a str,
-        _: SocketAddr,
-        _: bool,
-    ) -> BoxFuture<'a, Result<Copied, NotCopied>> {
-        Box::pin(async { Err(NotCopied::NoRun) })
-    }
-
-    fn is_well<'a>(
-        &'a self,
-        _: SocketAddr,
-        _: &'a str,
-        _: Duration,
-    ) -> BoxFuture<'a, Result<bool, String>> {
-        Box::pin(async { Ok(true) })
-    }
-
-    fn is_leaving(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<bool, String>> {
-        Box::pin(async { Ok(false) })
-    }
-
-    fn progress<'a>(
-        &'a self,
-        _: SocketAddr,
-        _: &'a str,
-        _: Duration,
-    ) -> BoxFuture<'a, Result<Option<u64>, String>> {
-        Box::pin(async { Ok(None) })
-    }
-
-    fn free<'a>(&'a self, _: SocketAddr, _: &'a str) -> BoxFuture<'a, ()> {
-        Box::pin(async {})
-    }
-}
-
-/// Values are numbers; a server's sign of life is what stands behind a dot.
-struct Plain;
-
-impl Schema for Plain {
-    fn declaration(&self) -> &str {
-        "config"
-    }
-
-    fn servers(&self) -> &str {
-        "servers/"
-    }
-
-    fn daemons(&self) -> &str {
-        "daemons/"
-    }
-
-    fn table(&self, value: &[u8]) -> Result<Table, Undecodable> {
-        let text = String::from_utf8_lossy(value);
-        let version = text.parse().map_err(|_| Undecodable(text.into_owned()))?;
-        let limits = Limits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_time: Duration::ZERO,
-            idle_time: Duration::ZERO,
-        };
-        Ok(Table::new(version, limits, Vec::new(), Vec::new(), Vec::new()))
-    }
-
-    fn server(&self, key: &str, value: &[u8]) -> Result<ServerRecord, Undecodable> {
-        let text = String::from_utf8_lossy(value);
-        Ok(ServerRecord {
-            id: key.trim_start_matches("servers/").into(),
-            service: "app".into(),
-            addr: "127.0.0.1:9".parse().expect("an address"),
-            hall: String::new(),
-            slots: 1,
-            leaving: text.starts_with("leaving"),
-        })
-    }
-}
-
 struct Node {
     gateway: Arc<Gateway>,
     mirror: Mirror,
--- /dev/null
+++ b/tests/mirror/stand_ins.rs
@@ -0,0 +1,105 @@
+//! A wire and a store's schema for tests of the mirror.
+
+use futures_util::future::BoxFuture;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tidestair::gateway::port::{
+    Copied, Lost, NotCopied, Reply, Schema, Sending, Undecodable, Wire,
+};
+use tidestair::gateway::request::Call;
+use tidestair::gateway::servers::ServerRecord;
+use tidestair::gateway::table::{Limits, Table};
+use tidestair::outcome::NotSent;
+
+/// A wire that is never used.
+pub struct NoWire;
+
+impl Wire for NoWire {
+    fn send<'a>(
+        &'a self,
+        _: &'a Call,
+        _: Sending,
+        proof: Option<NotSent>,
+    ) -> BoxFuture<'a, Result<Reply, Lost>> {
+        Box::pin(
+            async move { Err(Lost::Unsent { proof, refused: false, reason: "no wire".into() }) },
+        )
+    }
+
+    fn copy<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a str,
+        _: SocketAddr,
+        _: bool,
+    ) -> BoxFuture<'a, Result<Copied, NotCopied>> {
+        Box::pin(async { Err(NotCopied::NoRun) })
+    }
+
+    fn is_well<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a str,
+        _: Duration,
+    ) -> BoxFuture<'a, Result<bool, String>> {
+        Box::pin(async { Ok(true) })
+    }
+
+    fn is_leaving(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<bool, String>> {
+        Box::pin(async { Ok(false) })
+    }
+
+    fn progress<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a str,
+        _: Duration,
+    ) -> BoxFuture<'a, Result<Option<u64>, String>> {
+        Box::pin(async { Ok(None) })
+    }
+
+    fn free<'a>(&'a self, _: SocketAddr, _: &'a str) -> BoxFuture<'a, ()> {
+        Box::pin(async {})
+    }
+}
+
+/// Values are numbers; a server's sign of life is what stands behind a dot.
+pub struct Plain;
+
+impl Schema for Plain {
+    fn declaration(&self) -> &str {
+        "config"
+    }
+
+    fn servers(&self) -> &str {
+        "servers/"
+    }
+
+    fn daemons(&self) -> &str {
+        "daemons/"
+    }
+
+    fn table(&self, value: &[u8]) -> Result<Table, Undecodable> {
+        let text = String::from_utf8_lossy(value);
+        let version = text.parse().map_err(|_| Undecodable(text.into_owned()))?;
+        let limits = Limits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_time: Duration::ZERO,
+            idle_time: Duration::ZERO,
+        };
+        Ok(Table::new(version, limits, Vec::new(), Vec::new(), Vec::new()))
+    }
+
+    fn server(&self, key: &str, value: &[u8]) -> Result<ServerRecord, Undecodable> {
+        let text = String::from_utf8_lossy(value);
+        Ok(ServerRecord {
+            id: key.trim_start_matches("servers/").into(),
+            service: "app".into(),
+            addr: "127.0.0.1:9".parse().expect("an address"),
+            hall: String::new(),
+            slots: 1,
+            leaving: text.starts_with("leaving"),
+        })
+    }
+}
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -1,23 +1,17 @@
 //! Which server a request, or a run that has to move, goes to.
 
+#[path = "common/servers.rs"]
+mod servers;
+
+use servers::{ENGINE, add_server};
 use std::collections::BTreeSet;
 use std::time::Instant;
 use tidestair::gateway::place::{
     ALIKE, COPY_ALIKE, Candidate, FAR_COPY_COST, FAR_COST, Headroom, Need, Placing, UNSEEN_COST,
 };
 use tidestair::gateway::policies::{NAMES, by_name};
-use tidestair::gateway::servers::{Load, ServerRecord, Servers};
-use tidestair::gateway::table::Engine;
-
-const ENGINE: Engine = Engine {
-    slots: 24,
-    memory: 34_000,
-    token_bytes: 131_072,
-    link_mbps: 19_000.0,
-    event_tokens: 4,
-    moves: true,
-    backups: true,
-};
+use tidestair::gateway::servers::{Load, Servers};
+
 /// Draws of a choice: enough that each of ten alike servers comes up.
 const DRAWS: usize = 500;
 
@@ -43,17 +37,7 @@
 ) -> BTreeSet<usize> {
     let (now, mut known) = (Instant::now(), Servers::default());
     for (i, (hall, load)) in servers.iter().enumerate() {
-        let record = ServerRecord {
-            id: format!("i-{i}").into(),
-            service: "model".into(),
-            addr: "127.0.0.1:9".parse().unwrap(),
-            hall: (*hall).into(),
-            slots: 24,
-            leaving: false,
-        };
-        known.upsert(record, now);
-        let key = known.find(&format!("i-{i}")).unwrap();
-        known.begin(key, *load);
+        add_server(&mut known, i, hall, *load);
     }
     let need = Need { hall: "here", far, alike, unseen: 0.0, load, engine: Some(&ENGINE) };
     let candidates: Vec<Candidate<'_>> = known
