One piece for what this change had written twice; nothing behaves otherwise

Found in reading the change: - the simulation filled in heartbeats beside the daemon's own code: `View::beat` makes them for both, so that it plays the real ones; - the cost of a load stood in two formulas of place.rs: `share`; - an age was dated in three places: `clock::before`; and turned into milliseconds by hand beside `clock::millis`; - sums were put together from six loose arguments: `Adder` gathers members, entries and counts, and makes the sum (view.rs 480 to 465 lines); - `Layout::relay` could be derived, and `cells` took a flag that its size bound implies; - each division of the fleet, ten times a second, hashed and grouped all halls, which only relays need; each heartbeat hashed the names of the whole cell anew: tags are kept; - each placing summed up the rates of all daemons also where no daemon tells late; - the key's first pause was a second state beside its pause, with a second select.

Ruled out: one state for the last read of the store that the view and the outages both keep (reads of servers' entries apart count in one only, so it would change who reads); moving the view's share of late daemons into the sums (used once).

--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -44,10 +44,10 @@
     let value = serde_json::to_vec(own).expect("a daemon's record is JSON");
     let mut lease = None;
     let mut after_failure = AFTER_FAILURE;
-    let mut first = first_pause(&roster, &mirror).await;
+    let mut pause = first_pause(&roster, &mirror).await;
     loop {
         let step = async {
-            sleep(std::mem::take(&mut first)).await;
+            sleep(pause).await;
             while mirror.store_is_away() {
                 sleep(LOOK).await;
             }
@@ -57,7 +57,7 @@
             kept = step => kept,
             _ = phase.wait_for(|phase| *phase >= Phase::Leaving) => break,
         };
-        let pause = match kept {
+        pause = match kept {
             Ok(id) => {
                 lease = Some(id);
                 after_failure = AFTER_FAILURE;
@@ -70,10 +70,6 @@
                 drawn(pause)
             }
         };
-        tokio::select! {
-            () = sleep(pause) => {}
-            _ = phase.wait_for(|phase| *phase >= Phase::Leaving) => break,
-        }
     }
     if let Some(lease) = lease {
         match store.revoke(lease).await {
--- a/src/gateway/cell.rs
+++ b/src/gateway/cell.rs
@@ -19,7 +19,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
-/// Daemons up to which a fleet is one cell: twice the users' small deployments.
+/// Daemons up to which a fleet is one cell, below [`MOST_IN_CELL`]: twice the users' small deployments.
 pub const ONE_CELL: usize = 14;
 /// Daemons of one hall up to which the hall is one cell. A cell's heartbeats are its size squared.
 pub const MOST_IN_CELL: usize = 20;
@@ -39,8 +39,6 @@
     pub own: CellId,
     /// The daemons of its cell, itself not among them.
     pub near: HashSet<SocketAddr>,
-    /// Whether it is the relay of its cell.
-    pub relay: bool,
     /// The cell's relay where that is another daemon.
     pub through: Option<SocketAddr>,
     /// Relays of the hall's other cells, which a relay tells the sum of its own.
@@ -56,54 +54,56 @@
     /// `is_silent` does not say that it doesn't answer.
     pub fn of(own: &Daemon, others: &[Daemon], is_silent: impl Fn(SocketAddr) -> bool) -> Layout {
         let divided = others.len() + 1 > ONE_CELL;
-        let mut halls: BTreeMap<Tag, Vec<&Daemon>> = BTreeMap::new();
-        for daemon in others.iter().chain([own]) {
-            let hall = if divided { hall_of(daemon) } else { Tag::of("") };
-            halls.entry(hall).or_default().push(daemon);
-        }
-        let own_hall = if divided { hall_of(own) } else { Tag::of("") };
-        let cells = cells(halls.remove(&own_hall).unwrap_or_default(), divided);
+        let in_hall = others.iter().filter(|d| !divided || d.hall == own.hall).chain([own]);
+        let cells = cells(in_hall.collect());
         let part = cells.iter().position(|cell| cell.iter().any(|d| d.vm == own.vm)).unwrap_or(0);
         let near: Vec<&Daemon> = cells[part].iter().copied().filter(|d| d.vm != own.vm).collect();
         let before = near.iter().filter(|d| !is_silent(d.peers) && rank(d) < rank(own));
         let through = before.min_by_key(|d| rank(d)).map(|d| d.peers).filter(|_| divided);
-        let relay = divided && through.is_none();
-        let near = near.into_iter().map(|d| d.peers).collect();
-        // Halls have far fewer cells than 2^32.
-        let own_cell = CellId { hall: own_hall, part: part as u32 };
+        let hall = Tag::of(if divided { &own.hall } else { "" });
         let mut layout = Layout {
-            own: own_cell,
-            near,
-            relay,
+            // Halls have far fewer cells than 2^32.
+            own: CellId { hall, part: part as u32 },
+            near: near.into_iter().map(|d| d.peers).collect(),
             through,
             siblings: HashSet::new(),
             halls: HashSet::new(),
             divided,
         };
-        if relay {
+        if layout.is_relay() {
             let siblings = cells.iter().enumerate().filter(|(i, _)| *i != part);
             layout.siblings = siblings.filter_map(|(_, cell)| contact(cell, &is_silent)).collect();
-            let duties = halls
+            let duties = other_halls(own, others)
                 .into_iter()
-                .filter(|(hall, _)| duty(own_hall, *hall) % cells.len() as u64 == part as u64);
-            let reached = duties.filter_map(|(hall, daemons)| {
-                let theirs = self::cells(daemons, true);
-                let at = (duty(own_hall, hall) % theirs.len() as u64) as usize;
-                contact(&theirs[at], &is_silent)
+                .map(|(other, daemons)| (duty(hall, other), daemons))
+                .filter(|(duty, _)| duty % cells.len() as u64 == part as u64);
+            let reached = duties.filter_map(|(duty, daemons)| {
+                let theirs = self::cells(daemons);
+                contact(&theirs[(duty % theirs.len() as u64) as usize], &is_silent)
             });
             layout.halls = reached.collect();
         }
         layout
     }
 
+    /// Whether it is the relay of its cell.
+    pub fn is_relay(&self) -> bool {
+        self.divided && self.through.is_none()
+    }
+
     /// All daemons that this one tells something unasked.
     pub fn partners(&self) -> impl Iterator<Item = SocketAddr> {
         self.near.iter().chain(&self.siblings).chain(&self.halls).copied()
     }
 }
 
-fn hall_of(daemon: &Daemon) -> Tag {
-    Tag::of(&daemon.hall)
+/// The daemons of each hall but the own.
+fn other_halls<'a>(own: &Daemon, others: &'a [Daemon]) -> BTreeMap<Tag, Vec<&'a Daemon>> {
+    let mut halls: BTreeMap<Tag, Vec<&Daemon>> = BTreeMap::new();
+    for daemon in others.iter().filter(|d| d.hall != own.hall) {
+        halls.entry(Tag::of(&daemon.hall)).or_default().push(daemon);
+    }
+    halls
 }
 
 /// The order of a cell's daemons as its relay: strong ones first, since a relay passes on for all.
@@ -111,11 +111,11 @@
     (Reverse(daemon.strength), Tag::of(&daemon.vm))
 }
 
-/// The cells of one hall, at least one: parts of even size of its daemons in the order of their
-/// names' tags, so that one that comes or goes moves at most one daemon between two parts.
-fn cells(mut daemons: Vec<&Daemon>, divided: bool) -> Vec<Vec<&Daemon>> {
+/// The cells of one hall, or of a fleet that is one cell: parts of even size of its daemons in the order of
+/// their names' tags, so that one that comes or goes moves at most one daemon between two parts.
+fn cells(mut daemons: Vec<&Daemon>) -> Vec<Vec<&Daemon>> {
     daemons.sort_by_cached_key(|d| Tag::of(&d.vm));
-    let count = if divided { daemons.len().div_ceil(MOST_IN_CELL).max(1) } else { 1 };
+    let count = daemons.len().div_ceil(MOST_IN_CELL).max(1);
     let bound = |i: usize| daemons.len() * i / count;
     (0..count).map(|i| daemons[bound(i)..bound(i + 1)].to_vec()).collect()
 }
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -56,6 +56,11 @@
     }
 }
 
+/// The moment so many milliseconds before another one; `None` before this machine's clock began.
+pub fn before(at: Instant, ms: u32) -> Option<Instant> {
+    at.checked_sub(Duration::from_millis(ms.into()))
+}
+
 /// Microseconds from one moment to another.
 pub fn micros(since: Instant, now: Instant) -> u64 {
     u64::try_from(now.saturating_duration_since(since).as_micros()).unwrap_or(u64::MAX)
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -9,7 +9,7 @@
 
 use crate::error::Result;
 use crate::gateway::beat::{Beat, Request, Told};
-use crate::gateway::clock::{Clock, millis};
+use crate::gateway::clock::{Clock, before, millis};
 use crate::gateway::core::Gateway;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::Mirror;
@@ -53,8 +53,6 @@
 /// Updates given at a time; further askers get none and try another daemon or the store. Large ones
 /// fill the link of a small VM.
 const MOST_GIVEN: usize = 3;
-/// Other daemons that a heartbeat names.
-const NAMED: usize = 3;
 /// Links are given up soon after their peer falls silent, and made anew when it is back.
 const LINKS: LinkLimits = LinkLimits { idle_ms: 2_000, streams: 32 };
 
@@ -261,7 +259,7 @@
             self.links.tell(addr, &beat, handler).await;
             let (heard, relay) = {
                 let view = self.view();
-                (view.hears(addr, Instant::now()), view.layout().relay)
+                (view.hears(addr, Instant::now()), view.layout().is_relay())
             };
             let pause = partner::pause(relation, relay, heard);
             let pause = pause.mul_f64(rand::rng().random_range(0.9..1.1));
@@ -284,22 +282,11 @@
             (Told { loads, spent, outcomes }, servers.signs(now))
         };
         let own = Own { told, ready: (self.ready)() };
-        let near = relation == Relation::Near;
         Beat {
-            daemon: self.roster.own().clone(),
-            boot: view.clock().boot(),
-            stamp: view.clock().stamp(now),
-            echo: view.echo(to, now),
-            ready: own.ready,
-            chosen: relation == Relation::Unknown || view.has_chosen(to),
             statement: self.mirror.statement(now),
-            read_ms: view.read().map(|at| millis(at, now)),
             failed_ms: self.mirror.last_failure().map(|at| millis(at, now)),
-            cell: view.layout().own,
-            sums: view.sums_for(to, relation, &own, pace, now),
-            told: if near { own.told } else { Told::default() },
             signs,
-            others: if near { view.named(NAMED, now) } else { Vec::new() },
+            ..view.beat(to, relation, own, pace, now)
         }
     }
 
@@ -402,11 +389,6 @@
     sleep_until(least.into()).await;
 }
 
-/// The moment so many milliseconds before another one.
-fn before(at: Instant, ms: u32) -> Option<Instant> {
-    at.checked_sub(Duration::from_millis(ms.into()))
-}
-
 /// The side of [`Cluster`] that answers peers.
 struct Answering(Arc<Cluster>);
 
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -195,6 +195,9 @@
     /// Requests for a service that daemons of this hall are expected to have sent since they told.
     fn unseen(&self, service: &Arc<str>, now: Instant) -> f64 {
         let late = *self.late.lock().expect("no holder panics");
+        if late == 0.0 {
+            return 0.0;
+        }
         late * self.budget().rate(service, now) * TOLD_LATE.as_secs_f64()
     }
 
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -10,6 +10,7 @@
 //! entries have a position of their own, which may be beyond it: they are read apart from a large
 //! answer that is still on its way.
 
+use crate::gateway::clock;
 use crate::gateway::core::Gateway;
 use crate::gateway::in_force::Declared;
 use crate::gateway::outage::Outages;
@@ -137,8 +138,7 @@
     /// What this daemon may say of its copy; `None` before the first confirmation.
     pub fn statement(&self, now: Instant) -> Option<Statement> {
         let state = self.state();
-        let age = now.saturating_duration_since(state.confirmed?);
-        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        let age_ms = clock::millis(state.confirmed?, now);
         let servers = state.servers();
         Some(Statement {
             position: state.position,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -102,7 +102,7 @@
         now: Instant,
         rng: &mut dyn Rng,
     ) -> Option<ServerKey> {
-        let unseen = need.unseen * weight(need);
+        let unseen = need.unseen * need.engine.map_or(0.0, |engine| share(need.load, engine));
         if unseen > need.alike {
             return draw_below(candidates, |c| cost(c, need, now), unseen, rng);
         }
@@ -166,13 +166,11 @@
     Some(alike[rng.random_range(0..alike.len())])
 }
 
-/// What a newcomer adds to the cost of a server.
-fn weight(need: &Need<'_>) -> f64 {
-    need.engine.map_or(0.0, |engine| {
-        f64::from(need.load.tokens) / f64::from(engine.memory.max(1))
-            + 1.0 / BATCH_SCALE
-            + f64::from(need.load.reading) / READ_SCALE
-    })
+/// What a load takes of an engine, as a share of a full one.
+fn share(load: Load, engine: &Engine) -> f64 {
+    f64::from(load.tokens) / f64::from(engine.memory.max(1))
+        + f64::from(load.runs) / BATCH_SCALE
+        + f64::from(load.reading) / READ_SCALE
 }
 
 /// Cost of a server for a newcomer, as a share of a full one.
@@ -180,10 +178,7 @@
     let (server, load) = (candidate.server, candidate.load);
     let used = match need.engine {
         Some(engine) => {
-            let tokens = f64::from(load.tokens) + f64::from(need.load.tokens);
-            tokens / f64::from(engine.memory.max(1))
-                + f64::from(load.runs) / BATCH_SCALE
-                + f64::from(load.reading) / READ_SCALE
+            share(load, engine) + f64::from(need.load.tokens) / f64::from(engine.memory.max(1))
         }
         None => f64::from(load.runs) / f64::from(server.record.slots.max(1)),
     };
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -32,13 +32,13 @@
         let doubled = PASSED_OVER.saturating_mul(2u32.saturating_pow(self.misses));
         self.misses += 1;
         let until = now + doubled.min(LONGEST_PASSED_OVER);
-        self.until = self.until.max(Some(until));
-        if refused {
-            self.refuses = self.refuses.max(Some(until));
+        match refused {
+            true => self.refuses(until, now),
+            false => self.until = self.until.max(Some(until)),
         }
     }
 
-    /// Another daemon passes over the server until then, since it refuses connections.
+    /// The server is passed over until then, here or at another daemon, since it refuses connections.
     pub(crate) fn refuses(&mut self, until: Instant, now: Instant) {
         if until > now {
             self.until = self.until.max(Some(until));
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -5,21 +5,23 @@
 //! same daemon, which has just changed its cell, the later one counts and the other waits for its next.
 
 use crate::gateway::beat::{Origin, Sum, Told};
+use crate::gateway::budget::Spent;
 use crate::gateway::cell::CellId;
-use crate::gateway::clock::millis;
+use crate::gateway::clock::{Clock, before, millis};
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::servers::Load;
 use crate::gateway::tag::Tag;
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::gateway::budget::Spent;
-
 /// Age at which a cell's sum no longer counts: a new relay takes over 0.7 s after the last heartbeat
 /// of the one before it, and its first sums need a few heartbeats.
 const CELL_LAPSE: Duration = Duration::from_millis(1_500);
 /// The same for sums of halls, which come less often and over more daemons.
 const HALL_LAPSE: Duration = Duration::from_millis(2_500);
+/// Places that callers are told of at least, so that one loss does not leave them without.
+pub(crate) const LEAST_ENTRIES: usize = 3;
 /// How much younger another maker's sum must be to take the place of one: as long as a relay is heard,
 /// a second daemon that takes itself for it changes nothing.
 const OTHER_MAKER: Duration = Duration::from_millis(450);
@@ -64,7 +66,7 @@
 impl Sums {
     /// Takes in a sum that was told by a message sent at `sent` at the earliest.
     pub(crate) fn take(&mut self, sum: &Sum, sent: Instant, way: Way, now: Instant) {
-        let Some(made) = sent.checked_sub(Duration::from_millis(sum.age_ms.into())) else {
+        let Some(made) = before(sent, sum.age_ms) else {
             return;
         };
         let held = Held { sum: sum.clone(), made, came: now, way };
@@ -127,35 +129,72 @@
     }
 }
 
-/// Adds up what was told.
+/// Adds up what was told, and whose words it was.
 #[derive(Debug, Default)]
 pub(crate) struct Adder {
+    members: Vec<Tag>,
+    daemons: u32,
+    entries: Vec<SocketAddr>,
     /// What runs at each server.
     pub(crate) loads: HashMap<Tag, Load>,
-    /// What was spent of each service's budget.
-    pub(crate) spent: HashMap<Tag, Spent>,
+    spent: HashMap<Tag, Spent>,
     /// How exchanges with each server went.
     pub(crate) outcomes: HashMap<Tag, Outcomes>,
 }
 
 impl Adder {
-    /// Adds one daemon's word, or a sum.
+    /// Adds what was told.
     pub(crate) fn add(&mut self, told: &Told) {
         add(&mut self.loads, &told.loads);
         add(&mut self.spent, &told.spent);
         add(&mut self.outcomes, &told.outcomes);
     }
 
-    /// The sum.
-    pub(crate) fn told(self) -> Told {
-        Told {
-            loads: self.loads.into_iter().collect(),
-            spent: self.spent.into_iter().collect(),
-            outcomes: self.outcomes.into_iter().collect(),
+    /// Adds one daemon's word; `entry` is where callers may be sent to it.
+    pub(crate) fn add_daemon(&mut self, name: Tag, told: &Told, entry: Option<SocketAddr>) {
+        self.add(told);
+        self.members.push(name);
+        self.daemons += 1;
+        self.entries.extend(entry);
+    }
+
+    /// Adds a part of the fleet, with one of its entries. Members are kept of whole halls only.
+    pub(crate) fn add_sum(&mut self, sum: &Sum) {
+        self.add(&sum.told);
+        self.members.extend(halls_of(sum));
+        self.daemons += sum.daemons;
+        self.entries.extend(sum.entries.first());
+    }
+
+    /// The sum, made now by the process of that clock.
+    pub(crate) fn sum(mut self, origin: Origin, clock: &Clock, now: Instant) -> Sum {
+        self.entries.truncate(LEAST_ENTRIES);
+        Sum {
+            origin,
+            maker: clock.boot(),
+            made: clock.stamp(now),
+            age_ms: 0,
+            members: self.members,
+            daemons: self.daemons,
+            entries: self.entries,
+            told: Told {
+                loads: self.loads.into_iter().collect(),
+                spent: self.spent.into_iter().collect(),
+                outcomes: self.outcomes.into_iter().collect(),
+            },
         }
     }
 }
 
+/// The halls that a sum of other halls holds.
+pub(crate) fn halls_of(sum: &Sum) -> Vec<Tag> {
+    match sum.origin {
+        Origin::Hall(hall) => vec![hall],
+        Origin::OtherHalls => sum.members.clone(),
+        Origin::Cell(_) => Vec::new(),
+    }
+}
+
 /// Adds parts to sums by name.
 pub(crate) fn add<T: Default + std::ops::AddAssign + Copy>(
     sums: &mut HashMap<Tag, T>,
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -3,11 +3,11 @@
 use crate::gateway::beat::{Beat, Origin, Sum, Told};
 use crate::gateway::budget::Others;
 use crate::gateway::cell::{CellId, Layout};
-use crate::gateway::clock::{Clock, Echo};
+use crate::gateway::clock::{Clock, Echo, before, micros, millis};
 use crate::gateway::partner::{Pace, Relation};
 use crate::gateway::roster::Daemon;
-use crate::gateway::servers::Heard;
-use crate::gateway::sums::{Adder, Sums, Way, add};
+use crate::gateway::servers::{Heard, Signs};
+use crate::gateway::sums::{Adder, LEAST_ENTRIES, Sums, Way, add, halls_of};
 use crate::gateway::tag::Tag;
 use log::info;
 use std::collections::{HashMap, HashSet};
@@ -27,13 +27,15 @@
 /// Time for which a relay tells its cell the same sum of other halls, in milliseconds: adding it up for
 /// each daemon of the cell would cost a relay most of its time where the fleet is large.
 const RELAYED_MS: u64 = 100;
-/// Places that callers are told of at least, so that one loss does not leave them without.
-const LEAST_ENTRIES: usize = 3;
+/// Other daemons that a heartbeat names.
+const NAMED: usize = 3;
 
 /// A daemon as its heartbeats tell.
 #[derive(Debug)]
 struct Peer {
     daemon: Daemon,
+    /// Its name's tag.
+    tag: Tag,
     boot: u64,
     /// Its clock in its last heartbeat.
     stamp: u64,
@@ -59,6 +61,8 @@
 #[derive(Debug)]
 pub struct View {
     own: Daemon,
+    /// Its name's tag.
+    tag: Tag,
     clock: Clock,
     layout: Layout,
     peers: HashMap<SocketAddr, Peer>,
@@ -75,8 +79,17 @@
     /// A view of one that has heard nothing.
     pub fn new(own: Daemon, clock: Clock) -> View {
         let layout = Layout::of(&own, &[], |_| false);
-        let (peers, missed, sums) = (HashMap::new(), HashMap::new(), Sums::default());
-        View { own, clock, layout, peers, missed, sums, relayed: None, read: None }
+        View {
+            tag: Tag::of(&own.vm),
+            own,
+            clock,
+            layout,
+            peers: HashMap::new(),
+            missed: HashMap::new(),
+            sums: Sums::default(),
+            relayed: None,
+            read: None,
+        }
     }
 
     /// The clock by which others' words are dated.
@@ -134,12 +147,12 @@
         }
         // What can't be dated is told again with the next heartbeat, which can.
         if let Some(sent) = self.clock.sent(beat.echo, now) {
-            let age = beat.read_ms.map(|ms| Duration::from_millis(ms.into()));
-            self.has_read(age.and_then(|age| sent.checked_sub(age)));
+            self.has_read(beat.read_ms.and_then(|ms| before(sent, ms)));
             self.take_sums(beat, sent, now);
         }
         let peer = Peer {
             daemon: beat.daemon.clone(),
+            tag: Tag::of(&beat.daemon.vm),
             boot: beat.boot,
             stamp: beat.stamp,
             heard: now,
@@ -186,8 +199,7 @@
     /// The clock of a daemon, to be returned to it.
     pub fn echo(&self, addr: SocketAddr, now: Instant) -> Option<Echo> {
         let peer = self.peers.get(&addr)?;
-        let held = since(peer.heard, now).as_micros() as u64;
-        Some(Echo { boot: peer.boot, stamp: peer.stamp, held })
+        Some(Echo { boot: peer.boot, stamp: peer.stamp, held: micros(peer.heard, now) })
     }
 
     /// Whether a daemon has been heard and is not forgotten.
@@ -225,11 +237,6 @@
         }
     }
 
-    /// Whether a daemon is a contact of this one's choice, which should answer.
-    pub fn has_chosen(&self, addr: SocketAddr) -> bool {
-        self.layout.siblings.contains(&addr) || self.layout.halls.contains(&addr)
-    }
-
     /// All daemons that heartbeats are due to.
     pub fn partners(&self, now: Instant) -> Vec<SocketAddr> {
         let heard = self.peers.keys().copied().filter(|addr| self.relation(*addr, now).is_some());
@@ -240,8 +247,7 @@
     /// How many daemons come before this one in the order in which they read the store: those of
     /// its cell that rank before it, and a daemon for each cell of its hall and each hall that does.
     pub fn readers_before(&self, now: Instant) -> usize {
-        let own = Tag::of(&self.own.vm);
-        let near = self.near(now).filter(|p| Tag::of(&p.daemon.vm) < own).count();
+        let near = self.near(now).filter(|p| p.tag < self.tag).count();
         let cell_before = |sum: &&Sum| matches!(sum.origin, Origin::Cell(c) if c < self.layout.own);
         let cells = self.other_cells(now).into_iter().filter(cell_before).count();
         let halls: Vec<Tag> = self.other_halls(now).into_iter().flat_map(halls_of).collect();
@@ -251,7 +257,7 @@
     /// The place of this daemon in the order in which all daemons begin to ask a store that doesn't
     /// answer, among `others` and itself. It is derived from its name alone: who is heard doesn't matter.
     pub fn knock_turn(&self, others: usize) -> u32 {
-        let drawn = Tag::of(&self.own.vm).value() as f64 / u64::MAX as f64;
+        let drawn = self.tag.value() as f64 / u64::MAX as f64;
         (drawn * (others + 1) as f64) as u32
     }
 
@@ -273,13 +279,41 @@
         entries
     }
 
-    /// Some daemons of this cell that are heard.
-    pub fn named(&self, most: usize, now: Instant) -> Vec<SocketAddr> {
-        self.near(now).map(|p| p.daemon.peers).take(most).collect()
+    /// A heartbeat to such a partner, with what this daemon knows of others; nothing yet of the store and
+    /// of servers.
+    pub fn beat(
+        &mut self,
+        to: SocketAddr,
+        relation: Relation,
+        own: Own,
+        pace: &mut Pace,
+        now: Instant,
+    ) -> Beat {
+        let sums = self.sums_for(to, relation, &own, pace, now);
+        let near = relation == Relation::Near;
+        let layout = &self.layout;
+        let chosen = layout.siblings.contains(&to) || layout.halls.contains(&to);
+        let named = self.near(now).map(|p| p.daemon.peers).take(NAMED);
+        Beat {
+            daemon: self.own.clone(),
+            boot: self.clock.boot(),
+            stamp: self.clock.stamp(now),
+            echo: self.echo(to, now),
+            ready: own.ready,
+            chosen: chosen || relation == Relation::Unknown,
+            statement: None,
+            read_ms: self.read.map(|at| millis(at, now)),
+            failed_ms: None,
+            cell: layout.own,
+            others: if near { named.collect() } else { Vec::new() },
+            sums,
+            told: if near { own.told } else { Told::default() },
+            signs: Signs::default(),
+        }
     }
 
     /// The sums that a heartbeat to such a partner carries, as far as they are due.
-    pub fn sums_for(
+    fn sums_for(
         &mut self,
         to: SocketAddr,
         relation: Relation,
@@ -289,7 +323,7 @@
     ) -> Vec<Sum> {
         let mut sums = Vec::new();
         match relation {
-            Relation::Near if self.layout.relay => {
+            Relation::Near if self.layout.is_relay() => {
                 let last = pace.pass_on(now);
                 sums.extend(self.sums.passed_on(|origin, _| is_cell(origin), last, now));
                 if pace.is_due(relation, now) {
@@ -317,27 +351,20 @@
     /// What this daemon's cell told.
     fn cell_sum(&self, own: &Own, now: Instant) -> Sum {
         let mut adder = Adder::default();
-        adder.add(&own.told);
-        let mut members = vec![Tag::of(&self.own.vm)];
-        let mut entries = Vec::new();
-        entries.extend(own.ready.then_some(self.own.callers));
+        adder.add_daemon(self.tag, &own.told, own.ready.then_some(self.own.callers));
         for peer in self.near(now) {
-            adder.add(&peer.told);
-            members.push(Tag::of(&peer.daemon.vm));
-            entries.extend(peer.ready.then_some(peer.daemon.callers));
+            adder.add_daemon(peer.tag, &peer.told, peer.ready.then_some(peer.daemon.callers));
         }
-        entries.truncate(LEAST_ENTRIES);
-        // A cell has a few dozen daemons.
-        let daemons = members.len() as u32;
-        self.make(Origin::Cell(self.layout.own), members, daemons, entries, adder, now)
+        adder.sum(Origin::Cell(self.layout.own), &self.clock, now)
     }
 
     /// What this daemon's hall told.
     fn hall_sum(&self, own: &Own, now: Instant) -> Sum {
-        let cell = self.cell_sum(own, now);
-        let cells = self.other_cells(now);
-        let origin = Origin::Hall(self.layout.own.hall);
-        self.add_up(origin, Vec::new(), cells.into_iter().chain([&cell]), now)
+        let mut adder = Adder::default();
+        for cell in self.other_cells(now).into_iter().chain([&self.cell_sum(own, now)]) {
+            adder.add_sum(cell);
+        }
+        adder.sum(Origin::Hall(self.layout.own.hall), &self.clock, now)
     }
 
     /// What other halls told, made anew once in a while; `None` where none did.
@@ -352,49 +379,18 @@
 
     fn make_halls_sum(&self, now: Instant) -> Option<Sum> {
         let halls = self.other_halls(now);
-        let members = halls.iter().copied().flat_map(halls_of).collect();
-        let sum = self.add_up(Origin::OtherHalls, members, halls.iter().copied(), now);
-        (!halls.is_empty()).then_some(sum)
-    }
-
-    fn add_up<'a>(
-        &self,
-        origin: Origin,
-        members: Vec<Tag>,
-        parts: impl Iterator<Item = &'a Sum>,
-        now: Instant,
-    ) -> Sum {
-        let (mut adder, mut daemons, mut entries) = (Adder::default(), 0, Vec::new());
-        for part in parts {
-            adder.add(&part.told);
-            daemons += part.daemons;
-            entries.extend(part.entries.iter().copied().take(1));
-        }
-        entries.truncate(LEAST_ENTRIES);
-        self.make(origin, members, daemons, entries, adder, now)
-    }
-
-    fn make(
-        &self,
-        origin: Origin,
-        members: Vec<Tag>,
-        daemons: u32,
-        entries: Vec<SocketAddr>,
-        adder: Adder,
-        now: Instant,
-    ) -> Sum {
-        let (maker, made) = (self.clock.boot(), self.clock.stamp(now));
-        Sum { origin, maker, made, age_ms: 0, members, daemons, entries, told: adder.told() }
+        let mut adder = Adder::default();
+        halls.iter().for_each(|hall| adder.add_sum(hall));
+        (!halls.is_empty()).then(|| adder.sum(Origin::OtherHalls, &self.clock, now))
     }
 
     /// What the other daemons told of servers.
     pub fn heard(&self, now: Instant) -> Heard {
-        let own = Tag::of(&self.own.vm);
         let mut ahead = HashMap::new();
         let mut adder = Adder::default();
         for peer in self.near(now) {
             adder.add(&peer.told);
-            if Tag::of(&peer.daemon.vm) < own {
+            if peer.tag < self.tag {
                 add(&mut ahead, &peer.told.loads);
             }
         }
@@ -442,14 +438,13 @@
 
     /// Sums of the hall's other cells.
     fn other_cells(&self, now: Instant) -> Vec<&Sum> {
-        let mut near: HashSet<Tag> = self.near(now).map(|p| Tag::of(&p.daemon.vm)).collect();
-        near.insert(Tag::of(&self.own.vm));
+        let near = self.near(now).map(|p| p.tag).chain([self.tag]).collect();
         self.sums.cells(self.layout.own, near, now)
     }
 
     /// Sums of other halls, or one of all of them.
     fn other_halls(&self, now: Instant) -> Vec<&Sum> {
-        self.sums.halls(self.layout.relay, now)
+        self.sums.halls(self.layout.is_relay(), now)
     }
 
     /// Sums of all daemons but those of this cell.
@@ -466,15 +461,6 @@
     matches!(origin, Origin::Hall(_))
 }
 
-/// The halls that a sum of other halls holds.
-fn halls_of(sum: &Sum) -> Vec<Tag> {
-    match sum.origin {
-        Origin::Hall(hall) => vec![hall],
-        Origin::OtherHalls => sum.members.clone(),
-        Origin::Cell(_) => Vec::new(),
-    }
-}
-
 fn since(then: Instant, now: Instant) -> Duration {
     now.saturating_duration_since(then)
 }
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -42,7 +42,7 @@
     let layout = layout(&fleet, &fleet[0]);
     assert!(!layout.divided);
     assert_eq!(layout.near, addrs(&fleet[1..]));
-    assert!(!layout.relay);
+    assert!(!layout.is_relay());
     assert_eq!(layout.partners().count(), layout.near.len());
 }
 
@@ -56,7 +56,7 @@
         let same = fleet.iter().filter(|d| d.hall == own.hall && *d != own);
         assert_eq!(layout.near, addrs(same));
         assert!(layout.siblings.is_empty());
-        match layout.relay {
+        match layout.is_relay() {
             true => relays.push((own.peers, layout)),
             false => assert!(layout.halls.is_empty()),
         }
@@ -95,8 +95,8 @@
 fn the_strongest_daemon_of_a_cell_is_its_relay() {
     let mut fleet = fleet(2, 15);
     fleet[7].strength = 500;
-    assert!(layout(&fleet, &fleet[7]).relay);
-    assert_eq!(fleet[..15].iter().filter(|own| layout(&fleet, own).relay).count(), 1);
+    assert!(layout(&fleet, &fleet[7]).is_relay());
+    assert_eq!(fleet[..15].iter().filter(|own| layout(&fleet, own).is_relay()).count(), 1);
 }
 
 #[test]
@@ -113,7 +113,7 @@
 /// Daemons by whether they are relays, with how many partners each has.
 fn partners(fleet: &[Daemon]) -> (Vec<usize>, Vec<usize>) {
     let layouts = fleet.iter().map(|own| layout(fleet, own));
-    let (relays, plain): (Vec<Layout>, Vec<Layout>) = layouts.partition(|layout| layout.relay);
+    let (relays, plain): (Vec<Layout>, Vec<Layout>) = layouts.partition(|layout| layout.is_relay());
     let count = |layouts: Vec<Layout>| layouts.iter().map(|l| l.partners().count()).collect();
     (count(relays), count(plain))
 }
@@ -158,7 +158,7 @@
 #[test]
 fn a_silent_relay_is_passed_over_while_another_daemon_answers() {
     let fleet = fleet(4, 15);
-    let own = fleet.iter().find(|own| layout(&fleet, own).relay).expect("a cell has a relay");
+    let own = fleet.iter().find(|own| layout(&fleet, own).is_relay()).expect("a cell has a relay");
     let others = without(&fleet, own);
     let first = Layout::of(own, &others, |_| false).halls;
     let second = Layout::of(own, &others, |addr| first.contains(&addr)).halls;
@@ -168,7 +168,7 @@
     assert_eq!(all_silent, first, "someone is tried even so");
     let mates = others.iter().filter(|d| d.hall == own.hall);
     let successors =
-        mates.filter(|d| Layout::of(d, &without(&fleet, d), |addr| addr == own.peers).relay);
+        mates.filter(|d| Layout::of(d, &without(&fleet, d), |addr| addr == own.peers).is_relay());
     assert_eq!(successors.count(), 1);
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -13,10 +13,10 @@
 use std::time::{Duration, Instant};
 use tidestair::gateway::beat::{Beat, Told};
 use tidestair::gateway::budget::Spent;
-use tidestair::gateway::clock::{Clock, millis};
-use tidestair::gateway::partner::{Pace, Relation, pause};
+use tidestair::gateway::clock::Clock;
+use tidestair::gateway::partner::{Pace, pause};
 use tidestair::gateway::roster::Daemon;
-use tidestair::gateway::servers::{Load, Signs};
+use tidestair::gateway::servers::Load;
 use tidestair::gateway::tag::Tag;
 use tidestair::gateway::view::{Own, View};
 
@@ -175,25 +175,9 @@
             return;
         };
         let pace = &mut node.partners.get_mut(&to).expect("it is due").2;
-        let near = relation == Relation::Near;
-        let beat = Beat {
-            daemon: node.daemon.clone(),
-            boot: node.view.clock().boot(),
-            stamp: node.view.clock().stamp(now),
-            echo: node.view.echo(to, now),
-            ready: true,
-            chosen: node.view.has_chosen(to),
-            statement: None,
-            read_ms: node.view.read().map(|at| millis(at, now)),
-            failed_ms: None,
-            cell: node.view.layout().own,
-            told: if near { node.own.told.clone() } else { Told::default() },
-            sums: node.view.sums_for(to, relation, &node.own, pace, now),
-            signs: Signs::default(),
-            others: Vec::new(),
-        };
+        let beat = node.view.beat(to, relation, node.own.clone(), pace, now);
         let heard = node.view.hears(to, now);
-        let wait = pause(relation, node.view.layout().relay, heard);
+        let wait = pause(relation, node.view.layout().is_relay(), heard);
         let wait = wait.mul_f64(self.rng.random_range(0.9..1.1));
         node.partners.get_mut(&to).expect("it is due").1 = now + wait;
         node.sent += 1;
@@ -244,7 +228,7 @@
     }
 
     fn relays(&self) -> Vec<usize> {
-        let relay = |i: &usize| self.nodes[*i].alive && self.nodes[*i].view.layout().relay;
+        let relay = |i: &usize| self.nodes[*i].alive && self.nodes[*i].view.layout().is_relay();
         (0..self.nodes.len()).filter(relay).collect()
     }
 }
