Halls that are closed, servers that start again under their id, cold servers, entries of other writers, home regions

Closed halls are part of the copy of the store, read, told and given ahead of large values with the servers' entries; work under way may follow for a second. A server is its id and its start everywhere. Each daemon has a fixed share of what a cold server may get, by its rank among the daemons that the store lists.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -198,6 +198,7 @@
         let heard = view.heard(now);
         self.gateway.set_divided(view.layout().divided);
         self.gateway.set_late(view.late_share(now));
+        self.gateway.set_rank(self.roster.rank());
         drop(view);
         self.gateway.servers().set_others(&heard);
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -1,17 +1,21 @@
 //! The state that all requests of one daemon share.
 
 use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
+use crate::gateway::cold::{ColdBounds, Rank};
 use crate::gateway::in_force::InForce;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::place::{
     ALIKE, COPY_ALIKE, Candidate, FAR_COPY_COST, FAR_COST, Need, Placing, UNSEEN_COST,
 };
 use crate::gateway::port::{Destination, Wire};
+use crate::gateway::regions::{Allowed, Regions};
 use crate::gateway::request::Call;
-use crate::gateway::servers::{Load, ServerKey, Servers};
-use crate::gateway::table::Service;
+use crate::gateway::roster::Roster;
+use crate::gateway::servers::{Load, Server, ServerKey, Servers};
+use crate::gateway::table::{Homes, Service};
 use crate::gateway::tag::Tag;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
@@ -24,6 +28,8 @@
     pub revoke: Option<Duration>,
     /// Budget for repeats.
     pub budget: BudgetBounds,
+    /// What a cold server may get.
+    pub cold: ColdBounds,
 }
 
 /// Part of the bound on revoked keys up to which a confirmation counts. The rest is for the time
@@ -41,6 +47,10 @@
 /// smaller, as a plain service's requests are, goes with the next heartbeat.
 const TOLD_TOKENS: u32 = 100;
 
+/// Daemons of a region that a caller is told of though this one does not hear them: as many as an answer
+/// may name.
+const MOST_LISTED: usize = 64;
+
 /// The state that all requests of one daemon share.
 pub struct Gateway {
     /// The configuration in force.
@@ -51,7 +61,11 @@
     pub metrics: GatewayMetrics,
     /// Hall of this daemon.
     pub hall: String,
+    /// Which hall is in which region.
+    pub regions: Regions,
     revoke: Mutex<Option<Duration>>,
+    /// What a cold server may get, and this daemon's place among those that share it.
+    cold: Mutex<(ColdBounds, Rank)>,
     placing: Box<dyn Placing>,
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
@@ -153,6 +167,7 @@
     /// A gateway that knows nothing yet.
     pub fn new(
         hall: &str,
+        regions: Regions,
         bounds: Bounds,
         wire: Arc<dyn Wire>,
         placing: Box<dyn Placing>,
@@ -163,7 +178,9 @@
             wire,
             metrics: GatewayMetrics::default(),
             hall: hall.into(),
+            regions,
             revoke: Mutex::new(bounds.revoke),
+            cold: Mutex::new((bounds.cold, Rank::default())),
             placing,
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
@@ -179,6 +196,7 @@
     /// Takes over bounds that the platform has changed.
     pub fn set_bounds(&self, bounds: Bounds) {
         *self.revoke.lock().expect("no holder panics") = bounds.revoke;
+        self.cold.lock().expect("no holder panics").0 = bounds.cold;
         self.budget().set_bounds(bounds.budget);
     }
 
@@ -192,6 +210,21 @@
         *self.late.lock().expect("no holder panics") = share;
     }
 
+    /// Sets this daemon's place among those that send requests.
+    pub fn set_rank(&self, rank: Rank) {
+        self.cold.lock().expect("no holder panics").1 = rank;
+    }
+
+    /// Whether a server bears one more request of this daemon: it is not cold, or the daemon's share of
+    /// what it may get is not used up.
+    fn bears(&self, service: &Service, server: &Server, now: Instant) -> bool {
+        if !server.is_cold(service.warm_up, now) {
+            return true;
+        }
+        let (bounds, rank) = *self.cold.lock().expect("no holder panics");
+        server.cold_sendings(now) < rank.share(server.tag(), service.warm_up, bounds)
+    }
+
     /// Requests for a service that daemons of this hall are expected to have sent since they told.
     fn unseen(&self, service: &Arc<str>, now: Instant) -> f64 {
         let late = *self.late.lock().expect("no holder panics");
@@ -304,7 +337,7 @@
         let far = if divided { UNSEEN_COST } else { FAR_COST };
         let unseen = self.unseen(&service.name, now);
         let need = Need { hall: &self.hall, far, alike: ALIKE, unseen, load, engine };
-        self.choose_seat(service, &need, tried, now)
+        self.choose_seat(service, &need, call, tried, now)
     }
 
     /// Takes a seat for a request that was sent before, if the shared budget allows another sending.
@@ -322,10 +355,11 @@
         }
     }
 
-    /// Takes a seat for a run that is copied from `source`, not at one of `refused`.
+    /// Takes a seat for a run of `call` that is copied from `source`, not at one of `refused`.
     pub fn seat_for_copy(
         self: &Arc<Self>,
         service: &Service,
+        call: &Call,
         source: &Place,
         refused: &[ServerKey],
         now: Instant,
@@ -334,20 +368,30 @@
         let load = Load { reading: 0, arriving: source.load.tokens, ..source.load };
         let (hall, far) = (source.hall.as_str(), FAR_COPY_COST);
         let need = Need { hall, far, alike: COPY_ALIKE, unseen: 0.0, load, engine };
-        self.choose_seat(service, &need, refused, now)
+        self.choose_seat(service, &need, call, refused, now)
     }
 
     fn choose_seat(
         self: &Arc<Self>,
         service: &Service,
         need: &Need<'_>,
+        call: &Call,
         except: &[ServerKey],
         now: Instant,
     ) -> Option<Seat> {
         let load = need.load;
+        let allowed = self.allowed(call);
+        let may_take = |key, server: &Server| {
+            !except.contains(&key)
+                && allowed.has(&server.record.hall)
+                && self.bears(service, server, now)
+        };
         let mut servers = self.servers();
-        let candidates = candidates(&servers, service, except, now);
+        let candidates = candidates(&servers, service, may_take, now);
         let key = self.placing.choose(&candidates, need, now, &mut rand::rng())?;
+        if servers.get(key).is_some_and(|server| server.is_cold(service.warm_up, now)) {
+            servers.sends_cold(key, now);
+        }
         servers.begin(key, load);
         self.tell_load(load);
         let server = servers.get(key)?;
@@ -357,6 +401,41 @@
         Some(Seat { gateway: self.clone(), place, notice, knowledge: None })
     }
 
+    /// The addresses of `found` that a caller in `region` is told of for a host: where its routes name
+    /// regions, daemons that stand there or in the caller's own. They may be others that `roster` knows, if
+    /// none was found; and any, where none is known.
+    pub fn entries_for(
+        &self,
+        found: Vec<SocketAddr>,
+        roster: &Roster,
+        host: &str,
+        region: &str,
+    ) -> Vec<SocketAddr> {
+        let declared = self.in_force.get();
+        let homes: Vec<&Homes> = declared.iter().flat_map(|d| d.table.homes(host)).collect();
+        if homes.is_empty() {
+            return found;
+        }
+        let halls = roster.halls();
+        let is_near = |addr: &SocketAddr| {
+            let its = halls.get(addr).and_then(|hall| self.regions.of(hall));
+            its == Some(region) || homes.iter().all(|homes| homes.allow(its))
+        };
+        let near: Vec<SocketAddr> = found.iter().copied().filter(is_near).collect();
+        let near = if near.is_empty() {
+            halls.keys().copied().filter(is_near).take(MOST_LISTED).collect()
+        } else {
+            near
+        };
+        if near.is_empty() { found } else { near }
+    }
+
+    /// Where a request may go: the regions of its route and of its workspace both bind.
+    fn allowed<'a>(&'a self, call: &'a Call) -> Allowed<'a> {
+        let workspace = call.credential.as_ref().map(|credential| &credential.homes);
+        Allowed { regions: &self.regions, route: &call.route.homes, workspace }
+    }
+
     /// Notes how an exchange with a server went; other daemons hear of a failure soon.
     pub(crate) fn judge(&self, server: ServerKey, failed: bool) {
         self.servers().judge(server, failed, Instant::now());
@@ -398,10 +477,10 @@
 fn candidates<'a>(
     servers: &'a Servers,
     service: &'a Service,
-    except: &[ServerKey],
+    may_take: impl Fn(ServerKey, &Server) -> bool,
     now: Instant,
 ) -> Vec<Candidate<'a>> {
-    let open = servers.open(&service.name).filter(|(key, _)| !except.contains(key));
+    let open = servers.open(&service.name).filter(|(key, server)| may_take(*key, server));
     let (passed_over, mut reached): (Vec<_>, Vec<_>) =
         open.partition(|(_, server)| server.is_passed_over(now));
     if reached.is_empty() {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::cluster::Cluster;
 use crate::gateway::mirror::Mirror;
-use crate::gateway::port::Store;
+use crate::gateway::port::{Changes, Store};
 use crate::platform::{PlatformError, PlatformResult};
 use futures_util::future::BoxFuture;
 use log::{debug, info, warn};
@@ -118,7 +118,7 @@
             }
             let read = tokio::select! {
                 answer = &mut answer => return answer,
-                read = self.read_servers() => read,
+                read = self.read_urgent() => read,
             };
             if !read {
                 // The store doesn't answer: asking it more often would cost more and tell nothing.
@@ -127,26 +127,37 @@
         }
     }
 
-    /// Reads what has changed of servers' entries. Says whether that came.
-    async fn read_servers(&self) -> bool {
-        let after = self.mirror.servers_position();
+    /// Reads what has changed of servers' entries and of closed halls. Says whether that came.
+    async fn read_urgent(&self) -> bool {
+        let after = self.mirror.urgent_position();
         let asked = Instant::now();
         if after == 0 {
             return false;
         }
-        let read = self.store.changes(self.mirror.servers_prefix(), after, WAIT).await;
-        let outcome = if read.is_ok() { "servers" } else { "failed" };
-        self.cluster.metrics().store_reads.with_label_values(&[outcome]).inc();
-        let Ok(Some(changes)) = read else {
-            debug!(after = after; "servers' entries not read apart");
+        let [servers, halls] = self.mirror.urgent();
+        // Servers' changes, the more frequent ones, are waited for; halls are looked at beside them.
+        let servers = self.read_below(servers, after, WAIT);
+        let halls = self.read_below(halls, after, Duration::ZERO);
+        let (servers, halls) = tokio::join!(servers, halls);
+        let (Some(mut read), Some(halls)) = (servers, halls) else {
+            debug!(after = after; "servers' entries and closed halls not read apart");
             return false;
         };
+        read.changes.extend(halls.changes);
+        let revision = read.revision.min(halls.revision);
         let now = Instant::now();
         self.mirror.store_answered(now, now);
-        self.mirror.advance_servers(changes.changes, changes.revision, asked, now);
+        self.mirror.advance_urgent(read.changes, revision, asked, now);
         true
     }
 
+    async fn read_below(&self, prefix: &str, after: u64, wait: Duration) -> Option<Changes> {
+        let read = self.store.changes(prefix, after, wait).await;
+        let outcome = if read.is_ok() { "servers" } else { "failed" };
+        self.cluster.metrics().store_reads.with_label_values(&[outcome]).inc();
+        read.ok().flatten()
+    }
+
     fn heard(&mut self) {
         if !self.reached {
             self.reached = true;
--- a/src/gateway/lookout.rs
+++ b/src/gateway/lookout.rs
@@ -55,9 +55,9 @@
 
 /// Suspects a server that is not well.
 async fn check(gateway: &Gateway, server: &Watched, path: &str, now: Instant) {
-    match gateway.wire.is_well(server.to.addr, path, ROUND).await {
-        Ok(true) => {}
-        Ok(false) => {
+    match gateway.wire.health(server.to.addr, path, ROUND).await {
+        Ok(health) if health.well => gateway.servers().says_cold(server.key, health.cold, now),
+        Ok(_) => {
             info!(server = &*server.to.id; "server is not well, it may leave");
             gateway.servers().suspect(server.key, now);
         }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -7,8 +7,8 @@
 //!
 //! A copy that is behind is given small values first: that a server leaves is in force at once, however
 //! long a large configuration takes. Only with all of them the copy's position moves on. The servers'
-//! entries have a position of their own, which may be beyond it: they are read apart from a large
-//! answer that is still on its way.
+//! entries and the closed halls have a position of their own, which may be beyond it: they are read apart
+//! from a large answer that is still on its way.
 
 use crate::gateway::clock;
 use crate::gateway::core::Gateway;
@@ -55,9 +55,9 @@
     ahead: u64,
     /// The revision up to which no small value is missing, where that is beyond the position.
     small: u64,
-    /// The same of servers' entries, where that is beyond both.
+    /// The same of servers' entries and closed halls, where that is beyond both.
     servers: u64,
-    /// The last change that matters of a server's entry.
+    /// The last change that matters of those.
     server_change: u64,
     /// Deletions up to this revision are forgotten.
     forgotten: u64,
@@ -290,28 +290,22 @@
         }
     }
 
-    /// Takes in all changes of servers' entries up to `position`, as the store stood at `seen`, ahead of
-    /// all else.
-    pub fn advance_servers(
-        &self,
-        changes: Vec<Change>,
-        position: u64,
-        seen: Instant,
-        now: Instant,
-    ) {
+    /// Takes in all changes of servers' entries and of closed halls up to `position`, as the store stood at
+    /// `seen`, ahead of all else.
+    pub fn advance_urgent(&self, changes: Vec<Change>, position: u64, seen: Instant, now: Instant) {
         self.take_ahead(changes, seen, now);
         let mut state = self.state();
         state.servers = state.servers.max(position);
     }
 
-    /// The revision up to which no server's entry is missing.
-    pub fn servers_position(&self) -> u64 {
+    /// The revision up to which no server's entry and no closed hall is missing.
+    pub fn urgent_position(&self) -> u64 {
         self.state().servers()
     }
 
-    /// The prefix of the servers' entries.
-    pub fn servers_prefix(&self) -> &str {
-        self.schema.servers()
+    /// The prefixes of what is read apart from large values.
+    pub fn urgent(&self) -> [&str; 2] {
+        [self.schema.servers(), self.schema.closed_halls()]
     }
 
     fn take_ahead(&self, changes: Vec<Change>, seen: Instant, now: Instant) {
@@ -372,7 +366,7 @@
         if !matters {
             return;
         }
-        if change.key.starts_with(self.schema.servers()) {
+        if self.is_urgent(&change.key) {
             state.server_change = state.server_change.max(change.revision);
         }
         match change.revision > state.position {
@@ -385,8 +379,14 @@
     }
 
     fn is_wanted(&self, key: &str) -> bool {
-        let prefixes = [self.schema.servers(), self.schema.daemons()];
-        key == self.schema.declaration() || prefixes.iter().any(|prefix| key.starts_with(prefix))
+        let schema = &self.schema;
+        let prefixes = [schema.servers(), schema.daemons(), schema.closed_halls()];
+        key == schema.declaration() || prefixes.iter().any(|prefix| key.starts_with(prefix))
+    }
+
+    /// Whether a key is read and told apart from large values: a server's entry, or that a hall is closed.
+    fn is_urgent(&self, key: &str) -> bool {
+        self.urgent().iter().any(|prefix| key.starts_with(prefix))
     }
 
     /// Whether a change is more than a server's sign of life.
@@ -420,6 +420,8 @@
             }
         } else if key.starts_with(self.schema.daemons()) {
             self.take_daemon(key, value.as_deref());
+        } else if let Some(hall) = key.strip_prefix(self.schema.closed_halls()) {
+            self.take_hall(hall, value.is_some(), now);
         }
     }
 
@@ -446,7 +448,10 @@
                 }
                 self.gateway.servers().upsert(record, now);
             }
-            Err(e) => warn!(key = key, why = e.0.as_str(); "backend server's entry not readable"),
+            Err(e) => {
+                warn!(key = key, why = e.0.as_str(); "backend server's entry not readable: it names no server to use");
+                self.gateway.servers().hide(self.id(key));
+            }
         }
     }
 
@@ -461,15 +466,32 @@
     }
 
     fn drop_server(&self, state: &mut State, key: &str) {
-        let id = key.strip_prefix(self.schema.servers()).unwrap_or(key);
+        let id = self.id(key);
         state.news.gone.push(id.to_string());
         self.gateway.servers().remove(id);
     }
 
+    /// The id of the server that an entry is about.
+    fn id<'a>(&self, key: &'a str) -> &'a str {
+        key.strip_prefix(self.schema.servers()).unwrap_or(key)
+    }
+
+    fn take_hall(&self, hall: &str, closed: bool, now: Instant) {
+        info!(hall = hall, closed = closed; "hall that is to get nothing");
+        let mut servers = self.gateway.servers();
+        match closed {
+            true => servers.close_hall(hall, now),
+            false => servers.open_hall(hall, now),
+        }
+    }
+
     fn take_daemon(&self, key: &str, value: Option<&[u8]>) {
         match value.map(serde_json::from_slice).transpose() {
             Ok(daemon) => self.roster.take(key, daemon),
-            Err(e) => warn!(key = key, why = e.to_string().as_str(); "daemon's key not readable"),
+            Err(e) => {
+                warn!(key = key, why = e.to_string().as_str(); "daemon's key not readable");
+                self.roster.take(key, None);
+            }
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,8 @@
 //! - [`table`], [`in_force`]: the declared configuration, and how fresh it is
 //! - [`servers`], `reach`, [`outcomes`], [`place`], [`policies`]: backend servers, whether they are
 //!   reached, how exchanges with them went, and the choice among them
+//! - `halls`, [`cold`], [`regions`]: halls that are closed, servers that bear few requests yet, and the
+//!   regions that requests stay in
 //! - [`core`]: what all requests of a daemon share
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
@@ -27,10 +29,12 @@
 pub mod cell;
 pub mod clock;
 pub mod cluster;
+pub mod cold;
 pub mod core;
 pub mod events;
 pub mod follow;
 pub mod forward;
+mod halls;
 pub mod in_force;
 pub mod listen;
 pub mod lookout;
@@ -44,6 +48,7 @@
 pub mod policies;
 pub mod port;
 mod reach;
+pub mod regions;
 mod relay;
 pub mod request;
 pub mod roster;
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -66,7 +66,7 @@
     let mut refused = vec![source.key];
     let (seat, mut copy) = loop {
         let now = Instant::now();
-        let Some(mut seat) = gateway.seat_for_copy(&service, &source, &refused, now) else {
+        let Some(mut seat) = gateway.seat_for_copy(&service, &call, &source, &refused, now) else {
             return Moved::Stays("no_server");
         };
         let copier = Copier { gateway: &gateway, run: &call.id, from: source.to.addr, to: &seat };
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -98,6 +98,15 @@
     Unanswered(String),
 }
 
+/// What a server's health check says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Health {
+    /// Whether it is well.
+    pub well: bool,
+    /// How long it stays cold.
+    pub cold: Duration,
+}
+
 /// The way to backend servers.
 pub trait Wire: Send + Sync {
     /// Sends a request. The proof, there while the request has never run, is spent with the first byte.
@@ -119,12 +128,12 @@
 
     /// Checks a server's health at `path`. It is not well when it is about to leave, and tells so
     /// without the delay of a report; but it may be unwell, or be wrong, for other reasons.
-    fn is_well<'a>(
+    fn health<'a>(
         &'a self,
         server: SocketAddr,
         path: &'a str,
         limit: Duration,
-    ) -> BoxFuture<'a, Result<bool, String>>;
+    ) -> BoxFuture<'a, Result<Health, String>>;
 
     /// Asks a server whether it is about to leave. Its report is some hundred milliseconds old.
     fn is_leaving(
@@ -194,6 +203,8 @@
     fn servers(&self) -> &str;
     /// The prefix of the daemons' own keys.
     fn daemons(&self) -> &str;
+    /// The prefix of the keys that name halls which are to get nothing; whatever the value says.
+    fn closed_halls(&self) -> &str;
     /// Reads a declared configuration.
     fn table(&self, value: &[u8]) -> Result<Table, Undecodable>;
     /// Reads a backend server's entry.
--- /dev/null
+++ b/src/gateway/regions.rs
@@ -0,0 +1,38 @@
+//! Which hall is in which region, and which of them a request may go to.
+
+use crate::gateway::table::Homes;
+use std::collections::HashMap;
+
+/// The region of each hall.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Regions(HashMap<String, String>);
+
+impl Regions {
+    /// Halls with their regions.
+    pub fn new(halls: HashMap<String, String>) -> Regions {
+        Regions(halls)
+    }
+
+    /// The region of a hall; `None` where it isn't known.
+    pub fn of(&self, hall: &str) -> Option<&str> {
+        self.0.get(hall).map(String::as_str)
+    }
+}
+
+/// Where one request may go.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Allowed<'a> {
+    pub(crate) regions: &'a Regions,
+    /// The regions of its route.
+    pub(crate) route: &'a Homes,
+    /// Those of its workspace, if it has one.
+    pub(crate) workspace: Option<&'a Homes>,
+}
+
+impl Allowed<'_> {
+    /// Whether it may go to a hall. One whose region isn't known is in no region.
+    pub(crate) fn has(&self, hall: &str) -> bool {
+        let region = self.regions.of(hall);
+        self.route.allow(region) && self.workspace.is_none_or(|homes| homes.allow(region))
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -362,14 +362,18 @@
     /// the same run, accepted while its key held: a key that was taken away since does not cut it.
     async fn go_on(&mut self, kept: KeptRun, seat: Option<Seat>) -> Result<(), End> {
         let to = seat.as_ref().map_or(&self.seat.place.to, |seat| &seat.place.to).clone();
-        let sending = Sending {
-            to,
-            left: self.call.left(Instant::now()),
-            from: Some(kept.clone()),
-            after: self.last,
-        };
+        let now = Instant::now();
+        let key = seat.as_ref().map_or(self.seat.key(), Seat::key);
+        let sending =
+            Sending { to, left: self.call.left(now), from: Some(kept.clone()), after: self.last };
         let elsewhere = seat.is_some();
-        let why = match reopen(&self.gateway, &self.call, sending).await {
+        // Nothing more is sent to a hall that was closed a while ago, not even what ran there.
+        let may_follow = self.gateway.servers().may_follow(key, now);
+        let reopened = match may_follow {
+            true => reopen(&self.gateway, &self.call, sending).await,
+            false => Err("its hall is closed".into()),
+        };
+        let why = match reopened {
             Ok(leg) => {
                 self.leg = leg;
                 if let Some(seat) = seat {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,6 +1,6 @@
 //! A caller's request on its way through the gateway, and the answer to it.
 
-use crate::gateway::table::Route;
+use crate::gateway::table::{Homes, Route};
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -51,6 +51,8 @@
     pub workspace: Arc<str>,
     /// The caller's key; it is looked up again before each sending.
     pub key: String,
+    /// Regions that requests of the workspace must stay in.
+    pub homes: Homes,
 }
 
 /// A caller's request. Time limits are on this process's steady clock.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,5 +1,6 @@
 //! The daemons that serve callers, as the store and they themselves say.
 
+use crate::gateway::cold::Rank;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -58,6 +59,21 @@
         listed.values().filter(|d| d.vm != self.own.vm).cloned().collect()
     }
 
+    /// This daemon's place among all that are listed, by name.
+    pub fn rank(&self) -> Rank {
+        let listed = self.listed();
+        let others = || listed.values().filter(|d| d.vm != self.own.vm);
+        let before = others().filter(|d| d.vm < self.own.vm).count();
+        Rank { before, daemons: others().count() + 1 }
+    }
+
+    /// The halls of all that are listed, by where callers reach them.
+    pub fn halls(&self) -> HashMap<SocketAddr, String> {
+        let listed = self.listed();
+        let all = listed.values().chain([&self.own]);
+        all.map(|daemon| (daemon.callers, daemon.hall.clone())).collect()
+    }
+
     /// How many other daemons the store lists.
     pub fn count(&self) -> usize {
         self.listed().values().filter(|d| d.vm != self.own.vm).count()
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,5 +1,8 @@
-//! The backend servers as this daemon knows them: who they are, who leaves, how loaded, how well.
+//! The backend servers as this daemon knows them: who they are, who leaves, how loaded, how well, which
+//! halls are to get nothing, and which servers are cold.
 
+use crate::gateway::cold::{Cold, Sendings, WarmUp};
+use crate::gateway::halls::Halls;
 use crate::gateway::outcomes::{Fading, Outcomes};
 use crate::gateway::port::Destination;
 use crate::gateway::reach::Reach;
@@ -30,8 +33,11 @@
 /// What the store says of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerRecord {
-    /// Id of this start of the server; never used again.
+    /// Its id. A server that starts again may have it again.
     pub id: Arc<str>,
+    /// When it started, in milliseconds of the server's own time of day, which tells starts under one id
+    /// apart; `None` where servers don't say.
+    pub born: Option<u64>,
     /// Its service.
     pub service: Arc<str>,
     /// Where it takes requests.
@@ -42,6 +48,17 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub leaving: bool,
+    /// How long it stays cold, as it said itself.
+    pub cold: Duration,
+}
+
+impl ServerRecord {
+    /// The tag of this start of the server: what daemons tell each other of an earlier one does not
+    /// reach it.
+    fn tag(&self) -> Tag {
+        let id = Tag::of(&self.id);
+        self.born.map_or(id, |born| id.with(Tag::number(born)))
+    }
 }
 
 /// What runs at a server.
@@ -105,8 +122,12 @@
 pub struct Server {
     /// What the store says.
     pub record: ServerRecord,
-    /// The tag of its id.
+    /// The tag of its start.
     tag: Tag,
+    /// Whether the store's entry of it can be read, so that it names a server to use.
+    named: bool,
+    /// Whether it counts as leaving only because the store no longer lists it.
+    unlisted: bool,
     /// What this daemon has there.
     pub own: Load,
     /// What the other daemons said they have there.
@@ -124,17 +145,25 @@
     suspected: Option<Instant>,
     /// When it was last found not to leave although its health check said it was not well.
     cleared: Option<Instant>,
+    /// Whether it is cold, as far as known.
+    cold: Cold,
+    /// What this daemon sent it lately while it was cold.
+    sendings: Sendings,
 }
 
 impl Server {
     fn new(record: ServerRecord, now: Instant) -> Server {
         let leaving = watch::Sender::new(record.leaving);
-        let tag = Tag::of(&record.id);
+        let tag = record.tag();
+        let mut cold = Cold::default();
+        cold.told(record.cold, now);
         let none = Load::default();
         let (own, others, ahead) = (none, none, none);
         Server {
             record,
             tag,
+            named: true,
+            unlisted: false,
             own,
             others,
             ahead,
@@ -144,6 +173,8 @@
             reach: Reach::default(),
             suspected: None,
             cleared: None,
+            cold,
+            sendings: Sendings::default(),
         }
     }
 
@@ -152,9 +183,24 @@
         Destination { id: self.record.id.clone(), addr: self.record.addr }
     }
 
-    /// Whether new work may go there.
+    /// Whether new work may go there, as far as the server itself is concerned.
     pub fn open(&self) -> bool {
-        !*self.leaving.borrow()
+        self.named && !*self.leaving.borrow()
+    }
+
+    /// Tag of this start of it.
+    pub fn tag(&self) -> Tag {
+        self.tag
+    }
+
+    /// Whether it is cold, or may be, where servers of its service warm up like that.
+    pub fn is_cold(&self, warm_up: WarmUp, now: Instant) -> bool {
+        self.cold.holds(warm_up, now)
+    }
+
+    /// Requests that this daemon sent it while it was cold, within the last second.
+    pub fn cold_sendings(&self, now: Instant) -> usize {
+        self.sendings.count(now)
     }
 
     /// Tells when the server is about to leave.
@@ -183,13 +229,39 @@
 
     /// It leaves, which is never taken back.
     fn leaves(&mut self) {
+        self.suspected = None;
+        self.unlisted = false;
+        self.leaving.send_replace(true);
+    }
+
+    /// The store no longer lists it: it may serve on for a while, or have gone.
+    fn unlist(&mut self) {
+        self.unlisted |= self.suspected.is_some() || !*self.leaving.borrow();
         self.suspected = None;
         self.leaving.send_replace(true);
     }
 
+    /// The store lists it again: its entry had lapsed, and it went on all the while.
+    fn relist(&mut self) {
+        if std::mem::take(&mut self.unlisted) {
+            self.leaving.send_replace(false);
+        }
+    }
+
+    /// Takes in what the store says of the same start of it.
+    fn update(&mut self, record: ServerRecord, now: Instant) {
+        if record.leaving {
+            self.leaves();
+        }
+        self.cold.told(record.cold, now);
+        self.named = true;
+        self.record = record;
+    }
+
     fn judge(&mut self, failed: bool, now: Instant) {
         if !failed {
             self.reach.hit();
+            self.cold.reached(now);
         }
         self.outcomes.note(failed, now);
     }
@@ -215,38 +287,84 @@
 pub struct Servers {
     arena: slotmap::SlotMap<ServerKey, Server>,
     by_id: HashMap<Arc<str>, ServerKey>,
+    /// Servers that the store no longer lists and that still have runs of this daemon.
+    unlisted: Vec<ServerKey>,
+    halls: Halls,
 }
 
 impl Servers {
-    /// Takes in what the store says of a server. Leaving is never taken back.
+    /// Takes in what the store says of a server. That a start of it leaves is never taken back; another
+    /// start under its id is another server, which has and knows nothing of the one before.
     pub fn upsert(&mut self, record: ServerRecord, now: Instant) {
-        match self.by_id.get(&record.id) {
-            Some(key) => {
-                let server = &mut self.arena[*key];
-                if record.leaving {
-                    server.leaves();
-                }
-                server.record = record;
-            }
+        let known = self.by_id.get(&record.id).copied();
+        match known.filter(|key| self.arena[*key].record.born == record.born) {
+            Some(key) => self.arena[key].update(record, now),
             None => {
-                let id = record.id.clone();
-                let key = self.arena.insert(Server::new(record, now));
-                self.by_id.insert(id, key);
+                self.remove(&record.id.clone());
+                self.add(record, now);
             }
         }
     }
 
+    /// Adds a start of a server that is not listed. One that has runs of this daemon and was listed
+    /// before is still known: its entry had lapsed.
+    fn add(&mut self, record: ServerRecord, now: Instant) {
+        let id = record.id.clone();
+        let is_it = |server: &Server| server.record.id == id && server.record.born == record.born;
+        let known = self.unlisted.iter().position(|key| is_it(&self.arena[*key]));
+        let key = match known.map(|at| self.unlisted.swap_remove(at)) {
+            Some(key) => {
+                self.arena[key].relist();
+                self.arena[key].update(record, now);
+                key
+            }
+            None => self.arena.insert(Server::new(record, now)),
+        };
+        self.by_id.insert(id, key);
+    }
+
     /// The store no longer lists a server: what runs there goes on, nothing new is sent.
     pub fn remove(&mut self, id: &str) {
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
-        self.arena[key].leaves();
-        if self.arena[key].own.runs == 0 {
-            self.arena.remove(key);
+        self.arena[key].unlist();
+        match self.arena[key].own.runs {
+            0 => drop(self.arena.remove(key)),
+            _ => self.unlisted.push(key),
+        }
+    }
+
+    /// The store's entry of a server can't be read: it names no server to use until it can. What runs
+    /// there goes on.
+    pub fn hide(&mut self, id: &str) {
+        if let Some(key) = self.by_id.get(id) {
+            self.arena[*key].named = false;
+        }
+    }
+
+    /// The operators ask that nothing further be sent to a hall.
+    pub fn close_hall(&mut self, hall: &str, now: Instant) {
+        self.halls.close(hall, now);
+    }
+
+    /// A hall takes work again. Its servers may just have turned cold, and their entries say so late.
+    pub fn open_hall(&mut self, hall: &str, now: Instant) {
+        if !self.halls.open(hall) {
+            return;
+        }
+        for server in self.arena.values_mut().filter(|s| s.record.hall == hall) {
+            server.cold.started(now);
         }
     }
 
+    /// Whether work that is under way may still be sent to a server: its hall is not closed, or has just
+    /// been closed.
+    pub fn may_follow(&self, key: ServerKey, now: Instant) -> bool {
+        let server = self.arena.get(key);
+        server.is_some_and(|server| self.halls.may_follow(&server.record.hall, now))
+    }
+
     /// The server is about to leave or has gone, by its own word or because another one answers at
     /// its address.
     pub fn leaves(&mut self, key: ServerKey) {
@@ -277,14 +395,30 @@
     pub fn not_reached(&mut self, key: ServerKey, refused: bool, now: Instant) {
         if let Some(server) = self.arena.get_mut(key) {
             server.reach.miss(refused, now);
+            server.cold.missed();
+        }
+    }
+
+    /// The server says itself how long it stays cold.
+    pub fn says_cold(&mut self, key: ServerKey, left: Duration, now: Instant) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.cold.told(left, now);
+        }
+    }
+
+    /// Notes that a request goes to a server that is cold.
+    pub fn sends_cold(&mut self, key: ServerKey, now: Instant) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.sendings.note(now);
         }
     }
 
     /// What other daemons can't know from the store.
     pub fn signs(&self, now: Instant) -> Signs {
         let listed = || self.by_id.values().filter_map(|key| self.arena.get(*key));
-        let leaving = listed().filter(|s| !s.open() && !s.record.leaving && s.suspected.is_none());
-        let refusing = listed().filter(|s| s.open()).filter_map(|s| {
+        let leaves = |s: &Server| *s.leaving.borrow();
+        let leaving = listed().filter(|s| leaves(s) && !s.record.leaving && s.suspected.is_none());
+        let refusing = listed().filter(|s| !leaves(s)).filter_map(|s| {
             let left = s.reach.told(now)?;
             Some((s.tag, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
         });
@@ -345,7 +479,8 @@
 
     /// Servers of a service that take new work.
     pub fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (ServerKey, &'a Server)> {
-        self.arena.iter().filter(move |(_, s)| s.open() && *s.record.service == *service)
+        let serves = move |s: &Server| s.open() && *s.record.service == *service;
+        self.arena.iter().filter(move |(_, s)| serves(s) && !self.halls.is_closed(&s.record.hall))
     }
 
     /// Notes work that this daemon sends to a server.
@@ -375,7 +510,11 @@
             return;
         };
         server.own -= load;
-        if server.own.runs == 0 && !self.by_id.contains_key(&server.record.id) {
+        if server.own.runs > 0 {
+            return;
+        }
+        if let Some(at) = self.unlisted.iter().position(|unlisted| *unlisted == key) {
+            self.unlisted.swap_remove(at);
             self.arena.remove(key);
         }
     }
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -1,5 +1,6 @@
 //! The declared configuration: routes, services, workspaces with their keys, and limits.
 
+use crate::gateway::cold::WarmUp;
 use rand::RngExt;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -36,6 +37,17 @@
     pub weight: u32,
 }
 
+/// Regions that requests must stay in; none where they may go anywhere.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Homes(pub Vec<String>);
+
+impl Homes {
+    /// Whether requests may go to a region; `None` is one that isn't known.
+    pub fn allow(&self, region: Option<&str>) -> bool {
+        self.0.is_empty() || self.0.iter().any(|home| Some(home.as_str()) == region)
+    }
+}
+
 /// One route of the declared configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
@@ -63,6 +75,8 @@
     pub anonymous: bool,
     /// Services that take the requests.
     pub targets: Vec<Target>,
+    /// Regions that requests must stay in.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -125,6 +139,8 @@
     pub connections: u32,
     /// Path of the health check of its replicas; `None` where none is declared.
     pub health: Option<Arc<str>>,
+    /// How its replicas warm up after a start.
+    pub warm_up: WarmUp,
     /// Present where the replicas are model engines.
     pub engine: Option<Engine>,
 }
@@ -138,6 +154,8 @@
     pub priority: Option<u8>,
     /// Keys of its callers.
     pub keys: Vec<String>,
+    /// Regions that its requests must stay in.
+    pub homes: Homes,
 }
 
 /// Bounds on what callers send.
@@ -197,6 +215,12 @@
         routes.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    /// What the routes of a host say of the regions that requests must stay in.
+    pub fn homes<'a>(&'a self, host: &str) -> impl Iterator<Item = &'a Homes> {
+        let routes = self.by_host.get(&host.to_ascii_lowercase());
+        routes.into_iter().flatten().map(|route| &route.homes).filter(|homes| !homes.0.is_empty())
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/tests/common/servers.rs
+++ b/tests/common/servers.rs
@@ -19,11 +19,13 @@
     let id = format!("i-{number}");
     let record = ServerRecord {
         id: id.as_str().into(),
+        born: None,
         service: "model".into(),
         addr: "127.0.0.1:9".parse().expect("an address"),
         hall: hall.into(),
         slots: ENGINE.slots,
         leaving: false,
+        cold: std::time::Duration::ZERO,
     };
     servers.upsert(record, std::time::Instant::now());
     let key = servers.find(&id).expect("it was just added");
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -8,7 +8,9 @@
 use tidestair::gateway::events::Splitter;
 use tidestair::gateway::in_force::{Declared, InForce};
 use tidestair::gateway::servers::{Heard, Load, ServerRecord, Servers, Signs};
-use tidestair::gateway::table::{Limits, Route, RouteKind, Service, Table, Target, Workspace};
+use tidestair::gateway::table::{
+    Homes, Limits, Route, RouteKind, Service, Table, Target, Workspace,
+};
 use tidestair::gateway::tag::Tag;
 
 const LIMITS: Limits = Limits {
@@ -68,6 +70,7 @@
         attempts: 2,
         anonymous: true,
         targets: weights.iter().enumerate().map(target).collect(),
+        homes: Homes::default(),
     }
 }
 
@@ -78,7 +81,8 @@
         route("long", "a.example", "/x/y/", &[1]),
         route("other", "b.example", "/x/y/", &[1]),
     ];
-    let workspace = Workspace { name: "w".into(), priority: None, keys: vec!["k".into()] };
+    let (priority, keys, homes) = (None, vec!["k".into()], Homes::default());
+    let workspace = Workspace { name: "w".into(), priority, keys, homes };
     let table = Table::new(1, LIMITS, routes, Vec::<Service>::new(), vec![workspace]);
     let found = |host, path| table.route(host, path).map(|r| r.name.clone());
     assert_eq!(found("a.example", "/x/y/z").as_deref(), Some("long"));
@@ -163,11 +167,13 @@
 fn record(id: &str, leaving: bool) -> ServerRecord {
     ServerRecord {
         id: id.into(),
+        born: None,
         service: "app".into(),
         addr: "127.0.0.1:9".parse().unwrap(),
         hall: "hall".into(),
         slots: 6,
         leaving,
+        cold: Duration::ZERO,
     }
 }
 
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -4,15 +4,17 @@
 mod stand_ins;
 
 use proptest::prelude::*;
-use stand_ins::{NoWire, Plain};
+use stand_ins::{NoWire, Plain, hall_of};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tidestair::gateway::budget::BudgetBounds;
+use tidestair::gateway::cold::ColdBounds;
 use tidestair::gateway::core::{Bounds, Gateway};
 use tidestair::gateway::mirror::Mirror;
 use tidestair::gateway::place::Headroom;
+use tidestair::gateway::regions::Regions;
 use tidestair::gateway::roster::{Daemon, Roster};
 use tidestair::gateway::update::{Lack, Statement, Update};
 use tidestair::message;
@@ -35,6 +37,11 @@
         servers.find(id).and_then(|key| servers.get(key)).is_some_and(|server| server.open())
     }
 
+    /// Ids of the servers that work may go to.
+    fn used(&self) -> BTreeSet<String> {
+        self.gateway.servers().open("app").map(|(_, s)| s.record.id.to_string()).collect()
+    }
+
     /// A peer's word that it held everything `age` ago, while this node asks the store in vain.
     fn hear(&self, truth: &Truth, age: Duration, now: Instant) {
         self.mirror.store_failed(now);
@@ -69,8 +76,10 @@
 
 fn node(now: Instant) -> Node {
     let budget = BudgetBounds { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) };
-    let bounds = Bounds { revoke: Some(Duration::from_secs(5)), budget };
-    let gateway = Gateway::new("hall", bounds, Arc::new(NoWire), Box::new(Headroom), now);
+    let bounds =
+        Bounds { revoke: Some(Duration::from_secs(5)), budget, cold: ColdBounds::default() };
+    let gateway =
+        Gateway::new("hall", Regions::default(), bounds, Arc::new(NoWire), Box::new(Headroom), now);
     let addr: SocketAddr = "127.0.0.1:9".parse().expect("an address");
     let (vm, hall) = ("vm".into(), "hall".into());
     let own = Daemon { vm, hall, callers: addr, peers: addr, strength: 120 };
@@ -169,13 +178,14 @@
 
 /// Reads the servers' entries apart, as a daemon does whose answer of the store is slow.
 fn read_servers(mirror: &Mirror, truth: &Truth, now: Instant) {
-    let after = mirror.servers_position();
+    let after = mirror.urgent_position();
     if after == 0 {
         return;
     }
     let newer = truth.changes.iter().filter(|c| c.revision > after);
-    let newer = newer.filter(|c| c.key.starts_with("servers/")).cloned();
-    mirror.advance_servers(newer.collect(), truth.revision(), now, now);
+    let urgent = |c: &&Change| mirror.urgent().iter().any(|prefix| c.key.starts_with(prefix));
+    let newer = newer.filter(urgent).cloned();
+    mirror.advance_urgent(newer.collect(), truth.revision(), now, now);
 }
 
 #[derive(Debug, Clone)]
@@ -210,6 +220,115 @@
     ]
 }
 
+/// What an operator, a server or another writer does.
+#[derive(Debug, Clone)]
+enum News {
+    /// A hall is closed or taken back.
+    Hall(u8, bool),
+    /// A server starts under its id.
+    Start(u8),
+    /// It says that it leaves.
+    Leave(u8),
+    /// Its entry lapses, or it has gone.
+    Lapse(u8),
+    /// It writes again as it was.
+    Write(u8),
+    /// Another writer's entry is in its place.
+    Garble(u8),
+}
+
+fn news() -> impl Strategy<Value = News> {
+    prop_oneof![
+        (0u8..2, any::<bool>()).prop_map(|(n, closed)| News::Hall(n, closed)),
+        (0u8..3).prop_map(News::Start),
+        (0u8..3).prop_map(News::Leave),
+        (0u8..3).prop_map(News::Lapse),
+        (0u8..3).prop_map(News::Write),
+        (0u8..3).prop_map(News::Garble),
+    ]
+}
+
+/// How a node hears of it.
+#[derive(Debug, Clone)]
+enum Way {
+    Unheard,
+    Read(usize),
+    Apart(usize),
+    Whole(usize),
+    /// From this node the other one is given small values.
+    Given(usize),
+}
+
+fn way() -> impl Strategy<Value = Way> {
+    prop_oneof![
+        Just(Way::Unheard),
+        (0usize..2).prop_map(Way::Read),
+        (0usize..2).prop_map(Way::Apart),
+        (0usize..2).prop_map(Way::Whole),
+        (0usize..2).prop_map(Way::Given),
+    ]
+}
+
+/// A server's last start.
+#[derive(Debug, Clone, Copy)]
+struct Start {
+    born: u64,
+    leaves: bool,
+    /// Whether its entry stands there as it wrote it.
+    listed: bool,
+}
+
+/// How everything stands after some news.
+#[derive(Default)]
+struct Last {
+    starts: BTreeMap<u8, Start>,
+    closed: BTreeSet<String>,
+}
+
+impl Last {
+    fn take(&mut self, news: &News, truth: &mut Truth, now: Instant) {
+        let mut write = |key: String, value: Option<String>| truth.write(&key, value, now);
+        let server = |n: u8| format!("servers/{n}");
+        match *news {
+            News::Hall(n, closed) => {
+                let hall = format!("hall-{n}");
+                write(format!("closed/{hall}"), closed.then(String::new));
+                match closed {
+                    true => self.closed.insert(hall),
+                    false => self.closed.remove(&hall),
+                };
+            }
+            News::Start(n) => {
+                let born = self.starts.get(&n).map_or(1, |start| start.born + 1);
+                self.starts.insert(n, Start { born, leaves: false, listed: true });
+                write(server(n), Some(format!("ready@{born}")));
+            }
+            News::Leave(n) | News::Write(n) => {
+                if let Some(start) = self.starts.get_mut(&n) {
+                    start.leaves |= matches!(news, News::Leave(_));
+                    start.listed = true;
+                    let state = if start.leaves { "leaving" } else { "ready" };
+                    write(server(n), Some(format!("{state}@{}", start.born)));
+                }
+            }
+            News::Lapse(n) | News::Garble(n) => {
+                let garbled = matches!(news, News::Garble(_));
+                if let Some(start) = self.starts.get_mut(&n) {
+                    start.listed = false;
+                }
+                write(server(n), garbled.then(|| "?".to_string()));
+            }
+        }
+    }
+
+    /// Ids of the servers that work may go to.
+    fn used(&self) -> BTreeSet<String> {
+        let open = self.starts.iter().filter(|(_, start)| start.listed && !start.leaves);
+        let ids = open.map(|(n, _)| n.to_string());
+        ids.filter(|id| !self.closed.contains(&hall_of(id))).collect()
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(400))]
 
@@ -301,7 +420,7 @@
         for (node, ahead) in nodes.iter().zip(ahead) {
             node.mirror.tick(now + Duration::from_secs(10));
             let position = node.mirror.position();
-            let servers = node.mirror.servers_position();
+            let servers = node.mirror.urgent_position();
             let had = |id: &String| {
                 let mut had = (servers..=ahead.max(servers)).map(|r| truth.servers_at(r).contains(id));
                 let has = node.servers().contains(id);
@@ -314,6 +433,37 @@
         }
     }
 
+    /// In whatever order news of servers and halls comes, lapses, starts and entries of other writers among
+    /// it, two nodes that have heard all of it send work to the same servers: those whose entry can be read,
+    /// whose latest start does not leave, and whose hall is open.
+    #[test]
+    fn news_of_servers_and_halls_ends_in_one_state(
+        news in prop::collection::vec((news(), way()), 1..100)
+    ) {
+        let now = Instant::now() + Duration::from_secs(60);
+        let nodes = [node(now), node(now)];
+        let mut truth = Truth::default();
+        truth.take(&Act::Declare(false), now);
+        let mut last = Last::default();
+        for (news, way) in news {
+            last.take(&news, &mut truth, now);
+            match way {
+                Way::Unheard => {}
+                Way::Read(n) => read(&nodes[n].mirror, &truth, now),
+                Way::Apart(n) => read_servers(&nodes[n].mirror, &truth, now),
+                Way::Whole(n) => {
+                    nodes[n].mirror.replace(truth.entries(), truth.revision(), now, now);
+                }
+                Way::Given(n) => nodes[n].give(&nodes[1 - n], false, now),
+            }
+        }
+        read(&nodes[0].mirror, &truth, now);
+        nodes[0].give(&nodes[1], true, now);
+        for node in &nodes {
+            prop_assert_eq!(node.used(), last.used());
+        }
+    }
+
     /// A node that reads, or is given everything by one that has read, has the servers as they are.
     #[test]
     fn what_is_given_is_what_there_is(acts in prop::collection::vec(act(), 1..80)) {
--- a/tests/mirror/stand_ins.rs
+++ b/tests/mirror/stand_ins.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tidestair::gateway::port::{
-    Copied, Lost, NotCopied, Reply, Schema, Sending, Undecodable, Wire,
+    Copied, Health, Lost, NotCopied, Reply, Schema, Sending, Undecodable, Wire,
 };
 use tidestair::gateway::request::Call;
 use tidestair::gateway::servers::ServerRecord;
@@ -36,13 +36,13 @@
         Box::pin(async { Err(NotCopied::NoRun) })
     }
 
-    fn is_well<'a>(
+    fn health<'a>(
         &'a self,
         _: SocketAddr,
         _: &'a str,
         _: Duration,
-    ) -> BoxFuture<'a, Result<bool, String>> {
-        Box::pin(async { Ok(true) })
+    ) -> BoxFuture<'a, Result<Health, String>> {
+        Box::pin(async { Ok(Health { well: true, cold: Duration::ZERO }) })
     }
 
     fn is_leaving(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<bool, String>> {
@@ -63,7 +63,13 @@
     }
 }
 
-/// Values are numbers; a server's sign of life is what stands behind a dot.
+/// The hall of a server.
+pub fn hall_of(id: &str) -> String {
+    id.parse().map_or(String::new(), |n: u8| format!("hall-{}", n % 2))
+}
+
+/// Values are numbers; a server's sign of life is what stands behind a dot, its start what stands behind
+/// an `@`, and its hall the parity of its number. A question mark can't be read.
 pub struct Plain;
 
 impl Schema for Plain {
@@ -79,6 +85,10 @@
         "daemons/"
     }
 
+    fn closed_halls(&self) -> &str {
+        "closed/"
+    }
+
     fn table(&self, value: &[u8]) -> Result<Table, Undecodable> {
         let text = String::from_utf8_lossy(value);
         let version = text.parse().map_err(|_| Undecodable(text.into_owned()))?;
@@ -93,13 +103,20 @@
 
     fn server(&self, key: &str, value: &[u8]) -> Result<ServerRecord, Undecodable> {
         let text = String::from_utf8_lossy(value);
+        if text.starts_with('?') {
+            return Err(Undecodable(text.into_owned()));
+        }
+        let id = key.trim_start_matches("servers/");
+        let start = text.split('.').next().and_then(|text| text.split_once('@'));
         Ok(ServerRecord {
-            id: key.trim_start_matches("servers/").into(),
+            id: id.into(),
+            born: start.and_then(|(_, born)| born.parse().ok()),
             service: "app".into(),
             addr: "127.0.0.1:9".parse().expect("an address"),
-            hall: String::new(),
+            hall: hall_of(id),
             slots: 1,
             leaving: text.starts_with("leaving"),
+            cold: Duration::ZERO,
         })
     }
 }
