Own words of a heartbeat from what this daemon uses, others' words added up when a server is chosen

Cause: each heartbeat sent looked at every server three times, each one heard added up the whole fleet's words and set them at every server. Ruled out: adding up by differences; it must know of silences too.

--- /dev/null
+++ b/benches/fleet.rs
@@ -0,0 +1,214 @@
+//! What the parts of a daemon that may grow with the fleet take, by its size, printed as JSON.
+//!
+//! `cargo bench --bench fleet`; it takes about ten seconds. Times are microseconds on one core.
+
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tidestair::gateway::beat::{Beat, Origin, Sum, Told};
+use tidestair::gateway::cell::CellId;
+use tidestair::gateway::clock::{Clock, Echo};
+use tidestair::gateway::partner::{Pace, Relation};
+use tidestair::gateway::place::{ALIKE, Candidate, Headroom, Need, Placing, UNSEEN_COST};
+use tidestair::gateway::roster::Daemon;
+use tidestair::gateway::servers::{Load, ServerRecord, Servers, Signs};
+use tidestair::gateway::table::Engine;
+use tidestair::gateway::tag::Tag;
+use tidestair::gateway::view::{Own, View};
+use tidestair::message;
+
+/// Daemons and servers of the fleets that are measured: the users' grown one, one of 300 VMs with ten servers
+/// each, and the one that the design is for.
+const FLEETS: [(usize, usize, usize); 3] = [(4, 64, 72), (6, 300, 3_000), (20, 1_000, 6_600)];
+/// Servers at which a daemon has something running.
+const OWN: usize = 12;
+
+const ENGINE: Engine = Engine {
+    slots: 24,
+    memory: 21_864,
+    token_bytes: 131_072,
+    link_mbps: 19_000.0,
+    event_tokens: 4,
+    moves: true,
+    backups: true,
+};
+
+const LOAD: Load = Load { runs: 1, tokens: 3_700, reading: 3_000, once: 3_700, arriving: 0 };
+
+fn main() {
+    if std::env::args().any(|a| a == "--test") {
+        // `cargo test --benches` only checks that it builds.
+        return;
+    }
+    let mut figures = BTreeMap::new();
+    for (halls, daemons, servers) in FLEETS {
+        let mut note = |name: &str, us: f64| {
+            figures.insert(format!("{name}_us_at_{daemons}_{servers}"), us);
+        };
+        let known = servers_of(servers, halls);
+        note("choice", choice(&known));
+        note("own_words", own_words(&known));
+        hearing(halls, daemons, servers, known, &mut note);
+    }
+    println!("{}", serde_json::to_string_pretty(&json!(figures)).expect("numbers are JSON"));
+}
+
+fn micros(count: u32, mut act: impl FnMut()) -> f64 {
+    let began = Instant::now();
+    for _ in 0..count {
+        act();
+    }
+    began.elapsed().as_secs_f64() * 1e6 / f64::from(count)
+}
+
+fn id(server: usize) -> String {
+    format!("i-{server}")
+}
+
+fn servers_of(count: usize, halls: usize) -> Servers {
+    let (now, mut servers) = (Instant::now(), Servers::default());
+    for n in 0..count {
+        let record = ServerRecord {
+            id: id(n).into(),
+            born: None,
+            service: "model".into(),
+            addr: SocketAddr::from(([10, 9, (n / 250) as u8, (n % 250) as u8], 80)),
+            hall: format!("hall-{}", n % halls),
+            slots: ENGINE.slots,
+            leaving: false,
+            cold: Duration::ZERO,
+        };
+        servers.upsert(record, now);
+    }
+    for n in 0..OWN.min(count) {
+        let key = servers.find(&id(n)).expect("it was added");
+        servers.begin(key, LOAD);
+        servers.judge(key, n == 0, now);
+    }
+    servers
+}
+
+fn choice(servers: &Servers) -> f64 {
+    let need = Need {
+        hall: "hall-0",
+        far: UNSEEN_COST,
+        alike: ALIKE,
+        unseen: 2.0,
+        load: LOAD,
+        engine: Some(&ENGINE),
+    };
+    let mut rng = rand::rng();
+    micros(500, || {
+        let now = Instant::now();
+        let candidates: Vec<Candidate<'_>> = servers
+            .open("model")
+            .map(|(key, server)| Candidate { key, server, load: server.load() })
+            .collect();
+        black_box(Headroom.choose(&candidates, &need, now, &mut rng));
+    })
+}
+
+/// What a daemon tells of itself in each heartbeat.
+fn own_words(servers: &Servers) -> f64 {
+    micros(500, || {
+        let now = Instant::now();
+        black_box((servers.own_loads(), servers.own_outcomes(now), servers.signs(now)));
+    })
+}
+
+fn daemon(halls: usize, n: usize) -> Daemon {
+    let addr =
+        |port| SocketAddr::from(([10, (n % halls) as u8, (n / 250) as u8, (n % 250) as u8], port));
+    Daemon {
+        vm: format!("vm-{n}"),
+        hall: format!("hall-{}", n % halls),
+        callers: addr(80),
+        peers: addr(70),
+        strength: 120,
+    }
+}
+
+/// What `count` daemons have running, spread over so many servers.
+fn told(first: usize, count: usize, servers: usize) -> Told {
+    let at = |n: usize| Tag::of(&id(n % servers));
+    let loads: BTreeMap<Tag, Load> =
+        (0..count * OWN).map(|n| (at(first * 7 + n * 13), LOAD)).collect();
+    Told { loads: loads.into_iter().collect(), ..Told::default() }
+}
+
+fn beat(from: &Daemon, view: &View, told: Told, sums: Vec<Sum>, stamp: u64, now: Instant) -> Beat {
+    let clock = view.clock();
+    let echo = Echo { boot: clock.boot(), stamp: clock.stamp(now), held: 0 };
+    Beat {
+        daemon: from.clone(),
+        boot: 1,
+        stamp,
+        echo: Some(echo),
+        ready: true,
+        chosen: true,
+        statement: None,
+        read_ms: None,
+        failed_ms: None,
+        cell: cell_of(from, view),
+        told,
+        sums,
+        signs: Signs::default(),
+        others: Vec::new(),
+    }
+}
+
+fn cell_of(from: &Daemon, view: &View) -> CellId {
+    let other = View::new(from.clone(), Clock::new(2, Instant::now())).layout().own;
+    let layout = view.layout();
+    if layout.near.contains(&from.peers) { layout.own } else { other }
+}
+
+fn hearing(
+    halls: usize,
+    daemons: usize,
+    servers: usize,
+    mut known: Servers,
+    note: &mut impl FnMut(&str, f64),
+) {
+    let all: Vec<Daemon> = (0..daemons).map(|n| daemon(halls, n)).collect();
+    let (own, others) = (all[0].clone(), all[1..].to_vec());
+    let now = Instant::now();
+    let mut view = View::new(own.clone(), Clock::new(7, now - Duration::from_secs(10)));
+    note("divide", micros(20, || view.divide(others.clone(), |_| None, Instant::now())));
+    let near: Vec<&Daemon> =
+        others.iter().filter(|d| view.layout().near.contains(&d.peers)).collect();
+    let far = daemons - near.len() - 1;
+    let sum = Sum {
+        origin: Origin::OtherHalls,
+        maker: 3,
+        made: 1,
+        age_ms: 10,
+        members: Vec::new(),
+        daemons: far as u32,
+        entries: Vec::new(),
+        told: told(daemons, far, servers),
+    };
+    for (n, peer) in near.iter().enumerate() {
+        let sums = if n == 0 { vec![sum.clone()] } else { Vec::new() };
+        let beat = beat(peer, &view, told(n, 1, servers), sums, 1, now);
+        view.note(&beat, Instant::now());
+    }
+    let heard = micros(100, || {
+        let heard = view.heard(Instant::now());
+        known.set_others(black_box(&heard));
+    });
+    note("hear", heard);
+    let own = Own { told: told(0, 1, servers), ready: true };
+    let to = near[0].peers;
+    let send = micros(200, || {
+        let (mut pace, now) = (Pace::default(), Instant::now());
+        let beat = view.beat(to, Relation::Near, own.clone(), &mut pace, now);
+        black_box(message::encode(&beat));
+    });
+    note("send", send);
+    let with_sum = beat(near[0], &view, told(0, 1, servers), vec![sum], 2, now);
+    let bytes = message::encode(&with_sum);
+    note("read_sums", micros(100, || drop(black_box(message::decode::<Beat>(&bytes)))));
+}
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -10,11 +10,13 @@
 use crate::error::Result;
 use crate::gateway::beat::{Beat, Request, Told};
 use crate::gateway::clock::{Clock, before, millis};
-use crate::gateway::core::Gateway;
+use crate::gateway::core::{Gateway, Hearing};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::Mirror;
 use crate::gateway::partner::{self, Pace, Relation};
 use crate::gateway::roster::Roster;
+use crate::gateway::servers::{Heard, Load};
+use crate::gateway::tag::Tag;
 use crate::gateway::update::{Lack, Update};
 use crate::gateway::view::{Own, View};
 use crate::message;
@@ -70,6 +72,8 @@
     /// Daemons that have a task, and since when.
     greeted: Mutex<HashMap<SocketAddr, Instant>>,
     ready: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Whether anything was heard since it was last added up.
+    unheard: AtomicBool,
     fetching: AtomicBool,
     /// Whether this daemon last asked the store in vain.
     in_vain: AtomicBool,
@@ -95,7 +99,7 @@
     ) -> Arc<Cluster> {
         let clock = Clock::new(rand::rng().random(), Instant::now());
         let view = View::new(roster.own().clone(), clock);
-        Arc::new(Cluster {
+        let cluster = Arc::new(Cluster {
             gateway,
             mirror,
             roster,
@@ -105,11 +109,15 @@
             named: Mutex::default(),
             greeted: Mutex::default(),
             ready,
+            unheard: AtomicBool::new(true),
             fetching: AtomicBool::new(false),
             in_vain: AtomicBool::new(false),
             behind: Mutex::default(),
             giving: Semaphore::new(MOST_GIVEN),
-        })
+        });
+        let hearing = Arc::downgrade(&cluster);
+        cluster.gateway.hear_from(hearing);
+        cluster
     }
 
     /// The gateway's counters.
@@ -195,12 +203,13 @@
         view.divide(listed, |addr| greeted.get(&addr).copied(), now);
         self.gateway.metrics.peers.set(view.count(now) as i64);
         self.gateway.set_others(view.spent(count, now));
-        let heard = view.heard(now);
         self.gateway.set_divided(view.layout().divided);
         self.gateway.set_late(view.late_share(now));
         self.gateway.set_rank(self.roster.rank());
         drop(view);
-        self.gateway.servers().set_others(&heard);
+        // What was not told again in time no longer counts.
+        self.unheard.store(true, Ordering::Release);
+        self.gateway.servers().tidy(now);
     }
 
     /// Daemons that this one sends heartbeats to.
@@ -293,17 +302,13 @@
 
     fn hear(self: &Arc<Self>, beat: Beat, now: Instant) {
         let from = beat.daemon.peers;
-        let (sent, heard) = {
+        let sent = {
             let mut view = self.view();
-            let noted = view.note(&beat, now);
-            // Daemons wait for each other's moves by what those of their cell have running.
-            let near = noted && view.relation(from, now) == Some(Relation::Near);
-            (view.clock().sent(beat.echo, now), near.then(|| view.heard(now)))
+            view.note(&beat, now);
+            view.clock().sent(beat.echo, now)
         };
+        self.unheard.store(true, Ordering::Release);
         self.gateway.servers().take_signs(&beat.signs, sent, now);
-        if let Some(heard) = heard {
-            self.gateway.servers().set_others(&heard);
-        }
         self.hear_of_store(&beat, sent, now);
         self.named.lock().expect("no holder panics").extend(beat.others);
         let Some(statement) = beat.statement else {
@@ -381,6 +386,16 @@
     }
 }
 
+impl Hearing for Cluster {
+    fn heard(&self, now: Instant) -> Option<Heard> {
+        self.unheard.swap(false, Ordering::AcqRel).then(|| self.view().heard(now))
+    }
+
+    fn ahead(&self, server: Tag, now: Instant) -> Load {
+        self.view().ahead(server, now)
+    }
+}
+
 /// Returns once something has changed, but not before `least`.
 async fn changed_after(changes: &mut watch::Receiver<u64>, least: Instant) {
     if changes.changed().await.is_err() {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -11,13 +11,13 @@
 use crate::gateway::regions::{Allowed, Regions};
 use crate::gateway::request::Call;
 use crate::gateway::roster::Roster;
-use crate::gateway::servers::{Load, Server, ServerKey, Servers};
+use crate::gateway::servers::{Heard, Load, Server, ServerKey, Servers};
 use crate::gateway::table::{Homes, Service};
 use crate::gateway::tag::Tag;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, Weak};
 use std::time::{Duration, Instant};
 use tokio::sync::{Semaphore, watch};
 
@@ -51,6 +51,15 @@
 /// may name.
 const MOST_LISTED: usize = 64;
 
+/// What this daemon hears of the others. It is asked for when it is needed: heartbeats come many times as
+/// often as requests, and to add up what hundreds of daemons told of thousands of servers takes 0.5 ms.
+pub trait Hearing: Send + Sync {
+    /// What the others have running; `None` where nothing has come since it was last asked for.
+    fn heard(&self, now: Instant) -> Option<Heard>;
+    /// What the daemons of the same cell that rank before this one have running at a server.
+    fn ahead(&self, server: Tag, now: Instant) -> Load;
+}
+
 /// The state that all requests of one daemon share.
 pub struct Gateway {
     /// The configuration in force.
@@ -67,6 +76,7 @@
     /// What a cold server may get, and this daemon's place among those that share it.
     cold: Mutex<(ColdBounds, Rank)>,
     placing: Box<dyn Placing>,
+    hearing: OnceLock<Weak<dyn Hearing>>,
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
     /// Whether loads in other halls are told late, in sums.
@@ -182,6 +192,7 @@
             revoke: Mutex::new(bounds.revoke),
             cold: Mutex::new((bounds.cold, Rank::default())),
             placing,
+            hearing: OnceLock::new(),
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
             divided: AtomicBool::new(false),
@@ -210,6 +221,22 @@
         *self.late.lock().expect("no holder panics") = share;
     }
 
+    /// Sets from where it hears of other daemons; only the first one counts.
+    pub fn hear_from(&self, hearing: Weak<dyn Hearing>) {
+        self.hearing.get_or_init(|| hearing);
+    }
+
+    fn hearing(&self) -> Option<Arc<dyn Hearing>> {
+        self.hearing.get()?.upgrade()
+    }
+
+    /// What the daemons of the same cell that rank before this one have running at a server.
+    pub(crate) fn ahead(&self, server: ServerKey, now: Instant) -> Load {
+        let tag = self.servers().get(server).map(Server::tag);
+        let ahead = tag.and_then(|tag| Some(self.hearing()?.ahead(tag, now)));
+        ahead.unwrap_or_default()
+    }
+
     /// Sets this daemon's place among those that send requests.
     pub fn set_rank(&self, rank: Rank) {
         self.cold.lock().expect("no holder panics").1 = rank;
@@ -379,6 +406,9 @@
         except: &[ServerKey],
         now: Instant,
     ) -> Option<Seat> {
+        if let Some(heard) = self.hearing().and_then(|hearing| hearing.heard(now)) {
+            self.servers().set_others(&heard);
+        }
         let load = need.load;
         let allowed = self.allowed(call);
         let may_take = |key, server: &Server| {
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -124,7 +124,7 @@
     };
     let (mut since, mut before) = (Instant::now(), u32::MAX);
     loop {
-        let ahead = gateway.servers().get(source.key).map_or(0, |server| server.ahead.once);
+        let ahead = gateway.ahead(source.key, Instant::now()).once;
         if ahead < before {
             (since, before) = (Instant::now(), ahead);
         }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -9,7 +9,7 @@
 use crate::gateway::request::Size;
 use crate::gateway::tag::Tag;
 use log::info;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::ops::{AddAssign, SubAssign};
 use std::sync::Arc;
@@ -21,6 +21,9 @@
     pub struct ServerKey;
 }
 
+/// Exchanges, older ones as parts of one, below which a daemon has nothing to tell of a server.
+const LEAST_TRIED: f32 = 0.01;
+
 /// What a daemon has learnt of servers otherwise than from the store, for the other daemons.
 #[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Signs {
@@ -111,8 +114,6 @@
 pub struct Heard {
     /// What all of them have running.
     pub loads: HashMap<Tag, Load>,
-    /// What the daemons of the same cell have running that rank before this one.
-    pub ahead: HashMap<Tag, Load>,
     /// How their exchanges went.
     pub outcomes: HashMap<Tag, Outcomes>,
 }
@@ -132,8 +133,6 @@
     pub own: Load,
     /// What the other daemons said they have there.
     pub others: Load,
-    /// The part of it that daemons have which rank before this one.
-    pub ahead: Load,
     /// Turns true when the server is about to leave or has gone.
     leaving: watch::Sender<bool>,
     /// How this daemon's recent exchanges with it went.
@@ -158,7 +157,7 @@
         let mut cold = Cold::default();
         cold.told(record.cold, now);
         let none = Load::default();
-        let (own, others, ahead) = (none, none, none);
+        let (own, others) = (none, none);
         Server {
             record,
             tag,
@@ -166,7 +165,6 @@
             unlisted: false,
             own,
             others,
-            ahead,
             leaving,
             outcomes: Fading::new(now),
             others_outcomes: Outcomes::default(),
@@ -227,6 +225,20 @@
         self.reach.is_passed_over(now)
     }
 
+    /// Whether it leaves, and other daemons can't know it from the store.
+    fn leaves_untold(&self) -> bool {
+        *self.leaving.borrow() && !self.record.leaving && self.suspected.is_none()
+    }
+
+    /// Whether this daemon has anything to tell others of it.
+    fn has_news(&self, now: Instant) -> bool {
+        self.own.runs > 0
+            || self.outcomes.at(now).tried >= LEAST_TRIED
+            || self.others_outcomes.matter()
+            || self.leaves_untold()
+            || self.reach.told(now).is_some()
+    }
+
     /// It leaves, which is never taken back.
     fn leaves(&mut self) {
         self.suspected = None;
@@ -287,6 +299,12 @@
 pub struct Servers {
     arena: slotmap::SlotMap<ServerKey, Server>,
     by_id: HashMap<Arc<str>, ServerKey>,
+    by_tag: HashMap<Tag, ServerKey>,
+    /// Servers of which this daemon may have something to tell: what is told of a fleet's servers costs
+    /// as much as this daemon uses, not as much as there are.
+    noted: HashSet<ServerKey>,
+    /// Servers of which others told something, as of the last time.
+    heard: Vec<ServerKey>,
     /// Servers that the store no longer lists and that still have runs of this daemon.
     unlisted: Vec<ServerKey>,
     halls: Halls,
@@ -318,11 +336,37 @@
                 self.arena[key].update(record, now);
                 key
             }
-            None => self.arena.insert(Server::new(record, now)),
+            None => self.insert(Server::new(record, now)),
         };
         self.by_id.insert(id, key);
     }
 
+    fn insert(&mut self, server: Server) -> ServerKey {
+        let tag = server.tag;
+        let key = self.arena.insert(server);
+        self.by_tag.insert(tag, key);
+        key
+    }
+
+    fn forget(&mut self, key: ServerKey) {
+        if let Some(server) = self.arena.remove(key) {
+            self.by_tag.remove(&server.tag);
+            self.noted.remove(&key);
+        }
+    }
+
+    /// Whether the store lists a server.
+    fn is_listed(&self, key: ServerKey) -> bool {
+        let server = self.arena.get(key);
+        server.is_some_and(|server| self.by_id.get(&server.record.id) == Some(&key))
+    }
+
+    /// Drops servers of which there is nothing to tell any more.
+    pub fn tidy(&mut self, now: Instant) {
+        let arena = &self.arena;
+        self.noted.retain(|key| arena.get(*key).is_some_and(|server| server.has_news(now)));
+    }
+
     /// The store no longer lists a server: what runs there goes on, nothing new is sent.
     pub fn remove(&mut self, id: &str) {
         let Some(key) = self.by_id.remove(id) else {
@@ -330,7 +374,7 @@
         };
         self.arena[key].unlist();
         match self.arena[key].own.runs {
-            0 => drop(self.arena.remove(key)),
+            0 => self.forget(key),
             _ => self.unlisted.push(key),
         }
     }
@@ -370,6 +414,7 @@
     pub fn leaves(&mut self, key: ServerKey) {
         if let Some(server) = self.arena.get_mut(key) {
             server.leaves();
+            self.noted.insert(key);
         }
     }
 
@@ -396,6 +441,7 @@
         if let Some(server) = self.arena.get_mut(key) {
             server.reach.miss(refused, now);
             server.cold.missed();
+            self.noted.insert(key);
         }
     }
 
@@ -415,31 +461,30 @@
 
     /// What other daemons can't know from the store.
     pub fn signs(&self, now: Instant) -> Signs {
-        let listed = || self.by_id.values().filter_map(|key| self.arena.get(*key));
-        let leaves = |s: &Server| *s.leaving.borrow();
-        let leaving = listed().filter(|s| leaves(s) && !s.record.leaving && s.suspected.is_none());
-        let refusing = listed().filter(|s| !leaves(s)).filter_map(|s| {
+        let listed = || self.noted().filter(|(key, _)| self.is_listed(*key)).map(|(_, s)| s);
+        let leaving = listed().filter(|s| s.leaves_untold()).map(|s| s.tag);
+        let refusing = listed().filter(|s| !*s.leaving.borrow()).filter_map(|s| {
             let left = s.reach.told(now)?;
             Some((s.tag, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
         });
-        Signs { leaving: leaving.map(|s| s.tag).collect(), refusing: refusing.collect() }
+        Signs { leaving: leaving.collect(), refusing: refusing.collect() }
     }
 
     /// Takes over what another daemon has learnt of servers, told by a message sent at `sent` at the
     /// earliest. What passes is not taken over where that isn't known.
     pub fn take_signs(&mut self, signs: &Signs, sent: Option<Instant>, now: Instant) {
-        if signs.leaving.is_empty() && signs.refusing.is_empty() {
-            return;
-        }
         let mut leaving = Vec::new();
-        for server in self.arena.values_mut().filter(|s| s.open() || s.suspected.is_some()) {
-            if signs.leaving.contains(&server.tag) {
+        for tag in &signs.leaving {
+            if let Some((key, server)) = self.unsure(*tag) {
                 leaving.push(server.record.id.to_string());
                 server.leaves();
+                self.noted.insert(key);
             }
-            let refusing = signs.refusing.iter().find(|(tag, _)| *tag == server.tag);
-            if let (Some((_, left)), Some(sent)) = (refusing, sent) {
+        }
+        for (tag, left) in &signs.refusing {
+            if let (Some((key, server)), Some(sent)) = (self.unsure(*tag), sent) {
                 server.reach.refuses(sent + Duration::from_millis((*left).into()), now);
+                self.noted.insert(key);
             }
         }
         if !leaving.is_empty() {
@@ -447,6 +492,17 @@
         }
     }
 
+    /// A server that is not known to leave.
+    fn unsure(&mut self, tag: Tag) -> Option<(ServerKey, &mut Server)> {
+        let (key, server) = known(&self.by_tag, &mut self.arena, tag)?;
+        let leaves = *server.leaving.borrow() && server.suspected.is_none();
+        (!leaves).then_some((key, server))
+    }
+
+    fn noted(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.noted.iter().filter_map(|key| Some((*key, self.arena.get(*key)?)))
+    }
+
     /// Servers that take new work and have runs of this daemon that may not run again, and those that
     /// are suspected.
     pub fn watched(&self) -> Vec<Watched> {
@@ -487,6 +543,7 @@
     pub fn begin(&mut self, key: ServerKey, load: Load) {
         if let Some(server) = self.arena.get_mut(key) {
             server.own += load;
+            self.noted.insert(key);
         }
     }
 
@@ -515,7 +572,7 @@
         }
         if let Some(at) = self.unlisted.iter().position(|unlisted| *unlisted == key) {
             self.unlisted.swap_remove(at);
-            self.arena.remove(key);
+            self.forget(key);
         }
     }
 
@@ -523,19 +580,20 @@
     pub fn judge(&mut self, key: ServerKey, failed: bool, now: Instant) {
         if let Some(server) = self.arena.get_mut(key) {
             server.judge(failed, now);
+            self.noted.insert(key);
         }
     }
 
     /// This daemon's load, for the others.
     pub fn own_loads(&self) -> Vec<(Tag, Load)> {
-        let loaded = self.arena.values().filter(|s| s.own.runs > 0);
-        loaded.map(|s| (s.tag, s.own)).collect()
+        let loaded = self.noted().filter(|(_, s)| s.own.runs > 0);
+        loaded.map(|(_, s)| (s.tag, s.own)).collect()
     }
 
     /// How this daemon's exchanges went at servers where some failed, here or at another daemon: a
     /// failure that others don't see must be weighed against what they do see.
     pub fn own_outcomes(&self, now: Instant) -> Vec<(Tag, Outcomes)> {
-        let outcomes = self.arena.values().map(|s| (s, s.outcomes.at(now)));
+        let outcomes = self.noted().map(|(_, s)| (s, s.outcomes.at(now)));
         let matter = outcomes.filter(|(s, own)| own.matter() || s.others_outcomes.matter());
         matter.map(|(s, own)| (s.tag, own)).collect()
     }
@@ -543,10 +601,32 @@
     /// Sets what the other daemons have at each server and how their exchanges went. Servers that are
     /// not named have nothing of theirs.
     pub fn set_others(&mut self, heard: &Heard) {
-        for server in self.arena.values_mut() {
-            server.others = heard.loads.get(&server.tag).copied().unwrap_or_default();
-            server.ahead = heard.ahead.get(&server.tag).copied().unwrap_or_default();
-            server.others_outcomes = heard.outcomes.get(&server.tag).copied().unwrap_or_default();
+        for key in std::mem::take(&mut self.heard) {
+            if let Some(server) = self.arena.get_mut(key) {
+                (server.others, server.others_outcomes) = Default::default();
+            }
+        }
+        for (tag, load) in &heard.loads {
+            if let Some((key, server)) = known(&self.by_tag, &mut self.arena, *tag) {
+                server.others = *load;
+                self.heard.push(key);
+            }
+        }
+        for (tag, outcomes) in &heard.outcomes {
+            if let Some((key, server)) = known(&self.by_tag, &mut self.arena, *tag) {
+                server.others_outcomes = *outcomes;
+                self.heard.push(key);
+                self.noted.insert(key);
+            }
         }
     }
 }
+
+fn known<'a>(
+    by_tag: &HashMap<Tag, ServerKey>,
+    arena: &'a mut slotmap::SlotMap<ServerKey, Server>,
+    tag: Tag,
+) -> Option<(ServerKey, &'a mut Server)> {
+    let key = *by_tag.get(&tag)?;
+    Some((key, arena.get_mut(key)?))
+}
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -6,7 +6,7 @@
 use crate::gateway::clock::{Clock, Echo, before, micros, millis};
 use crate::gateway::partner::{Pace, Relation};
 use crate::gateway::roster::Daemon;
-use crate::gateway::servers::{Heard, Signs};
+use crate::gateway::servers::{Heard, Load, Signs};
 use crate::gateway::sums::{Adder, LEAST_ENTRIES, Sums, Way, add, halls_of};
 use crate::gateway::tag::Tag;
 use log::info;
@@ -386,18 +386,22 @@
 
     /// What the other daemons told of servers.
     pub fn heard(&self, now: Instant) -> Heard {
-        let mut ahead = HashMap::new();
         let mut adder = Adder::default();
-        for peer in self.near(now) {
-            adder.add(&peer.told);
-            if peer.tag < self.tag {
-                add(&mut ahead, &peer.told.loads);
-            }
-        }
+        self.near(now).for_each(|peer| adder.add(&peer.told));
         for sum in self.distant(now) {
             adder.add(&sum.told);
         }
-        Heard { loads: adder.loads, ahead, outcomes: adder.outcomes }
+        Heard { loads: adder.loads, outcomes: adder.outcomes }
+    }
+
+    /// What the daemons of the same cell that rank before this one have running at a server.
+    pub fn ahead(&self, server: Tag, now: Instant) -> Load {
+        let mut ahead = Load::default();
+        for peer in self.near(now).filter(|peer| peer.tag < self.tag) {
+            let there = peer.told.loads.iter().filter(|(tag, _)| *tag == server);
+            there.for_each(|(_, load)| ahead += *load);
+        }
+        ahead
     }
 
     /// What the daemons that share budgets have spent, as far as they are heard. `listed` is how
