A mirror tells a deletion, and what came back unchanged, to peers that lack it; signs of life are not given on

Cause: whether a change matters was judged by what the copy had before. A daemon that knew of one deletion and was given a later one told that nothing had changed, and a peer that had the entry between the two kept it: a server that had gone, or a hall that was open, stayed as it was there. Found by the random test of the mirror while it was changed; the unit test fails on the code as it was, too. What is given now says which revision mattered, so that servers' signs of life (2,500 a second before 3,000 servers) are no longer given to each peer that lacks something else, and an entry is decoded once where it was decoded three times.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -14,8 +14,9 @@
 use crate::gateway::core::Gateway;
 use crate::gateway::in_force::Declared;
 use crate::gateway::outage::Outages;
-use crate::gateway::port::Schema;
+use crate::gateway::port::{Schema, Undecodable};
 use crate::gateway::roster::Roster;
+use crate::gateway::servers::ServerRecord;
 use crate::gateway::update::{Cell, Lack, Statement, Update};
 use crate::platform::{Change, Entry};
 use bytes::Bytes;
@@ -42,7 +43,13 @@
 #[derive(Debug, Clone)]
 struct Held {
     revision: u64,
+    /// The revision of its last change that matters: a server's signs of life since then are not given to
+    /// peers, which would get some hundred bytes a second for each server of the fleet.
+    mattered: u64,
     value: Option<Bytes>,
+    /// What a server's entry says; `None` for other keys, and where it can't be read. It is kept since to
+    /// read the earlier entry again at each sign of life would double their cost.
+    record: Option<ServerRecord>,
 }
 
 #[derive(Default)]
@@ -69,6 +76,26 @@
     news: ServerNews,
 }
 
+/// A change on its way into the copy.
+struct News {
+    change: Change,
+    /// The revision of the last change of the key that matters, where a peer told it.
+    mattered: Option<u64>,
+}
+
+impl From<Change> for News {
+    fn from(change: Change) -> News {
+        News { change, mattered: None }
+    }
+}
+
+impl From<Cell> for News {
+    fn from(cell: Cell) -> News {
+        let Cell { key, revision, mattered, value } = cell;
+        News { change: Change { key, value, revision }, mattered: Some(mattered) }
+    }
+}
+
 /// Changes of servers' entries that came together, for one log line: with a line for each, a daemon's
 /// lines would grow with the fleet.
 #[derive(Default)]
@@ -171,22 +198,27 @@
         state.forgotten = position;
         self.confirm(&mut state, position, seen, now);
         for key in gone {
-            self.take(&mut state, Change { key, value: None, revision: position }, seen, now);
+            let change = Change { key, value: None, revision: position };
+            self.take(&mut state, change.into(), seen, now);
         }
         for entry in entries {
             let change =
                 Change { key: entry.key, value: Some(entry.value), revision: entry.revision };
-            self.take(&mut state, change, seen, now);
+            self.take(&mut state, change.into(), seen, now);
         }
         state.news.log();
     }
 
     /// Takes in all changes up to `position`, as the store stood at `seen`.
     pub fn advance(&self, changes: Vec<Change>, position: u64, seen: Instant, now: Instant) {
+        self.take_all(changes.into_iter().map(News::from).collect(), position, seen, now);
+    }
+
+    fn take_all(&self, news: Vec<News>, position: u64, seen: Instant, now: Instant) {
         let mut state = self.state();
         self.confirm(&mut state, position, seen, now);
-        for change in changes {
-            self.take(&mut state, change, seen, now);
+        for news in news {
+            self.take(&mut state, news, seen, now);
         }
         state.news.log();
     }
@@ -249,13 +281,14 @@
         let statement = self.statement(now)?;
         let state = self.state();
         let whole = after < state.forgotten;
-        let lacking = state.held.iter().filter(|(_, held)| whole || held.revision > after);
+        let lacking = state.held.iter().filter(|(_, held)| whole || held.mattered > after);
         // Told apart before any value is copied: a large one may have a megabyte.
         let (given, left): (Vec<_>, Vec<_>) =
             lacking.partition(|(_, held)| held.value.as_ref().is_none_or(|v| v.len() <= most));
         let cell = |(key, held): (&String, &Held)| Cell {
             key: key.clone(),
             revision: held.revision,
+            mattered: held.mattered,
             value: held.value.as_ref().map(|v| v.to_vec()),
         };
         let cells = given.into_iter().map(cell).collect();
@@ -272,16 +305,11 @@
             self.replace(live.collect(), position, seen, now);
             return;
         }
-        let changes = update.cells.into_iter().map(|cell| Change {
-            key: cell.key,
-            value: cell.value,
-            revision: cell.revision,
-        });
-        let mut changes: Vec<Change> = changes.collect();
-        changes.sort_by_key(|change| change.revision);
+        let mut news: Vec<News> = update.cells.into_iter().map(News::from).collect();
+        news.sort_by_key(|news| news.change.revision);
         match update.complete {
-            true => self.advance(changes, position, seen, now),
-            false => self.take_ahead(changes, seen, now),
+            true => self.take_all(news, position, seen, now),
+            false => self.take_ahead(news, seen, now),
         }
         if !update.whole {
             let mut state = self.state();
@@ -293,7 +321,7 @@
     /// Takes in all changes of servers' entries and of closed halls up to `position`, as the store stood at
     /// `seen`, ahead of all else.
     pub fn advance_urgent(&self, changes: Vec<Change>, position: u64, seen: Instant, now: Instant) {
-        self.take_ahead(changes, seen, now);
+        self.take_ahead(changes.into_iter().map(News::from).collect(), seen, now);
         let mut state = self.state();
         state.servers = state.servers.max(position);
     }
@@ -308,10 +336,10 @@
         [self.schema.servers(), self.schema.closed_halls()]
     }
 
-    fn take_ahead(&self, changes: Vec<Change>, seen: Instant, now: Instant) {
+    fn take_ahead(&self, news: Vec<News>, seen: Instant, now: Instant) {
         let mut state = self.state();
-        for change in changes {
-            self.take(&mut state, change, seen, now);
+        for news in news {
+            self.take(&mut state, news, seen, now);
         }
         state.news.log();
     }
@@ -350,7 +378,8 @@
         self.gateway.in_force.confirm(self.gateway.in_force.revision(), seen);
     }
 
-    fn take(&self, state: &mut State, change: Change, seen: Instant, now: Instant) {
+    fn take(&self, state: &mut State, news: News, seen: Instant, now: Instant) {
+        let News { change, mattered } = news;
         if !self.is_wanted(&change.key) {
             return;
         }
@@ -358,22 +387,41 @@
         if known.is_some_and(|held| held.revision >= change.revision) {
             return;
         }
-        let before = known.and_then(|held| held.value.clone());
         let value = change.value.map(Bytes::from);
-        let matters = self.matters(&change.key, before.as_deref(), value.as_deref());
-        let held = Held { revision: change.revision, value: value.clone() };
+        let is_server = change.key.starts_with(self.schema.servers());
+        let read = value.as_deref().filter(|_| is_server);
+        let read = read.map(|value| self.schema.server(&change.key, value));
+        let record = read.as_ref().and_then(|read| read.as_ref().ok()).cloned();
+        // Between two deletions something was there, which a peer may still have.
+        let is_new = known.is_none_or(|known| match (&known.value, &value) {
+            (Some(_), Some(_)) if is_server => known.record != record,
+            (Some(before), Some(after)) => before != after,
+            _ => true,
+        });
+        let known = known.map_or(0, |held| held.mattered);
+        let mattered = match mattered {
+            Some(mattered) => mattered.max(known),
+            None if is_new => change.revision,
+            None => known,
+        };
+        let matters = is_new || mattered > known;
+        let held = Held { revision: change.revision, mattered, value: value.clone(), record };
         state.held.insert(change.key.clone(), held);
         if !matters {
             return;
         }
         if self.is_urgent(&change.key) {
-            state.server_change = state.server_change.max(change.revision);
+            state.server_change = state.server_change.max(mattered);
         }
-        match change.revision > state.position {
-            true => state.ahead = state.ahead.max(change.revision),
-            false => state.changed = state.changed.max(change.revision),
+        match mattered > state.position {
+            true => state.ahead = state.ahead.max(mattered),
+            false => state.changed = state.changed.max(mattered),
+        }
+        match read {
+            Some(read) => self.take_server(state, &change.key, read, now),
+            None if is_server => self.server_gone(state, &change.key, now),
+            None => self.put_in_force(&change.key, change.revision, value, seen, now),
         }
-        self.put_in_force(state, &change.key, change.revision, value, seen, now);
         forget_deleted(state);
         self.gateway.tell();
     }
@@ -389,20 +437,9 @@
         self.urgent().iter().any(|prefix| key.starts_with(prefix))
     }
 
-    /// Whether a change is more than a server's sign of life.
-    fn matters(&self, key: &str, before: Option<&[u8]>, after: Option<&[u8]>) -> bool {
-        match (before, after) {
-            (Some(before), Some(after)) if key.starts_with(self.schema.servers()) => {
-                let read = |value| self.schema.server(key, value).ok();
-                read(before) != read(after)
-            }
-            (before, after) => before != after,
-        }
-    }
-
+    /// Puts into force what is no server's entry.
     fn put_in_force(
         &self,
-        state: &mut State,
         key: &str,
         revision: u64,
         value: Option<Bytes>,
@@ -413,11 +450,6 @@
             if let Some(value) = value {
                 self.take_declaration(revision, &value, seen);
             }
-        } else if key.starts_with(self.schema.servers()) {
-            match value {
-                Some(value) => self.take_server(state, key, &value, now),
-                None => self.server_gone(state, key, now),
-            }
         } else if key.starts_with(self.schema.daemons()) {
             self.take_daemon(key, value.as_deref());
         } else if let Some(hall) = key.strip_prefix(self.schema.closed_halls()) {
@@ -438,9 +470,15 @@
         }
     }
 
-    fn take_server(&self, state: &mut State, key: &str, value: &[u8], now: Instant) {
+    fn take_server(
+        &self,
+        state: &mut State,
+        key: &str,
+        read: Result<ServerRecord, Undecodable>,
+        now: Instant,
+    ) {
         state.missing.remove(key);
-        match self.schema.server(key, value) {
+        match read {
             Ok(record) => {
                 match record.leaving {
                     true => state.news.leaving.push(record.id.to_string()),
--- a/src/gateway/update.rs
+++ b/src/gateway/update.rs
@@ -27,6 +27,9 @@
     pub key: String,
     /// The revision of its last change.
     pub revision: u64,
+    /// The revision of the last one that matters. A daemon that is given the key can't tell by itself: a
+    /// server that went and came back looks to it as it did before.
+    pub mattered: u64,
     /// Its value; `None` where it was deleted.
     pub value: Option<Vec<u8>>,
 }
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -640,3 +640,23 @@
     assert!(!taker.takes_work("1"));
     assert_eq!(taker.mirror.hear(statement, now, now), Lack::Nothing);
 }
+
+#[test]
+fn a_deletion_is_told_on_by_a_node_that_never_saw_what_was_deleted() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let (teller, giver, hearer) = (node(now), node(now), node(now));
+    let mut truth = Truth::default();
+    truth.take(&Act::Declare(false), now);
+    read(&teller.mirror, &truth, now);
+    truth.take(&Act::Remove(0), now);
+    read(&teller.mirror, &truth, now);
+    teller.give(&giver, false, now);
+    truth.take(&Act::Life(0), now);
+    read(&hearer.mirror, &truth, now);
+    truth.take(&Act::Remove(0), now);
+    read(&giver.mirror, &truth, now);
+    // The teller knows of two deletions and of nothing between them.
+    giver.give(&teller, false, now);
+    let statement = teller.mirror.statement(now).expect("it has read");
+    assert_eq!(hearer.mirror.hear(statement, now, now), Lack::Changes);
+}
