--- /dev/null
+++ b/src/gateway/admission.rs
@@ -0,0 +1,114 @@
+//! Who is let in while engines are crowded, and when the others are to come back.
+//!
+//! An engine reads prompts one after the other, between the tokens of what runs, and a prompt is read once
+//! its run finds memory. Where more come than all engines can read and hold, a queue without a bound grows
+//! until each first event is late; with one, almost all of those that are let in are in time. So a request is
+//! refused at once where the server that suits it best has too much to read, or too little memory left.
+//!
+//! That server is judged, and not the least crowded of all: a daemon knows what others have sent some 0.1 s
+//! late, and of many servers the one that seems freest is the one of which it knows least. The bound is the
+//! same for all sizes and routes of a service: with one on what comes, its own prompt included, long prompts
+//! would be starved, and with one by each route's own aim, the route with the longest aim would fill the
+//! queue and shut out the others.
+
+use crate::gateway::servers::Load;
+use crate::gateway::table::Engine;
+use rand::{Rng, RngExt};
+use std::time::Duration;
+
+/// Tokens of prompts that may wait at a server for each millisecond of the aim: a third of the six that a
+/// crowded engine reads in one. The rest of the aim is for the request's own prompt and for what other daemons
+/// sent there meanwhile.
+const WAITING_PER_MS: f64 = 2.0;
+/// The same for a caller that was refused before: room is kept for it beyond what newcomers may take, since it
+/// comes back as it was told to and has no time for a third try.
+const WAITING_PER_MS_RETURNED: f64 = 3.0;
+/// Part of a server's memory that its runs may need at their longest, for a newcomer: what it takes itself, a
+/// sixth of the memory where engines are small, then still fits.
+const MEMORY_PART: f64 = 0.83;
+/// The same for a caller that was refused before.
+const MEMORY_PART_RETURNED: f64 = 0.83;
+/// Tokens of prompts that a crowded engine reads in a millisecond: 112 in a step of some 16 ms, beside its
+/// runs.
+const READ_PER_MS: f64 = 6.0;
+/// The same of the slowest engine beside a full batch: two times the step, on a server that is 1.3 times as
+/// slow as others.
+const LEAST_READ_PER_MS: f64 = 2.5;
+/// Least time after which a refused caller comes back: a server of six runs of some seven seconds ends one of
+/// them about so often, which is when it has room for another one.
+const LEAST_AWAY: Duration = Duration::from_millis(1_000);
+/// Part of the time to come back that is drawn at random, up and down, so that those refused together don't
+/// come together.
+const SPREAD: f64 = 0.4;
+/// Time that a caller must have spent before, of that which its route gives, to count as one that comes back:
+/// more than its way here takes.
+const SPENT_BEFORE: Duration = Duration::from_millis(250);
+
+/// How a request stands to those that wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Its caller comes for the first time.
+    Newcomer,
+    /// Its caller, or a server, was refused before.
+    Returned,
+    /// It has begun to be answered and goes on elsewhere.
+    Begun,
+}
+
+impl Standing {
+    /// The standing of a caller that has so much of its route's time left.
+    pub fn of(left: Duration, whole: Duration) -> Standing {
+        match whole.saturating_sub(left) >= SPENT_BEFORE {
+            true => Standing::Returned,
+            false => Standing::Newcomer,
+        }
+    }
+}
+
+/// What may wait and run at a server that takes one more request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bound {
+    /// Tokens of prompts that are still to be read.
+    waiting: f64,
+    /// Memory that its runs need at their longest, in tokens.
+    memory: f64,
+}
+
+impl Bound {
+    /// Whatever there is.
+    pub const NONE: Bound = Bound { waiting: f64::INFINITY, memory: f64::INFINITY };
+
+    /// The bound for such a request, where its service aims at `aim`.
+    pub fn of(aim: Duration, engine: &Engine, standing: Standing) -> Bound {
+        let (per_ms, part) = match standing {
+            Standing::Newcomer => (WAITING_PER_MS, MEMORY_PART),
+            Standing::Returned => (WAITING_PER_MS_RETURNED, MEMORY_PART_RETURNED),
+            Standing::Begun => return Bound::NONE,
+        };
+        let waiting = aim.as_secs_f64() * 1_000.0 * per_ms;
+        Bound { waiting, memory: f64::from(engine.memory) * part }
+    }
+
+    /// Whether a server with such a load takes one more. One at which nothing waits and runs takes any.
+    pub fn holds(self, load: Load) -> bool {
+        let fits = f64::from(load.reading) <= self.waiting && f64::from(load.tokens) <= self.memory;
+        fits || load.runs == 0
+    }
+}
+
+/// When a caller is to come back that was refused at a server where so many tokens wait: by then they are
+/// read, and some run there has ended.
+pub fn come_back(waiting: u32, rng: &mut dyn Rng) -> Duration {
+    let read = reading_time(waiting, READ_PER_MS).max(LEAST_AWAY);
+    read.mul_f64(1.0 + SPREAD * rng.random_range(-1.0..1.0))
+}
+
+/// How long a stream is waited for whose server had so many tokens to read, its own among them: while they
+/// may still be read, it is slow and not lost, and to send it elsewhere would have its prompt read twice.
+pub fn patience(aim: Duration, tokens: u32) -> Duration {
+    aim + reading_time(tokens, LEAST_READ_PER_MS)
+}
+
+fn reading_time(tokens: u32, per_ms: f64) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / per_ms / 1_000.0)
+}
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -1,5 +1,6 @@
 //! The state that all requests of one daemon share.
 
+use crate::gateway::admission::{self, Bound, Standing};
 use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use crate::gateway::cold::{ColdBounds, Rank};
 use crate::gateway::in_force::InForce;
@@ -106,6 +107,24 @@
     pub load: Load,
 }
 
+/// Time after which a caller that was refused may come back, where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// Why a request gets no seat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoSeat {
+    /// The reason, for logs and answers.
+    pub why: &'static str,
+    /// When its caller is to come back.
+    pub come_back: Duration,
+}
+
+impl From<&'static str> for NoSeat {
+    fn from(why: &'static str) -> NoSeat {
+        NoSeat { why, come_back: COME_BACK }
+    }
+}
+
 /// A backend server that was chosen for a request; counted as loaded until it is dropped.
 pub struct Seat {
     gateway: Arc<Gateway>,
@@ -115,6 +134,8 @@
     pub notice: watch::Receiver<bool>,
     /// Age of the copy of the store when the request was sent there.
     pub knowledge: Option<Duration>,
+    /// Tokens of prompts that waited there before this request.
+    pub waiting: u32,
 }
 
 impl Seat {
@@ -355,16 +376,21 @@
         self: &Arc<Self>,
         service: &Service,
         call: &Call,
+        standing: Standing,
         tried: &[ServerKey],
         now: Instant,
-    ) -> Option<Seat> {
+    ) -> Result<Seat, NoSeat> {
         let engine = service.engine.as_ref();
         let load = Load::of(call.size, call.route.repeatable());
         let divided = self.divided.load(Ordering::Relaxed);
         let far = if divided { UNSEEN_COST } else { FAR_COST };
         let unseen = self.unseen(&service.name, now);
         let need = Need { hall: &self.hall, far, alike: ALIKE, unseen, load, engine };
-        self.choose_seat(service, &need, call, tried, now)
+        let bound = match engine {
+            Some(engine) => Bound::of(self.aim(service, call), engine, standing),
+            None => Bound::NONE,
+        };
+        self.choose_seat(service, &need, call, bound, tried, now)
     }
 
     /// Takes a seat for a request that was sent before, if the shared budget allows another sending.
@@ -372,16 +398,23 @@
         self: &Arc<Self>,
         service: &Service,
         call: &Call,
+        standing: Standing,
         tried: &[ServerKey],
         now: Instant,
-    ) -> Result<Seat, &'static str> {
-        let seat = self.seat(service, call, tried, now).ok_or("no_server")?;
+    ) -> Result<Seat, NoSeat> {
+        let seat = self.seat(service, call, standing, tried, now)?;
         match self.take_repeat(&service.name, Repeat::Retry, now) {
             true => Ok(seat),
-            false => Err("no_repeat_left"),
+            false => Err("no_repeat_left".into()),
         }
     }
 
+    /// The shortest aim of a service's routes.
+    fn aim(&self, service: &Service, call: &Call) -> Duration {
+        let declared = self.in_force.get();
+        declared.and_then(|d| d.table.aim(&service.name)).unwrap_or(call.route.aim)
+    }
+
     /// Takes a seat for a run of `call` that is copied from `source`, not at one of `refused`.
     pub fn seat_for_copy(
         self: &Arc<Self>,
@@ -395,7 +428,7 @@
         let load = Load { reading: 0, arriving: source.load.tokens, ..source.load };
         let (hall, far) = (source.hall.as_str(), FAR_COPY_COST);
         let need = Need { hall, far, alike: COPY_ALIKE, unseen: 0.0, load, engine };
-        self.choose_seat(service, &need, call, refused, now)
+        self.choose_seat(service, &need, call, Bound::NONE, refused, now).ok()
     }
 
     fn choose_seat(
@@ -403,9 +436,10 @@
         service: &Service,
         need: &Need<'_>,
         call: &Call,
+        bound: Bound,
         except: &[ServerKey],
         now: Instant,
-    ) -> Option<Seat> {
+    ) -> Result<Seat, NoSeat> {
         if let Some(heard) = self.hearing().and_then(|hearing| hearing.heard(now)) {
             self.servers().set_others(&heard);
         }
@@ -418,17 +452,23 @@
         };
         let mut servers = self.servers();
         let candidates = candidates(&servers, service, may_take, now);
-        let key = self.placing.choose(&candidates, need, now, &mut rand::rng())?;
+        let chosen = self.placing.choose(&candidates, need, now, &mut rand::rng());
+        let key = chosen.ok_or("no_server")?;
+        let there = servers.get(key).map(Server::load).unwrap_or_default();
+        if !bound.holds(there) {
+            let come_back = admission::come_back(there.reading, &mut rand::rng());
+            return Err(NoSeat { why: "crowded", come_back });
+        }
         if servers.get(key).is_some_and(|server| server.is_cold(service.warm_up, now)) {
             servers.sends_cold(key, now);
         }
         servers.begin(key, load);
         self.tell_load(load);
-        let server = servers.get(key)?;
+        let server = servers.get(key).ok_or("no_server")?;
         let to = server.destination();
         let place = Place { key, to, hall: server.record.hall.clone(), load };
         let notice = server.notice();
-        Some(Seat { gateway: self.clone(), place, notice, knowledge: None })
+        Ok(Seat { gateway: self.clone(), place, notice, knowledge: None, waiting: there.reading })
     }
 
     /// The addresses of `found` that a caller in `region` is told of for a host: where its routes name
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! A request's way: place, send, follow, send again where that is allowed, answer.
 
-use crate::gateway::core::{Gateway, Seat};
+use crate::gateway::admission::{self, Standing};
+use crate::gateway::core::{Gateway, NoSeat, Seat};
 use crate::gateway::port::{Lost, Reply, Sending};
 use crate::gateway::relay;
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call, whole};
@@ -16,8 +17,6 @@
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
-/// Time after which a caller that was refused may come back, where nothing better is known.
-const COME_BACK: Duration = Duration::from_millis(300);
 /// Largest answer of a plain service that is held until it is whole.
 const MOST_HELD: usize = 256 << 10;
 /// Most sendings of one request, refusals by servers included.
@@ -81,7 +80,7 @@
     async fn attempt(self: &Arc<Self>, call: &Arc<Call>) -> Result<Answer, Failure> {
         let proof = NotSent::begin();
         let Some(service) = self.draw_service(call) else {
-            return Err(refused(proof, "no_service", COME_BACK));
+            return Err(refused(proof, "no_service".into()));
         };
         self.count_request(&service.name, Instant::now());
         Attempts { gateway: self, call, service, tried: Vec::new(), unreached: 0, runs: 0 }
@@ -117,7 +116,7 @@
                     self.runs += 1;
                     fallback = answer.or(fallback);
                     if !self.call.route.may_run_again(self.runs) {
-                        return self.give_up(None, fallback, why);
+                        return self.give_up(None, fallback, why.into());
                     }
                 }
             }
@@ -125,28 +124,43 @@
     }
 
     /// The next server to try, where the rules and the budget allow one.
-    fn next_seat(&self, now: Instant) -> Result<Seat, &'static str> {
+    fn next_seat(&self, now: Instant) -> Result<Seat, NoSeat> {
         if !self.gateway.may_send(self.call, now) {
-            return Err("key_not_confirmed");
+            return Err("key_not_confirmed".into());
         }
         if !self.gateway.outlasts(self.call, now) {
-            return Err("daemon_leaves");
+            return Err("daemon_leaves".into());
         }
         let arrived = self.tried.len() - self.unreached;
         if arrived >= MOST_SENDINGS || self.unreached >= MOST_UNREACHED {
-            return Err("servers_refuse");
+            return Err("servers_refuse".into());
         }
         // Only what arrives at a server beyond the first time counts as a repeat.
         match arrived {
-            0 => self.gateway.seat(&self.service, self.call, &self.tried, now).ok_or("no_server"),
-            _ => self.gateway.seat_again(&self.service, self.call, &self.tried, now),
+            0 => {
+                let standing = self.standing();
+                self.gateway.seat(&self.service, self.call, standing, &self.tried, now)
+            }
+            _ => {
+                let standing = Standing::Returned;
+                self.gateway.seat_again(&self.service, self.call, standing, &self.tried, now)
+            }
+        }
+    }
+
+    /// How the request stands to those that wait; one that continues a stream which broke off has begun.
+    fn standing(&self) -> Standing {
+        let call = self.call;
+        match call.after {
+            Some(_) => Standing::Begun,
+            None => Standing::of(call.left(call.arrived), call.route.timeout),
         }
     }
 
     /// Sends; a silent server is given up in time for another one where that may run too.
     async fn send_patiently(&self, seat: Seat, proof: Option<NotSent>) -> Sent {
         let key = seat.key();
-        let Some(limit) = self.patience() else {
+        let Some(limit) = self.patience(&seat) else {
             return self.send(seat, proof).await;
         };
         timeout(limit, self.send(seat, proof)).await.unwrap_or_else(|_| {
@@ -210,12 +224,15 @@
     }
 
     /// How long a silent server is waited for while another run is allowed.
-    fn patience(&self) -> Option<Duration> {
+    fn patience(&self, seat: &Seat) -> Option<Duration> {
         if !self.call.route.may_run_again(self.runs + 1) {
             return None;
         }
         let aim = self.call.route.aim;
-        Some(if self.call.route.kind == RouteKind::Safe { aim.mul_f64(SILENT_PART) } else { aim })
+        Some(match self.call.route.kind {
+            RouteKind::Safe => aim.mul_f64(SILENT_PART),
+            _ => admission::patience(aim, seat.waiting + seat.place.load.reading),
+        })
     }
 
     fn count_failed(&self, what: &str, why: &str) {
@@ -233,13 +250,13 @@
         &self,
         proof: Option<NotSent>,
         fallback: Option<Answer>,
-        why: &'static str,
+        why: NoSeat,
     ) -> Result<Answer, Failure> {
-        self.log("ended without success", why);
+        self.log("ended without success", why.why);
         match proof {
-            Some(proof) => Err(refused(proof, why, COME_BACK)),
+            Some(proof) => Err(refused(proof, why)),
             None => {
-                let reason = Reason::new(502, why, "the backend server gave no whole answer");
+                let reason = Reason::new(502, why.why, "the backend server gave no whole answer");
                 fallback.ok_or(Failure::unknown(reason))
             }
         }
@@ -247,9 +264,9 @@
 }
 
 /// A refusal of a request that did not run.
-pub(crate) fn refused(proof: NotSent, why: &'static str, come_back: Duration) -> Failure {
-    let reason = Reason::new(503, why, "not run; send the request again after Retry-After");
-    Failure::not_run(proof, reason.retry_after(come_back.as_millis() as u64))
+pub(crate) fn refused(proof: NotSent, why: NoSeat) -> Failure {
+    let reason = Reason::new(503, why.why, "not run; send the request again after Retry-After");
+    Failure::not_run(proof, reason.retry_after(why.come_back.as_millis() as u64))
 }
 
 /// Reads a plain answer until it is whole; one that is too large is passed on as it comes.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //!   reached, how exchanges with them went, and the choice among them
 //! - `halls`, [`cold`], [`regions`]: halls that are closed, servers that bear few requests yet, and the
 //!   regions that requests stay in
+//! - [`admission`]: who is let in while engines are crowded
 //! - [`core`]: what all requests of a daemon share
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
@@ -23,6 +24,7 @@
 //! - [`metrics`]: counters and latencies
 //! - [`port`]: what an adapter provides
 
+pub mod admission;
 pub mod announce;
 pub mod beat;
 pub mod budget;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 //! Whole events only, in the order of their ids, each once. When the server is about to leave,
 //! the run is carried over to another one while its events go on.
 
+use crate::gateway::admission::Standing;
 use crate::gateway::core::{Gateway, Seat};
 use crate::gateway::events::{Event, Splitter};
 use crate::gateway::forward::Sent;
@@ -403,7 +404,9 @@
             return Err(End::Broken(why));
         }
         let tried = [self.seat.key()];
-        let Ok(seat) = self.gateway.seat_again(&self.service, &self.call, &tried, now) else {
+        let begun = Standing::Begun;
+        let Ok(seat) = self.gateway.seat_again(&self.service, &self.call, begun, &tried, now)
+        else {
             return Err(End::Broken(why));
         };
         self.runs += 1;
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -179,6 +179,8 @@
     /// Bounds on callers.
     pub limits: Limits,
     by_host: HashMap<String, Vec<Arc<Route>>>,
+    /// The shortest aim of the routes to each service.
+    aims: HashMap<Arc<str>, Duration>,
     services: HashMap<Arc<str>, Arc<Service>>,
     workspaces: Vec<Workspace>,
     by_key: HashMap<String, usize>,
@@ -194,7 +196,12 @@
         workspaces: Vec<Workspace>,
     ) -> Table {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let mut aims: HashMap<Arc<str>, Duration> = HashMap::new();
         for route in routes {
+            for target in &route.targets {
+                let aim = aims.entry(target.service.clone()).or_insert(route.aim);
+                *aim = route.aim.min(*aim);
+            }
             by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
@@ -205,7 +212,7 @@
         for (i, workspace) in workspaces.iter().enumerate() {
             by_key.extend(workspace.keys.iter().map(|key| (key.clone(), i)));
         }
-        Table { version, limits, by_host, services, workspaces, by_key }
+        Table { version, limits, by_host, aims, services, workspaces, by_key }
     }
 
     /// The route of a request: of its host's routes, the one with the longest prefix of the path.
@@ -221,6 +228,11 @@
         routes.into_iter().flatten().map(|route| &route.homes).filter(|homes| !homes.0.is_empty())
     }
 
+    /// The shortest aim of the routes to a service.
+    pub fn aim(&self, service: &str) -> Option<Duration> {
+        self.aims.get(service).copied()
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
