--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`request`]: a caller's request and its answer
 //! - [`table`], [`in_force`]: the declared configuration, and how fresh it is
-//! - [`servers`], `reach`, [`outcomes`], [`place`], [`policies`]: backend servers, whether they are
+//! - `server`, [`servers`], `reach`, [`outcomes`], [`place`], [`policies`]: backend servers, whether they are
 //!   reached, how exchanges with them went, and the choice among them
 //! - `halls`, [`cold`], [`regions`]: halls that are closed, servers that bear few requests yet, and the
 //!   regions that requests stay in
@@ -54,6 +54,7 @@
 mod relay;
 pub mod request;
 pub mod roster;
+mod server;
 pub mod servers;
 pub mod stop;
 mod sums;
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,253 @@
+//! One backend server as this daemon knows it.
+
+use crate::gateway::cold::{Cold, Sendings, WarmUp};
+use crate::gateway::outcomes::{Fading, Outcomes};
+use crate::gateway::port::Destination;
+use crate::gateway::reach::Reach;
+use crate::gateway::request::Size;
+use crate::gateway::tag::Tag;
+use std::net::SocketAddr;
+use std::ops::{AddAssign, SubAssign};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// Exchanges, older ones as parts of one, below which a daemon has nothing to tell of a server.
+const LEAST_TRIED: f32 = 0.01;
+
+/// What the store says of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerRecord {
+    /// Its id. A server that starts again may have it again.
+    pub id: Arc<str>,
+    /// When it started, in milliseconds of the server's own time of day, which tells starts under one id
+    /// apart; `None` where servers don't say.
+    pub born: Option<u64>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Its hall.
+    pub hall: String,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// How long it stays cold, as it said itself.
+    pub cold: Duration,
+}
+
+impl ServerRecord {
+    /// The tag of this start of the server: what daemons tell each other of an earlier one does not
+    /// reach it.
+    pub(super) fn tag(&self) -> Tag {
+        let id = Tag::of(&self.id);
+        self.born.map_or(id, |born| id.with(Tag::number(born)))
+    }
+}
+
+/// What runs at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub runs: u32,
+    /// Memory they are expected to need, in tokens.
+    pub tokens: u32,
+    /// Tokens of prompts that are still to be read.
+    pub reading: u32,
+    /// The part of `tokens` that belongs to runs which may not run again: they have to be moved
+    /// before their server goes.
+    pub once: u32,
+    /// Tokens of runs that are being copied to the server, over its link.
+    pub arriving: u32,
+}
+
+impl Load {
+    /// A request whose prompt is still to be read.
+    pub fn of(size: Size, repeatable: bool) -> Load {
+        let tokens = size.tokens().max(1);
+        let once = if repeatable { 0 } else { tokens };
+        Load { runs: 1, tokens, reading: size.prompt, once, arriving: 0 }
+    }
+}
+
+impl AddAssign for Load {
+    fn add_assign(&mut self, other: Load) {
+        self.runs += other.runs;
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.reading = self.reading.saturating_add(other.reading);
+        self.once = self.once.saturating_add(other.once);
+        self.arriving = self.arriving.saturating_add(other.arriving);
+    }
+}
+
+impl SubAssign for Load {
+    fn sub_assign(&mut self, other: Load) {
+        self.runs -= other.runs;
+        self.tokens -= other.tokens;
+        self.reading -= other.reading;
+        self.once -= other.once;
+        self.arriving -= other.arriving;
+    }
+}
+
+/// One backend server.
+#[derive(Debug)]
+pub struct Server {
+    /// What the store says.
+    pub record: ServerRecord,
+    /// The tag of its start.
+    pub(super) tag: Tag,
+    /// Whether the store's entry of it can be read, so that it names a server to use.
+    pub(super) named: bool,
+    /// Whether it counts as leaving only because the store no longer lists it.
+    pub(super) unlisted: bool,
+    /// What this daemon has there.
+    pub own: Load,
+    /// What the other daemons said they have there.
+    pub others: Load,
+    /// Turns true when the server is about to leave or has gone.
+    pub(super) leaving: watch::Sender<bool>,
+    /// How this daemon's recent exchanges with it went.
+    pub(super) outcomes: Fading,
+    /// How those of the other daemons went, as they said.
+    pub(super) others_outcomes: Outcomes,
+    pub(super) reach: Reach,
+    /// Since when it is treated as leaving only because it is not well.
+    pub(super) suspected: Option<Instant>,
+    /// When it was last found not to leave although its health check said it was not well.
+    pub(super) cleared: Option<Instant>,
+    /// Whether it is cold, as far as known.
+    pub(super) cold: Cold,
+    /// What this daemon sent it lately while it was cold.
+    pub(super) sendings: Sendings,
+}
+
+impl Server {
+    pub(super) fn new(record: ServerRecord, now: Instant) -> Server {
+        let leaving = watch::Sender::new(record.leaving);
+        let tag = record.tag();
+        let mut cold = Cold::default();
+        cold.told(record.cold, now);
+        let none = Load::default();
+        let (own, others) = (none, none);
+        Server {
+            record,
+            tag,
+            named: true,
+            unlisted: false,
+            own,
+            others,
+            leaving,
+            outcomes: Fading::new(now),
+            others_outcomes: Outcomes::default(),
+            reach: Reach::default(),
+            suspected: None,
+            cleared: None,
+            cold,
+            sendings: Sendings::default(),
+        }
+    }
+
+    /// Where it is, and which one is meant.
+    pub fn destination(&self) -> Destination {
+        Destination { id: self.record.id.clone(), addr: self.record.addr }
+    }
+
+    /// Whether new work may go there, as far as the server itself is concerned.
+    pub fn open(&self) -> bool {
+        self.named && !*self.leaving.borrow()
+    }
+
+    /// Tag of this start of it.
+    pub fn tag(&self) -> Tag {
+        self.tag
+    }
+
+    /// Whether it is cold, or may be, where servers of its service warm up like that.
+    pub fn is_cold(&self, warm_up: WarmUp, now: Instant) -> bool {
+        self.cold.holds(warm_up, now)
+    }
+
+    /// Requests that this daemon sent it while it was cold, within the last second.
+    pub fn cold_sendings(&self, now: Instant) -> usize {
+        self.sendings.count(now)
+    }
+
+    /// Tells when the server is about to leave.
+    pub fn notice(&self) -> watch::Receiver<bool> {
+        self.leaving.subscribe()
+    }
+
+    /// All that is known to run there.
+    pub fn load(&self) -> Load {
+        let mut load = self.own;
+        load += self.others;
+        load
+    }
+
+    /// Share of recent exchanges that failed, of all daemons, fading with time.
+    pub fn failure_rate(&self, now: Instant) -> f64 {
+        let mut all = self.outcomes.at(now);
+        all += self.others_outcomes;
+        all.failure_rate()
+    }
+
+    /// Whether it is passed over because it could not be reached lately.
+    pub fn is_passed_over(&self, now: Instant) -> bool {
+        self.reach.is_passed_over(now)
+    }
+
+    /// Whether it leaves, and other daemons can't know it from the store.
+    pub(super) fn leaves_untold(&self) -> bool {
+        *self.leaving.borrow() && !self.record.leaving && self.suspected.is_none()
+    }
+
+    /// Whether this daemon has anything to tell others of it.
+    pub(super) fn has_news(&self, now: Instant) -> bool {
+        self.own.runs > 0
+            || self.outcomes.at(now).tried >= LEAST_TRIED
+            || self.others_outcomes.matter()
+            || self.leaves_untold()
+            || self.reach.told(now).is_some()
+    }
+
+    /// It leaves, which is never taken back.
+    pub(super) fn leaves(&mut self) {
+        self.suspected = None;
+        self.unlisted = false;
+        self.leaving.send_replace(true);
+    }
+
+    /// The store no longer lists it: it may serve on for a while, or have gone.
+    pub(super) fn unlist(&mut self) {
+        self.unlisted |= self.suspected.is_some() || !*self.leaving.borrow();
+        self.suspected = None;
+        self.leaving.send_replace(true);
+    }
+
+    /// The store lists it again: its entry had lapsed, and it went on all the while.
+    pub(super) fn relist(&mut self) {
+        if std::mem::take(&mut self.unlisted) {
+            self.leaving.send_replace(false);
+        }
+    }
+
+    /// Takes in what the store says of the same start of it.
+    pub(super) fn update(&mut self, record: ServerRecord, now: Instant) {
+        if record.leaving {
+            self.leaves();
+        }
+        self.cold.told(record.cold, now);
+        self.named = true;
+        self.record = record;
+    }
+
+    pub(super) fn judge(&mut self, failed: bool, now: Instant) {
+        if !failed {
+            self.reach.hit();
+            self.cold.reached(now);
+        }
+        self.outcomes.note(failed, now);
+    }
+}
