--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -25,9 +25,9 @@
 const WAITING_PER_MS_RETURNED: f64 = 3.0;
 /// Part of a server's memory that its runs may need at their longest, for a newcomer: what it takes itself, a
 /// sixth of the memory where engines are small, then still fits.
-const MEMORY_PART: f64 = 0.83;
+const MEMORY_PART: f64 = 0.85;
 /// The same for a caller that was refused before.
-const MEMORY_PART_RETURNED: f64 = 0.83;
+const MEMORY_PART_RETURNED: f64 = 1.0;
 /// Tokens of prompts that a crowded engine reads in a millisecond: 112 in a step of some 16 ms, beside its
 /// runs.
 const READ_PER_MS: f64 = 6.0;
