--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -194,6 +194,11 @@
         self.view().entries(now)
     }
 
+    /// Where callers may be sent in other cells and halls.
+    pub fn far_entries(&self, now: Instant) -> Vec<SocketAddr> {
+        self.view().far_entries(now)
+    }
+
     /// Divides the fleet anew and takes over what the others have running and have spent.
     fn divide(&self, now: Instant) {
         let listed = self.roster.others();
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -471,12 +471,14 @@
         Ok(Seat { gateway: self.clone(), place, notice, knowledge: None, waiting: there.reading })
     }
 
-    /// The addresses of `found` that a caller in `region` is told of for a host: where its routes name
-    /// regions, daemons that stand there or in the caller's own. They may be others that `roster` knows, if
-    /// none was found; and any, where none is known.
+    /// The addresses that a caller in `region` is told of for a host. Where the host's routes name regions,
+    /// those are daemons that stand there or in the caller's own: of `found`, or else of those `further` away
+    /// that are heard, or else of those that `roster` lists, which may have died lately; and any of `found`
+    /// where none is known.
     pub fn entries_for(
         &self,
         found: Vec<SocketAddr>,
+        further: impl FnOnce() -> Vec<SocketAddr>,
         roster: &Roster,
         host: &str,
         region: &str,
@@ -491,13 +493,14 @@
             let its = halls.get(addr).and_then(|hall| self.regions.of(hall));
             its == Some(region) || homes.iter().all(|homes| homes.allow(its))
         };
-        let near: Vec<SocketAddr> = found.iter().copied().filter(is_near).collect();
-        let near = if near.is_empty() {
-            halls.keys().copied().filter(is_near).take(MOST_LISTED).collect()
-        } else {
-            near
+        let near = |all: &[SocketAddr]| -> Vec<SocketAddr> {
+            all.iter().copied().filter(is_near).collect()
         };
-        if near.is_empty() { found } else { near }
+        let listed = || halls.keys().copied().filter(is_near).take(MOST_LISTED).collect::<Vec<_>>();
+        let nearest = Some(near(&found)).filter(|near| !near.is_empty());
+        let nearest = nearest.or_else(|| Some(near(&further())).filter(|near| !near.is_empty()));
+        let nearest = nearest.or_else(|| Some(near(&listed())).filter(|near| !near.is_empty()));
+        nearest.unwrap_or(found)
     }
 
     /// Where a request may go: the regions of its route and of its workspace both bind.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -268,17 +268,22 @@
         let mut entries: Vec<SocketAddr> =
             self.near(now).filter(ready).map(|p| p.daemon.callers).collect();
         if entries.len() < LEAST_ENTRIES {
-            let others = self.peers.values().filter(|p| p.cell != self.layout.own);
-            let heard = others.filter(|p| since(p.heard, now) <= FAR_SILENT);
-            entries.extend(heard.filter(ready).map(|p| p.daemon.callers));
-            let told = self.other_cells(now).into_iter().chain(self.other_halls(now));
-            entries.extend(told.flat_map(|sum| sum.entries.iter().copied()));
+            entries.extend(self.far_entries(now));
             entries.sort_unstable();
             entries.dedup();
         }
         entries
     }
 
+    /// Where callers may be sent in other cells and halls, as far as they are heard.
+    pub fn far_entries(&self, now: Instant) -> Vec<SocketAddr> {
+        let others = self.peers.values().filter(|p| p.cell != self.layout.own);
+        let heard = others.filter(|p| p.ready && since(p.heard, now) <= FAR_SILENT);
+        let told = self.other_cells(now).into_iter().chain(self.other_halls(now));
+        let told = told.flat_map(|sum| sum.entries.iter().copied());
+        heard.map(|p| p.daemon.callers).chain(told).collect()
+    }
+
     /// A heartbeat to such a partner, with what this daemon knows of others; nothing yet of the store and
     /// of servers.
     pub fn beat(
