Lines tell which attempts carried the same request, and which server each lost

To tell the hypotheses of the incident apart: `failed at a server`, `stream broke off` and `stream cut` carry the fingerprint of path, workspace and body, and `tidestair losses` tells the requests that lost three servers or more. No decision changes.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -337,6 +337,11 @@
         self.servers.lock().expect("no holder panics")
     }
 
+    /// The id of a server, for logs; `None` once it has gone.
+    pub(crate) fn server_id(&self, key: ServerKey) -> Option<Arc<str>> {
+        self.servers().get(key).map(|server| server.record.id.clone())
+    }
+
     /// Notes how old this daemon's knowledge of the store is as it sends a request.
     pub(crate) fn note_knowledge(&self, now: Instant) -> Option<Duration> {
         let age = self.in_force.age(now)?;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::admission::{self, Standing};
 use crate::gateway::core::{Gateway, NoSeat, Seat};
+use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::port::{Lost, Reply, Sending};
 use crate::gateway::relay;
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call, whole};
@@ -112,7 +113,7 @@
                     proof = unspent;
                 }
                 Sent::Failed(answer, why) => {
-                    self.count_failed("failed at a server", why);
+                    self.count_lost(why);
                     self.runs += 1;
                     fallback = answer.or(fallback);
                     if !self.call.route.may_run_again(self.runs) {
@@ -245,6 +246,16 @@
         info!(id = id, route = route, sending = self.tried.len(), why = why; "{what}");
     }
 
+    /// Notes that the request may have run and failed, with what ties its attempts together.
+    fn count_lost(&self, why: &str) {
+        self.gateway.metrics.failed_sendings.with_label_values(&[why]).inc();
+        let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
+        let request = Fingerprint::of(self.call).to_string();
+        let server = self.tried.last().and_then(|key| self.gateway.server_id(*key));
+        let server = server.as_deref().unwrap_or_default();
+        info!(id = id, route = route, request = request.as_str(), server = server, sending = self.tried.len(), why = why; "failed at a server");
+    }
+
     /// The final answer to a request that is not sent any more.
     fn give_up(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! The gateway: callers' requests, taken as opaque HTTP exchanges, on their way to the backend
 //! servers of declared services.
 //!
-//! - [`request`]: a caller's request and its answer
+//! - [`request`], [`fingerprint`]: a caller's request and its answer, and how it is known again
 //! - [`table`], [`in_force`]: the declared configuration, and how fresh it is
 //! - `server`, [`servers`], `reach`, [`outcomes`], [`place`], [`policies`]: backend servers, whether they are
 //!   reached, how exchanges with them went, and the choice among them
@@ -34,6 +34,7 @@
 pub mod cold;
 pub mod core;
 pub mod events;
+pub mod fingerprint;
 pub mod follow;
 pub mod forward;
 mod halls;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 use crate::gateway::admission::Standing;
 use crate::gateway::core::{Gateway, Seat};
 use crate::gateway::events::{Event, Splitter};
+use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::forward::Sent;
 use crate::gateway::moving::{self, Moved};
 use crate::gateway::port::{KeptRun, Lost, Reply, Sending};
@@ -195,7 +196,8 @@
             End::Broken(reason) => {
                 self.gateway.metrics.cut_streams.inc();
                 let leaving = *self.seat.notice.borrow();
-                warn!(id = id, server = server, leaving = leaving, last = self.last, why = reason.as_str(); "stream cut");
+                let request = Fingerprint::of(&self.call).to_string();
+                warn!(id = id, request = request.as_str(), server = server, leaving = leaving, last = self.last, why = reason.as_str(); "stream cut");
                 // Refused only where the caller has left.
                 let _ = self.out.send(Err(BrokenOff { reason })).await;
             }
@@ -416,6 +418,8 @@
             from: None,
             after: self.last,
         };
+        let request = Fingerprint::of(&self.call).to_string();
+        info!(id = self.call.id.as_str(), request = request.as_str(), server = self.seat.id(), why = why.as_str(); "stream broke off");
         self.leg = reopen(&self.gateway, &self.call, sending).await.map_err(End::Broken)?;
         info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), why = why.as_str(), last = self.last; "run begun anew");
         self.seat = seat;
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -7,7 +7,7 @@
 
 use crate::lines::{Records, records};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Why an attempt was lost.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -57,9 +57,28 @@
     pub at: u64,
 }
 
+/// Servers that one request lost, in however many attempts, from which on it is told: chance seldom takes
+/// that many from a request and its repeats.
+const SUSPICIOUS: usize = 3;
+
+/// A request whose attempts lost several servers; it may be what ends them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Suspect {
+    /// The request's fingerprint.
+    pub request: String,
+    /// The servers that it lost.
+    pub servers: BTreeSet<String>,
+    /// The attempts that lost them.
+    pub attempts: BTreeSet<String>,
+    /// When the last one was lost, in milliseconds since the Unix epoch on the daemon's clock.
+    pub last: u64,
+}
+
 /// What was lost, and of how much.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Ledger {
+    /// Requests that lost three servers or more, those that lost most first.
+    pub suspects: Vec<Suspect>,
     /// Lost attempts in the order of their moments.
     pub losses: Vec<Loss>,
     /// Streams that began.
@@ -100,6 +119,24 @@
     outcome: String,
     #[serde(default)]
     leaving: bool,
+    /// Fingerprint of the request, where a server was lost.
+    #[serde(default)]
+    request: String,
+    #[serde(default)]
+    server: String,
+}
+
+impl Line {
+    /// Whether the request may have ended its server: no answer came, or none that was whole, from a server
+    /// that was not known to leave.
+    fn lost_server(&self) -> bool {
+        let broke = match self.what.as_str() {
+            "failed at a server" => !matches!(self.why.as_str(), "server_error" | "silent"),
+            "stream cut" | "stream broke off" => !self.leaving,
+            _ => false,
+        };
+        broke && !self.request.is_empty() && !self.server.is_empty()
+    }
 }
 
 /// What is known of one attempt that has not ended.
@@ -136,6 +173,7 @@
     let mut ledger = Ledger { skipped, ..Ledger::default() };
     // Stable: the lines of one daemon stay in the order in which it wrote them.
     read.sort_by_key(|line| line.unix_ms);
+    ledger.suspects = suspects(&read);
     let mut stories = HashMap::new();
     for line in read {
         ledger.take(&mut stories, line);
@@ -144,6 +182,22 @@
     ledger
 }
 
+/// Requests that lost several servers, those that lost most first.
+fn suspects(lines: &[Line]) -> Vec<Suspect> {
+    let mut by_request: BTreeMap<&str, Suspect> = BTreeMap::new();
+    for line in lines.iter().filter(|line| line.lost_server()) {
+        let suspect = by_request.entry(&line.request).or_default();
+        suspect.request.clone_from(&line.request);
+        suspect.servers.insert(line.server.clone());
+        suspect.attempts.insert(line.id.clone());
+        suspect.last = suspect.last.max(line.unix_ms);
+    }
+    let lost = by_request.into_values().filter(|s| s.servers.len() >= SUSPICIOUS);
+    let mut suspects: Vec<Suspect> = lost.collect();
+    suspects.sort_by_key(|suspect| std::cmp::Reverse(suspect.servers.len()));
+    suspects
+}
+
 impl Ledger {
     fn take(&mut self, stories: &mut HashMap<String, Story>, line: Line) {
         if line.what == "starting" {
--- a/src/show.rs
+++ b/src/show.rs
@@ -54,6 +54,11 @@
         text,
         "{begun} streams began, {complete} were complete; {skipped} lines had no record"
     );
+    for suspect in &ledger.suspects {
+        let (request, servers) = (&suspect.request, suspect.servers.len());
+        let attempts = suspect.attempts.len();
+        let _ = writeln!(text, "request {request} lost {servers} servers in {attempts} attempts");
+    }
     text
 }
 
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -114,3 +114,26 @@
     assert_eq!(told, [("recap", 1, 0.8, (0.0, 0.0)), ("tags", 2, 0.2, (0.5, 2.0))]);
     assert!(read(&[]).rows(&BTreeMap::new()).is_empty());
 }
+
+#[test]
+fn a_request_whose_attempts_lose_three_servers_is_told() {
+    let lost = |at, vm: &str, id: &str, request: &str, server: &str, why: &str| {
+        let fields = format!(
+            ",\"id\":\"{id}\",\"request\":\"{request}\",\"server\":\"{server}\",\"why\":\"{why}\""
+        );
+        line(at, vm, "failed at a server", &fields)
+    };
+    let lines = [
+        lost(1, "vm-1", "a", "f1", "i-1", "no_event"),
+        lost(2, "vm-1", "a", "f1", "i-2", "no_answer"),
+        lost(3, "vm-2", "b", "f1", "i-3", "no_event"),
+        // The same server twice, a server's own 500, and a request that met two servers' ends.
+        lost(4, "vm-2", "c", "f2", "i-3", "no_answer"),
+        lost(5, "vm-1", "d", "f2", "i-3", "no_answer"),
+        lost(6, "vm-1", "e", "f2", "i-4", "server_error"),
+        lost(7, "vm-1", "e", "f2", "i-5", "no_answer"),
+    ];
+    let told = read(&lines).suspects;
+    let told = told.iter().map(|s| (s.request.as_str(), s.servers.len(), s.attempts.len(), s.last));
+    assert_eq!(told.collect::<Vec<_>>(), [("f1", 3, 2, 3)]);
+}
