A request that ends the servers which run it is known by path, workspace and body, and kept from further ones

Cause: what is counted of a request lived as long as one attempt of its caller, at one daemon. A request that ends servers so took two of them with each attempt, at whichever VM it came, as fast as they started.

Change: a run that has just begun and is lost makes its daemon knock at the server; if nothing listens there any more, and the server was not known to leave, that counts against the request. Daemons add up in their heartbeats what ended under it and what survived it; with three servers, and more than survived, it is refused (503, not run, Retry-After until the quarantine ends). It is written to the store under a lease of ten minutes, where daemons that start again find it. The knock also tells all daemons at once that the server is gone.

Ruled out: a count for each daemon (six VMs would take 18 servers); counting every lost answer (servers that reset connections would bring sound requests in); no weighing against survivors (a frequent request is under way at many servers when a hall is lost).

--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -3,7 +3,9 @@
 use crate::gateway::budget::Spent;
 use crate::gateway::cell::CellId;
 use crate::gateway::clock::Echo;
+use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::outcomes::Outcomes;
+use crate::gateway::quarantine::Evidence;
 use crate::gateway::roster::Daemon;
 use crate::gateway::servers::{Load, Signs};
 use crate::gateway::tag::Tag;
@@ -54,6 +56,8 @@
     pub spent: Vec<(Tag, Spent)>,
     /// How exchanges with servers went where some failed.
     pub outcomes: Vec<(Tag, Outcomes)>,
+    /// What became of the servers that ran requests under which some ended.
+    pub evidence: Vec<(Fingerprint, Evidence)>,
 }
 
 /// Whose words a sum adds up.
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -291,10 +291,11 @@
     fn beat(&self, to: SocketAddr, relation: Relation, pace: &mut Pace, now: Instant) -> Beat {
         let mut view = self.view();
         let spent = self.gateway.spent(now);
+        let evidence = self.gateway.quarantine().told(now);
         let (told, signs) = {
             let servers = self.gateway.servers();
             let (loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
-            (Told { loads, spent, outcomes }, servers.signs(now))
+            (Told { loads, spent, outcomes, evidence }, servers.signs(now))
         };
         let own = Own { told, ready: (self.ready)() };
         Beat {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -9,6 +9,7 @@
     ALIKE, COPY_ALIKE, Candidate, FAR_COPY_COST, FAR_COST, Need, Placing, UNSEEN_COST,
 };
 use crate::gateway::port::{Destination, Wire};
+use crate::gateway::quarantine::Quarantine;
 use crate::gateway::regions::{Allowed, Regions};
 use crate::gateway::request::Call;
 use crate::gateway::roster::Roster;
@@ -80,6 +81,7 @@
     hearing: OnceLock<Weak<dyn Hearing>>,
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
+    quarantine: Mutex<Quarantine>,
     /// Whether loads in other halls are told late, in sums.
     divided: AtomicBool,
     /// Share of all daemons that are of this hall and tell their loads late, in sums.
@@ -101,6 +103,8 @@
     pub key: ServerKey,
     /// Where it is.
     pub to: Destination,
+    /// The tag of its start.
+    pub tag: Tag,
     /// Its hall.
     pub hall: String,
     /// What the request takes there.
@@ -216,6 +220,7 @@
             hearing: OnceLock::new(),
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
+            quarantine: Mutex::default(),
             divided: AtomicBool::new(false),
             late: Mutex::new(0.0),
             ends: Mutex::default(),
@@ -376,6 +381,14 @@
         self.in_force.get()?.table.service(name).cloned()
     }
 
+    /// Takes in what came from other daemons since the last time.
+    fn listen(&self, now: Instant) {
+        if let Some(heard) = self.hearing().and_then(|hearing| hearing.heard(now)) {
+            self.servers().set_others(&heard);
+            self.quarantine().set_others(&heard.evidence, now);
+        }
+    }
+
     /// Takes a seat for a request at a server of `service`, not one of `tried`.
     pub fn seat(
         self: &Arc<Self>,
@@ -385,6 +398,10 @@
         tried: &[ServerKey],
         now: Instant,
     ) -> Result<Seat, NoSeat> {
+        self.listen(now);
+        if let Some(left) = self.quarantine().kept_back(call.fingerprint(), now) {
+            return Err(NoSeat { why: "ends_servers", come_back: left });
+        }
         let engine = service.engine.as_ref();
         let load = Load::of(call.size, call.route.repeatable());
         let divided = self.divided.load(Ordering::Relaxed);
@@ -445,9 +462,7 @@
         except: &[ServerKey],
         now: Instant,
     ) -> Result<Seat, NoSeat> {
-        if let Some(heard) = self.hearing().and_then(|hearing| hearing.heard(now)) {
-            self.servers().set_others(&heard);
-        }
+        self.listen(now);
         let load = need.load;
         let allowed = self.allowed(call);
         let may_take = |key, server: &Server| {
@@ -471,7 +486,7 @@
         self.tell_load(load);
         let server = servers.get(key).ok_or("no_server")?;
         let to = server.destination();
-        let place = Place { key, to, hall: server.record.hall.clone(), load };
+        let place = Place { key, to, tag: server.tag(), hall: server.record.hall.clone(), load };
         let notice = server.notice();
         Ok(Seat { gateway: self.clone(), place, notice, knowledge: None, waiting: there.reading })
     }
@@ -522,6 +537,11 @@
         }
     }
 
+    /// Requests that end servers.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().expect("no holder panics")
+    }
+
     /// Notes a request for a service.
     pub fn count_request(&self, service: &Arc<str>, now: Instant) {
         self.budget().request(service, now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,7 +2,6 @@
 
 use crate::gateway::admission::{self, Standing};
 use crate::gateway::core::{Gateway, NoSeat, Seat};
-use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::port::{Lost, Reply, Sending};
 use crate::gateway::relay;
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call, whole};
@@ -113,7 +112,7 @@
                     proof = unspent;
                 }
                 Sent::Failed(answer, why) => {
-                    self.count_lost(why);
+                    self.count_failed("failed at a server", why);
                     self.runs += 1;
                     fallback = answer.or(fallback);
                     if !self.call.route.may_run_again(self.runs) {
@@ -179,7 +178,7 @@
         let sending = Sending { to: seat.place.to.clone(), left, from: None, after };
         let reply = match self.gateway.wire.send(self.call, sending, proof).await {
             Ok(reply) => reply,
-            Err(lost) => return self.lost(&seat, lost),
+            Err(lost) => return self.lost(&seat, lost).await,
         };
         let declared = || unrun.then(NotSent::declared);
         if reply.misdirected {
@@ -201,14 +200,18 @@
         let ms = self.call.arrived.elapsed().as_millis() as u64;
         let knew = seat.knowledge_ms();
         info!(id = id, route = route, server = server, status = status, whole = whole, ms = ms, knowledge_ms = knew; "answer from a server");
-        match answer {
-            Ok(answer) if failed => Sent::Failed(Some(answer), "server_error"),
-            Ok(answer) => Sent::Answered(answer),
-            Err(_) => Sent::Failed(None, "broken_answer"),
+        let Ok(answer) = answer else {
+            self.gateway.suspect(self.call, &seat).await;
+            return Sent::Failed(None, "broken_answer");
+        };
+        self.gateway.has_survived(self.call);
+        match failed {
+            true => Sent::Failed(Some(answer), "server_error"),
+            false => Sent::Answered(answer),
         }
     }
 
-    fn lost(&self, seat: &Seat, lost: Lost) -> Sent {
+    async fn lost(&self, seat: &Seat, lost: Lost) -> Sent {
         seat.judge(true);
         let (id, server) = (self.call.id.as_str(), seat.id());
         match lost {
@@ -219,6 +222,7 @@
             }
             Lost::Unanswered { reason } => {
                 warn!(id = id, server = server, reason = reason.as_str(); "no answer from a server");
+                self.gateway.suspect(self.call, seat).await;
                 Sent::Failed(None, "no_answer")
             }
         }
@@ -243,17 +247,10 @@
 
     fn log(&self, what: &str, why: &str) {
         let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
-        info!(id = id, route = route, sending = self.tried.len(), why = why; "{what}");
-    }
-
-    /// Notes that the request may have run and failed, with what ties its attempts together.
-    fn count_lost(&self, why: &str) {
-        self.gateway.metrics.failed_sendings.with_label_values(&[why]).inc();
-        let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
-        let request = Fingerprint::of(self.call).to_string();
+        let request = self.call.fingerprint().to_string();
         let server = self.tried.last().and_then(|key| self.gateway.server_id(*key));
         let server = server.as_deref().unwrap_or_default();
-        info!(id = id, route = route, request = request.as_str(), server = server, sending = self.tried.len(), why = why; "failed at a server");
+        info!(id = id, route = route, request = request.as_str(), server = server, sending = self.tried.len(), why = why; "{what}");
     }
 
     /// The final answer to a request that is not sent any more.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -31,6 +31,10 @@
     pub moves: IntCounterVec,
     /// Streams that were cut after they had begun.
     pub cut_streams: IntCounter,
+    /// Servers that ended under a run of this daemon that had just begun.
+    pub ended_servers: IntCounter,
+    /// Requests that are kept from servers.
+    pub quarantined: IntGauge,
     /// Reads of the store, by outcome.
     pub store_reads: IntCounterVec,
     /// The store's revision of the configuration in force.
@@ -91,6 +95,16 @@
                 "tidestair_gateway_cut_streams_total",
                 "Streams cut after they had begun",
             ),
+            ended_servers: counter(
+                &r,
+                "tidestair_gateway_ended_servers_total",
+                "Backend servers that ended under a run that had just begun",
+            ),
+            quarantined: gauge(
+                &r,
+                "tidestair_gateway_quarantined_requests",
+                "Requests that end backend servers and are kept from them",
+            ),
             store_reads: counters(
                 &r,
                 "tidestair_gateway_store_reads_total",
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::clock;
 use crate::gateway::core::Gateway;
+use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::in_force::Declared;
 use crate::gateway::outage::Outages;
 use crate::gateway::port::{Schema, Undecodable};
@@ -428,7 +429,8 @@
 
     fn is_wanted(&self, key: &str) -> bool {
         let schema = &self.schema;
-        let prefixes = [schema.servers(), schema.daemons(), schema.closed_halls()];
+        let prefixes =
+            [schema.servers(), schema.daemons(), schema.closed_halls(), schema.quarantine()];
         key == schema.declaration() || prefixes.iter().any(|prefix| key.starts_with(prefix))
     }
 
@@ -454,6 +456,8 @@
             self.take_daemon(key, value.as_deref());
         } else if let Some(hall) = key.strip_prefix(self.schema.closed_halls()) {
             self.take_hall(hall, value.is_some(), now);
+        } else if let Some(request) = key.strip_prefix(self.schema.quarantine()) {
+            self.take_quarantine(request, value.is_some(), now);
         }
     }
 
@@ -523,6 +527,19 @@
         }
     }
 
+    fn take_quarantine(&self, request: &str, held: bool, now: Instant) {
+        let Some(fingerprint) = Fingerprint::parse(request) else {
+            warn!(key = request; "no fingerprint of a request: the key keeps nothing back");
+            return;
+        };
+        info!(request = request, held = held; "request that ends servers");
+        let mut quarantine = self.gateway.quarantine();
+        match held {
+            true => quarantine.is_stored(fingerprint, now),
+            false => quarantine.is_released(fingerprint, now),
+        }
+    }
+
     fn take_daemon(&self, key: &str, value: Option<&[u8]>) {
         match value.map(serde_json::from_slice).transpose() {
             Ok(daemon) => self.roster.take(key, daemon),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
+//! - [`quarantine`], [`suspicion`]: requests that end the servers which run them
 //! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read or heard from peers
 //! - [`update`]: what daemons tell and give each other of their copies
 //! - [`outage`]: whether the store was away
@@ -50,6 +51,7 @@
 pub mod place;
 pub mod policies;
 pub mod port;
+pub mod quarantine;
 mod reach;
 pub mod regions;
 mod relay;
@@ -59,6 +61,7 @@
 pub mod servers;
 pub mod stop;
 mod sums;
+pub mod suspicion;
 pub mod table;
 pub mod tag;
 pub mod update;
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -151,6 +151,9 @@
         limit: Duration,
     ) -> BoxFuture<'a, Result<Option<u64>, String>>;
 
+    /// Whether nothing listens at a server's address any more, as seen within `limit`.
+    fn is_gone(&self, server: SocketAddr, limit: Duration) -> BoxFuture<'_, bool>;
+
     /// Frees a copy that is not needed.
     fn free<'a>(&'a self, source: SocketAddr, handle: &'a str) -> BoxFuture<'a, ()>;
 }
@@ -205,6 +208,9 @@
     fn daemons(&self) -> &str;
     /// The prefix of the keys that name halls which are to get nothing; whatever the value says.
     fn closed_halls(&self) -> &str;
+    /// The prefix of the keys that name requests which end servers, by their fingerprints; whatever the
+    /// value says.
+    fn quarantine(&self) -> &str;
     /// Reads a declared configuration.
     fn table(&self, value: &[u8]) -> Result<Table, Undecodable>;
     /// Reads a backend server's entry.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,7 +6,6 @@
 use crate::gateway::admission::Standing;
 use crate::gateway::core::{Gateway, Seat};
 use crate::gateway::events::{Event, Splitter};
-use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::forward::Sent;
 use crate::gateway::moving::{self, Moved};
 use crate::gateway::port::{KeptRun, Lost, Reply, Sending};
@@ -42,6 +41,10 @@
 /// How long a run whose stream has ended is waited for by its copy.
 const LAST_COPY: Duration = Duration::from_millis(2_500);
 
+/// Time from the first event within which a run has just begun: a server that it ends is gone 0.13 s after
+/// the beginning at the latest, as seen; a busy daemon reads that some tenths later.
+const YOUNG: Duration = Duration::from_millis(1_000);
+
 type Out = mpsc::Sender<Result<Frame<Bytes>, BrokenOff>>;
 
 /// Waits for the first event, so that a server that fails before it can be replaced, then passes
@@ -59,6 +62,7 @@
         Step::Event(event) => event,
         Step::Ended | Step::Broke(_) => {
             seat.judge(true);
+            gateway.suspect(call, &seat).await;
             return Sent::Failed(None, "no_event");
         }
     };
@@ -77,6 +81,7 @@
         leg,
         last: call.after,
         passed: Instant::now(),
+        began: None,
         out,
         runs: 1,
         moves: 0,
@@ -146,6 +151,8 @@
     out: Out,
     /// Runs begun for this answer.
     runs: u32,
+    /// When the present server sent its first event.
+    began: Option<Instant>,
     /// Moves tried from the present server.
     moves: u32,
     /// When the last of them came to nothing.
@@ -190,13 +197,14 @@
         match end {
             End::Complete => {
                 let ms = self.call.arrived.elapsed().as_millis() as u64;
+                self.gateway.has_survived(&self.call);
                 info!(id = id, server = server, last = self.last, ms = ms; "stream complete");
             }
             End::CallerLeft => info!(id = id, server = server, last = self.last; "caller left"),
             End::Broken(reason) => {
                 self.gateway.metrics.cut_streams.inc();
                 let leaving = *self.seat.notice.borrow();
-                let request = Fingerprint::of(&self.call).to_string();
+                let request = self.call.fingerprint().to_string();
                 warn!(id = id, request = request.as_str(), server = server, leaving = leaving, last = self.last, why = reason.as_str(); "stream cut");
                 // Refused only where the caller has left.
                 let _ = self.out.send(Err(BrokenOff { reason })).await;
@@ -250,6 +258,9 @@
                     true => self.finish_moving(moving.take()).await,
                     false => {
                         moving = None;
+                        if self.is_young(Instant::now()) {
+                            self.gateway.suspect(&self.call, &self.seat).await;
+                        }
                         self.run_again(why).await
                     }
                 },
@@ -262,11 +273,12 @@
 
     /// Passes an event on unless the caller has it.
     async fn pass_on(&mut self, event: Event) -> Result<(), End> {
+        let now = Instant::now();
+        self.began.get_or_insert(now);
         if event.id.is_some() && event.id <= self.last {
             return Ok(());
         }
         self.last = event.id.or(self.last);
-        let now = Instant::now();
         let pause = now.saturating_duration_since(self.passed);
         self.passed = now;
         self.looked = None;
@@ -380,6 +392,7 @@
             Ok(leg) => {
                 self.leg = leg;
                 if let Some(seat) = seat {
+                    self.began = None;
                     self.count_move("moved");
                     info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), last = self.last; "run moved");
                     self.seat = seat;
@@ -397,6 +410,11 @@
         self.gateway.metrics.moves.with_label_values(&[outcome]).inc();
     }
 
+    /// Whether the run has begun at its present server just now.
+    fn is_young(&self, now: Instant) -> bool {
+        self.began.is_none_or(|began| now.saturating_duration_since(began) < YOUNG)
+    }
+
     /// Runs the request anew at another server, from the last event on, where it may run again.
     async fn run_again(&mut self, why: String) -> Result<(), End> {
         let now = Instant::now();
@@ -418,11 +436,12 @@
             from: None,
             after: self.last,
         };
-        let request = Fingerprint::of(&self.call).to_string();
+        let request = self.call.fingerprint().to_string();
         info!(id = self.call.id.as_str(), request = request.as_str(), server = self.seat.id(), why = why.as_str(); "stream broke off");
         self.leg = reopen(&self.gateway, &self.call, sending).await.map_err(End::Broken)?;
         info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), why = why.as_str(), last = self.last; "run begun anew");
         self.seat = seat;
+        self.began = None;
         self.moves = 0;
         Ok(())
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,12 +1,13 @@
 //! A caller's request on its way through the gateway, and the answer to it.
 
+use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::table::{Homes, Route};
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Method, StatusCode};
 use snafu::Snafu;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -82,6 +83,8 @@
     pub size: Size,
     /// The last event that the caller has of a stream it continues.
     pub after: Option<u64>,
+    /// Its fingerprint, once it is needed.
+    pub print: OnceLock<Fingerprint>,
 }
 
 impl Call {
@@ -89,6 +92,11 @@
     pub fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
+
+    /// What makes the request known again beyond this attempt.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.print.get_or_init(|| Fingerprint::of(self))
+    }
 }
 
 /// Why a body ended before its time.
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,9 +1,11 @@
 //! The backend servers as this daemon knows them: who they are, who leaves, how loaded, how well, which
 //! halls are to get nothing, and which servers are cold.
 
+use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::halls::Halls;
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::port::Destination;
+use crate::gateway::quarantine::Evidence;
 pub use crate::gateway::server::{Load, Server, ServerRecord};
 use crate::gateway::tag::Tag;
 use log::info;
@@ -25,13 +27,15 @@
     pub refusing: Vec<(Tag, u32)>,
 }
 
-/// Sums of what the other daemons told of servers.
+/// Sums of what the other daemons told of servers, and of requests under which servers ended.
 #[derive(Debug, Default)]
 pub struct Heard {
     /// What all of them have running.
     pub loads: HashMap<Tag, Load>,
     /// How their exchanges went.
     pub outcomes: HashMap<Tag, Outcomes>,
+    /// What became of the servers that ran suspected requests.
+    pub evidence: HashMap<Fingerprint, Evidence>,
 }
 
 /// A server that is asked about itself.
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -8,11 +8,15 @@
 use crate::gateway::budget::Spent;
 use crate::gateway::cell::CellId;
 use crate::gateway::clock::{Clock, before, millis};
+use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::outcomes::Outcomes;
+use crate::gateway::quarantine::{Evidence, most_ended};
 use crate::gateway::servers::Load;
 use crate::gateway::tag::Tag;
 use std::collections::{HashMap, HashSet};
+use std::hash::Hash;
 use std::net::SocketAddr;
+use std::ops::AddAssign;
 use std::time::{Duration, Instant};
 
 /// Age at which a cell's sum no longer counts: a new relay takes over 0.7 s after the last heartbeat
@@ -140,6 +144,8 @@
     spent: HashMap<Tag, Spent>,
     /// How exchanges with each server went.
     pub(crate) outcomes: HashMap<Tag, Outcomes>,
+    /// What became of the servers that ran suspected requests.
+    pub(crate) evidence: HashMap<Fingerprint, Evidence>,
 }
 
 impl Adder {
@@ -148,6 +154,7 @@
         add(&mut self.loads, &told.loads);
         add(&mut self.spent, &told.spent);
         add(&mut self.outcomes, &told.outcomes);
+        add(&mut self.evidence, &told.evidence);
     }
 
     /// Adds one daemon's word; `entry` is where callers may be sent to it.
@@ -181,6 +188,7 @@
                 loads: self.loads.into_iter().collect(),
                 spent: self.spent.into_iter().collect(),
                 outcomes: self.outcomes.into_iter().collect(),
+                evidence: most_ended(self.evidence.into_iter().collect()),
             },
         }
     }
@@ -196,11 +204,11 @@
 }
 
 /// Adds parts to sums by name.
-pub(crate) fn add<T: Default + std::ops::AddAssign + Copy>(
-    sums: &mut HashMap<Tag, T>,
-    parts: &[(Tag, T)],
+pub(crate) fn add<K: Copy + Eq + Hash, T: Default + AddAssign + Copy>(
+    sums: &mut HashMap<K, T>,
+    parts: &[(K, T)],
 ) {
-    for (tag, part) in parts {
-        *sums.entry(*tag).or_default() += *part;
+    for (name, part) in parts {
+        *sums.entry(*name).or_default() += *part;
     }
 }
--- /dev/null
+++ b/src/gateway/suspicion.rs
@@ -0,0 +1,105 @@
+//! Noticing that a server ended under a request, and recording requests that are proved to end servers in
+//! the store, where daemons that start again find them.
+
+use crate::gateway::core::{Gateway, Seat};
+use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::mirror::Mirror;
+use crate::gateway::port::{Schema, Store};
+use crate::gateway::quarantine::MEMORY;
+use crate::gateway::request::Call;
+use crate::platform::PlatformResult;
+use log::{info, warn};
+use rand::RngExt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Longest time for the knock at a server under which a run was lost: some times a round trip. The VM of one
+/// that has ended refuses at once.
+const KNOCK: Duration = Duration::from_millis(150);
+/// Time between two looks for requests that are to be recorded. Heartbeats have told of them by then; the
+/// record is for daemons that start later.
+const LOOK: Duration = Duration::from_millis(250);
+/// Longest pause before a record is written: each daemon that saw a server end would write it, and those
+/// that draw longer pauses find it written.
+const SPREAD: Duration = Duration::from_millis(1_500);
+/// Pause after a record that was not written, unless the store is known to be away; every call is priced.
+const AFTER_FAILURE: Duration = Duration::from_millis(1_000);
+
+impl Gateway {
+    /// Notes that a server survived a run of a request.
+    pub(crate) fn has_survived(&self, call: &Call) {
+        self.quarantine().survived(call.fingerprint(), Instant::now());
+    }
+
+    /// A run that had just begun was lost at a server: if that server has ended, the request may be why.
+    /// One that was known to leave has ended for that reason. Other daemons hear at once that nothing
+    /// listens there, and of what was seen.
+    pub(crate) async fn suspect(&self, call: &Call, seat: &Seat) {
+        if *seat.notice.borrow() || !self.wire.is_gone(seat.place.to.addr, KNOCK).await {
+            return;
+        }
+        let (request, now) = (call.fingerprint(), Instant::now());
+        let proved = self.quarantine().ended(request, seat.place.tag, now);
+        self.metrics.ended_servers.inc();
+        let name = request.to_string();
+        warn!(id = call.id.as_str(), request = name.as_str(), server = seat.id(), proved = proved; "server ended under a request");
+        seat.not_reached(true);
+    }
+}
+
+/// Records what is proved until the process ends.
+pub async fn record(
+    gateway: Arc<Gateway>,
+    store: Arc<dyn Store>,
+    schema: Arc<dyn Schema>,
+    mirror: Arc<Mirror>,
+) {
+    loop {
+        sleep(LOOK).await;
+        let (proved, count) = {
+            let mut quarantine = gateway.quarantine();
+            (quarantine.take_unsaved(), quarantine.count(Instant::now()))
+        };
+        gateway.metrics.quarantined.set(count as i64);
+        for request in proved {
+            let key = format!("{}{request}", schema.quarantine());
+            tokio::spawn(record_one(gateway.clone(), store.clone(), mirror.clone(), request, key));
+        }
+    }
+}
+
+/// Writes the record of one request, unless another daemon has.
+async fn record_one(
+    gateway: Arc<Gateway>,
+    store: Arc<dyn Store>,
+    mirror: Arc<Mirror>,
+    request: Fingerprint,
+    key: String,
+) {
+    let pause = rand::rng().random_range(Duration::ZERO..SPREAD);
+    sleep(pause).await;
+    while gateway.quarantine().is_unsaved(request, Instant::now()) {
+        if mirror.store_is_away() {
+            sleep(LOOK).await;
+            continue;
+        }
+        match write(&*store, &key).await {
+            Ok(()) => {
+                info!(key = key.as_str(); "request that ends servers is recorded");
+                return;
+            }
+            Err(e) => {
+                warn!(key = key.as_str(), why = e.to_string().as_str(); "request that ends servers is not recorded");
+                sleep(AFTER_FAILURE).await;
+            }
+        }
+    }
+}
+
+/// Writes a record that lapses by itself.
+async fn write(store: &dyn Store, key: &str) -> PlatformResult<()> {
+    let lease = store.grant(MEMORY).await?;
+    store.put(key, b"{}".to_vec(), lease).await?;
+    Ok(())
+}
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -389,14 +389,14 @@
         (!halls.is_empty()).then(|| adder.sum(Origin::OtherHalls, &self.clock, now))
     }
 
-    /// What the other daemons told of servers.
+    /// What the other daemons told of servers, and of requests under which servers ended.
     pub fn heard(&self, now: Instant) -> Heard {
         let mut adder = Adder::default();
         self.near(now).for_each(|peer| adder.add(&peer.told));
         for sum in self.distant(now) {
             adder.add(&sum.told);
         }
-        Heard { loads: adder.loads, outcomes: adder.outcomes }
+        Heard { loads: adder.loads, outcomes: adder.outcomes, evidence: adder.evidence }
     }
 
     /// What the daemons of the same cell that rank before this one have running at a server.
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -185,6 +185,7 @@
         loads: vec![(Tag::of("server"), load)],
         spent: vec![(Tag::of("service"), Spent { requests: 10 * runs, repeats: 2 * runs })],
         outcomes: vec![(Tag::of("server"), Outcomes { tried: 2.0, failed: 1.0 })],
+        ..Told::default()
     }
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -14,7 +14,9 @@
 use tidestair::gateway::beat::{Beat, Told};
 use tidestair::gateway::budget::Spent;
 use tidestair::gateway::clock::Clock;
+use tidestair::gateway::fingerprint::Fingerprint;
 use tidestair::gateway::partner::{Pace, pause};
+use tidestair::gateway::quarantine::Evidence;
 use tidestair::gateway::roster::Daemon;
 use tidestair::gateway::servers::Load;
 use tidestair::gateway::tag::Tag;
@@ -238,7 +240,7 @@
     Told {
         loads: vec![(Tag::of(vm), load), (Tag::of("all"), load)],
         spent: vec![(Tag::of("service"), Spent { requests: 10, repeats: 1 })],
-        outcomes: Vec::new(),
+        ..Told::default()
     }
 }
 
@@ -297,6 +299,30 @@
     }
 }
 
+/// Requests that come again and again by way of any daemon: three of a fleet see one server end each, and a
+/// fourth must know before its turn comes. Of the three seconds that the users allow, half are for a server's
+/// end to be noticed.
+#[test]
+fn what_ends_servers_is_known_to_each_daemon_in_time() {
+    let request = Fingerprint::new("/path", "caller", b"body");
+    for (halls, in_hall) in SIZES {
+        let mut fleet = Fleet::new(halls, in_hall, 4);
+        fleet.run(SETTLED);
+        let witnesses = [0, in_hall + 1, halls * in_hall - 1];
+        for witness in witnesses {
+            let evidence = Evidence { ended: 1, survived: 0 };
+            fleet.nodes[witness].own.told.evidence.push((request, evidence));
+        }
+        fleet.run(EVERYWHERE);
+        for (i, node) in fleet.nodes.iter().enumerate() {
+            let own = u32::from(witnesses.contains(&i));
+            let heard = node.view.heard(fleet.now).evidence;
+            let ended = heard.get(&request).map_or(0, |evidence| evidence.ended);
+            assert_eq!(ended + own, 3, "{}: {halls} halls of {in_hall}", node.daemon.vm);
+        }
+    }
+}
+
 #[test]
 fn a_read_of_the_store_is_known_everywhere_before_the_next_reader_takes_over() {
     // What the first reader's successors wait at least, less its own time between two reads.
--- a/tests/mirror/stand_ins.rs
+++ b/tests/mirror/stand_ins.rs
@@ -58,6 +58,10 @@
         Box::pin(async { Ok(None) })
     }
 
+    fn is_gone(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, bool> {
+        Box::pin(async { false })
+    }
+
     fn free<'a>(&'a self, _: SocketAddr, _: &'a str) -> BoxFuture<'a, ()> {
         Box::pin(async {})
     }
@@ -89,6 +93,10 @@
         "closed/"
     }
 
+    fn quarantine(&self) -> &str {
+        "quarantine/"
+    }
+
     fn table(&self, value: &[u8]) -> Result<Table, Undecodable> {
         let text = String::from_utf8_lossy(value);
         let version = text.parse().map_err(|_| Undecodable(text.into_owned()))?;
