--- a/src/admin.rs
+++ b/src/admin.rs
@@ -5,6 +5,7 @@
 use crate::outcome::NotSent;
 use crate::resource::{Kind, Resource};
 use crate::status::FleetStatus;
+use crate::time;
 use crate::wire::{Answer, Wire};
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
@@ -14,7 +15,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 const LIMIT: Duration = Duration::from_secs(15);
@@ -199,13 +200,13 @@
 
     /// Waits until a revision is in force everywhere; names the daemons that lag after the limit.
     pub async fn wait(&self, revision: u64) -> Result<Vec<String>> {
-        let until = Instant::now() + WAIT_LIMIT;
+        let until = time::now() + WAIT_LIMIT;
         loop {
             let status = self.status().await?;
             if status.in_force >= revision {
                 return Ok(Vec::new());
             }
-            if Instant::now() >= until {
+            if time::now() >= until {
                 let lagging = status.daemons.into_iter().filter(|d| d.revision < revision);
                 return Ok(lagging.map(|d| d.vm).collect());
             }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -6,6 +6,7 @@
 use crate::gossip::Gossip;
 use crate::journal::KEPT_BYTES;
 use crate::outcome::{Failure, NotSent, Reason};
+use crate::time;
 use crate::wire::{Answer, Fault, Wire};
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName};
@@ -81,7 +82,7 @@
         if retry && (!backends.may_retry() || (proof.is_none() && !call.repeatable)) {
             break;
         }
-        let Some(held) = backends.choose(&tried, Instant::now()) else {
+        let Some(held) = backends.choose(&tried, time::now()) else {
             break;
         };
         let attempt = proof.take();
@@ -114,7 +115,7 @@
         body: body_hash(once),
         retention_ms: key.retention_ms,
     };
-    let asked = Instant::now();
+    let asked = time::now();
     match gossip.claim(claim).await {
         Claimed::Yours => {}
         Claimed::Settled(kept) => return kept_answer(kept),
@@ -122,7 +123,7 @@
         Claimed::Mismatch => return Err(Failure::not_run(proof, mismatch())),
         Claimed::Unavailable => return Err(unclaimed(proof, key.first, no_platform())),
     }
-    if asked.elapsed() > Duration::from_millis(key.retention_ms / 2) {
+    if time::since(asked) > Duration::from_millis(key.retention_ms / 2) {
         // Held up so long that the claim may soon be forgotten: another may run it.
         gossip.settle(claim, None).await;
         return Err(Failure::not_run(proof, no_platform()));
@@ -160,11 +161,11 @@
             req.headers_mut().insert(HeaderName::from_static(name), value.clone());
         }
     }
-    let until = Instant::now() + call.limit;
+    let until = time::now() + call.limit;
     let answer = match wire.send(held.addr, req, proof, call.limit).await {
         Ok(answer) => answer,
         Err(fault) => {
-            held.failed(Instant::now());
+            held.failed(time::now());
             return match fault {
                 Fault::NotSent(proof) => Tried::NotRun(proof),
                 Fault::Unknown => Tried::Unknown,
@@ -182,13 +183,13 @@
 async fn read_whole(answer: Answer, held: &Call, until: Instant) -> Tried {
     let status = answer.status;
     let kind = answer.headers.get("content-type").and_then(|v| v.to_str().ok()).map(str::to_string);
-    match answer.whole(BODY_LIMIT, until.saturating_duration_since(Instant::now())).await {
+    match answer.whole(BODY_LIMIT, until.saturating_duration_since(time::now())).await {
         Ok(body) => {
             held.succeeded();
             Tried::Answered(ServiceAnswer { status, kind, body })
         }
         Err(_) => {
-            held.failed(Instant::now());
+            held.failed(time::now());
             Tried::Unknown
         }
     }
--- a/src/client.rs
+++ b/src/client.rs
@@ -6,6 +6,7 @@
 use crate::outcome::{NotSent, Outcome};
 use crate::plain::{ATTEMPT, ONCE_KEY};
 use crate::sse::Events;
+use crate::time;
 use crate::wire::{Answer, Fault, Wire};
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
@@ -159,12 +160,12 @@
         let mut resumes = 0;
         let mut pieces = 0u64;
         for _ in 0..MOST_TRIES {
-            let entry = self.entry(Instant::now()).await;
+            let entry = self.entry(time::now()).await;
             let ended = |outcome, message| Ended { outcome, entry, resumes, message };
             let answer = match self.open(entry, path, class, &body, last_id.as_deref()).await {
                 Ok(answer) => answer,
                 Err(_) => {
-                    self.avoid(entry, Instant::now());
+                    self.avoid(entry, time::now());
                     sleep(BACKOFF).await;
                     continue;
                 }
@@ -188,7 +189,7 @@
                 Read::Done => return ended(Outcome::Complete, String::new()),
                 Read::Failed(outcome, message) => return ended(outcome, message),
                 Read::Broken => {
-                    self.avoid(entry, Instant::now());
+                    self.avoid(entry, time::now());
                     resumes += 1;
                 }
             }
@@ -275,7 +276,7 @@
         headers: &[(&'static str, &str)],
     ) -> Called {
         for _ in 0..MOST_TRIES {
-            let entry = self.entry(Instant::now()).await;
+            let entry = self.entry(time::now()).await;
             let mut req = request(method.clone(), entry, path, body.clone());
             req.headers_mut()
                 .insert("authorization", format!("Bearer {}", self.key).parse().expect("ascii"));
@@ -285,11 +286,11 @@
             match self.wire.send(entry, req, NotSent::begin(), HEAD_LIMIT).await {
                 Ok(answer) => return whole_call(answer).await,
                 Err(Fault::NotSent(_)) => {
-                    self.avoid(entry, Instant::now());
+                    self.avoid(entry, time::now());
                     sleep(BACKOFF).await;
                 }
                 Err(Fault::Unknown) => {
-                    self.avoid(entry, Instant::now());
+                    self.avoid(entry, time::now());
                     return Called { status: 0, outcome: Outcome::Unknown, body: Bytes::new() };
                 }
             }
@@ -375,7 +376,7 @@
             let choice = chunk.choices.into_iter().next();
             let text = choice.and_then(|c| c.text.or(c.delta.and_then(|d| d.content)));
             if let Some(text) = text.filter(|t| !t.is_empty()) {
-                each(Piece { text, at: Instant::now() });
+                each(Piece { text, at: time::now() });
             }
         }
         match answer.chunk().await {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
 use crate::seal::SealKeys;
 use crate::server::{self, Serving, json};
 use crate::snapshot;
+use crate::time;
 use crate::tls::Identity;
 use crate::wire::Wire;
 use crate::{caller, operator};
@@ -24,7 +25,7 @@
 use serde_json::json as value;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -74,7 +75,7 @@
         let caller_addr = config.caller_addr;
         let app = App::new(
             Parts { config, in_force, gossip, wire, engine, platform, metrics },
-            Instant::now(),
+            time::now(),
         );
         app.gossip.set_pools(app.clone());
         let serving = server::serve(caller_addr, router(app.clone())).await?;
@@ -111,8 +112,8 @@
         self.app.gossip.leave().await;
         sleep(Duration::from_millis(self.app.config.keep_ms)).await;
         let limit = self.app.config.drain_ms.map(Duration::from_millis);
-        let began = Instant::now();
-        while self.app.open() > 0 && limit.is_none_or(|l| began.elapsed() < l) {
+        let began = time::now();
+        while self.app.open() > 0 && limit.is_none_or(|l| time::since(began) < l) {
             sleep(DRAIN_STEP).await;
         }
         match self.app.open() {
@@ -169,7 +170,7 @@
     let mut revisions = app.in_force.subscribe();
     loop {
         let snapshot = revisions.borrow_and_update().clone();
-        app.apply(&snapshot, Instant::now());
+        app.apply(&snapshot, time::now());
         if revisions.changed().await.is_err() {
             return;
         }
@@ -179,7 +180,7 @@
 async fn tick(app: Arc<App>) {
     loop {
         sleep(TICK).await;
-        let now = Instant::now();
+        let now = time::now();
         for pool in app.pools() {
             pool.tick(now);
         }
--- a/src/entries.rs
+++ b/src/entries.rs
@@ -2,11 +2,11 @@
 
 use crate::caller::app;
 use crate::server::json;
+use crate::time;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde::Serialize;
 use std::net::SocketAddr;
-use std::time::Instant;
 
 #[derive(Serialize)]
 struct Entries {
@@ -26,7 +26,7 @@
 pub(crate) async fn list_entries(depot: &mut Depot, res: &mut Response) {
     let app = app(depot);
     let members = app.gossip.members();
-    let now = Instant::now();
+    let now = time::now();
     let own_hall = members.own().hall.clone();
     let mut entries: Vec<EntryAddr> = members.entries(now).into_iter().map(entry_addr).collect();
     drop(members);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -12,13 +12,14 @@
 use crate::standin::engine::EngineStandin;
 use crate::standin::kv::Kv;
 use crate::standin::service::ServiceStandin;
+use crate::time;
 use crate::tls::Authority;
 use crate::vm::Vm;
 use snafu::ResultExt;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Bearer key of the operator in every fleet.
@@ -131,10 +132,10 @@
     }
 
     async fn wait_ready(&self) -> Result<()> {
-        let until = Instant::now() + READY_LIMIT;
+        let until = time::now() + READY_LIMIT;
         for (name, vm) in self.vms() {
             while !vm.ready().await {
-                if Instant::now() > until {
+                if time::now() > until {
                     return Err(Error::Unreachable {
                         server: name,
                         reason: "not ready in time".into(),
--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -5,10 +5,11 @@
 use crate::gateway::port::{Schema, Store};
 use crate::gateway::roster::Roster;
 use crate::platform::{LeaseId, PlatformResult};
+use crate::time;
 use log::{info, warn};
 use rand::RngExt;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -47,7 +48,7 @@
     let mut pause = first_pause(&roster, &mirror).await;
     loop {
         let step = async {
-            sleep(pause).await;
+            time::sleep(pause).await;
             while mirror.store_is_away() {
                 sleep(LOOK).await;
             }
@@ -82,8 +83,8 @@
 /// Time until the key has to be written: none, unless the key that an earlier start of the daemon left
 /// still stands. It is then due when that start would have renewed its lease.
 async fn first_pause(roster: &Roster, mirror: &Mirror) -> Duration {
-    let began = Instant::now();
-    while mirror.position() == 0 && began.elapsed() < FIRST_READ {
+    let began = time::now();
+    while mirror.position() == 0 && time::since(began) < FIRST_READ {
         sleep(FIRST_LOOK).await;
     }
     if roster.lists_own() { drawn(RENEWAL) } else { Duration::ZERO }
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -21,6 +21,7 @@
 use crate::gateway::view::{Own, View};
 use crate::message;
 use crate::peer::{Handler, Held, LinkLimits, Peers};
+use crate::time;
 use crate::tls::Identity;
 use futures_util::future::BoxFuture;
 use log::warn;
@@ -31,7 +32,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Least time between two heartbeats to one daemon for changes of load: changes that come together
 /// are told together.
@@ -97,7 +98,7 @@
         links: Peers,
         ready: Box<dyn Fn() -> bool + Send + Sync>,
     ) -> Arc<Cluster> {
-        let clock = Clock::new(rand::rng().random(), Instant::now());
+        let clock = Clock::new(rand::rng().random(), time::now());
         let view = View::new(roster.own().clone(), clock);
         let cluster = Arc::new(Cluster {
             gateway,
@@ -134,9 +135,9 @@
     pub async fn run(self: Arc<Self>) {
         tokio::spawn(self.links.clone().serve(self.handler()));
         loop {
-            self.mirror.tick(Instant::now());
-            self.divide(Instant::now());
-            for addr in self.wanted(Instant::now()) {
+            self.mirror.tick(time::now());
+            self.divide(time::now());
+            for addr in self.wanted(time::now()) {
                 self.greet(addr);
             }
             sleep(DIVIDE).await;
@@ -250,7 +251,7 @@
         if greeted.contains_key(&addr) {
             return;
         }
-        greeted.insert(addr, Instant::now());
+        greeted.insert(addr, time::now());
         drop(greeted);
         let cluster = self.clone();
         tokio::spawn(async move {
@@ -263,7 +264,7 @@
         let (mut news, mut loads) = (self.gateway.news(), self.gateway.load_news());
         let mut pace = Pace::default();
         loop {
-            let now = Instant::now();
+            let now = time::now();
             let Some(relation) = self.relation(addr, now) else {
                 return;
             };
@@ -274,7 +275,7 @@
             self.links.tell(addr, &beat, handler).await;
             let (heard, relay) = {
                 let view = self.view();
-                (view.hears(addr, Instant::now()), view.layout().is_relay())
+                (view.hears(addr, time::now()), view.layout().is_relay())
             };
             let pause = partner::pause(relation, relay, heard);
             let pause = pause.mul_f64(rand::rng().random_range(0.9..1.1));
@@ -352,7 +353,7 @@
             Lack::Changes => self.take_from(from, Request::After(self.mirror.position())).await,
             Lack::LargeValues | Lack::Nothing => Some(false),
         };
-        let from_store = self.is_behind(Instant::now()) && !self.in_vain.load(Ordering::Acquire);
+        let from_store = self.is_behind(time::now()) && !self.in_vain.load(Ordering::Acquire);
         if complete == Some(false) && !from_store {
             self.take_from(from, Request::AllAfter(self.mirror.position())).await;
         }
@@ -363,7 +364,7 @@
     /// nothing came.
     async fn take_from(self: &Arc<Self>, from: SocketAddr, request: Request) -> Option<bool> {
         let handler = self.handler();
-        let asked = Instant::now();
+        let asked = time::now();
         let answer = self.links.ask::<Option<Update>>(from, &request, FETCH_LIMIT, &handler).await;
         let Ok(given) = answer else {
             warn!(peer = from.to_string().as_str(); "peer did not give what it has");
@@ -374,7 +375,7 @@
         let seen =
             before(asked, update.statement.age_ms).unwrap_or_else(|| self.view().clock().started());
         let complete = update.complete;
-        self.mirror.apply(update, seen, Instant::now());
+        self.mirror.apply(update, seen, time::now());
         if complete {
             *self.behind.lock().expect("no holder panics") = None;
         }
@@ -408,7 +409,7 @@
         // The daemon itself has ended.
         std::future::pending::<()>().await;
     }
-    sleep_until(least.into()).await;
+    time::sleep_until(least).await;
 }
 
 /// The side of [`Cluster`] that answers peers.
@@ -417,7 +418,7 @@
 impl Answering {
     /// Small values that a copy at `position` lacks. A copy that lacks everything waits its turn.
     async fn give_small(&self, position: u64, held: &mut Held) {
-        let now = Instant::now();
+        let now = time::now();
         match self.0.mirror.update_after(position, now).filter(|update| !update.whole) {
             Some(update) => send(Some(update), held).await,
             None => self.give_all(position, held).await,
@@ -428,7 +429,7 @@
     async fn give_all(&self, position: u64, held: &mut Held) {
         let permit = self.0.giving.try_acquire();
         let update = match &permit {
-            Ok(_) => self.0.mirror.all_after(position, Instant::now()),
+            Ok(_) => self.0.mirror.all_after(position, time::now()),
             Err(_) => None,
         };
         send(update, held).await;
@@ -444,7 +445,7 @@
 impl Handler for Answering {
     fn told(&self, bytes: &[u8]) {
         match message::decode::<Beat>(bytes) {
-            Ok(beat) => self.0.hear(beat, Instant::now()),
+            Ok(beat) => self.0.hear(beat, time::now()),
             Err(e) => warn!(why = format!("{e:?}").as_str(); "heartbeat not readable"),
         }
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -16,6 +16,7 @@
 use crate::gateway::servers::{Heard, Load, Server, ServerKey, Servers};
 use crate::gateway::table::{Homes, Service};
 use crate::gateway::tag::Tag;
+use crate::time;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -175,7 +176,7 @@
     /// Notes that no connection to the server came about. Other daemons hear of it at once where it
     /// was refused: they would be as well.
     pub fn not_reached(&self, refused: bool) {
-        self.gateway.servers().not_reached(self.key(), refused, Instant::now());
+        self.gateway.servers().not_reached(self.key(), refused, time::now());
         if refused {
             self.gateway.tell();
         }
@@ -531,7 +532,7 @@
 
     /// Notes how an exchange with a server went; other daemons hear of a failure soon.
     pub(crate) fn judge(&self, server: ServerKey, failed: bool) {
-        self.servers().judge(server, failed, Instant::now());
+        self.servers().judge(server, failed, time::now());
         if failed {
             self.load_news.send_modify(|count| *count += 1);
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -8,6 +8,7 @@
 use crate::gateway::mirror::Mirror;
 use crate::gateway::port::{Changes, Store};
 use crate::platform::{PlatformError, PlatformResult};
+use crate::time;
 use futures_util::future::BoxFuture;
 use log::{debug, info, warn};
 use std::sync::Arc;
@@ -56,7 +57,7 @@
     /// Follows until the process ends.
     pub async fn run(mut self) {
         loop {
-            let asked = Instant::now();
+            let asked = time::now();
             if !self.cluster.should_read(asked) {
                 sleep(LOOK).await;
                 continue;
@@ -66,16 +67,16 @@
             self.cluster.metrics().store_reads.with_label_values(&[outcome]).inc();
             match read {
                 Ok(()) => {
-                    self.cluster.has_read(Instant::now());
+                    self.cluster.has_read(time::now());
                     self.heard();
                     self.failures = 0;
-                    sleep(SPACING.saturating_sub(asked.elapsed())).await;
+                    sleep(SPACING.saturating_sub(time::since(asked))).await;
                 }
                 Err(e) => {
-                    self.cluster.has_failed(Instant::now());
+                    self.cluster.has_failed(time::now());
                     self.lost(&e);
                     self.failures += 1;
-                    let before = self.cluster.readers_before(Instant::now());
+                    let before = self.cluster.readers_before(time::now());
                     sleep(pause(self.failures, before)).await;
                 }
             }
@@ -89,7 +90,7 @@
         }
         match self.overtake(self.store.changes(EVERYTHING, after, WAIT)).await? {
             Some(changes) => {
-                let now = Instant::now();
+                let now = time::now();
                 self.mirror.store_answered(now, now);
                 self.mirror.advance(changes.changes, changes.revision, asked, now);
                 Ok(())
@@ -104,7 +105,7 @@
     async fn read_whole(&mut self, asked: Instant) -> PlatformResult<()> {
         // Pages are no snapshot: what changes after the first is asked for again.
         let all = self.overtake(self.store.range(EVERYTHING)).await?;
-        let now = Instant::now();
+        let now = time::now();
         self.mirror.store_answered(now, now);
         self.mirror.replace(all.entries, all.revision, asked, now);
         Ok(())
@@ -130,7 +131,7 @@
     /// Reads what has changed of servers' entries and of closed halls. Says whether that came.
     async fn read_urgent(&self) -> bool {
         let after = self.mirror.urgent_position();
-        let asked = Instant::now();
+        let asked = time::now();
         if after == 0 {
             return false;
         }
@@ -145,7 +146,7 @@
         };
         read.changes.extend(halls.changes);
         let revision = read.revision.min(halls.revision);
-        let now = Instant::now();
+        let now = time::now();
         self.mirror.store_answered(now, now);
         self.mirror.advance_urgent(read.changes, revision, asked, now);
         true
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,6 +8,7 @@
 use crate::gateway::servers::ServerKey;
 use crate::gateway::table::{RouteKind, Service};
 use crate::outcome::{Failure, NotSent, Reason};
+use crate::time;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http_body_util::{BodyExt, BodyStream, StreamBody};
@@ -56,8 +57,8 @@
     /// Answers a request by its deadline.
     pub async fn answer(self: &Arc<Self>, call: Call) -> Result<Answer, Failure> {
         let call = Arc::new(call);
-        let left = call.left(Instant::now());
-        let answered = timeout(left, self.attempt(&call)).await.unwrap_or_else(|_| {
+        let attempt = self.attempt(&call);
+        let answered = time::timeout_at(call.deadline, attempt).await.unwrap_or_else(|_| {
             info!(id = call.id.as_str(), route = call.route.name.as_str(); "out of time");
             Err(Failure::unknown(Reason::new(
                 504,
@@ -72,7 +73,7 @@
             Err(failure) => failure.outcome().name(),
         };
         self.metrics.requests.with_label_values(&[kind, outcome]).inc();
-        let seconds = call.arrived.elapsed().as_secs_f64();
+        let seconds = time::since(call.arrived).as_secs_f64();
         self.metrics.answer_seconds.with_label_values(&[kind]).observe(seconds);
         answered
     }
@@ -82,7 +83,7 @@
         let Some(service) = self.draw_service(call) else {
             return Err(refused(proof, "no_service".into()));
         };
-        self.count_request(&service.name, Instant::now());
+        self.count_request(&service.name, time::now());
         Attempts { gateway: self, call, service, tried: Vec::new(), unreached: 0, runs: 0 }
             .run(proof)
             .await
@@ -95,7 +96,7 @@
         // The latest answer of a server that failed the request.
         let mut fallback = None;
         loop {
-            let seat = match self.next_seat(Instant::now()) {
+            let seat = match self.next_seat(time::now()) {
                 Ok(seat) => seat,
                 Err(why) => return self.give_up(proof, fallback, why),
             };
@@ -171,7 +172,7 @@
 
     async fn send(&self, mut seat: Seat, proof: Option<NotSent>) -> Sent {
         let unrun = proof.is_some();
-        let now = Instant::now();
+        let now = time::now();
         seat.knowledge = self.gateway.note_knowledge(now);
         let left = self.call.left(now);
         let after = self.call.after;
@@ -197,7 +198,7 @@
         seat.judge(failed || answer.is_err());
         let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
         let (server, whole) = (seat.id(), answer.is_ok());
-        let ms = self.call.arrived.elapsed().as_millis() as u64;
+        let ms = time::since(self.call.arrived).as_millis() as u64;
         let knew = seat.knowledge_ms();
         info!(id = id, route = route, server = server, status = status, whole = whole, ms = ms, knowledge_ms = knew; "answer from a server");
         let Ok(answer) = answer else {
--- a/src/gateway/lookout.rs
+++ b/src/gateway/lookout.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::core::Gateway;
 use crate::gateway::servers::Watched;
+use crate::time;
 use log::{debug, info};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,7 +32,7 @@
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
         sleep(ROUND).await;
-        let now = Instant::now();
+        let now = time::now();
         let late = gateway.in_force.age(now).is_some_and(|age| age > STORE_LATE);
         let watched = gateway.servers().watched();
         for server in watched.into_iter().filter(|w| late || w.suspected.is_some()) {
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -10,6 +10,7 @@
 use crate::gateway::port::{Copied, KeptRun, NotCopied};
 use crate::gateway::request::Call;
 use crate::gateway::table::{Engine, Service};
+use crate::time;
 use log::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,16 +57,16 @@
     source: Place,
     stopping: Arc<AtomicBool>,
 ) -> Moved {
-    let noticed = Instant::now();
+    let noticed = time::now();
     let turn = gateway.turn(source.key);
     let _turn = turn.acquire().await;
     wait_for_others(&gateway, &service, &source).await;
-    if !gateway.has_repeat(&service.name, Repeat::Continuation, Instant::now()) {
+    if !gateway.has_repeat(&service.name, Repeat::Continuation, time::now()) {
         return Moved::Stays("no_repeat_left");
     }
     let mut refused = vec![source.key];
     let (seat, mut copy) = loop {
-        let now = Instant::now();
+        let now = time::now();
         let Some(mut seat) = gateway.seat_for_copy(&service, &call, &source, &refused, now) else {
             return Moved::Stays("no_server");
         };
@@ -80,7 +81,7 @@
         }
     };
     // Only what goes on elsewhere is a repeat, and other runs may have spent the last one meanwhile.
-    if !gateway.take_repeat(&service.name, Repeat::Continuation, Instant::now()) {
+    if !gateway.take_repeat(&service.name, Repeat::Continuation, time::now()) {
         return Moved::Stays("no_repeat_left");
     }
     stopping.store(true, Ordering::Relaxed);
@@ -122,13 +123,13 @@
     let Some(engine) = &service.engine else {
         return;
     };
-    let (mut since, mut before) = (Instant::now(), u32::MAX);
+    let (mut since, mut before) = (time::now(), u32::MAX);
     loop {
-        let ahead = gateway.ahead(source.key, Instant::now()).once;
+        let ahead = gateway.ahead(source.key, time::now()).once;
         if ahead < before {
-            (since, before) = (Instant::now(), ahead);
+            (since, before) = (time::now(), ahead);
         }
-        if ahead == 0 || since.elapsed() >= copy_time(ahead, engine) {
+        if ahead == 0 || time::since(since) >= copy_time(ahead, engine) {
             return;
         }
         sleep(LOOK).await;
@@ -154,9 +155,9 @@
     async fn copy_until_quiet(&self, noticed: Instant) -> Result<CopyAhead, NotCopied> {
         let mut ahead = CopyAhead { gateway: self.gateway.clone(), from: self.from, handle: None };
         loop {
-            let began = Instant::now();
+            let began = time::now();
             ahead.handle = Some(self.copy(false).await?.handle);
-            if began.elapsed() <= QUIET || noticed.elapsed() >= STOP_BY {
+            if time::since(began) <= QUIET || time::since(noticed) >= STOP_BY {
                 return Ok(ahead);
             }
         }
@@ -164,7 +165,7 @@
 
     /// One copy; passing refusals are waited out.
     async fn copy(&self, last: bool) -> Result<Copied, NotCopied> {
-        let began = Instant::now();
+        let began = time::now();
         let mut tries = 0;
         let copied = loop {
             tries += 1;
@@ -175,7 +176,7 @@
                 copied => break copied,
             }
         };
-        let ms = began.elapsed().as_millis() as u64;
+        let ms = time::since(began).as_millis() as u64;
         let outcome = copied.as_ref().map_or_else(|e| format!("{e:?}"), |_| "made".into());
         info!(id = self.run, to = self.to.id(), last = last, ms = ms, outcome = outcome.as_str(); "copy of a run");
         copied
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,6 +11,7 @@
 use crate::gateway::port::{KeptRun, Lost, Reply, Sending};
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call};
 use crate::gateway::table::Service;
+use crate::time;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, StreamBody};
@@ -20,7 +21,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::timeout;
 
 /// Events that wait for a slow caller before its server is held up.
 const QUEUE: usize = 16;
@@ -69,7 +70,7 @@
     seat.judge(false);
     seat.has_read();
     let (id, route) = (call.id.as_str(), call.route.name.as_str());
-    let ms = call.arrived.elapsed().as_millis() as u64;
+    let ms = time::since(call.arrived).as_millis() as u64;
     let knew = seat.knowledge_ms();
     info!(id = id, route = route, server = seat.id(), ms = ms, tokens = call.size.tokens(), knowledge_ms = knew; "stream begun");
     let (out, events) = mpsc::channel(QUEUE);
@@ -80,7 +81,7 @@
         seat,
         leg,
         last: call.after,
-        passed: Instant::now(),
+        passed: time::now(),
         began: None,
         out,
         runs: 1,
@@ -196,7 +197,7 @@
         let (id, server) = (self.call.id.as_str(), self.seat.id());
         match end {
             End::Complete => {
-                let ms = self.call.arrived.elapsed().as_millis() as u64;
+                let ms = time::since(self.call.arrived).as_millis() as u64;
                 self.gateway.has_survived(&self.call);
                 info!(id = id, server = server, last = self.last, ms = ms; "stream complete");
             }
@@ -220,14 +221,14 @@
     }
 
     async fn follow(&mut self) -> End {
-        let deadline = sleep_until(self.call.deadline.into());
+        let deadline = time::sleep_until(self.call.deadline);
         tokio::pin!(deadline);
         let mut moving: Option<Moving> = None;
         loop {
             // Events come more often than the pause between moves, so that its end is not missed.
-            let may_move = moving.is_none() && self.may_move(Instant::now());
+            let may_move = moving.is_none() && self.may_move(time::now());
             let may_look = moving.is_none() && self.can_move();
-            let look = sleep_until(self.next_look().into());
+            let look = time::sleep_until(self.next_look());
             let happened = tokio::select! {
                 biased;
                 () = &mut deadline => Happened::OutOfTime,
@@ -258,7 +259,7 @@
                     true => self.finish_moving(moving.take()).await,
                     false => {
                         moving = None;
-                        if self.is_young(Instant::now()) {
+                        if self.is_young(time::now()) {
                             self.gateway.suspect(&self.call, &self.seat).await;
                         }
                         self.run_again(why).await
@@ -273,7 +274,7 @@
 
     /// Passes an event on unless the caller has it.
     async fn pass_on(&mut self, event: Event) -> Result<(), End> {
-        let now = Instant::now();
+        let now = time::now();
         self.began.get_or_insert(now);
         if event.id.is_some() && event.id <= self.last {
             return Ok(());
@@ -315,7 +316,7 @@
             }
         };
         let before = self.looked.and_then(|looked| looked.made);
-        self.looked = Some(Looked { at: Instant::now(), made });
+        self.looked = Some(Looked { at: time::now(), made });
         made.zip(before).is_some_and(|(made, before)| made > before)
     }
 
@@ -349,7 +350,7 @@
         match moved {
             Moved::Stays(why) => {
                 self.count_move(why);
-                self.stays = Some(Instant::now());
+                self.stays = Some(time::now());
                 info!(id = self.call.id.as_str(), server = self.seat.id(), why = why; "run not moved");
                 Ok(())
             }
@@ -366,8 +367,8 @@
 
     /// Passes on what a stopped run still sent.
     async fn drain_leg(&mut self) -> Result<(), End> {
-        let until = tokio::time::Instant::now() + LAST_EVENTS;
-        while let Ok(Step::Event(event)) = tokio::time::timeout_at(until, self.leg.next()).await {
+        let until = time::now() + LAST_EVENTS;
+        while let Ok(Step::Event(event)) = time::timeout_at(until, self.leg.next()).await {
             self.pass_on(event).await?;
         }
         Ok(())
@@ -377,7 +378,7 @@
     /// the same run, accepted while its key held: a key that was taken away since does not cut it.
     async fn go_on(&mut self, kept: KeptRun, seat: Option<Seat>) -> Result<(), End> {
         let to = seat.as_ref().map_or(&self.seat.place.to, |seat| &seat.place.to).clone();
-        let now = Instant::now();
+        let now = time::now();
         let key = seat.as_ref().map_or(self.seat.key(), Seat::key);
         let sending =
             Sending { to, left: self.call.left(now), from: Some(kept.clone()), after: self.last };
@@ -417,7 +418,7 @@
 
     /// Runs the request anew at another server, from the last event on, where it may run again.
     async fn run_again(&mut self, why: String) -> Result<(), End> {
-        let now = Instant::now();
+        let now = time::now();
         self.seat.judge(true);
         let allowed = self.call.route.may_run_again(self.runs);
         if !allowed || !self.gateway.may_send(&self.call, now) {
@@ -449,7 +450,7 @@
 
 /// Sends the request of a stream that has begun.
 async fn reopen(gateway: &Gateway, call: &Call, sending: Sending) -> Result<Leg, String> {
-    gateway.note_knowledge(Instant::now());
+    gateway.note_knowledge(time::now());
     match gateway.wire.send(call, sending, None).await {
         Ok(reply) if reply.status.is_success() => {
             Ok(Leg { body: reply.body, splitter: Splitter::default() })
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -2,10 +2,11 @@
 
 use crate::gateway::core::Gateway;
 use crate::gateway::listen::{Open, Phase};
+use crate::time;
 use log::info;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Time before the end of the grace period from which no request is read any more.
 const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
@@ -22,15 +23,15 @@
     grace: Duration,
     kept: Duration,
 ) {
-    let began = Instant::now();
+    let began = time::now();
     let end = began + grace.saturating_sub(LAST_MOMENT);
-    gateway.set_end(end.into_std());
+    gateway.set_end(end);
     phase.send_replace(Phase::Leaving);
     info!(connections = open.count(); "leaving");
     let last_requests = grace.saturating_sub(LAST_REQUESTS);
-    sleep_until(began + kept.min(last_requests)).await;
+    time::sleep_until(began + kept.min(last_requests)).await;
     phase.send_replace(Phase::Closing);
-    while open.count() > 0 && Instant::now() < end {
+    while open.count() > 0 && time::now() < end {
         sleep(LOOK).await;
     }
     info!(connections = open.count(); "stopped");
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -8,10 +8,11 @@
 use crate::gateway::quarantine::MEMORY;
 use crate::gateway::request::Call;
 use crate::platform::PlatformResult;
+use crate::time;
 use log::{info, warn};
 use rand::RngExt;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Longest time for the knock at a server under which a run was lost: some times a round trip. The VM of one
@@ -29,7 +30,7 @@
 impl Gateway {
     /// Notes that a server survived a run of a request.
     pub(crate) fn has_survived(&self, call: &Call) {
-        self.quarantine().survived(call.fingerprint(), Instant::now());
+        self.quarantine().survived(call.fingerprint(), time::now());
     }
 
     /// A run that had just begun was lost at a server: if that server has ended, the request may be why.
@@ -39,7 +40,7 @@
         if *seat.notice.borrow() || !self.wire.is_gone(seat.place.to.addr, KNOCK).await {
             return;
         }
-        let (request, now) = (call.fingerprint(), Instant::now());
+        let (request, now) = (call.fingerprint(), time::now());
         let proved = self.quarantine().ended(request, seat.place.tag, now);
         self.metrics.ended_servers.inc();
         let name = request.to_string();
@@ -59,7 +60,7 @@
         sleep(LOOK).await;
         let (proved, count) = {
             let mut quarantine = gateway.quarantine();
-            (quarantine.take_unsaved(), quarantine.count(Instant::now()))
+            (quarantine.take_unsaved(), quarantine.count(time::now()))
         };
         gateway.metrics.quarantined.set(count as i64);
         for request in proved {
@@ -79,7 +80,7 @@
 ) {
     let pause = rand::rng().random_range(Duration::ZERO..SPREAD);
     sleep(pause).await;
-    while gateway.quarantine().is_unsaved(request, Instant::now()) {
+    while gateway.quarantine().is_unsaved(request, time::now()) {
         if mirror.store_is_away() {
             sleep(LOOK).await;
             continue;
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -8,6 +8,7 @@
 use crate::message::{self, Heartbeat, PlaceAsk, Reply, Request, Unreadable};
 use crate::metrics::Metrics;
 use crate::peer::{Handler, Held, NoAnswer, Peers};
+use crate::time;
 use futures_util::future::BoxFuture;
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -51,7 +52,7 @@
         journal: Journal,
         metrics: Arc<Metrics>,
     ) -> Arc<Gossip> {
-        let members = Mutex::new(Members::new(own, beat, Instant::now()));
+        let members = Mutex::new(Members::new(own, beat, time::now()));
         let reading = watch::Sender::new(false);
         Arc::new(Gossip {
             members,
@@ -102,7 +103,7 @@
     }
 
     async fn beat_once(self: &Arc<Self>, open: u32, handler: &Arc<dyn Handler>) {
-        let now = Instant::now();
+        let now = time::now();
         let (targets, heartbeat) = {
             let mut rng = rand::rng();
             let mut members = self.members();
@@ -199,7 +200,7 @@
     fn shard_holder(&self, claim: ClaimAsk) -> Option<SocketAddr> {
         let shard = claim.key.0 % SHARDS as u128;
         let members = self.members();
-        let holder = members.gateway_for(&format!("claims/{shard}"), Instant::now());
+        let holder = members.gateway_for(&format!("claims/{shard}"), time::now());
         (holder.vm != members.own().vm).then_some(holder.peer_addr)
     }
 }
@@ -232,7 +233,7 @@
 
 impl Answering {
     fn heartbeat(&self, heartbeat: Heartbeat) {
-        let now = Instant::now();
+        let now = time::now();
         let gossip = &self.0;
         let sender = heartbeat.records.first().map(|r| (r.revision, r.peer_addr));
         {
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -11,10 +11,11 @@
 use crate::pool::Pool;
 use crate::replica::Signal;
 use crate::slot::Slot;
+use crate::time;
 use futures_util::future::BoxFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
@@ -104,7 +105,7 @@
     ask: Ask,
     wait: Duration,
 ) -> Result<Slot, Shed> {
-    let began = Instant::now();
+    let began = time::now();
     let shared = pool.has_keeper(&ask.policy);
     if let Some(keeper) = gossip.keeper(pool.name(), began).filter(|_| shared) {
         match ask_keeper(gossip, keeper, pool, &ask, wait).await {
@@ -119,7 +120,7 @@
         }
     }
     pool.count_place("own");
-    pool.place(ask, wait.saturating_sub(began.elapsed())).await
+    pool.place(ask, wait.saturating_sub(time::since(began))).await
 }
 
 async fn ask_keeper(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod sse;
 pub mod standin;
 pub mod status;
+pub mod time;
 pub mod tls;
 pub mod trace;
 pub mod vm;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,6 +4,7 @@
 //! dropped and counted, and a line says how many. Of ordinary lines (level `info` and below) only
 //! so many are taken in a second; warnings and errors always are, while the queue has room.
 
+use crate::time;
 use env_logger::{Builder, Env, Target};
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{Level, Record};
@@ -27,7 +28,7 @@
 
 /// Writes the program's log lines, at level `info` unless `RUST_LOG` says otherwise.
 pub fn init(vm: &str) {
-    STARTED.get_or_init(Instant::now);
+    STARTED.get_or_init(time::now);
     let (lines, queue) = sync_channel(QUEUE);
     let spawned = std::thread::Builder::new()
         .name("log".into())
@@ -53,7 +54,7 @@
 }
 
 fn uptime() -> Duration {
-    STARTED.get_or_init(Instant::now).elapsed()
+    time::since(*STARTED.get_or_init(time::now))
 }
 
 /// Ordinary lines of the present second.
--- a/src/poll.rs
+++ b/src/poll.rs
@@ -2,10 +2,11 @@
 
 use crate::app::App;
 use crate::pool::Pool;
+use crate::time;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -41,12 +42,12 @@
 async fn poll(app: Arc<App>, pool: Weak<Pool>, addr: SocketAddr, every: Duration) {
     for turn in 0u32.. {
         let Some(kept) = pool.upgrade() else { return };
-        let now = Instant::now();
+        let now = time::now();
         let keeper = app.gossip.keeper(kept.name(), now).is_none();
         let needed = keeper || kept.places_alone(every * ALONE_POLLS, now);
         if needed || turn.is_multiple_of(IDLE_TURNS) {
             let report = timeout(every * LATE, app.engine.load(addr)).await.ok().flatten();
-            kept.report(addr, report, Instant::now());
+            kept.report(addr, report, time::now());
         }
         drop(kept);
         sleep(every).await;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -12,6 +12,7 @@
 use crate::resource::{Algorithm, EnginePoolSpec, HeadroomSpec, PolicySpec};
 use crate::slot::Slot;
 use crate::snapshot::Snapshot;
+use crate::time;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slotmap::SlotMap;
@@ -146,7 +147,7 @@
 
     /// Waits at most `wait` for a place, by this daemon's own view.
     pub async fn place(self: &Arc<Self>, ask: Ask, wait: Duration) -> Result<Slot, Shed> {
-        self.lock().alone = Some(Instant::now());
+        self.lock().alone = Some(time::now());
         self.wait_for(ask, wait, Origin::Own).await
     }
 
@@ -162,7 +163,7 @@
         origin: Origin,
     ) -> Result<Slot, Shed> {
         let (tx, rx) = oneshot::channel();
-        let now = Instant::now();
+        let now = time::now();
         let ticket = {
             let mut state = self.lock();
             let ticket = state.enqueue(Waiting { ask, origin, tx }, &self.metrics, now)?;
@@ -170,7 +171,7 @@
             ticket
         };
         let mut waiter = Waiter { pool: self, ticket, rx };
-        match tokio::time::timeout(wait, &mut waiter.rx).await {
+        match time::timeout_at(time::now() + wait, &mut waiter.rx).await {
             Ok(Ok(placement)) => Ok(Slot::new(self.clone(), placement, None)),
             _ => Err(self.lock().shed()),
         }
@@ -184,7 +185,7 @@
         made: u32,
         grant: Option<Grant>,
     ) -> Option<Slot> {
-        let now = Instant::now();
+        let now = time::now();
         let mut state = self.lock();
         let replica = state.by_addr(addr)?;
         if made == 0 && !state.replicas[replica].stays() {
@@ -248,7 +249,7 @@
         state.queue.remove(self.ticket);
         self.rx.close();
         if let Ok(late) = self.rx.try_recv() {
-            state.end(late.stream, Instant::now());
+            state.end(late.stream, time::now());
         }
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::replica::Signal;
 use crate::seal::GenerationId;
 use crate::slot::Slot;
+use crate::time;
 use futures_util::future::BoxFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -132,7 +133,7 @@
     /// Places a generation and carries it to its end.
     pub async fn run(&self, mut job: Job, reader: &mut dyn Reader) -> Result<End, Failure> {
         let mut proof = Some(NotSent::begin());
-        let began = Instant::now();
+        let began = time::now();
         for place in 0..MOST_PLACES {
             if place > 0 && !self.pool.may_retry() {
                 break;
@@ -140,7 +141,7 @@
             if place > 0 {
                 self.metrics.retries.inc();
             }
-            let wait = job.wait.saturating_sub(began.elapsed());
+            let wait = job.wait.saturating_sub(time::since(began));
             let slot = match self.placer.place(&self.pool, job.ask.clone(), wait).await {
                 Ok(slot) => slot,
                 Err(shed) => return Err(lost(proof, Reason::no_capacity(shed.retry_ms))),
@@ -155,7 +156,7 @@
             let stream = match opened {
                 Ok(stream) => stream,
                 Err(OpenError::NotRun(p)) => {
-                    slot.failed(Instant::now());
+                    slot.failed(time::now());
                     // An earlier attempt that may have run spoils the proof of a later one.
                     proof = untouched.then_some(p);
                     continue;
@@ -166,7 +167,7 @@
                     continue;
                 }
                 Err(OpenError::Unknown) => {
-                    slot.failed(Instant::now());
+                    slot.failed(time::now());
                     let not_started =
                         self.engine.cancel(slot.addr(), job.dispatch.generation).await;
                     proof = (untouched && not_started).then(NotSent::declared);
@@ -211,7 +212,7 @@
         after: u32,
         reader: &mut dyn Reader,
     ) -> Result<End, Failure> {
-        let mut progress = Progress::new(job.dispatch.generation, after, job.gap, Instant::now());
+        let mut progress = Progress::new(job.dispatch.generation, after, job.gap, time::now());
         self.carry(&job, slot, None, &mut progress, reader).await.ok_or_else(cut)
     }
 
@@ -263,15 +264,15 @@
         slot: &Slot,
         progress: &Progress,
     ) -> Option<OpenStream> {
-        let until = Instant::now() + limit;
+        let until = time::now() + limit;
         let mut backoff = FIRST_BACKOFF;
         self.metrics.resumes.inc();
         loop {
             match self.engine.resume(slot.addr(), progress.generation, progress.delivered).await {
                 Ok(stream) => return Some(stream),
                 Err(ResumeError::Gone) => return None,
-                Err(ResumeError::Unreachable) if Instant::now() >= until => {
-                    slot.failed(Instant::now());
+                Err(ResumeError::Unreachable) if time::now() >= until => {
+                    slot.failed(time::now());
                     return None;
                 }
                 Err(ResumeError::Unreachable) => sleep(backoff).await,
@@ -307,7 +308,7 @@
                         if reader.token(&token).await == Delivery::Gone {
                             return Followed::Gone;
                         }
-                        let now = Instant::now();
+                        let now = time::now();
                         progress.delivered = token.index;
                         progress.saw_token(&self.metrics, now);
                         slot.token(token.index, now);
--- a/src/slot.rs
+++ b/src/slot.rs
@@ -3,6 +3,7 @@
 use crate::grant::Grant;
 use crate::pool::{Placement, Pool};
 use crate::replica::Signal;
+use crate::time;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -92,7 +93,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let now = Instant::now();
+        let now = time::now();
         let mut state = self.pool.lock();
         state.end(self.placement.stream, now);
         state.pump(&self.pool.metrics, now);
--- a/src/status.rs
+++ b/src/status.rs
@@ -8,13 +8,13 @@
 use crate::outcome::Outcome;
 use crate::server::json;
 use crate::snapshot::Snapshot;
+use crate::time;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 /// The fleet as one daemon sees it.
 #[derive(Debug, Serialize, Deserialize)]
@@ -65,7 +65,7 @@
 
 /// What `tidestair status` shows.
 pub fn fleet_status(app: &App) -> FleetStatus {
-    let now = Instant::now();
+    let now = time::now();
     let snapshot: Arc<Snapshot> = app.in_force.get();
     let members = app.gossip.members();
     let daemon = |r: &crate::member::Record| DaemonStatus {
