The clock counts the time in which the VM was suspended

Cause: the standard steady clock (CLOCK_MONOTONIC) stands still while a VM is suspended, so that whatever was dated by it woke as young as it had been: confirmations of keys, peers' statements, budgets' windows, deadlines handed on, leases. Change: all moments come from CLOCK_BOOTTIME, as moments of the standard type; waits for deadlines, leases and planned stops sleep 250 ms at most at a time, since timers stand still as well.

Weighed: asking both clocks and adding their difference (a process that loses the processor between the two readings sees a suspension that never was); one timer of the kernel's for each wait (a descriptor a request). Costs four wake-ups a second for each waiting request.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -58,7 +58,7 @@
     pub async fn answer(self: &Arc<Self>, call: Call) -> Result<Answer, Failure> {
         let call = Arc::new(call);
         let attempt = self.attempt(&call);
-        let answered = time::timeout_at(call.deadline, attempt).await.unwrap_or_else(|_| {
+        let answered = time::timeout_at(call.deadline, attempt).await.unwrap_or_else(|| {
             info!(id = call.id.as_str(), route = call.route.name.as_str(); "out of time");
             Err(Failure::unknown(Reason::new(
                 504,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -368,7 +368,7 @@
     /// Passes on what a stopped run still sent.
     async fn drain_leg(&mut self) -> Result<(), End> {
         let until = time::now() + LAST_EVENTS;
-        while let Ok(Step::Event(event)) = time::timeout_at(until, self.leg.next()).await {
+        while let Some(Step::Event(event)) = time::timeout_at(until, self.leg.next()).await {
             self.pass_on(event).await?;
         }
         Ok(())
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -172,7 +172,7 @@
         };
         let mut waiter = Waiter { pool: self, ticket, rx };
         match time::timeout_at(time::now() + wait, &mut waiter.rx).await {
-            Ok(Ok(placement)) => Ok(Slot::new(self.clone(), placement, None)),
+            Some(Ok(placement)) => Ok(Slot::new(self.clone(), placement, None)),
             _ => Err(self.lock().shed()),
         }
     }
--- a/src/time.rs
+++ b/src/time.rs
@@ -4,13 +4,44 @@
 //! seconds would take what it knew for as fresh as before, hand on a deadline that has passed, and count a
 //! window's sendings into the next one. All moments come from here, and no other module asks the standard
 //! library's clock: ages, leases, windows and deadlines then count the time that was slept through.
+//!
+//! Moments are of the standard type, so that a present moment may be an argument wherever something is
+//! decided. After a suspension they lie ahead of the standard clock: they are compared with each other only, and
+//! waits for one of them go by the functions here.
 
+use nix::time::{ClockId, clock_gettime};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
-use tokio::time::error::Elapsed;
 
-/// The present moment.
+/// Longest sleep at a time. A timer stands still with the VM, so that a wait ends at most so much late after
+/// a suspension; a shorter one wakes each waiting request more often than four times a second.
+const LONGEST_SLEEP: Duration = Duration::from_millis(250);
+
+/// A moment on both clocks.
+struct Origin {
+    moment: Instant,
+    /// Time since the VM's start, suspensions included.
+    boot: Duration,
+}
+
+static ORIGIN: OnceLock<Origin> = OnceLock::new();
+
+/// Milliseconds of suspensions that tests made up.
+static PRETENDED_MS: AtomicU64 = AtomicU64::new(0);
+
+/// The present moment; it never goes back.
 pub fn now() -> Instant {
-    Instant::now()
+    let origin = ORIGIN.get_or_init(|| Origin { moment: Instant::now(), boot: since_boot() });
+    let pretended = Duration::from_millis(PRETENDED_MS.load(Ordering::Relaxed));
+    origin.moment + since_boot().saturating_sub(origin.boot) + pretended
+}
+
+/// Time since the VM's start, suspensions included.
+fn since_boot() -> Duration {
+    // Fails only on kernels older than the clock, 2.6.39.
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the kernel knows the clock");
+    Duration::from(time)
 }
 
 /// The time since an earlier moment.
@@ -20,7 +51,13 @@
 
 /// Waits until a moment.
 pub async fn sleep_until(until: Instant) {
-    tokio::time::sleep(until.saturating_duration_since(now())).await;
+    loop {
+        let left = until.saturating_duration_since(now());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(LONGEST_SLEEP)).await;
+    }
 }
 
 /// Waits for some time.
@@ -28,11 +65,18 @@
     sleep_until(now() + time).await;
 }
 
-/// Waits for a future until a moment.
-pub async fn timeout_at<F: Future>(until: Instant, future: F) -> Result<F::Output, Elapsed> {
-    tokio::time::timeout(until.saturating_duration_since(now()), future).await
+/// Waits for a future until a moment. A future that is ready by then wins.
+pub async fn timeout_at<F: Future>(until: Instant, future: F) -> Option<F::Output> {
+    tokio::select! {
+        biased;
+        output = future => Some(output),
+        () = sleep_until(until) => None,
+    }
 }
 
 /// Tells the clock that the VM was suspended for so long; for tests, which can't suspend their machine.
 #[doc(hidden)]
-pub fn pretend_suspended(_time: Duration) {}
+pub fn pretend_suspended(time: Duration) {
+    let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    PRETENDED_MS.fetch_add(ms, Ordering::Relaxed);
+}
