--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -10,8 +10,10 @@
 use tidestair::gateway::beat::{Beat, Origin, Sum, Told};
 use tidestair::gateway::cell::CellId;
 use tidestair::gateway::clock::{Clock, Echo};
+use tidestair::gateway::fingerprint::Fingerprint;
 use tidestair::gateway::partner::{Pace, Relation};
 use tidestair::gateway::place::{ALIKE, Candidate, Headroom, Need, Placing, UNSEEN_COST};
+use tidestair::gateway::quarantine::Quarantine;
 use tidestair::gateway::roster::Daemon;
 use tidestair::gateway::servers::{Load, ServerRecord, Servers, Signs};
 use tidestair::gateway::table::Engine;
@@ -52,9 +54,36 @@
         note("own_words", own_words(&known));
         hearing(halls, daemons, servers, known, &mut note);
     }
+    for bytes in [1_000, 16_000] {
+        let us = fingerprint(bytes);
+        figures.insert(format!("fingerprint_us_at_{bytes}_bytes"), us);
+    }
+    figures.insert("suspected_requests_us".into(), suspected());
     println!("{}", serde_json::to_string_pretty(&json!(figures)).expect("numbers are JSON"));
 }
 
+/// What makes a request with such a body known again.
+fn fingerprint(bytes: usize) -> f64 {
+    let body = vec![7; bytes];
+    micros(20_000, || {
+        black_box(Fingerprint::new("/path", "caller", black_box(&body)));
+    })
+}
+
+/// Telling of as many suspected requests as are remembered, and hearing of as many as are told.
+fn suspected() -> f64 {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    let requests = (0..256u64).map(|n| Fingerprint::new("/path", "caller", &n.to_be_bytes()));
+    for request in requests {
+        quarantine.ended(request, Tag::number(1), now);
+    }
+    let others = quarantine.told(now).into_iter().collect();
+    micros(20_000, || {
+        quarantine.set_others(&others, now);
+        black_box(quarantine.told(now));
+    })
+}
+
 fn micros(count: u32, mut act: impl FnMut()) -> f64 {
     let began = Instant::now();
     for _ in 0..count {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -1,14 +1,11 @@
 //! The state that all requests of one daemon share.
 
-use crate::gateway::admission::{self, Bound, Standing};
 use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use crate::gateway::cold::{ColdBounds, Rank};
 use crate::gateway::in_force::InForce;
 use crate::gateway::metrics::GatewayMetrics;
-use crate::gateway::place::{
-    ALIKE, COPY_ALIKE, Candidate, FAR_COPY_COST, FAR_COST, Need, Placing, UNSEEN_COST,
-};
-use crate::gateway::port::{Destination, Wire};
+use crate::gateway::place::Placing;
+use crate::gateway::port::Wire;
 use crate::gateway::quarantine::Quarantine;
 use crate::gateway::regions::{Allowed, Regions};
 use crate::gateway::request::Call;
@@ -42,10 +39,6 @@
 /// Time before the end of the process by which answers should be complete.
 const LAST_ANSWER: Duration = Duration::from_millis(500);
 
-/// Time after which a load of another cell of the hall is heard, on average: a heartbeat of its daemon, the
-/// relays' and that of this cell's relay, half of each on average, and their ways.
-const TOLD_LATE: Duration = Duration::from_millis(70);
-
 /// Tokens of a request from which its beginning and end are told to other daemons at once. What is
 /// smaller, as a plain service's requests are, goes with the next heartbeat.
 const TOLD_TOKENS: u32 = 100;
@@ -77,16 +70,16 @@
     pub regions: Regions,
     revoke: Mutex<Option<Duration>>,
     /// What a cold server may get, and this daemon's place among those that share it.
-    cold: Mutex<(ColdBounds, Rank)>,
-    placing: Box<dyn Placing>,
+    pub(super) cold: Mutex<(ColdBounds, Rank)>,
+    pub(super) placing: Box<dyn Placing>,
     hearing: OnceLock<Weak<dyn Hearing>>,
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
     quarantine: Mutex<Quarantine>,
     /// Whether loads in other halls are told late, in sums.
-    divided: AtomicBool,
+    pub(super) divided: AtomicBool,
     /// Share of all daemons that are of this hall and tell their loads late, in sums.
-    late: Mutex<f64>,
+    pub(super) late: Mutex<f64>,
     /// When the process ends, once a planned stop has begun.
     ends: Mutex<Option<Instant>>,
     /// Counts what other daemons should hear at once.
@@ -97,108 +90,6 @@
     turns: Mutex<HashMap<ServerKey, Weak<Semaphore>>>,
 }
 
-/// Where a request runs.
-#[derive(Debug, Clone)]
-pub struct Place {
-    /// The server.
-    pub key: ServerKey,
-    /// Where it is.
-    pub to: Destination,
-    /// The tag of its start.
-    pub tag: Tag,
-    /// Its hall.
-    pub hall: String,
-    /// What the request takes there.
-    pub load: Load,
-}
-
-/// Time after which a caller that was refused may come back, where nothing better is known.
-const COME_BACK: Duration = Duration::from_millis(300);
-
-/// Why a request gets no seat.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NoSeat {
-    /// The reason, for logs and answers.
-    pub why: &'static str,
-    /// When its caller is to come back.
-    pub come_back: Duration,
-}
-
-impl From<&'static str> for NoSeat {
-    fn from(why: &'static str) -> NoSeat {
-        NoSeat { why, come_back: COME_BACK }
-    }
-}
-
-/// A backend server that was chosen for a request; counted as loaded until it is dropped.
-pub struct Seat {
-    gateway: Arc<Gateway>,
-    /// Where it is.
-    pub place: Place,
-    /// Tells when the server is about to leave.
-    pub notice: watch::Receiver<bool>,
-    /// Age of the copy of the store when the request was sent there.
-    pub knowledge: Option<Duration>,
-    /// Tokens of prompts that waited there before this request.
-    pub waiting: u32,
-}
-
-impl Seat {
-    /// The server.
-    pub fn key(&self) -> ServerKey {
-        self.place.key
-    }
-
-    /// Id of the server, for logs.
-    pub fn id(&self) -> &str {
-        &self.place.to.id
-    }
-
-    /// Age of the copy of the store when the request was sent there, in milliseconds, for logs.
-    pub fn knowledge_ms(&self) -> Option<u64> {
-        Some(self.knowledge?.as_millis() as u64)
-    }
-
-    /// Notes that the server has read the prompt.
-    pub fn has_read(&mut self) {
-        let tokens = std::mem::take(&mut self.place.load.reading);
-        self.gateway.servers().has_read(self.key(), tokens);
-        self.gateway.tell_load(self.place.load);
-    }
-
-    /// Notes that the memory of the run has been copied to the server.
-    pub fn has_arrived(&mut self) {
-        let tokens = std::mem::take(&mut self.place.load.arriving);
-        self.gateway.servers().has_arrived(self.key(), tokens);
-        self.gateway.tell_load(self.place.load);
-    }
-
-    /// Notes that no connection to the server came about. Other daemons hear of it at once where it
-    /// was refused: they would be as well.
-    pub fn not_reached(&self, refused: bool) {
-        self.gateway.servers().not_reached(self.key(), refused, time::now());
-        if refused {
-            self.gateway.tell();
-        }
-    }
-
-    /// Notes how the exchange went.
-    pub fn judge(&self, failed: bool) {
-        self.gateway.judge(self.key(), failed);
-    }
-}
-
-impl Drop for Seat {
-    fn drop(&mut self) {
-        self.gateway.servers().end(self.key(), self.place.load);
-        self.gateway.tell_load(self.place.load);
-        if *self.notice.borrow() {
-            // Other daemons wait for their turn to move what they have there.
-            self.gateway.tell();
-        }
-    }
-}
-
 impl Gateway {
     /// A gateway that knows nothing yet.
     pub fn new(
@@ -253,7 +144,7 @@
         self.hearing.get_or_init(|| hearing);
     }
 
-    fn hearing(&self) -> Option<Arc<dyn Hearing>> {
+    pub(super) fn hearing(&self) -> Option<Arc<dyn Hearing>> {
         self.hearing.get()?.upgrade()
     }
 
@@ -269,25 +160,6 @@
         self.cold.lock().expect("no holder panics").1 = rank;
     }
 
-    /// Whether a server bears one more request of this daemon: it is not cold, or the daemon's share of
-    /// what it may get is not used up.
-    fn bears(&self, service: &Service, server: &Server, now: Instant) -> bool {
-        if !server.is_cold(service.warm_up, now) {
-            return true;
-        }
-        let (bounds, rank) = *self.cold.lock().expect("no holder panics");
-        server.cold_sendings(now) < rank.share(server.tag(), service.warm_up, bounds)
-    }
-
-    /// Requests for a service that daemons of this hall are expected to have sent since they told.
-    fn unseen(&self, service: &Arc<str>, now: Instant) -> f64 {
-        let late = *self.late.lock().expect("no holder panics");
-        if late == 0.0 {
-            return 0.0;
-        }
-        late * self.budget().rate(service, now) * TOLD_LATE.as_secs_f64()
-    }
-
     /// A planned stop has begun, and the process ends then.
     pub fn set_end(&self, end: Instant) {
         *self.ends.lock().expect("no holder panics") = Some(end);
@@ -310,7 +182,7 @@
     }
 
     /// What this daemon has running has changed.
-    fn tell_load(&self, load: Load) {
+    pub(super) fn tell_load(&self, load: Load) {
         if load.tokens >= TOLD_TOKENS {
             self.load_news.send_modify(|count| *count += 1);
         }
@@ -382,116 +254,6 @@
         self.in_force.get()?.table.service(name).cloned()
     }
 
-    /// Takes in what came from other daemons since the last time.
-    fn listen(&self, now: Instant) {
-        if let Some(heard) = self.hearing().and_then(|hearing| hearing.heard(now)) {
-            self.servers().set_others(&heard);
-            self.quarantine().set_others(&heard.evidence, now);
-        }
-    }
-
-    /// Takes a seat for a request at a server of `service`, not one of `tried`.
-    pub fn seat(
-        self: &Arc<Self>,
-        service: &Service,
-        call: &Call,
-        standing: Standing,
-        tried: &[ServerKey],
-        now: Instant,
-    ) -> Result<Seat, NoSeat> {
-        self.listen(now);
-        if let Some(left) = self.quarantine().kept_back(call.fingerprint(), now) {
-            return Err(NoSeat { why: "ends_servers", come_back: left });
-        }
-        let engine = service.engine.as_ref();
-        let load = Load::of(call.size, call.route.repeatable());
-        let divided = self.divided.load(Ordering::Relaxed);
-        let far = if divided { UNSEEN_COST } else { FAR_COST };
-        let unseen = self.unseen(&service.name, now);
-        let need = Need { hall: &self.hall, far, alike: ALIKE, unseen, load, engine };
-        let bound = match engine {
-            Some(engine) => Bound::of(self.aim(service, call), engine, standing),
-            None => Bound::NONE,
-        };
-        self.choose_seat(service, &need, call, bound, tried, now)
-    }
-
-    /// Takes a seat for a request that was sent before, if the shared budget allows another sending.
-    pub fn seat_again(
-        self: &Arc<Self>,
-        service: &Service,
-        call: &Call,
-        standing: Standing,
-        tried: &[ServerKey],
-        now: Instant,
-    ) -> Result<Seat, NoSeat> {
-        let seat = self.seat(service, call, standing, tried, now)?;
-        match self.take_repeat(&service.name, Repeat::Retry, now) {
-            true => Ok(seat),
-            false => Err("no_repeat_left".into()),
-        }
-    }
-
-    /// The shortest aim of a service's routes.
-    fn aim(&self, service: &Service, call: &Call) -> Duration {
-        let declared = self.in_force.get();
-        declared.and_then(|d| d.table.aim(&service.name)).unwrap_or(call.route.aim)
-    }
-
-    /// Takes a seat for a run of `call` that is copied from `source`, not at one of `refused`.
-    pub fn seat_for_copy(
-        self: &Arc<Self>,
-        service: &Service,
-        call: &Call,
-        source: &Place,
-        refused: &[ServerKey],
-        now: Instant,
-    ) -> Option<Seat> {
-        let engine = service.engine.as_ref();
-        let load = Load { reading: 0, arriving: source.load.tokens, ..source.load };
-        let (hall, far) = (source.hall.as_str(), FAR_COPY_COST);
-        let need = Need { hall, far, alike: COPY_ALIKE, unseen: 0.0, load, engine };
-        self.choose_seat(service, &need, call, Bound::NONE, refused, now).ok()
-    }
-
-    fn choose_seat(
-        self: &Arc<Self>,
-        service: &Service,
-        need: &Need<'_>,
-        call: &Call,
-        bound: Bound,
-        except: &[ServerKey],
-        now: Instant,
-    ) -> Result<Seat, NoSeat> {
-        self.listen(now);
-        let load = need.load;
-        let allowed = self.allowed(call);
-        let may_take = |key, server: &Server| {
-            !except.contains(&key)
-                && allowed.has(&server.record.hall)
-                && self.bears(service, server, now)
-        };
-        let mut servers = self.servers();
-        let candidates = candidates(&servers, service, may_take, now);
-        let chosen = self.placing.choose(&candidates, need, now, &mut rand::rng());
-        let key = chosen.ok_or("no_server")?;
-        let there = servers.get(key).map(Server::load).unwrap_or_default();
-        if !bound.holds(there) {
-            let come_back = admission::come_back(there.reading, &mut rand::rng());
-            return Err(NoSeat { why: "crowded", come_back });
-        }
-        if servers.get(key).is_some_and(|server| server.is_cold(service.warm_up, now)) {
-            servers.sends_cold(key, now);
-        }
-        servers.begin(key, load);
-        self.tell_load(load);
-        let server = servers.get(key).ok_or("no_server")?;
-        let to = server.destination();
-        let place = Place { key, to, tag: server.tag(), hall: server.record.hall.clone(), load };
-        let notice = server.notice();
-        Ok(Seat { gateway: self.clone(), place, notice, knowledge: None, waiting: there.reading })
-    }
-
     /// The addresses that a caller in `region` is told of for a host. Where the host's routes name regions,
     /// those are daemons that stand there or in the caller's own: of `found`, or else of those `further` away
     /// that are heard, or else of those that `roster` lists, which may have died lately; and any of `found`
@@ -525,7 +287,7 @@
     }
 
     /// Where a request may go: the regions of its route and of its workspace both bind.
-    fn allowed<'a>(&'a self, call: &'a Call) -> Allowed<'a> {
+    pub(super) fn allowed<'a>(&'a self, call: &'a Call) -> Allowed<'a> {
         let workspace = call.credential.as_ref().map(|credential| &credential.homes);
         Allowed { regions: &self.regions, route: &call.route.homes, workspace }
     }
@@ -568,25 +330,7 @@
         self.budget().set_others(others);
     }
 
-    fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
+    pub(super) fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
         self.budget.lock().expect("no holder panics")
     }
 }
-
-fn candidates<'a>(
-    servers: &'a Servers,
-    service: &'a Service,
-    may_take: impl Fn(ServerKey, &Server) -> bool,
-    now: Instant,
-) -> Vec<Candidate<'a>> {
-    let open = servers.open(&service.name).filter(|(key, server)| may_take(*key, server));
-    let (passed_over, mut reached): (Vec<_>, Vec<_>) =
-        open.partition(|(_, server)| server.is_passed_over(now));
-    if reached.is_empty() {
-        reached = passed_over;
-    }
-    reached
-        .into_iter()
-        .map(|(key, server)| Candidate { key, server, load: server.load() })
-        .collect()
-}
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -13,7 +13,7 @@
 pub struct Fingerprint(u64);
 
 impl Fingerprint {
-    /// The fingerprint of a request. Hashing takes about 3 ns for each byte of the body.
+    /// The fingerprint of a request. Takes about 1 µs, and 0.8 ns for each byte of the body (`benches/fleet.rs`).
     pub fn of(call: &Call) -> Fingerprint {
         let caller = call.credential.as_ref().map_or("", |credential| &credential.workspace);
         Fingerprint::new(&call.path, caller, &call.body)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,10 +1,11 @@
 //! A request's way: place, send, follow, send again where that is allowed, answer.
 
 use crate::gateway::admission::{self, Standing};
-use crate::gateway::core::{Gateway, NoSeat, Seat};
+use crate::gateway::core::Gateway;
 use crate::gateway::port::{Lost, Reply, Sending};
 use crate::gateway::relay;
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call, whole};
+use crate::gateway::seat::{NoSeat, Seat};
 use crate::gateway::servers::ServerKey;
 use crate::gateway::table::{RouteKind, Service};
 use crate::outcome::{Failure, NotSent, Reason};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,7 @@
 //! - `halls`, [`cold`], [`regions`]: halls that are closed, servers that bear few requests yet, and the
 //!   regions that requests stay in
 //! - [`admission`]: who is let in while engines are crowded
-//! - [`core`]: what all requests of a daemon share
+//! - [`core`], [`seat`]: what all requests of a daemon share, and their places at servers
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
@@ -57,6 +57,7 @@
 mod relay;
 pub mod request;
 pub mod roster;
+pub mod seat;
 mod server;
 pub mod servers;
 pub mod stop;
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -6,9 +6,10 @@
 //! those that rank before it, by what they say they still have there.
 
 use crate::gateway::budget::Repeat;
-use crate::gateway::core::{Gateway, Place, Seat};
+use crate::gateway::core::Gateway;
 use crate::gateway::port::{Copied, KeptRun, NotCopied};
 use crate::gateway::request::Call;
+use crate::gateway::seat::{Place, Seat};
 use crate::gateway::table::{Engine, Service};
 use crate::time;
 use log::info;
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -131,8 +131,8 @@
         if let Some(suspicion) = self.own.get_mut(&request) {
             suspicion.survived = suspicion.survived.saturating_add(1);
         } else if self.others.contains_key(&request) {
-            // The others must hear of it.
-            self.suspect(request, now).survived = 1;
+            // The others must hear of it, and of what survived before.
+            self.suspect(request, now);
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,12 +4,13 @@
 //! the run is carried over to another one while its events go on.
 
 use crate::gateway::admission::Standing;
-use crate::gateway::core::{Gateway, Seat};
+use crate::gateway::core::Gateway;
 use crate::gateway::events::{Event, Splitter};
 use crate::gateway::forward::Sent;
 use crate::gateway::moving::{self, Moved};
 use crate::gateway::port::{KeptRun, Lost, Reply, Sending};
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call};
+use crate::gateway::seat::Seat;
 use crate::gateway::table::Service;
 use crate::time;
 use bytes::Bytes;
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -1,12 +1,13 @@
 //! Noticing that a server ended under a request, and recording requests that are proved to end servers in
 //! the store, where daemons that start again find them.
 
-use crate::gateway::core::{Gateway, Seat};
+use crate::gateway::core::Gateway;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::mirror::Mirror;
 use crate::gateway::port::{Schema, Store};
 use crate::gateway::quarantine::MEMORY;
 use crate::gateway::request::Call;
+use crate::gateway::seat::Seat;
 use crate::platform::PlatformResult;
 use crate::time;
 use log::{info, warn};
@@ -20,10 +21,10 @@
 const KNOCK: Duration = Duration::from_millis(150);
 /// Time between two looks for requests that are to be recorded. Heartbeats have told of them by then; the
 /// record is for daemons that start later.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_millis(100);
 /// Longest pause before a record is written: each daemon that saw a server end would write it, and those
-/// that draw longer pauses find it written.
-const SPREAD: Duration = Duration::from_millis(1_500);
+/// that draw longer pauses may find it written. Short, since until then a loss of power forgets the request.
+const SPREAD: Duration = Duration::from_millis(300);
 /// Pause after a record that was not written, unless the store is known to be away; every call is priced.
 const AFTER_FAILURE: Duration = Duration::from_millis(1_000);
 
