What went and came back between two whole reads is told on to peers that saw it go

A copy that was given everything kept the revision of the last change that matters of an entry that looked as before, though the entry may have gone in between. A peer that had seen it go was then told that nothing was missing, and never learnt that the server was back. What was written since the copy's last position now counts as a change that matters.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -197,15 +197,19 @@
             .collect();
         // Keys that were written and deleted since this copy's last position were never seen.
         state.forgotten = position;
+        let before = state.position;
         self.confirm(&mut state, position, seen, now);
         for key in gone {
             let change = Change { key, value: None, revision: position };
             self.take(&mut state, change.into(), seen, now);
         }
         for entry in entries {
+            // What was written since may have gone in between, however it looks: peers that saw it go must be
+            // told that it is back.
+            let mattered = (entry.revision > before).then_some(entry.revision);
             let change =
                 Change { key: entry.key, value: Some(entry.value), revision: entry.revision };
-            self.take(&mut state, change.into(), seen, now);
+            self.take(&mut state, News { change, mattered }, seen, now);
         }
         state.news.log();
     }
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -660,3 +660,24 @@
     let statement = teller.mirror.statement(now).expect("it has read");
     assert_eq!(hearer.mirror.hear(statement, now, now), Lack::Changes);
 }
+
+/// Found by the random interleavings above: a node that was given everything took a server that had gone and
+/// come back for one that had only shown a sign of life, and did not tell a peer that had seen it go.
+#[test]
+fn a_server_that_went_and_came_back_unseen_is_told_on() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let (teller, giver, hearer) = (node(now), node(now), node(now));
+    let mut truth = Truth::default();
+    truth.take(&Act::Server(2, false), now);
+    read(&teller.mirror, &truth, now);
+    truth.take(&Act::Remove(2), now);
+    read(&hearer.mirror, &truth, now);
+    hearer.give(&giver, true, now);
+    truth.take(&Act::Life(2), now);
+    read_servers(&giver.mirror, &truth, now);
+    giver.give(&teller, true, now);
+    read_servers(&teller.mirror, &truth, now);
+    teller.give(&hearer, true, now);
+    assert_eq!(hearer.mirror.urgent_position(), truth.revision());
+    assert!(!hearer.servers().is_empty());
+}
