What counts as proof against a request: a server once over all daemons, halves, and no survivor

Change: daemons tell which servers ended, not how many; a server that had shown an event of the run counts half; a survivor, at any daemon within three seconds, speaks for the request and takes back what is not yet recorded.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,6 +3,7 @@
 use crate::gateway::admission::{self, Standing};
 use crate::gateway::core::Gateway;
 use crate::gateway::port::{Lost, Reply, Sending};
+use crate::gateway::quarantine::Run;
 use crate::gateway::relay;
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call, whole};
 use crate::gateway::seat::{NoSeat, Seat};
@@ -203,7 +204,7 @@
         let knew = seat.knowledge_ms();
         info!(id = id, route = route, server = server, status = status, whole = whole, ms = ms, knowledge_ms = knew; "answer from a server");
         let Ok(answer) = answer else {
-            self.gateway.suspect(self.call, &seat).await;
+            self.gateway.suspect(self.call, &seat, Run::Unseen).await;
             return Sent::Failed(None, "broken_answer");
         };
         self.gateway.has_survived(self.call);
@@ -224,7 +225,7 @@
             }
             Lost::Unanswered { reason } => {
                 warn!(id = id, server = server, reason = reason.as_str(); "no answer from a server");
-                self.gateway.suspect(self.call, seat).await;
+                self.gateway.suspect(self.call, seat, Run::Unseen).await;
                 Sent::Failed(None, "no_answer")
             }
         }
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -8,20 +8,20 @@
 //! again.
 //!
 //! Chance must not pass for proof. Servers end for other reasons, and at the loss of a hall a frequent request
-//! is under way at many of them at once. So a request counts against itself only servers that have ended, under
-//! a run that had just begun, without having been known to leave; and it is kept back only where more servers
-//! ended under it than survived it.
+//! is under way at many of them at once. So only servers count that ended, under a run that had just begun,
+//! without having been known to leave, those half that had shown an event of the run; and only those since a server last survived the request, anywhere. A
+//! deadly request has no survivors, and a frequent sound one has some in every second.
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
-use std::ops::AddAssign;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-/// Servers that must have ended under a request. Two may end under a sound one by chance, both of one attempt;
-/// with three, and the resending that is under way when the third ends, a deadly request takes three or four.
-const PROOF: u32 = 3;
+/// Servers that must have ended under a request, in halves. Two may end under a sound one by chance, both of
+/// one attempt; with three, and the resending that is under way when the third ends, a deadly request takes
+/// three or four. Where each of them shows an event first it takes six: no more than three beyond the third.
+const PROOF: u32 = 6;
 /// Time after the last server's end for which a request is remembered: the longest lease that the platform's
 /// store gives, so that its record there lapses at about the same time.
 pub const MEMORY: Duration = Duration::from_secs(600);
@@ -31,62 +31,82 @@
 /// Time for which a request that was released is not judged: other daemons learn of the release later and
 /// tell meanwhile what they knew.
 const RELEASED: Duration = Duration::from_secs(10);
-/// Time for which it is remembered that servers survived a request, at least.
-const SURVIVED_LATELY: Duration = Duration::from_secs(60);
-/// Requests of which that is remembered in such a time, at most; 24 bytes each.
+/// Time for which a survivor speaks for a request. A sound one that is under way at three servers which end
+/// together comes some times a second; one that turns deadly ends servers for so much longer.
+const SURVIVED_LATELY: Duration = Duration::from_secs(3);
+/// Requests of which survivors are remembered in such a time, at most; 24 bytes each.
 const MOST_SURVIVORS: usize = 2_048;
 /// Suspected requests that are remembered at most. A hall's loss leaves a daemon with some of its young runs.
 const MOST_SUSPECTED: usize = 256;
 /// Suspected requests that a daemon, or a sum of several, tells at most, those under which most servers ended
-/// first: some 400 bytes.
+/// first: some 30 bytes each.
 pub(crate) const MOST_TOLD: usize = 32;
 
 /// What became of the servers that ran a request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
-    /// Servers that ended as they began to run it.
-    pub ended: u32,
-    /// Runs that their servers survived.
-    pub survived: u32,
+    /// The starts of servers that ended as they began to run it, since one survived it, with how much each
+    /// counts, in halves. Several daemons may have seen the same one.
+    pub ended: BTreeMap<Tag, u32>,
+    /// Whether a server lately survived it.
+    pub survived: bool,
 }
 
 impl Evidence {
+    /// How much counts against the request, in halves.
+    fn blame(&self) -> u32 {
+        self.ended.values().sum()
+    }
+
     /// Whether it proves that the request ends servers.
-    fn is_proof(self) -> bool {
-        self.ended >= PROOF && self.ended > self.survived
+    fn is_proof(&self) -> bool {
+        self.blame() >= PROOF && !self.survived
+    }
+
+    /// Takes in what another daemon saw.
+    pub fn merge(&mut self, other: &Evidence) {
+        for (server, blame) in &other.ended {
+            let known = self.ended.entry(*server).or_default();
+            *known = (*known).max(*blame);
+        }
+        self.survived |= other.survived;
     }
 }
 
-impl AddAssign for Evidence {
-    fn add_assign(&mut self, other: Evidence) {
-        self.ended = self.ended.saturating_add(other.ended);
-        self.survived = self.survived.saturating_add(other.survived);
+/// How far a run had come when its server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Run {
+    /// Nothing of its answer had come.
+    Unseen,
+    /// Its first events had come.
+    Begun,
+}
+
+impl Run {
+    /// How much the server's end counts against the request, in halves. All 42 servers that were seen to end
+    /// under a deadly request had shown nothing of it; what has begun has most often met the end of a server by
+    /// chance.
+    fn blame(self) -> u32 {
+        match self {
+            Run::Unseen => 2,
+            Run::Begun => 1,
+        }
     }
 }
 
-/// What this daemon saw of a request under which a server ended.
+/// Servers that ended under a request at this daemon.
 #[derive(Debug)]
 struct Suspicion {
-    /// The starts of servers that ended.
-    servers: Vec<Tag>,
-    survived: u32,
+    /// The starts of the servers, and how much each counts, in halves.
+    servers: BTreeMap<Tag, u32>,
     /// When the last of them ended.
     last: Instant,
 }
 
-impl Suspicion {
-    fn evidence(&self) -> Evidence {
-        Evidence {
-            ended: u32::try_from(self.servers.len()).unwrap_or(u32::MAX),
-            survived: self.survived,
-        }
-    }
-}
-
-/// How often servers lately survived requests: in this span of time, and in the one before it.
+/// When requests were last survived, by spans of time: the present one and the one before it.
 #[derive(Debug, Default)]
 struct Survivors {
-    spans: [HashMap<Fingerprint, u32>; 2],
+    spans: [HashMap<Fingerprint, Instant>; 2],
     since: Option<Instant>,
 }
 
@@ -99,11 +119,12 @@
             self.spans[0].clear();
             self.since = Some(now);
         }
-        *self.spans[0].entry(request).or_default() += 1;
+        self.spans[0].insert(request, now);
     }
 
-    fn count(&self, request: Fingerprint) -> u32 {
-        self.spans.iter().filter_map(|span| span.get(&request)).sum()
+    fn speaks_for(&self, request: Fingerprint, now: Instant) -> bool {
+        let last = self.spans.iter().filter_map(|span| span.get(&request)).max();
+        last.is_some_and(|at| now.saturating_duration_since(*at) < SURVIVED_LATELY)
     }
 }
 
@@ -125,59 +146,65 @@
 }
 
 impl Quarantine {
-    /// Notes that a server survived a run of a request.
+    /// Notes that a server survived a run of a request: what ended before under it, ended for another reason.
     pub fn survived(&mut self, request: Fingerprint, now: Instant) {
         self.survivors.note(request, now);
-        if let Some(suspicion) = self.own.get_mut(&request) {
-            suspicion.survived = suspicion.survived.saturating_add(1);
-        } else if self.others.contains_key(&request) {
-            // The others must hear of it, and of what survived before.
-            self.suspect(request, now);
-        }
+        self.own.remove(&request);
+        self.held.remove(&request);
     }
 
     /// Notes that a server, known by the tag of its start, ended as it began to run a request. Says whether
     /// that proves that the request ends servers.
-    pub fn ended(&mut self, request: Fingerprint, server: Tag, now: Instant) -> bool {
-        let suspicion = self.suspect(request, now);
+    pub fn ended(&mut self, request: Fingerprint, server: Tag, run: Run, now: Instant) -> bool {
+        if self.own.len() >= MOST_SUSPECTED {
+            self.forget_oldest();
+        }
+        let suspicion = || Suspicion { servers: BTreeMap::new(), last: now };
+        let suspicion = self.own.entry(request).or_insert_with(suspicion);
         suspicion.last = now;
-        if !suspicion.servers.contains(&server) {
-            suspicion.servers.push(server);
+        // More than prove it need not be told.
+        if suspicion.servers.len() < PROOF as usize {
+            suspicion.servers.entry(server).or_insert(run.blame());
         }
         self.judge(request, now)
     }
 
-    fn suspect(&mut self, request: Fingerprint, now: Instant) -> &mut Suspicion {
-        if self.own.len() >= MOST_SUSPECTED && !self.own.contains_key(&request) {
-            let oldest = self.own.iter().min_by_key(|(_, suspicion)| suspicion.last);
-            if let Some(oldest) = oldest.map(|(request, _)| *request) {
-                self.own.remove(&oldest);
-            }
+    fn forget_oldest(&mut self) {
+        let oldest = self.own.iter().min_by_key(|(_, suspicion)| suspicion.last);
+        if let Some(oldest) = oldest.map(|(request, _)| *request) {
+            self.own.remove(&oldest);
         }
-        let survived = self.survivors.count(request);
-        let suspicion = || Suspicion { servers: Vec::new(), survived, last: now };
-        self.own.entry(request).or_insert_with(suspicion)
     }
 
-    /// Takes over what the other daemons told. What was proved once stays so when one of them falls silent.
+    /// Takes over what the other daemons told. What was proved once stays so when one of them falls silent,
+    /// but not when a server has survived it.
     pub fn set_others(&mut self, others: &HashMap<Fingerprint, Evidence>, now: Instant) {
         self.others.clone_from(others);
-        for request in others.keys() {
+        for (request, evidence) in others {
+            if evidence.survived {
+                self.own.remove(request);
+                self.held.remove(request);
+            }
             self.judge(*request, now);
         }
     }
 
-    fn evidence(&self, request: Fingerprint) -> Evidence {
-        let mut all = self.own.get(&request).map(Suspicion::evidence).unwrap_or_default();
-        all += self.others.get(&request).copied().unwrap_or_default();
-        all
+    /// What this daemon saw.
+    fn seen(&self, request: Fingerprint, now: Instant) -> Evidence {
+        let ended = self.own.get(&request).map(|suspicion| suspicion.servers.clone());
+        let survived = self.survivors.speaks_for(request, now);
+        Evidence { ended: ended.unwrap_or_default(), survived }
     }
 
     /// Keeps a request back from now on where that is proved and new.
     fn judge(&mut self, request: Fingerprint, now: Instant) -> bool {
         let is_open =
             self.kept_back(request, now).is_none() && !self.released.contains_key(&request);
-        let proved = is_open && self.evidence(request).is_proof();
+        let mut all = self.seen(request, now);
+        if let Some(others) = self.others.get(&request) {
+            all.merge(others);
+        }
+        let proved = is_open && all.is_proof();
         if proved {
             self.held.insert(request, now + MEMORY);
             if self.own.contains_key(&request) {
@@ -233,7 +260,10 @@
         self.own.retain(|_, suspicion| age(suspicion.last) < SUSPECTED);
         self.released.retain(|_, at| age(*at) < RELEASED);
         self.held.retain(|_, until| *until > now);
-        let told = self.own.iter().map(|(request, suspicion)| (*request, suspicion.evidence()));
+        let elsewhere = self.others.keys().filter(|request| !self.own.contains_key(request));
+        let spoken_for = elsewhere.filter(|request| self.survivors.speaks_for(**request, now));
+        let told = self.own.keys().chain(spoken_for);
+        let told = told.map(|request| (*request, self.seen(*request, now)));
         most_ended(told.collect())
     }
 }
@@ -241,7 +271,7 @@
 /// The requests under which most servers ended, as many as are told.
 pub(crate) fn most_ended(mut told: Vec<(Fingerprint, Evidence)>) -> Vec<(Fingerprint, Evidence)> {
     if told.len() > MOST_TOLD {
-        told.sort_by_key(|(request, evidence)| (std::cmp::Reverse(evidence.ended), *request));
+        told.sort_by_key(|(request, evidence)| (std::cmp::Reverse(evidence.blame()), *request));
         told.truncate(MOST_TOLD);
     }
     told
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use crate::gateway::forward::Sent;
 use crate::gateway::moving::{self, Moved};
 use crate::gateway::port::{KeptRun, Lost, Reply, Sending};
+use crate::gateway::quarantine::Run;
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call};
 use crate::gateway::seat::Seat;
 use crate::gateway::table::Service;
@@ -43,9 +44,9 @@
 /// How long a run whose stream has ended is waited for by its copy.
 const LAST_COPY: Duration = Duration::from_millis(2_500);
 
-/// Time from the first event within which a run has just begun: a server that it ends is gone 0.13 s after
-/// the beginning at the latest, as seen; a busy daemon reads that some tenths later.
-const YOUNG: Duration = Duration::from_millis(1_000);
+/// Time from the first event within which a run has just begun. A server that a request ends is gone 0.13 s
+/// after the beginning at the latest, as seen, and a busy daemon reads that some tenths later.
+const YOUNG: Duration = Duration::from_millis(500);
 
 type Out = mpsc::Sender<Result<Frame<Bytes>, BrokenOff>>;
 
@@ -64,7 +65,7 @@
         Step::Event(event) => event,
         Step::Ended | Step::Broke(_) => {
             seat.judge(true);
-            gateway.suspect(call, &seat).await;
+            gateway.suspect(call, &seat, Run::Unseen).await;
             return Sent::Failed(None, "no_event");
         }
     };
@@ -84,6 +85,7 @@
         last: call.after,
         passed: time::now(),
         began: None,
+        survived: false,
         out,
         runs: 1,
         moves: 0,
@@ -155,6 +157,8 @@
     runs: u32,
     /// When the present server sent its first event.
     began: Option<Instant>,
+    /// Whether it was noted that the present server survived the run.
+    survived: bool,
     /// Moves tried from the present server.
     moves: u32,
     /// When the last of them came to nothing.
@@ -261,7 +265,8 @@
                     false => {
                         moving = None;
                         if self.is_young(time::now()) {
-                            self.gateway.suspect(&self.call, &self.seat).await;
+                            let run = self.began.map_or(Run::Unseen, |_| Run::Begun);
+                            self.gateway.suspect(&self.call, &self.seat, run).await;
                         }
                         self.run_again(why).await
                     }
@@ -277,6 +282,10 @@
     async fn pass_on(&mut self, event: Event) -> Result<(), End> {
         let now = time::now();
         self.began.get_or_insert(now);
+        if !self.survived && !self.is_young(now) {
+            self.survived = true;
+            self.gateway.has_survived(&self.call);
+        }
         if event.id.is_some() && event.id <= self.last {
             return Ok(());
         }
@@ -394,7 +403,7 @@
             Ok(leg) => {
                 self.leg = leg;
                 if let Some(seat) = seat {
-                    self.began = None;
+                    (self.began, self.survived) = (None, false);
                     self.count_move("moved");
                     info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), last = self.last; "run moved");
                     self.seat = seat;
@@ -443,7 +452,7 @@
         self.leg = reopen(&self.gateway, &self.call, sending).await.map_err(End::Broken)?;
         info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), why = why.as_str(), last = self.last; "run begun anew");
         self.seat = seat;
-        self.began = None;
+        (self.began, self.survived) = (None, false);
         self.moves = 0;
         Ok(())
     }
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -154,7 +154,9 @@
         add(&mut self.loads, &told.loads);
         add(&mut self.spent, &told.spent);
         add(&mut self.outcomes, &told.outcomes);
-        add(&mut self.evidence, &told.evidence);
+        for (request, evidence) in &told.evidence {
+            self.evidence.entry(*request).or_default().merge(evidence);
+        }
     }
 
     /// Adds one daemon's word; `entry` is where callers may be sent to it.
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -5,7 +5,7 @@
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::mirror::Mirror;
 use crate::gateway::port::{Schema, Store};
-use crate::gateway::quarantine::MEMORY;
+use crate::gateway::quarantine::{MEMORY, Run};
 use crate::gateway::request::Call;
 use crate::gateway::seat::Seat;
 use crate::platform::PlatformResult;
@@ -34,15 +34,15 @@
         self.quarantine().survived(call.fingerprint(), time::now());
     }
 
-    /// A run that had just begun was lost at a server: if that server has ended, the request may be why.
+    /// A run that had just begun, or had not, was lost at a server: if that server has ended, the request may be why.
     /// One that was known to leave has ended for that reason. Other daemons hear at once that nothing
     /// listens there, and of what was seen.
-    pub(crate) async fn suspect(&self, call: &Call, seat: &Seat) {
+    pub(crate) async fn suspect(&self, call: &Call, seat: &Seat, run: Run) {
         if *seat.notice.borrow() || !self.wire.is_gone(seat.place.to.addr, KNOCK).await {
             return;
         }
         let (request, now) = (call.fingerprint(), time::now());
-        let proved = self.quarantine().ended(request, seat.place.tag, now);
+        let proved = self.quarantine().ended(request, seat.place.tag, run, now);
         self.metrics.ended_servers.inc();
         let name = request.to_string();
         warn!(id = call.id.as_str(), request = name.as_str(), server = seat.id(), proved = proved; "server ended under a request");
