A suspected request is not forgotten by what is added to it; comments in shape

The table of suspected requests dropped its oldest entry also where the request was in it already. The test of its bounds fails without the mend.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -8,9 +8,10 @@
 //! again.
 //!
 //! Chance must not pass for proof. Servers end for other reasons, and at the loss of a hall a frequent request
-//! is under way at many of them at once. So only servers count that ended, under a run that had just begun,
-//! without having been known to leave, those half that had shown an event of the run; and only those since a server last survived the request, anywhere. A
-//! deadly request has no survivors, and a frequent sound one has some in every second.
+//! is under way at many of them at once. So only servers count that ended under a run that had just begun,
+//! without having been known to leave; half, where they had shown an event of the run; and only since a server
+//! last survived the request, at any daemon. A deadly request has no survivors, and a frequent sound one has
+//! some in every second.
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
@@ -156,7 +157,7 @@
     /// Notes that a server, known by the tag of its start, ended as it began to run a request. Says whether
     /// that proves that the request ends servers.
     pub fn ended(&mut self, request: Fingerprint, server: Tag, run: Run, now: Instant) -> bool {
-        if self.own.len() >= MOST_SUSPECTED {
+        if self.own.len() >= MOST_SUSPECTED && !self.own.contains_key(&request) {
             self.forget_oldest();
         }
         let suspicion = || Suspicion { servers: BTreeMap::new(), last: now };
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -34,8 +34,8 @@
         self.quarantine().survived(call.fingerprint(), time::now());
     }
 
-    /// A run that had just begun, or had not, was lost at a server: if that server has ended, the request may be why.
-    /// One that was known to leave has ended for that reason. Other daemons hear at once that nothing
+    /// A run that had just begun, or had not, was lost at a server: if that server has ended, the request may
+    /// be why. One that was known to leave has ended for that reason. Other daemons hear at once that nothing
     /// listens there, and of what was seen.
     pub(crate) async fn suspect(&self, call: &Call, seat: &Seat, run: Run) {
         if *seat.notice.borrow() || !self.wire.is_gone(seat.place.to.addr, KNOCK).await {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -230,7 +230,8 @@
         quarantine.survived(request(1_000_000 + n), now);
         quarantine.ended(request(n), server(n), Run::Unseen, now);
     }
-    quarantine.ended(request(4_999), server(9_000), Run::Unseen, now);
+    // The oldest of those that are remembered is not forgotten by what is added to it.
+    quarantine.ended(request(4_744), server(9_000), Run::Unseen, now);
     let told = quarantine.told(now);
     assert_eq!(told.len(), 32);
     assert_eq!(told[0].1.ended.len(), 2, "those under which most servers ended go first");
