Lines tell when a server names a limit, and what is sent there after

Sight for the incident: nothing told which daemon knew of a limit, so that the three hypotheses (no daemon reads the word; each keeps to it by itself; the word comes late) could not be told apart. No decision hangs on it yet: servers are chosen as before.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -3,9 +3,10 @@
 use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use crate::gateway::cold::{ColdBounds, Rank};
 use crate::gateway::in_force::InForce;
+use crate::gateway::limit::LimitWord;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::place::Placing;
-use crate::gateway::port::Wire;
+use crate::gateway::port::{Reply, Wire};
 use crate::gateway::quarantine::Quarantine;
 use crate::gateway::regions::{Allowed, Regions};
 use crate::gateway::request::Call;
@@ -14,6 +15,7 @@
 use crate::gateway::table::{Homes, Service};
 use crate::gateway::tag::Tag;
 use crate::time;
+use log::info;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -300,6 +302,30 @@
         }
     }
 
+    /// Takes in what an answer says of its server's limit.
+    pub(crate) fn hear_limit(&self, server: ServerKey, reply: &Reply) {
+        // Where another server answers at the address, its limit is its own.
+        if reply.misdirected || !self.servers().says_limit(server, reply.limit) {
+            return;
+        }
+        let id = self.server_id(server).unwrap_or_default();
+        match reply.limit {
+            LimitWord::Rate(rate) => {
+                info!(server = &*id, per_second = rate; "server names a limit")
+            }
+            _ => info!(server = &*id; "server names no limit any more"),
+        }
+    }
+
+    /// Writes a line where a request goes to a server that named a limit.
+    pub(crate) fn log_need(&self, call: &Call, server: ServerKey) {
+        let limit = self.servers().get(server).and_then(Server::limit);
+        if let Some(rate) = limit {
+            let id = self.server_id(server).unwrap_or_default();
+            info!(id = call.id.as_str(), server = &*id, per_second = rate; "sent to a server in need");
+        }
+    }
+
     /// Requests that end servers.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine.lock().expect("no holder panics")
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //!   reached, how exchanges with them went, and the choice among them
 //! - `halls`, [`cold`], [`regions`]: halls that are closed, servers that bear few requests yet, and the
 //!   regions that requests stay in
+//! - [`limit`]: servers in need, which name how many requests they take
 //! - [`admission`]: who is let in while engines are crowded
 //! - [`core`], [`seat`]: what all requests of a daemon share, and their places at servers
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
@@ -40,6 +41,7 @@
 pub mod forward;
 mod halls;
 pub mod in_force;
+pub mod limit;
 pub mod listen;
 pub mod lookout;
 pub mod metrics;
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -1,6 +1,7 @@
 //! What the gateway needs of its surroundings, as traits: an adapter translates each to what is
 //! spoken where the system runs.
 
+use crate::gateway::limit::LimitWord;
 use crate::gateway::request::{AnswerBody, Call};
 use crate::gateway::servers::ServerRecord;
 use crate::gateway::table::Table;
@@ -53,6 +54,8 @@
     pub declined: bool,
     /// Whether another server has the address.
     pub misdirected: bool,
+    /// What it says of the server's limit.
+    pub limit: LimitWord,
     /// The body. Dropping it closes the connection, which ends the work at the server.
     pub body: AnswerBody,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use crate::gateway::quarantine::Run;
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call};
 use crate::gateway::seat::Seat;
+use crate::gateway::servers::ServerKey;
 use crate::gateway::table::Service;
 use crate::time;
 use bytes::Bytes;
@@ -396,7 +397,7 @@
         // Nothing more is sent to a hall that was closed a while ago, not even what ran there.
         let may_follow = self.gateway.servers().may_follow(key, now);
         let reopened = match may_follow {
-            true => reopen(&self.gateway, &self.call, sending).await,
+            true => reopen(&self.gateway, &self.call, key, sending).await,
             false => Err("its hall is closed".into()),
         };
         let why = match reopened {
@@ -449,7 +450,8 @@
         };
         let request = self.call.fingerprint().to_string();
         info!(id = self.call.id.as_str(), request = request.as_str(), server = self.seat.id(), why = why.as_str(); "stream broke off");
-        self.leg = reopen(&self.gateway, &self.call, sending).await.map_err(End::Broken)?;
+        let key = seat.key();
+        self.leg = reopen(&self.gateway, &self.call, key, sending).await.map_err(End::Broken)?;
         info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), why = why.as_str(), last = self.last; "run begun anew");
         self.seat = seat;
         (self.began, self.survived) = (None, false);
@@ -458,10 +460,20 @@
     }
 }
 
-/// Sends the request of a stream that has begun.
-async fn reopen(gateway: &Gateway, call: &Call, sending: Sending) -> Result<Leg, String> {
+/// Sends the request of a stream that has begun to a server.
+async fn reopen(
+    gateway: &Gateway,
+    call: &Call,
+    server: ServerKey,
+    sending: Sending,
+) -> Result<Leg, String> {
     gateway.note_knowledge(time::now());
-    match gateway.wire.send(call, sending, None).await {
+    gateway.log_need(call, server);
+    let sent = gateway.wire.send(call, sending, None).await;
+    if let Ok(reply) = &sent {
+        gateway.hear_limit(server, reply);
+    }
+    match sent {
         Ok(reply) if reply.status.is_success() => {
             Ok(Leg { body: reply.body, splitter: Splitter::default() })
         }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -121,6 +121,8 @@
     pub(super) cold: Cold,
     /// What this daemon sent it lately while it was cold.
     pub(super) sendings: Sendings,
+    /// Requests a second that it takes, as it last said; `None` where it named no limit.
+    pub(super) limit: Option<f64>,
 }
 
 impl Server {
@@ -146,6 +148,7 @@
             cleared: None,
             cold,
             sendings: Sendings::default(),
+            limit: None,
         }
     }
 
@@ -174,6 +177,11 @@
         self.sendings.count(now)
     }
 
+    /// Requests a second that it takes from all daemons together; `None` where it names no limit.
+    pub fn limit(&self) -> Option<f64> {
+        self.limit
+    }
+
     /// Tells when the server is about to leave.
     pub fn notice(&self) -> watch::Receiver<bool> {
         self.leaving.subscribe()
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -3,6 +3,7 @@
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::halls::Halls;
+use crate::gateway::limit::LimitWord;
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::port::Destination;
 use crate::gateway::quarantine::Evidence;
@@ -211,6 +212,19 @@
         }
     }
 
+    /// Takes in what an answer says of its server's limit. Says whether that is news.
+    pub fn says_limit(&mut self, key: ServerKey, word: LimitWord) -> bool {
+        let Some(server) = self.arena.get_mut(key) else {
+            return false;
+        };
+        let said = match word {
+            LimitWord::Free => None,
+            LimitWord::Rate(rate) => Some(rate),
+            LimitWord::Unclear => return false,
+        };
+        std::mem::replace(&mut server.limit, said) != said
+    }
+
     /// Notes that a request goes to a server that is cold.
     pub fn sends_cold(&mut self, key: ServerKey, now: Instant) {
         if let Some(server) = self.arena.get_mut(key) {
