--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -9,13 +9,15 @@
 //!
 //! Chance must not pass for proof. Servers end for other reasons, and at the loss of a hall a frequent request
 //! is under way at many of them at once. So only servers count that ended under a run that had just begun,
-//! without having been known to leave; half, where they had shown an event of the run; and only since a server
-//! last survived the request, at any daemon. A deadly request has no survivors, and a frequent sound one has
-//! some in every second.
+//! without having been known to leave; half, where they had shown an event of the run; and only where no server
+//! had survived the request for some seconds before, at any daemon. A deadly request has no survivors, and a
+//! frequent sound one has some in every second. Nor does a server count whose end another request explains: a
+//! frequent sound request is under way wherever a deadly one comes.
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -23,6 +25,11 @@
 /// one attempt; with three, and the resending that is under way when the third ends, a deadly request takes
 /// three or four. Where each of them shows an event first it takes six: no more than three beyond the third.
 const PROOF: u32 = 6;
+/// Servers that must have ended under a request, in halves, for it to explain the ends of such servers as had
+/// shown an event of another one: two, which chance rarely brings. Daemons that have just started hear each
+/// other's first words up to 0.4 s late, so that a daemon may know less of a deadly request than of a sound one
+/// that is under way wherever it comes.
+const SUSPECT: u32 = 4;
 /// Time after the last server's end for which a request is remembered: the longest lease that the platform's
 /// store gives, so that its record there lapses at about the same time.
 pub const MEMORY: Duration = Duration::from_secs(600);
@@ -59,11 +66,37 @@
         self.ended.values().sum()
     }
 
+    /// Of several requests that the same servers would prove, the one with the highest weight is looked at
+    /// first: with most blame, and of those with as much the one with the fewest servers, that had come least
+    /// far at each.
+    fn weight(&self) -> (u32, Reverse<usize>) {
+        (self.blame(), Reverse(self.ended.len()))
+    }
+
     /// Whether it proves that the request ends servers.
     fn is_proof(&self) -> bool {
         self.blame() >= PROOF && !self.survived
     }
 
+    /// Leaves out servers whose end another request explains: it had come no further there than this one.
+    fn leave_out(&mut self, explained: &Evidence) {
+        let counts = |server: &Tag, blame: &u32| explained.ended.get(server) < Some(blame);
+        self.ended.retain(|server, blame| counts(server, blame));
+    }
+
+    /// Leaves out servers that had shown an event of this request, and none of another suspected one.
+    fn leave_out_begun(&mut self, suspect: &Evidence) {
+        let counts = |server: &Tag, blame: &u32| {
+            *blame >= Run::Unseen.blame() || suspect.ended.get(server) < Some(&Run::Unseen.blame())
+        };
+        self.ended.retain(|server, blame| counts(server, blame));
+    }
+
+    /// Whether it makes the request the likelier cause than one that had shown an event at the same server.
+    fn is_suspect(&self) -> bool {
+        self.blame() >= SUSPECT && !self.survived
+    }
+
     /// Takes in what another daemon saw.
     pub fn merge(&mut self, other: &Evidence) {
         for (server, blame) in &other.ended {
@@ -157,6 +190,9 @@
     /// Notes that a server, known by the tag of its start, ended as it began to run a request. Says whether
     /// that proves that the request ends servers.
     pub fn ended(&mut self, request: Fingerprint, server: Tag, run: Run, now: Instant) -> bool {
+        // Beside a survivor it must not count later either, when a service has had no server at all for longer
+        // than the survivor speaks.
+        let blame = if self.survivors.speaks_for(request, now) { 0 } else { run.blame() };
         if self.own.len() >= MOST_SUSPECTED && !self.own.contains_key(&request) {
             self.forget_oldest();
         }
@@ -165,7 +201,7 @@
         suspicion.last = now;
         // More than prove it need not be told.
         if suspicion.servers.len() < PROOF as usize {
-            suspicion.servers.entry(server).or_insert(run.blame());
+            suspicion.servers.entry(server).or_insert(blame);
         }
         self.judge(request, now)
     }
@@ -201,11 +237,7 @@
     fn judge(&mut self, request: Fingerprint, now: Instant) -> bool {
         let is_open =
             self.kept_back(request, now).is_none() && !self.released.contains_key(&request);
-        let mut all = self.seen(request, now);
-        if let Some(others) = self.others.get(&request) {
-            all.merge(others);
-        }
-        let proved = is_open && all.is_proof();
+        let proved = is_open && self.is_proved(request, now);
         if proved {
             self.held.insert(request, now + MEMORY);
             if self.own.contains_key(&request) {
@@ -215,6 +247,36 @@
         proved
     }
 
+    /// Whether more servers ended under a request than other ones explain.
+    fn is_proved(&self, request: Fingerprint, now: Instant) -> bool {
+        let mut left = self.all_seen(request, now);
+        // Rare, so that what follows, which looks at all that is suspected, costs nothing on a sound day.
+        if !left.is_proof() {
+            return false;
+        }
+        let weight = left.weight();
+        let suspected = self.own.keys().chain(self.others.keys());
+        for other in suspected.filter(|other| **other != request) {
+            let evidence = self.all_seen(*other, now);
+            let first = evidence.weight() > weight || self.kept_back(*other, now).is_some();
+            if first && evidence.is_proof() {
+                left.leave_out(&evidence);
+            } else if evidence.is_suspect() {
+                left.leave_out_begun(&evidence);
+            }
+        }
+        left.is_proof()
+    }
+
+    /// What became of the servers that ran a request, as far as any daemon told.
+    fn all_seen(&self, request: Fingerprint, now: Instant) -> Evidence {
+        let mut all = self.seen(request, now);
+        if let Some(others) = self.others.get(&request) {
+            all.merge(others);
+        }
+        all
+    }
+
     /// How long a request is still kept back; `None` where it may be sent.
     pub fn kept_back(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
         let until = self.held.get(&request).max(self.stored.get(&request))?;
@@ -272,7 +334,7 @@
 /// The requests under which most servers ended, as many as are told.
 pub(crate) fn most_ended(mut told: Vec<(Fingerprint, Evidence)>) -> Vec<(Fingerprint, Evidence)> {
     if told.len() > MOST_TOLD {
-        told.sort_by_key(|(request, evidence)| (std::cmp::Reverse(evidence.blame()), *request));
+        told.sort_by_key(|(request, evidence)| (Reverse(evidence.blame()), *request));
         told.truncate(MOST_TOLD);
     }
     told
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -187,6 +187,102 @@
     panic!("it was never kept back");
 }
 
+/// A soak's first 0.33 s: one request ends five servers, two with an attempt. Six callers send another one,
+/// which had shown an event at four of them and none at the fifth, and nobody has been served yet.
+#[test]
+fn a_sound_request_beside_one_that_ends_servers_is_not_kept_back() {
+    let (deadly, sound) = (request(1), request(2));
+    let mut fleet = Fleet::new(3);
+    let seen = [
+        (0, sound, 2, Run::Begun),
+        (1, sound, 2, Run::Begun),
+        (2, sound, 2, Run::Begun),
+        (2, deadly, 2, Run::Unseen),
+        (1, sound, 4, Run::Begun),
+        (2, deadly, 4, Run::Unseen),
+        (2, sound, 4, Run::Unseen),
+        (0, sound, 6, Run::Begun),
+        (0, deadly, 6, Run::Unseen),
+        (1, sound, 6, Run::Begun),
+        (2, sound, 6, Run::Begun),
+        (1, deadly, 7, Run::Unseen),
+        (1, sound, 7, Run::Begun),
+        (2, sound, 7, Run::Begun),
+        (2, sound, 8, Run::Begun),
+        (1, deadly, 8, Run::Unseen),
+        (1, sound, 8, Run::Begun),
+    ];
+    for (daemon, request, of, run) in seen {
+        let now = fleet.now;
+        fleet.daemons[daemon].ended(request, server(of), run, now);
+        fleet.tell();
+        assert_eq!(fleet.kept_back(sound), 0, "after server {of}");
+    }
+    assert_eq!(fleet.kept_back(deadly), 3);
+}
+
+/// A daemon that has heard of two servers that ended under the deadly request, and of five under the sound one.
+#[test]
+fn what_has_begun_does_not_count_beside_a_suspected_request_that_had_not() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    let (deadly, sound) = (request(1), request(2));
+    quarantine.ended(deadly, server(4), Run::Unseen, now);
+    for (of, run) in [(2, Run::Begun), (6, Run::Unseen), (4, Run::Begun), (8, Run::Begun)] {
+        assert!(!quarantine.ended(sound, server(of), run, now));
+    }
+    quarantine.ended(deadly, server(8), Run::Unseen, now);
+    assert!(!quarantine.ended(sound, server(7), Run::Begun, now));
+}
+
+/// Daemons that hear of all of it at once must not depend on which request they look at first.
+#[test]
+fn what_another_request_explains_does_not_count_in_whichever_order_it_is_told() {
+    let deadly = request(0);
+    let ended = |servers: &[(u64, u32)]| Evidence {
+        ended: servers.iter().map(|(n, blame)| (server(*n), *blame)).collect(),
+        survived: false,
+    };
+    let mut told = HashMap::from([(deadly, ended(&[(1, 2), (2, 2), (3, 2), (4, 2)]))]);
+    for n in 1..20 {
+        told.insert(request(n), ended(&[(1, 2), (2, 2), (3, 1), (4, 1)]));
+    }
+    // With the word of a daemon missing, both have as much against them.
+    told.insert(request(20), ended(&[(1, 2), (2, 1), (3, 1), (4, 1), (5, 1)]));
+    let mut late = told.clone();
+    late.insert(deadly, ended(&[(2, 2), (3, 2), (4, 2)]));
+    for told in [told, late] {
+        for _ in 0..20 {
+            let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+            // Each map has an order of its own.
+            let told: HashMap<Fingerprint, Evidence> = told.clone().into_iter().collect();
+            quarantine.set_others(&told, now);
+            assert!(quarantine.kept_back(deadly, now).is_some());
+            assert!((1..=20).all(|n| quarantine.kept_back(request(n), now).is_none()));
+        }
+    }
+}
+
+/// All servers of a service end together, and for longer than a survivor speaks there is none to serve it.
+#[test]
+fn what_ended_beside_a_survivor_does_not_count_once_nobody_speaks_any_more() {
+    let mut fleet = Fleet::new(3);
+    let now = fleet.now;
+    fleet.daemons[0].survived(request(1), now);
+    fleet.now += Duration::from_millis(100);
+    for n in 0..3 {
+        let now = fleet.now;
+        fleet.daemons[0].ended(request(1), server(n), Run::Unseen, now);
+    }
+    for _ in 0..40 {
+        fleet.now += Duration::from_millis(250);
+        fleet.tell();
+        assert_eq!(fleet.kept_back(request(1)), 0);
+    }
+    // One more by chance is no proof either.
+    let now = fleet.now;
+    assert!(!fleet.daemons[0].ended(request(1), server(3), Run::Unseen, now));
+}
+
 #[test]
 fn a_record_of_the_store_keeps_a_request_back_until_it_is_gone() {
     let mut fleet = Fleet::new(2);
