What a server in need takes is shared out among all daemons, by their parts of the service's requests

Cause: the header in which a server names the requests a second that it takes was passed on and read by nobody. Class: a bound for all daemons together, of which the one that sends sees only its own part.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -16,6 +16,9 @@
 /// Part of the allowance that is used; the rest is for what several daemons spend in the same moment,
 /// and for restarted daemons, which forget what they spent.
 const USED_PART: f64 = 0.7;
+/// Requests within a window that are assumed of each daemon besides those counted: where few have come, as after
+/// a start, daemons have equal parts.
+const ASSUMED_REQUESTS: f64 = 3.0;
 /// Slices of a window; what is older than a window goes by one slice at a time.
 const SLICES: u32 = 20;
 
@@ -159,6 +162,20 @@
         requests / counted.as_secs_f64().max(1.0)
     }
 
+    /// This daemon's part of the requests for a service of all daemons. Those that are not heard are taken to
+    /// have as many each as the others; the parts of all daemons add up to one.
+    pub fn part(&mut self, service: &Arc<str>, now: Instant) -> f64 {
+        let number = self.number(now);
+        let told = self.others.spent.get(&Tag::of(service)).map_or(0, |spent| spent.requests);
+        let all = self.others.daemons as f64 + 1.0;
+        let heard = self.others.heard as f64 + 1.0;
+        let window = self.window(service);
+        window.slice(number);
+        let own = f64::from(window.sum().requests);
+        let requests = (own + f64::from(told)) * (all / heard).max(1.0);
+        (own + ASSUMED_REQUESTS) / (requests + ASSUMED_REQUESTS * all)
+    }
+
     /// What this daemon has spent within the window.
     pub fn spent(&mut self, now: Instant) -> Vec<(Tag, Spent)> {
         let number = self.number(now);
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -215,7 +215,12 @@
         drop(view);
         // What was not told again in time no longer counts.
         self.unheard.store(true, Ordering::Release);
-        self.gateway.servers().tidy(now);
+        let in_need = {
+            let mut servers = self.gateway.servers();
+            servers.tidy(now);
+            servers.count_in_need()
+        };
+        self.gateway.metrics.limited_servers.set(in_need as i64);
     }
 
     /// Daemons that this one sends heartbeats to.
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -75,11 +75,22 @@
         let all = (warm_up.rate * bounds.excess + bounds.slack) * USED_PART;
         let all = all as usize;
         let daemons = self.daemons.max(1);
-        let first = (server.value() % daemons as u64) as usize;
-        let place = (self.before + daemons - first) % daemons;
+        let place = self.place(server);
         // What doesn't divide goes to those that come first, as seen from the server's own place.
         all / daemons + usize::from(place < all % daemons)
     }
+
+    /// This daemon's place among all of them, counted from one that each server has of its own.
+    fn place(self, server: Tag) -> usize {
+        let daemons = self.daemons.max(1);
+        let first = (server.value() % daemons as u64) as usize;
+        (self.before + daemons - first) % daemons
+    }
+
+    /// The same as a part of all places.
+    pub fn phase(self, server: Tag) -> f64 {
+        self.place(server) as f64 / self.daemons.max(1) as f64
+    }
 }
 
 /// Whether a server is cold, as far as known.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -7,6 +7,7 @@
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::place::Placing;
 use crate::gateway::port::{Reply, Wire};
+use crate::gateway::promises::Promises;
 use crate::gateway::quarantine::Quarantine;
 use crate::gateway::regions::{Allowed, Regions};
 use crate::gateway::request::Call;
@@ -78,6 +79,8 @@
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
     quarantine: Mutex<Quarantine>,
+    /// Room at servers in need that was promised, by service.
+    promises: Mutex<HashMap<Arc<str>, Promises>>,
     /// Whether loads in other halls are told late, in sums.
     pub(super) divided: AtomicBool,
     /// Share of all daemons that are of this hall and tell their loads late, in sums.
@@ -115,6 +118,7 @@
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
             quarantine: Mutex::default(),
+            promises: Mutex::default(),
             divided: AtomicBool::new(false),
             late: Mutex::new(0.0),
             ends: Mutex::default(),
@@ -302,10 +306,19 @@
         }
     }
 
-    /// Takes in what an answer says of its server's limit.
-    pub(crate) fn hear_limit(&self, server: ServerKey, reply: &Reply) {
+    /// Takes in what an answer to a request that was sent at `asked` says of its server's limit.
+    pub(crate) fn hear_limit(&self, server: ServerKey, reply: &Reply, asked: Instant) {
         // Where another server answers at the address, its limit is its own.
-        if reply.misdirected || !self.servers().says_limit(server, reply.limit) {
+        if reply.misdirected {
+            return;
+        }
+        let (is_news, in_need) = {
+            let mut servers = self.servers();
+            let is_news = servers.says_limit(server, reply.limit, asked, time::now());
+            (is_news, servers.count_in_need())
+        };
+        self.metrics.limited_servers.set(in_need as i64);
+        if !is_news {
             return;
         }
         let id = self.server_id(server).unwrap_or_default();
@@ -315,14 +328,16 @@
             }
             _ => info!(server = &*id; "server names no limit any more"),
         }
+        self.tell();
     }
 
     /// Writes a line where a request goes to a server that named a limit.
     pub(crate) fn log_need(&self, call: &Call, server: ServerKey) {
-        let limit = self.servers().get(server).and_then(Server::limit);
+        let limit = self.servers().get(server).and_then(|server| server.limit().rate());
         if let Some(rate) = limit {
             let id = self.server_id(server).unwrap_or_default();
             info!(id = call.id.as_str(), server = &*id, per_second = rate; "sent to a server in need");
+            self.metrics.limited_sendings.inc();
         }
     }
 
@@ -331,6 +346,11 @@
         self.quarantine.lock().expect("no holder panics")
     }
 
+    /// Room at servers in need that was promised, by service.
+    pub(super) fn promises(&self) -> MutexGuard<'_, HashMap<Arc<str>, Promises>> {
+        self.promises.lock().expect("no holder panics")
+    }
+
     /// Notes a request for a service.
     pub fn count_request(&self, service: &Arc<str>, now: Instant) {
         self.budget().request(service, now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -184,7 +184,7 @@
             Ok(reply) => reply,
             Err(lost) => return self.lost(&seat, lost).await,
         };
-        self.gateway.hear_limit(seat.key(), &reply);
+        self.gateway.hear_limit(seat.key(), &reply, now);
         let declared = || unrun.then(NotSent::declared);
         if reply.misdirected {
             self.gateway.servers().leaves(seat.key());
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -1,5 +1,35 @@
 //! Servers in need: such a server names, in its answers, the requests a second that it takes from all daemons
 //! together, for as long as it says so.
+//!
+//! Daemons tell each other what was said and when, and each sends its part of it: as large a part as its part
+//! of all requests for the service, which heartbeats add up anyway. So no request waits for another daemon's
+//! word, and what is late moves parts by little: the parts of all daemons add up to one whatever each has
+//! heard. Of those that are not heard, as many requests are assumed as of the others; two halves of a fleet that
+//! lose each other share the limit between them.
+//!
+//! A daemon of a large fleet may send one request in minutes. Its first moment follows from its place among the
+//! daemons, so that their moments lie as evenly as if one daemon had given them out, and a moment that is not
+//! used lapses: otherwise an idle fleet would come with one request from each daemon at once.
+//!
+//! Weighed in simulated fleets of 6 to 294 daemons before a server that takes 2 to 10 requests a second: equal
+//! parts keep the limit as well, and leave more of it unused where requests come to few daemons; counts of what
+//! all have sent lately, as for repeats, let every daemon that has not yet heard of the others use the same
+//! room. The figures are in `docs/design/limits.md`.
+
+use crate::gateway::clock::millis;
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
+
+/// Time for which room that is not used is kept. A daemon to which a request comes each second or so finds its
+/// moment; and a fleet that was idle comes with no more at once than a server names for so long.
+const KEPT: Duration = Duration::from_secs(2);
+/// Requests a second that a server gets which names less, or none at all: one in ten seconds from all daemons,
+/// since only an answer tells that the limit is over.
+const LEAST_RATE: f64 = 0.1;
+/// Time for which others are told that a limit is over: longer than a heartbeat that named it is on its way.
+const ENDED: Duration = Duration::from_secs(10);
+/// Part by which a limit has to change for others to hear of it at once rather than with the next heartbeat.
+const NEWS: f64 = 0.1;
 
 /// What an answer says of its server's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -11,3 +41,103 @@
     /// What it names is no such number, which changes nothing.
     Unclear,
 }
+
+/// What a server said of its limit, as daemons tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Said {
+    /// Requests a second; `None` where it named no limit any more.
+    pub rate: Option<f64>,
+    /// How long ago, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// A daemon's share of what a server in need takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// Its part.
+    pub part: f64,
+    /// How much of the time between two of its requests has passed when the limit is first heard of; evenly
+    /// spread over the daemons.
+    pub phase: f64,
+}
+
+/// What is known of one server's limit, and what this daemon may send there.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Limit {
+    /// Requests a second; `None` where no limit is in force.
+    rate: Option<f64>,
+    /// When the server said so.
+    said: Option<Instant>,
+    /// When the last limit was found to be over.
+    ended: Option<Instant>,
+    /// Requests that this daemon may send, parts of one included; `None` until it first looks.
+    room: Option<f64>,
+    /// The moment for which that holds.
+    at: Option<Instant>,
+}
+
+impl Limit {
+    /// Takes in what the server said at a moment, unless it has said something since. Says whether other
+    /// daemons should hear of it at once.
+    pub fn hear(&mut self, rate: Option<f64>, said: Instant, now: Instant) -> bool {
+        if self.said.is_some_and(|known| said <= known) {
+            return false;
+        }
+        self.said = Some(said);
+        let before = std::mem::replace(&mut self.rate, rate);
+        match (before, rate) {
+            (None, None) => false,
+            (Some(before), Some(rate)) => (rate - before).abs() > before * NEWS,
+            _ => {
+                (self.room, self.at) = (None, Some(now));
+                self.ended = rate.is_none().then_some(now);
+                true
+            }
+        }
+    }
+
+    /// Requests a second from all daemons together; `None` where no limit is in force.
+    pub fn rate(&self) -> Option<f64> {
+        self.rate
+    }
+
+    /// The rate at which room grows for all daemons together; zero where no limit is in force.
+    pub fn pace(&self) -> f64 {
+        self.rate.map_or(0.0, |rate| rate.max(LEAST_RATE))
+    }
+
+    /// Brings the room up to now.
+    pub fn settle(&mut self, share: Share, now: Instant) {
+        let since = self.at.replace(now).unwrap_or(now);
+        let pace = self.pace() * share.part;
+        let grown = self.room.unwrap_or(share.phase)
+            + pace * now.saturating_duration_since(since).as_secs_f64();
+        let most = 1.0 + pace * KEPT.as_secs_f64();
+        // Whole requests lapse, so that the daemons' moments stay spread.
+        self.room = Some(grown - (grown - most).max(0.0).ceil());
+    }
+
+    /// Requests that this daemon may send as of when that was last brought up to date; `None` where no limit is
+    /// in force.
+    pub fn room(&self) -> Option<f64> {
+        self.rate.map(|_| self.room.unwrap_or(0.0))
+    }
+
+    /// Notes that a request goes there, whether there was room for it or not.
+    pub fn take(&mut self) {
+        self.room = self.room.map(|room| room - 1.0);
+    }
+
+    /// Notes that a request for which room was taken does not go there.
+    pub fn give_back(&mut self) {
+        self.room = self.room.map(|room| room + 1.0);
+    }
+
+    /// What other daemons should hear of it.
+    pub fn told(&self, now: Instant) -> Option<Said> {
+        let over = |at: Instant| now.saturating_duration_since(at) < ENDED;
+        let matters = self.rate.is_some() || self.ended.is_some_and(over);
+        let said = self.said.filter(|_| matters)?;
+        Some(Said { rate: self.rate, age_ms: millis(said, now) })
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -35,6 +35,10 @@
     pub ended_servers: IntCounter,
     /// Requests that are kept from servers.
     pub quarantined: IntGauge,
+    /// Servers that name a limit.
+    pub limited_servers: IntGauge,
+    /// Requests sent to such servers.
+    pub limited_sendings: IntCounter,
     /// Reads of the store, by outcome.
     pub store_reads: IntCounterVec,
     /// The store's revision of the configuration in force.
@@ -105,6 +109,16 @@
                 "tidestair_gateway_quarantined_requests",
                 "Requests that end backend servers and are kept from them",
             ),
+            limited_servers: gauge(
+                &r,
+                "tidestair_gateway_limited_servers",
+                "Backend servers that name how many requests they take",
+            ),
+            limited_sendings: counter(
+                &r,
+                "tidestair_gateway_limited_sendings_total",
+                "Requests sent to backend servers that name how many they take",
+            ),
             store_reads: counters(
                 &r,
                 "tidestair_gateway_store_reads_total",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,7 +7,8 @@
 //!   reached, how exchanges with them went, and the choice among them
 //! - `halls`, [`cold`], [`regions`]: halls that are closed, servers that bear few requests yet, and the
 //!   regions that requests stay in
-//! - [`limit`]: servers in need, which name how many requests they take
+//! - [`limit`], `need`, [`promises`]: servers in need, which name how many requests they take, and callers who were told
+//!   to come back to them
 //! - [`admission`]: who is let in while engines are crowded
 //! - [`core`], [`seat`]: what all requests of a daemon share, and their places at servers
 //! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
@@ -47,12 +48,14 @@
 pub mod metrics;
 pub mod mirror;
 mod moving;
+mod need;
 pub mod outage;
 pub mod outcomes;
 pub mod partner;
 pub mod place;
 pub mod policies;
 pub mod port;
+pub mod promises;
 pub mod quarantine;
 mod reach;
 pub mod regions;
--- /dev/null
+++ b/src/gateway/need.rs
@@ -0,0 +1,80 @@
+//! What this daemon may send to the servers in need of a service, and what it tells callers for whom there is
+//! no room.
+
+use crate::gateway::admission::Standing;
+use crate::gateway::core::Gateway;
+use crate::gateway::limit::Share;
+use crate::gateway::promises::Room;
+use crate::gateway::request::Call;
+use crate::gateway::seat::NoSeat;
+use crate::gateway::servers::{Server, ServerKey, Servers};
+use crate::gateway::table::Service;
+use crate::gateway::tag::Tag;
+use std::time::Instant;
+
+impl Gateway {
+    /// Room at the servers of a service that are in need and may take a request; `None` where there are none.
+    pub(super) fn room_in_need(
+        &self,
+        servers: &mut Servers,
+        service: &Service,
+        may_take: impl Fn(ServerKey, &Server) -> bool,
+        now: Instant,
+    ) -> Option<Room> {
+        // Most often there are none, and nothing more is to be done.
+        servers.in_need(&service.name).next()?;
+        let part = self.budget().part(&service.name, now);
+        let (_, rank) = *self.cold.lock().expect("no holder panics");
+        let share = |server: Tag| Share { part, phase: rank.phase(server) };
+        servers.settle_limits(&service.name, share, now);
+        let in_need = servers.in_need(&service.name).filter(|(key, server)| may_take(*key, server));
+        in_need.fold(None, |room: Option<Room>, (_, server)| {
+            let (limit, mut room) = (server.limit(), room.unwrap_or_default());
+            room.now += limit.room().unwrap_or_default().max(0.0).floor();
+            room.pace += limit.pace() * part;
+            room.all += limit.pace();
+            Some(room)
+        })
+    }
+
+    /// Whether a request of such a standing may use the room at servers in need.
+    pub(super) fn may_use(
+        &self,
+        room: Room,
+        service: &Service,
+        standing: Standing,
+        now: Instant,
+    ) -> bool {
+        match standing {
+            Standing::Newcomer => {
+                let mut promises = self.promises();
+                promises.entry(service.name.clone()).or_default().leave_room(room, now)
+            }
+            Standing::Returned | Standing::Begun => true,
+        }
+    }
+
+    /// A request takes room at a server in need.
+    pub(super) fn redeem(&self, service: &Service, standing: Standing, now: Instant) {
+        if standing == Standing::Returned
+            && let Some(promises) = self.promises().get_mut(&service.name)
+        {
+            promises.redeem(now);
+        }
+    }
+
+    /// Refuses a request for which no server has room, and tells its caller when there is some.
+    pub(super) fn refuse(
+        &self,
+        room: Room,
+        service: &Service,
+        call: &Call,
+        now: Instant,
+    ) -> NoSeat {
+        let demand = self.budget().rate(&service.name, now);
+        let mut promises = self.promises();
+        let promises = promises.entry(service.name.clone()).or_default();
+        let come_back = promises.come_back(room, demand, call.left(now), now);
+        NoSeat { why: "servers_in_need", come_back }
+    }
+}
--- /dev/null
+++ b/src/gateway/promises.rs
@@ -0,0 +1,77 @@
+//! Room at servers in need that is kept for callers who were told to come back.
+//!
+//! Where no other server can take a request, its caller is refused at once and told when there is room for
+//! it. That is true only if the room is then still there, so newcomers leave it. Half of what comes free may be
+//! promised: the callers who come back are served before those who ask for the first time, and of those who
+//! ask for the first time some are still served at once rather than all of them later.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Part of the room that comes free which may be promised.
+const PROMISED_PART: f64 = 0.5;
+/// Part of the time that a caller has left for which it waits at most before it comes back.
+const WAITED_PART: f64 = 1.0 / 3.0;
+/// Time for which room is kept for a caller that is late: its way here, and a new connection.
+const LATE: Duration = Duration::from_millis(300);
+
+/// What this daemon may send to the servers in need of one service.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Room {
+    /// Requests that it may send now, whole ones of each server.
+    pub now: f64,
+    /// Requests a second by which that grows.
+    pub pace: f64,
+    /// The same for all daemons together.
+    pub all: f64,
+}
+
+/// Room of one service that was promised.
+#[derive(Debug, Default)]
+pub struct Promises {
+    /// When callers are to come back, in order.
+    due: VecDeque<Instant>,
+}
+
+impl Promises {
+    /// Whether a newcomer may use the room: it is not needed for callers who come back before there is more.
+    pub fn leave_room(&mut self, room: Room, now: Instant) -> bool {
+        self.forget(now);
+        let ahead = Duration::try_from_secs_f64(1.0 / room.pace).unwrap_or(Duration::MAX);
+        let soon = |due: &&Instant| due.saturating_duration_since(now) <= ahead;
+        room.now >= 1.0 + self.due.iter().filter(soon).count() as f64
+    }
+
+    /// A caller who was refused before has come and takes room.
+    pub fn redeem(&mut self, now: Instant) {
+        self.forget(now);
+        self.due.pop_front();
+    }
+
+    /// When a caller that has so much time left should come back. Room is kept for it if it would wait for that;
+    /// else it is told when what comes in a second now, `demand`, has been taken by all daemons together.
+    pub fn come_back(&mut self, room: Room, demand: f64, left: Duration, now: Instant) -> Duration {
+        self.forget(now);
+        let wanted = (1.0 + self.due.len() as f64 - room.now).max(0.0);
+        let own = seconds(wanted / (room.pace * PROMISED_PART));
+        // Each promise comes after the one before it.
+        let own = own.max(self.due.back().map_or(Duration::ZERO, |due| *due - now));
+        if own <= left.mul_f64(WAITED_PART) {
+            self.due.push_back(now + own);
+            return own;
+        }
+        own.min(seconds(demand / room.all))
+    }
+
+    fn forget(&mut self, now: Instant) {
+        while self.due.front().is_some_and(|due| now.saturating_duration_since(*due) > LATE) {
+            self.due.pop_front();
+        }
+    }
+}
+
+/// So many seconds, an hour at most.
+fn seconds(seconds: f64) -> Duration {
+    const LONGEST: f64 = 3_600.0;
+    Duration::from_secs_f64(if seconds.is_finite() { seconds.clamp(0.0, LONGEST) } else { LONGEST })
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -394,6 +394,9 @@
         let sending =
             Sending { to, left: self.call.left(now), from: Some(kept.clone()), after: self.last };
         let elsewhere = seat.is_some();
+        if !elsewhere {
+            self.gateway.servers().takes_room(key);
+        }
         // Nothing more is sent to a hall that was closed a while ago, not even what ran there.
         let may_follow = self.gateway.servers().may_follow(key, now);
         let reopened = match may_follow {
@@ -467,11 +470,12 @@
     server: ServerKey,
     sending: Sending,
 ) -> Result<Leg, String> {
-    gateway.note_knowledge(time::now());
+    let now = time::now();
+    gateway.note_knowledge(now);
     gateway.log_need(call, server);
     let sent = gateway.wire.send(call, sending, None).await;
     if let Ok(reply) = &sent {
-        gateway.hear_limit(server, reply);
+        gateway.hear_limit(server, reply, now);
     }
     match sent {
         Ok(reply) if reply.status.is_success() => {
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -123,6 +123,15 @@
     }
 }
 
+/// On which terms a request gets a seat.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    /// How it stands to those that wait.
+    standing: Standing,
+    /// What may wait and run at its server.
+    bound: Bound,
+}
+
 impl Gateway {
     /// Whether a server bears one more request of this daemon: it is not cold, or the daemon's share of
     /// what it may get is not used up.
@@ -174,7 +183,8 @@
             Some(engine) => Bound::of(self.aim(service, call), engine, standing),
             None => Bound::NONE,
         };
-        self.choose_seat(service, &need, call, bound, tried, now)
+        let terms = Terms { standing, bound };
+        self.choose_seat(service, &need, call, terms, tried, now)
     }
 
     /// Takes a seat for a request that was sent before, if the shared budget allows another sending.
@@ -187,10 +197,11 @@
         now: Instant,
     ) -> Result<Seat, NoSeat> {
         let seat = self.seat(service, call, standing, tried, now)?;
-        match self.take_repeat(&service.name, Repeat::Retry, now) {
-            true => Ok(seat),
-            false => Err("no_repeat_left".into()),
+        if !self.take_repeat(&service.name, Repeat::Retry, now) {
+            self.servers().gives_room_back(seat.key());
+            return Err("no_repeat_left".into());
         }
+        Ok(seat)
     }
 
     /// The shortest aim of a service's routes.
@@ -213,7 +224,8 @@
         let load = Load { reading: 0, arriving: source.load.tokens, ..source.load };
         let (hall, far) = (source.hall.as_str(), FAR_COPY_COST);
         let need = Need { hall, far, alike: COPY_ALIKE, unseen: 0.0, load, engine };
-        self.choose_seat(service, &need, call, Bound::NONE, refused, now).ok()
+        let terms = Terms { standing: Standing::Begun, bound: Bound::NONE };
+        self.choose_seat(service, &need, call, terms, refused, now).ok()
     }
 
     fn choose_seat(
@@ -221,7 +233,7 @@
         service: &Service,
         need: &Need<'_>,
         call: &Call,
-        bound: Bound,
+        terms: Terms,
         except: &[ServerKey],
         now: Instant,
     ) -> Result<Seat, NoSeat> {
@@ -233,17 +245,31 @@
                 && self.bears(service, server, now)
         };
         let mut servers = self.servers();
+        let room = self.room_in_need(&mut servers, service, may_take, now);
+        let has_room = |server: &Server| server.limit().room().is_none_or(|room| room >= 1.0);
+        let in_need = room.is_none_or(|room| self.may_use(room, service, terms.standing, now));
+        let is_open = |server: &Server| server.limit().rate().is_none() || in_need;
+        let may_take =
+            |key, server: &Server| may_take(key, server) && has_room(server) && is_open(server);
         let candidates = candidates(&servers, service, may_take, now);
         let chosen = self.placing.choose(&candidates, need, now, &mut rand::rng());
-        let key = chosen.ok_or("no_server")?;
+        let Some(key) = chosen else {
+            return Err(
+                room.map_or("no_server".into(), |room| self.refuse(room, service, call, now))
+            );
+        };
         let there = servers.get(key).map(Server::load).unwrap_or_default();
-        if !bound.holds(there) {
+        if !terms.bound.holds(there) {
             let come_back = admission::come_back(there.reading, &mut rand::rng());
             return Err(NoSeat { why: "crowded", come_back });
         }
         if servers.get(key).is_some_and(|server| server.is_cold(service.warm_up, now)) {
             servers.sends_cold(key, now);
         }
+        if servers.get(key).is_some_and(|server| server.limit().rate().is_some()) {
+            servers.takes_room(key);
+            self.redeem(service, terms.standing, now);
+        }
         servers.begin(key, load);
         self.tell_load(load);
         let server = servers.get(key).ok_or("no_server")?;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,6 +1,7 @@
 //! One backend server as this daemon knows it.
 
 use crate::gateway::cold::{Cold, Sendings, WarmUp};
+use crate::gateway::limit::Limit;
 use crate::gateway::outcomes::{Fading, Outcomes};
 use crate::gateway::port::Destination;
 use crate::gateway::reach::Reach;
@@ -121,8 +122,8 @@
     pub(super) cold: Cold,
     /// What this daemon sent it lately while it was cold.
     pub(super) sendings: Sendings,
-    /// Requests a second that it takes, as it last said; `None` where it named no limit.
-    pub(super) limit: Option<f64>,
+    /// What it takes from all daemons together, and what this one may send.
+    pub(super) limit: Limit,
 }
 
 impl Server {
@@ -148,7 +149,7 @@
             cleared: None,
             cold,
             sendings: Sendings::default(),
-            limit: None,
+            limit: Limit::default(),
         }
     }
 
@@ -177,9 +178,9 @@
         self.sendings.count(now)
     }
 
-    /// Requests a second that it takes from all daemons together; `None` where it names no limit.
-    pub fn limit(&self) -> Option<f64> {
-        self.limit
+    /// What it takes from all daemons together, and what this one may send.
+    pub fn limit(&self) -> &Limit {
+        &self.limit
     }
 
     /// Tells when the server is about to leave.
@@ -218,6 +219,7 @@
             || self.others_outcomes.matter()
             || self.leaves_untold()
             || self.reach.told(now).is_some()
+            || self.limit.told(now).is_some()
     }
 
     /// It leaves, which is never taken back.
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,9 +1,10 @@
 //! The backend servers as this daemon knows them: who they are, who leaves, how loaded, how well, which
 //! halls are to get nothing, and which servers are cold.
 
+use crate::gateway::clock::before;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::halls::Halls;
-use crate::gateway::limit::LimitWord;
+use crate::gateway::limit::{LimitWord, Said, Share};
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::port::Destination;
 use crate::gateway::quarantine::Evidence;
@@ -20,12 +21,14 @@
 }
 
 /// What a daemon has learnt of servers otherwise than from the store, for the other daemons.
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Signs {
     /// Servers that leave, by their own word or because another one answers at their address.
     pub leaving: Vec<Tag>,
     /// Servers that refuse connections, and for how many milliseconds they are still passed over.
     pub refusing: Vec<(Tag, u32)>,
+    /// What servers lately said of the requests a second that they take.
+    pub limits: Vec<(Tag, Said)>,
 }
 
 /// Sums of what the other daemons told of servers, and of requests under which servers ended.
@@ -67,6 +70,8 @@
     heard: Vec<ServerKey>,
     /// Servers that the store no longer lists and that still have runs of this daemon.
     unlisted: Vec<ServerKey>,
+    /// Servers that name a limit.
+    in_need: HashSet<ServerKey>,
     halls: Halls,
 }
 
@@ -112,6 +117,7 @@
         if let Some(server) = self.arena.remove(key) {
             self.by_tag.remove(&server.tag);
             self.noted.remove(&key);
+            self.in_need.remove(&key);
         }
     }
 
@@ -212,17 +218,77 @@
         }
     }
 
-    /// Takes in what an answer says of its server's limit. Says whether that is news.
-    pub fn says_limit(&mut self, key: ServerKey, word: LimitWord) -> bool {
+    /// Takes in what an answer to a request that was sent at `asked` says of its server's limit. Says whether
+    /// other daemons should hear of it at once.
+    ///
+    /// That a limit is named counts from now on, and that none is named from when the request was sent: an
+    /// answer that was long on its way does not take back what the server has said since.
+    pub fn says_limit(
+        &mut self,
+        key: ServerKey,
+        word: LimitWord,
+        asked: Instant,
+        now: Instant,
+    ) -> bool {
         let Some(server) = self.arena.get_mut(key) else {
             return false;
         };
-        let said = match word {
-            LimitWord::Free => None,
-            LimitWord::Rate(rate) => Some(rate),
-            LimitWord::Unclear => return false,
+        let is_news = match word {
+            LimitWord::Free => server.limit.hear(None, asked, now),
+            LimitWord::Rate(rate) => server.limit.hear(Some(rate), now, now),
+            LimitWord::Unclear => false,
         };
-        std::mem::replace(&mut server.limit, said) != said
+        self.note_limit(key, now);
+        is_news
+    }
+
+    /// Notes whether a server names a limit, and that others are to be told of it.
+    fn note_limit(&mut self, key: ServerKey, now: Instant) {
+        let limit = &self.arena[key].limit;
+        if limit.told(now).is_some() {
+            self.noted.insert(key);
+        }
+        match limit.rate() {
+            Some(_) => self.in_need.insert(key),
+            None => self.in_need.remove(&key),
+        };
+    }
+
+    /// Servers of a service that name a limit and take new work.
+    pub fn in_need<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a Server)> {
+        let named = self.in_need.iter().filter_map(|key| Some((*key, self.arena.get(*key)?)));
+        named.filter(move |(_, server)| self.is_open(service, server))
+    }
+
+    /// Brings up to date what this daemon may send to servers in need, by its share of each.
+    pub fn settle_limits(&mut self, service: &str, share: impl Fn(Tag) -> Share, now: Instant) {
+        let keys: Vec<ServerKey> = self.in_need(service).map(|(key, _)| key).collect();
+        for key in keys {
+            let server = &mut self.arena[key];
+            server.limit.settle(share(server.tag), now);
+        }
+    }
+
+    /// Notes that a request goes to a server, in case it is in need.
+    pub fn takes_room(&mut self, key: ServerKey) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.limit.take();
+        }
+    }
+
+    /// Notes that a request does not go to a server after all.
+    pub fn gives_room_back(&mut self, key: ServerKey) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.limit.give_back();
+        }
+    }
+
+    /// How many servers name a limit.
+    pub fn count_in_need(&self) -> usize {
+        self.in_need.len()
     }
 
     /// Notes that a request goes to a server that is cold.
@@ -240,7 +306,8 @@
             let left = s.reach.told(now)?;
             Some((s.tag, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
         });
-        Signs { leaving: leaving.collect(), refusing: refusing.collect() }
+        let limits = self.noted().filter_map(|(_, s)| Some((s.tag, s.limit.told(now)?)));
+        Signs { leaving: leaving.collect(), refusing: refusing.collect(), limits: limits.collect() }
     }
 
     /// Takes over what another daemon has learnt of servers, told by a message sent at `sent` at the
@@ -263,6 +330,24 @@
         if !leaving.is_empty() {
             info!(leaving_ids = leaving.join(",").as_str(); "a peer says that servers leave");
         }
+        if let Some(sent) = sent {
+            self.take_limits(&signs.limits, sent, now);
+        }
+    }
+
+    fn take_limits(&mut self, limits: &[(Tag, Said)], sent: Instant, now: Instant) {
+        for (tag, told) in limits {
+            let Some((key, server)) = known(&self.by_tag, &mut self.arena, *tag) else {
+                continue;
+            };
+            let Some(said) = before(sent, told.age_ms) else {
+                continue;
+            };
+            if server.limit.hear(told.rate, said, now) {
+                info!(server = &*server.record.id, per_second = told.rate; "a peer says what a server takes");
+            }
+            self.note_limit(key, now);
+        }
     }
 
     /// A server that is not known to leave.
@@ -308,8 +393,13 @@
 
     /// Servers of a service that take new work.
     pub fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (ServerKey, &'a Server)> {
-        let serves = move |s: &Server| s.open() && *s.record.service == *service;
-        self.arena.iter().filter(move |(_, s)| serves(s) && !self.halls.is_closed(&s.record.hall))
+        self.arena.iter().filter(move |(_, server)| self.is_open(service, server))
+    }
+
+    /// Whether a server is one of a service and takes new work.
+    fn is_open(&self, service: &str, server: &Server) -> bool {
+        let serves = server.open() && *server.record.service == *service;
+        serves && !self.halls.is_closed(&server.record.hall)
     }
 
     /// Notes work that this daemon sends to a server.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,21 +6,17 @@
 //! The pattern: each daemon sends what it likes to servers that all others see. A load that isn't heard
 //! makes a server look free to hundreds of daemons at once; one that counts twice makes it look full.
 
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, HashMap, HashSet};
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, ms};
+use rand::RngExt;
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
-use tidestair::gateway::beat::{Beat, Told};
-use tidestair::gateway::budget::Spent;
-use tidestair::gateway::clock::Clock;
+use std::time::Duration;
 use tidestair::gateway::fingerprint::Fingerprint;
-use tidestair::gateway::partner::{Pace, pause};
 use tidestair::gateway::quarantine::Evidence;
-use tidestair::gateway::roster::Daemon;
-use tidestair::gateway::servers::Load;
 use tidestair::gateway::tag::Tag;
-use tidestair::gateway::view::{Own, View};
 
 /// Time in which a load is heard in its hall, and in all others: a prompt is read in about 0.25 s, so
 /// that what is heard of the own hall is as old as two prompts.
@@ -32,218 +28,6 @@
 /// The same where it greets another dead relay first: two silences of 0.7 s, two divisions, and a greeting
 /// whose first heartbeats can't be dated, at both ends.
 const TWO_SUCCESSIONS: Duration = Duration::from_millis(2_400);
-/// Step of the simulated clock.
-const STEP: Duration = Duration::from_millis(5);
-/// Time between two divisions of the fleet at a daemon.
-const DIVIDE: Duration = Duration::from_millis(100);
-/// Delays within a hall and between two, as on the users' deployments with a busy VM's turn added.
-const NEAR_DELAY: Duration = Duration::from_millis(3);
-const FAR_DELAY: Duration = Duration::from_millis(10);
-
-fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
-/// One daemon with its process's start.
-struct Node {
-    daemon: Daemon,
-    view: View,
-    own: Own,
-    alive: bool,
-    divided: Option<Instant>,
-    /// When each partner was greeted, is due its next heartbeat, and was told sums.
-    partners: BTreeMap<SocketAddr, (Instant, Instant, Pace)>,
-    sent: u64,
-}
-
-/// The simulated fleet.
-struct Fleet {
-    nodes: Vec<Node>,
-    at: HashMap<SocketAddr, usize>,
-    listed: Vec<Daemon>,
-    now: Instant,
-    rng: StdRng,
-    /// Part of the messages that are lost.
-    loss: f64,
-    /// Pairs of halls that don't reach each other.
-    cut: HashSet<(String, String)>,
-    flying: BTreeMap<(Instant, u64), (SocketAddr, Beat)>,
-    count: u64,
-    boots: u64,
-    /// Bytes sent within halls and between them.
-    bytes: [u64; 2],
-}
-
-impl Fleet {
-    fn new(halls: usize, in_hall: usize, seed: u64) -> Fleet {
-        let now = Instant::now();
-        let daemon = |hall: usize, n: usize| {
-            let addr = |port| SocketAddr::from(([10, hall as u8, 0, n as u8], port));
-            let (vm, name) = (format!("vm-{hall}-{n}"), format!("hall-{hall}"));
-            Daemon { vm, hall: name, callers: addr(80), peers: addr(70), strength: 120 }
-        };
-        let listed: Vec<Daemon> = (0..halls)
-            .flat_map(|hall| (0..in_hall).map(move |n| (hall, n)))
-            .map(|(hall, n)| daemon(hall, n))
-            .collect();
-        let at = listed.iter().enumerate().map(|(i, d)| (d.peers, i)).collect();
-        let mut fleet = Fleet {
-            nodes: Vec::new(),
-            at,
-            listed: listed.clone(),
-            now,
-            rng: StdRng::seed_from_u64(seed),
-            loss: 0.0,
-            cut: HashSet::new(),
-            flying: BTreeMap::new(),
-            count: 0,
-            boots: 0,
-            bytes: [0; 2],
-        };
-        for daemon in listed {
-            let node = fleet.start(daemon);
-            fleet.nodes.push(node);
-        }
-        fleet
-    }
-
-    fn start(&mut self, daemon: Daemon) -> Node {
-        self.boots += 1;
-        let view = View::new(daemon.clone(), Clock::new(self.boots, self.now));
-        let own = Own { told: told(&daemon.vm, 1), ready: true };
-        let partners = BTreeMap::new();
-        Node { daemon, view, own, alive: true, divided: None, partners, sent: 0 }
-    }
-
-    fn kill(&mut self, i: usize) {
-        self.nodes[i].alive = false;
-    }
-
-    fn restart(&mut self, i: usize) {
-        let daemon = self.nodes[i].daemon.clone();
-        self.nodes[i] = self.start(daemon);
-    }
-
-    fn run(&mut self, time: Duration) {
-        let end = self.now + time;
-        while self.now < end {
-            self.now += STEP;
-            self.deliver();
-            for i in 0..self.nodes.len() {
-                if self.nodes[i].alive {
-                    self.act(i);
-                }
-            }
-        }
-    }
-
-    fn deliver(&mut self) {
-        let later = self.flying.split_off(&(self.now, u64::MAX));
-        for (_, (to, beat)) in std::mem::replace(&mut self.flying, later) {
-            let node = &mut self.nodes[self.at[&to]];
-            if node.alive {
-                node.view.note(&beat, self.now);
-            }
-        }
-    }
-
-    fn act(&mut self, i: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[i];
-        let due = node.divided.is_none_or(|at| now - at >= DIVIDE);
-        if due {
-            node.divided = Some(now);
-            let others = self.listed.iter().filter(|d| d.vm != node.daemon.vm).cloned().collect();
-            let partners = &node.partners;
-            node.view.divide(others, |addr| partners.get(&addr).map(|(at, ..)| *at), now);
-            let wanted = node.view.partners(now);
-            node.partners.retain(|addr, _| wanted.contains(addr));
-            for addr in wanted {
-                node.partners.entry(addr).or_insert((now, now, Pace::default()));
-            }
-        }
-        let due: Vec<SocketAddr> =
-            node.partners.iter().filter(|(_, (_, at, _))| *at <= now).map(|(a, _)| *a).collect();
-        for to in due {
-            self.send(i, to);
-        }
-    }
-
-    fn send(&mut self, i: usize, to: SocketAddr) {
-        let now = self.now;
-        let node = &mut self.nodes[i];
-        let Some(relation) = node.view.relation(to, now) else {
-            node.partners.remove(&to);
-            return;
-        };
-        let pace = &mut node.partners.get_mut(&to).expect("it is due").2;
-        let beat = node.view.beat(to, relation, node.own.clone(), pace, now);
-        let heard = node.view.hears(to, now);
-        let wait = pause(relation, node.view.layout().is_relay(), heard);
-        let wait = wait.mul_f64(self.rng.random_range(0.9..1.1));
-        node.partners.get_mut(&to).expect("it is due").1 = now + wait;
-        node.sent += 1;
-        let pair = (beat.daemon.hall.clone(), self.nodes[self.at[&to]].daemon.hall.clone());
-        let far = pair.0 != pair.1;
-        self.bytes[usize::from(far)] += tidestair::message::encode(&beat).len() as u64;
-        if self.cut.contains(&pair) || self.rng.random_bool(self.loss) {
-            return;
-        }
-        let delay = if far { FAR_DELAY } else { NEAR_DELAY };
-        let delay = delay.mul_f64(self.rng.random_range(0.3..1.0));
-        self.count += 1;
-        self.flying.insert((now + delay, self.count), (to, beat));
-    }
-
-    /// Sets what each living daemon has running at a server of its own name, and at one that all use.
-    fn set_loads(&mut self, runs: u32) {
-        for node in &mut self.nodes {
-            node.own.told = told(&node.daemon.vm, runs);
-        }
-    }
-
-    /// Of each pair of a hearing and a heard daemon with the same hall, or with other ones: how many,
-    /// and how many of them the one has at another number than `runs` of the other.
-    fn unheard(&self, same_hall: bool, runs: u32) -> (usize, usize) {
-        let (mut pairs, mut wrong) = (0, 0);
-        for node in self.nodes.iter().filter(|n| n.alive) {
-            let heard = node.view.heard(self.now);
-            for other in self.nodes.iter().filter(|o| o.alive && o.daemon.vm != node.daemon.vm) {
-                if (other.daemon.hall == node.daemon.hall) != same_hall {
-                    continue;
-                }
-                pairs += 1;
-                let load = heard.loads.get(&Tag::of(&other.daemon.vm));
-                wrong += usize::from(load.is_none_or(|load| load.runs != runs));
-            }
-        }
-        (pairs, wrong)
-    }
-
-    /// The most that any daemon counts at the server which all use, beside its own.
-    fn most_counted(&self) -> u32 {
-        let counted = self.nodes.iter().filter(|n| n.alive).map(|node| {
-            let heard = node.view.heard(self.now);
-            heard.loads.get(&Tag::of("all")).map_or(0, |load| load.runs)
-        });
-        counted.max().unwrap_or(0)
-    }
-
-    fn relays(&self) -> Vec<usize> {
-        let relay = |i: &usize| self.nodes[*i].alive && self.nodes[*i].view.layout().is_relay();
-        (0..self.nodes.len()).filter(relay).collect()
-    }
-}
-
-fn told(vm: &str, runs: u32) -> Told {
-    let load = Load { runs, tokens: 1_000 * runs, ..Load::default() };
-    Told {
-        loads: vec![(Tag::of(vm), load), (Tag::of("all"), load)],
-        spent: vec![(Tag::of("service"), Spent { requests: 10, repeats: 1 })],
-        ..Told::default()
-    }
-}
-
 /// The users' deployments by halls and daemons in each, and their target.
 const SIZES: [(usize, usize); 3] = [(4, 15), (6, 49), (4, 75)];
 const TARGET: (usize, usize) = (20, 50);
--- /dev/null
+++ b/tests/promises.rs
@@ -0,0 +1,62 @@
+//! Room at servers in need that is kept for callers who were told to come back.
+
+use std::time::{Duration, Instant};
+use tidestair::gateway::promises::{Promises, Room};
+
+/// Four requests a second by way of this daemon, of 24 by way of all.
+const PACE: f64 = 4.0;
+const ALL: f64 = 24.0;
+const DEMAND: f64 = 48.0;
+const LEFT: Duration = Duration::from_secs(4);
+
+fn room(now: f64) -> Room {
+    Room { now, pace: PACE, all: ALL }
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn callers_are_told_to_come_back_one_after_the_other_while_they_would_wait() {
+    let (mut promises, now) = (Promises::default(), Instant::now());
+    let mut come_back = || promises.come_back(room(0.0), DEMAND, LEFT, now);
+    // Half of what comes free is promised: two a second.
+    assert_eq!(come_back(), ms(500));
+    assert_eq!(come_back(), ms(1_000));
+    // The next one would have to wait for longer than a third of its time: it is told when all daemons have
+    // taken what comes in a second, and no room is kept for it.
+    assert_eq!(come_back(), ms(1_500));
+    assert_eq!(come_back(), ms(1_500));
+}
+
+#[test]
+fn a_caller_that_comes_back_finds_the_room_that_newcomers_leave() {
+    let (mut promises, start) = (Promises::default(), Instant::now());
+    let due = promises.come_back(room(0.0), DEMAND, LEFT, start);
+    // A newcomer may use what comes free before, not what is needed when the caller returns.
+    assert!(!promises.leave_room(room(1.0), start + due - ms(200)));
+    assert!(promises.leave_room(room(2.0), start + due - ms(200)));
+    assert!(!promises.leave_room(room(1.0), start + due));
+    promises.redeem(start + due);
+    assert!(promises.leave_room(room(1.0), start + due));
+}
+
+#[test]
+fn room_is_not_kept_for_a_caller_that_does_not_come() {
+    let (mut promises, start) = (Promises::default(), Instant::now());
+    let due = promises.come_back(room(0.0), DEMAND, LEFT, start);
+    assert!(!promises.leave_room(room(1.0), start + due + ms(299)));
+    assert!(promises.leave_room(room(1.0), start + due + ms(301)));
+}
+
+#[test]
+fn without_promises_newcomers_use_what_there_is() {
+    let (mut promises, now) = (Promises::default(), Instant::now());
+    assert!(promises.leave_room(room(1.0), now));
+    assert!(!promises.leave_room(room(0.9), now));
+    // Nothing ever comes free at this daemon: an hour at most is told.
+    let none = Room { now: 0.0, pace: 0.0, all: 0.0 };
+    assert!(!promises.leave_room(none, now));
+    assert_eq!(promises.come_back(none, DEMAND, LEFT, now), Duration::from_secs(3_600));
+}
