Room is promised only to callers who are told of it; a refusal without a word does not end a limit

Cause, found in reading the change: a request that had run and failed, or a run that is carried over, also kept room for a caller that was never told to come back. Promises are made where the refusal is written. And a server that declines a request without naming its limit was taken for well.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -308,8 +308,9 @@
 
     /// Takes in what an answer to a request that was sent at `asked` says of its server's limit.
     pub(crate) fn hear_limit(&self, server: ServerKey, reply: &Reply, asked: Instant) {
-        // Where another server answers at the address, its limit is its own.
-        if reply.misdirected {
+        // Where another server answers at the address, its limit is its own; and one that declines a request
+        // without a word of its limit has not become well.
+        if reply.misdirected || (reply.declined && reply.limit == LimitWord::Free) {
             return;
         }
         let (is_news, in_need) = {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -267,7 +267,12 @@
     ) -> Result<Answer, Failure> {
         self.log("ended without success", why.why);
         match proof {
-            Some(proof) => Err(refused(proof, why)),
+            Some(proof) => {
+                if let Some(due) = why.due {
+                    self.gateway.keep_room(&self.service.name, due);
+                }
+                Err(refused(proof, why))
+            }
             None => {
                 let reason = Reason::new(502, why.why, "the backend server gave no whole answer");
                 fallback.ok_or(Failure::unknown(reason))
--- a/src/gateway/need.rs
+++ b/src/gateway/need.rs
@@ -10,6 +10,7 @@
 use crate::gateway::servers::{Server, ServerKey, Servers};
 use crate::gateway::table::Service;
 use crate::gateway::tag::Tag;
+use std::sync::Arc;
 use std::time::Instant;
 
 impl Gateway {
@@ -63,7 +64,7 @@
         }
     }
 
-    /// Refuses a request for which no server has room, and tells its caller when there is some.
+    /// Why a request gets no seat where no server has room, and when there is some.
     pub(super) fn refuse(
         &self,
         room: Room,
@@ -74,7 +75,12 @@
         let demand = self.budget().rate(&service.name, now);
         let mut promises = self.promises();
         let promises = promises.entry(service.name.clone()).or_default();
-        let come_back = promises.come_back(room, demand, call.left(now), now);
-        NoSeat { why: "servers_in_need", come_back }
+        let back = promises.come_back(room, demand, call.left(now), now);
+        NoSeat { why: "servers_in_need", come_back: back.after, due: back.due }
+    }
+
+    /// Keeps room for a caller that is told to come back then.
+    pub(super) fn keep_room(&self, service: &Arc<str>, due: Instant) {
+        self.promises().entry(service.clone()).or_default().keep(due);
     }
 }
--- a/src/gateway/promises.rs
+++ b/src/gateway/promises.rs
@@ -26,6 +26,15 @@
     pub all: f64,
 }
 
+/// When a caller should come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Return {
+    /// After so long.
+    pub after: Duration,
+    /// When room is to be kept for it, once it is told so; `None` where it would not wait.
+    pub due: Option<Instant>,
+}
+
 /// Room of one service that was promised.
 #[derive(Debug, Default)]
 pub struct Promises {
@@ -48,19 +57,26 @@
         self.due.pop_front();
     }
 
-    /// When a caller that has so much time left should come back. Room is kept for it if it would wait for that;
-    /// else it is told when what comes in a second now, `demand`, has been taken by all daemons together.
-    pub fn come_back(&mut self, room: Room, demand: f64, left: Duration, now: Instant) -> Duration {
+    /// When a caller that has so much time left should come back. Room is to be kept for it where it would wait
+    /// for that; else it is told when what comes in a second now, `demand`, has been taken by all daemons
+    /// together.
+    pub fn come_back(&mut self, room: Room, demand: f64, left: Duration, now: Instant) -> Return {
         self.forget(now);
         let wanted = (1.0 + self.due.len() as f64 - room.now).max(0.0);
         let own = seconds(wanted / (room.pace * PROMISED_PART));
         // Each promise comes after the one before it.
-        let own = own.max(self.due.back().map_or(Duration::ZERO, |due| *due - now));
-        if own <= left.mul_f64(WAITED_PART) {
-            self.due.push_back(now + own);
-            return own;
+        let last = self.due.back().map_or(Duration::ZERO, |due| due.saturating_duration_since(now));
+        let own = own.max(last);
+        match own <= left.mul_f64(WAITED_PART) {
+            true => Return { after: own, due: Some(now + own) },
+            false => Return { after: own.min(seconds(demand / room.all)), due: None },
         }
-        own.min(seconds(demand / room.all))
+    }
+
+    /// Keeps room for a caller that was told to come back then.
+    pub fn keep(&mut self, due: Instant) {
+        let at = self.due.partition_point(|other| *other <= due);
+        self.due.insert(at, due);
     }
 
     fn forget(&mut self, now: Instant) {
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -46,11 +46,13 @@
     pub why: &'static str,
     /// When its caller is to come back.
     pub come_back: Duration,
+    /// When room is to be kept for it, if it is told so.
+    pub due: Option<Instant>,
 }
 
 impl From<&'static str> for NoSeat {
     fn from(why: &'static str) -> NoSeat {
-        NoSeat { why, come_back: COME_BACK }
+        NoSeat { why, come_back: COME_BACK, due: None }
     }
 }
 
@@ -171,7 +173,7 @@
     ) -> Result<Seat, NoSeat> {
         self.listen(now);
         if let Some(left) = self.quarantine().kept_back(call.fingerprint(), now) {
-            return Err(NoSeat { why: "ends_servers", come_back: left });
+            return Err(NoSeat { why: "ends_servers", come_back: left, due: None });
         }
         let engine = service.engine.as_ref();
         let load = Load::of(call.size, call.route.repeatable());
@@ -261,7 +263,7 @@
         let there = servers.get(key).map(Server::load).unwrap_or_default();
         if !terms.bound.holds(there) {
             let come_back = admission::come_back(there.reading, &mut rand::rng());
-            return Err(NoSeat { why: "crowded", come_back });
+            return Err(NoSeat { why: "crowded", come_back, due: None });
         }
         if servers.get(key).is_some_and(|server| server.is_cold(service.warm_up, now)) {
             servers.sends_cold(key, now);
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -17,23 +17,37 @@
     Duration::from_millis(n)
 }
 
+/// One caller is told to come back.
+fn told(promises: &mut Promises, now: Instant) -> Duration {
+    let back = promises.come_back(room(0.0), DEMAND, LEFT, now);
+    promises.keep(back.due.expect("it would wait"));
+    back.after
+}
+
 #[test]
 fn callers_are_told_to_come_back_one_after_the_other_while_they_would_wait() {
     let (mut promises, now) = (Promises::default(), Instant::now());
-    let mut come_back = || promises.come_back(room(0.0), DEMAND, LEFT, now);
+    let mut come_back = || {
+        let back = promises.come_back(room(0.0), DEMAND, LEFT, now);
+        back.due.into_iter().for_each(|due| promises.keep(due));
+        (back.after, back.due.is_some())
+    };
     // Half of what comes free is promised: two a second.
-    assert_eq!(come_back(), ms(500));
-    assert_eq!(come_back(), ms(1_000));
-    // The next one would have to wait for longer than a third of its time: it is told when all daemons have
-    // taken what comes in a second, and no room is kept for it.
-    assert_eq!(come_back(), ms(1_500));
-    assert_eq!(come_back(), ms(1_500));
+    assert_eq!(come_back(), (ms(500), true));
+    assert_eq!(come_back(), (ms(1_000), true));
+    // The next one would have to wait for longer than a third of its time: no room is kept for it.
+    assert_eq!(come_back(), (ms(1_500), false));
+    assert_eq!(come_back(), (ms(1_500), false));
+    // With less by way of this daemon, it is told when all of them have taken what comes in a second.
+    let small = Room { pace: 0.1, ..room(0.0) };
+    let back = promises.come_back(small, DEMAND, LEFT, now);
+    assert_eq!((back.after, back.due), (ms(2_000), None));
 }
 
 #[test]
 fn a_caller_that_comes_back_finds_the_room_that_newcomers_leave() {
     let (mut promises, start) = (Promises::default(), Instant::now());
-    let due = promises.come_back(room(0.0), DEMAND, LEFT, start);
+    let due = told(&mut promises, start);
     // A newcomer may use what comes free before, not what is needed when the caller returns.
     assert!(!promises.leave_room(room(1.0), start + due - ms(200)));
     assert!(promises.leave_room(room(2.0), start + due - ms(200)));
@@ -45,7 +59,7 @@
 #[test]
 fn room_is_not_kept_for_a_caller_that_does_not_come() {
     let (mut promises, start) = (Promises::default(), Instant::now());
-    let due = promises.come_back(room(0.0), DEMAND, LEFT, start);
+    let due = told(&mut promises, start);
     assert!(!promises.leave_room(room(1.0), start + due + ms(299)));
     assert!(promises.leave_room(room(1.0), start + due + ms(301)));
 }
@@ -58,5 +72,6 @@
     // Nothing ever comes free at this daemon: an hour at most is told.
     let none = Room { now: 0.0, pace: 0.0, all: 0.0 };
     assert!(!promises.leave_room(none, now));
-    assert_eq!(promises.come_back(none, DEMAND, LEFT, now), Duration::from_secs(3_600));
+    let back = promises.come_back(none, DEMAND, LEFT, now);
+    assert_eq!((back.after, back.due), (Duration::from_secs(3_600), None));
 }
