--- /dev/null
+++ b/src/gateway/leg.rs
@@ -0,0 +1,75 @@
+//! The stream of one server, as whole events.
+
+use crate::gateway::core::Gateway;
+use crate::gateway::events::{Event, Splitter};
+use crate::gateway::port::{Lost, Sending};
+use crate::gateway::request::{AnswerBody, Call};
+use crate::gateway::servers::ServerKey;
+use crate::time;
+use http_body_util::BodyExt;
+
+/// The stream of one server.
+pub(crate) struct Leg {
+    body: AnswerBody,
+    splitter: Splitter,
+}
+
+/// What comes next of a stream.
+pub(crate) enum Step {
+    /// A whole event.
+    Event(Event),
+    /// Its end.
+    Ended,
+    /// It broke off, with the reason.
+    Broke(String),
+}
+
+impl Leg {
+    /// A stream of which nothing has been read.
+    pub(crate) fn new(body: AnswerBody) -> Leg {
+        Leg { body, splitter: Splitter::default() }
+    }
+
+    /// The next whole event. May be dropped and called again.
+    pub(crate) async fn next(&mut self) -> Step {
+        loop {
+            if let Some(event) = self.splitter.take() {
+                return Step::Event(event);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    if self.splitter.push(&data).is_err() {
+                        return Step::Broke("an event without end".into());
+                    }
+                }
+                Some(Err(e)) => return Step::Broke(e.reason),
+                None if self.splitter.is_inside() => {
+                    return Step::Broke("ended inside an event".into());
+                }
+                None => return Step::Ended,
+            }
+        }
+    }
+}
+
+/// Sends the request of a stream that has begun to a server.
+pub(crate) async fn reopen(
+    gateway: &Gateway,
+    call: &Call,
+    server: ServerKey,
+    sending: Sending,
+) -> Result<Leg, String> {
+    let now = time::now();
+    gateway.note_knowledge(now);
+    gateway.log_need(call, server);
+    let sent = gateway.wire.send(call, sending, None).await;
+    if let Ok(reply) = &sent {
+        gateway.hear_limit(server, reply, now);
+    }
+    match sent {
+        Ok(reply) if reply.status.is_success() => Ok(Leg::new(reply.body)),
+        Ok(reply) => Err(format!("answered {}", reply.status.as_u16())),
+        Err(Lost::Unsent { reason, .. } | Lost::Unanswered { reason }) => Err(reason),
+    }
+}
--- /dev/null
+++ b/src/gateway/mirror/enforce.rs
@@ -0,0 +1,124 @@
+//! What becomes of a value of the store that is newer than the one before it.
+
+use super::{COME_BACK, Mirror, State};
+use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::in_force::Declared;
+use crate::gateway::port::Undecodable;
+use crate::gateway::servers::ServerRecord;
+use bytes::Bytes;
+use log::{info, warn};
+use std::sync::Arc;
+use std::time::Instant;
+
+impl Mirror {
+    /// Puts into force what is no server's entry.
+    pub(super) fn put_in_force(
+        &self,
+        key: &str,
+        revision: u64,
+        value: Option<Bytes>,
+        seen: Instant,
+        now: Instant,
+    ) {
+        if key == self.schema.declaration() {
+            if let Some(value) = value {
+                self.take_declaration(revision, &value, seen);
+            }
+        } else if key.starts_with(self.schema.daemons()) {
+            self.take_daemon(key, value.as_deref());
+        } else if let Some(hall) = key.strip_prefix(self.schema.closed_halls()) {
+            self.take_hall(hall, value.is_some(), now);
+        } else if let Some(request) = key.strip_prefix(self.schema.quarantine()) {
+            self.take_quarantine(request, value.is_some(), now);
+        }
+    }
+
+    fn take_declaration(&self, revision: u64, value: &[u8], seen: Instant) {
+        match self.schema.table(value) {
+            Ok(table) => {
+                let (version, table) = (table.version, Arc::new(table));
+                if self.gateway.in_force.take(Declared { revision, table }, seen) {
+                    self.gateway.metrics.config_revision.set(revision as i64);
+                    info!(version = version, revision = revision; "configuration in force");
+                }
+            }
+            Err(e) => warn!(revision = revision, why = e.0.as_str(); "configuration not readable"),
+        }
+    }
+
+    pub(super) fn take_server(
+        &self,
+        state: &mut State,
+        key: &str,
+        read: Result<ServerRecord, Undecodable>,
+        now: Instant,
+    ) {
+        state.missing.remove(key);
+        match read {
+            Ok(record) => {
+                match record.leaving {
+                    true => state.news.leaving.push(record.id.to_string()),
+                    false => state.news.came += 1,
+                }
+                self.gateway.servers().upsert(record, now);
+            }
+            Err(e) => {
+                warn!(key = key, why = e.0.as_str(); "backend server's entry not readable: it names no server to use");
+                self.gateway.servers().hide(self.id(key));
+            }
+        }
+    }
+
+    pub(super) fn server_gone(&self, state: &mut State, key: &str, now: Instant) {
+        let until = state.outages.returned().map(|returned| returned + COME_BACK);
+        match until.filter(|until| now < *until) {
+            Some(until) => {
+                state.missing.insert(key.to_string(), until);
+            }
+            None => self.drop_server(state, key),
+        }
+    }
+
+    pub(super) fn drop_server(&self, state: &mut State, key: &str) {
+        let id = self.id(key);
+        state.news.gone.push(id.to_string());
+        self.gateway.servers().remove(id);
+    }
+
+    /// The id of the server that an entry is about.
+    fn id<'a>(&self, key: &'a str) -> &'a str {
+        key.strip_prefix(self.schema.servers()).unwrap_or(key)
+    }
+
+    fn take_hall(&self, hall: &str, closed: bool, now: Instant) {
+        info!(hall = hall, closed = closed; "hall that is to get nothing");
+        let mut servers = self.gateway.servers();
+        match closed {
+            true => servers.close_hall(hall, now),
+            false => servers.open_hall(hall, now),
+        }
+    }
+
+    fn take_quarantine(&self, request: &str, held: bool, now: Instant) {
+        let Some(fingerprint) = Fingerprint::parse(request) else {
+            warn!(key = request; "no fingerprint of a request: the key keeps nothing back");
+            return;
+        };
+        info!(request = request, held = held; "request that ends servers");
+        let mut quarantine = self.gateway.quarantine();
+        match held {
+            true => quarantine.is_stored(fingerprint, now),
+            false => quarantine.is_released(fingerprint, now),
+        }
+    }
+
+    fn take_daemon(&self, key: &str, value: Option<&[u8]>) {
+        match value.map(serde_json::from_slice).transpose() {
+            Ok(daemon) => self.roster.take(key, daemon),
+            Err(e) => {
+                warn!(key = key, why = e.to_string().as_str(); "daemon's key not readable");
+                self.roster.take(key, None);
+            }
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,7 +11,7 @@
 //!   to come back to them
 //! - [`admission`]: who is let in while engines are crowded
 //! - [`core`], [`seat`]: what all requests of a daemon share, and their places at servers
-//! - [`forward`], `relay`, [`events`], `moving`: the way of a request, and of a stream over the
+//! - [`forward`], `relay`, `leg`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
 //! - [`quarantine`], [`suspicion`]: requests that end the servers which run them
@@ -42,6 +42,7 @@
 pub mod forward;
 mod halls;
 pub mod in_force;
+mod leg;
 pub mod limit;
 pub mod listen;
 pub mod lookout;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,14 +5,14 @@
 
 use crate::gateway::admission::Standing;
 use crate::gateway::core::Gateway;
-use crate::gateway::events::{Event, Splitter};
+use crate::gateway::events::Event;
 use crate::gateway::forward::Sent;
+use crate::gateway::leg::{Leg, Step, reopen};
 use crate::gateway::moving::{self, Moved};
-use crate::gateway::port::{KeptRun, Lost, Reply, Sending};
+use crate::gateway::port::{KeptRun, Reply, Sending};
 use crate::gateway::quarantine::Run;
-use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call};
+use crate::gateway::request::{Answer, BrokenOff, Call};
 use crate::gateway::seat::Seat;
-use crate::gateway::servers::ServerKey;
 use crate::gateway::table::Service;
 use crate::time;
 use bytes::Bytes;
@@ -61,7 +61,7 @@
     reply: Reply,
 ) -> Sent {
     let Reply { status, headers, body, .. } = reply;
-    let mut leg = Leg { body, splitter: Splitter::default() };
+    let mut leg = Leg::new(body);
     let first = match leg.next().await {
         Step::Event(event) => event,
         Step::Ended | Step::Broke(_) => {
@@ -100,42 +100,6 @@
     Sent::Answered(Answer { status, headers, body: StreamBody::new(events).boxed_unsync() })
 }
 
-/// The stream of one server.
-struct Leg {
-    body: AnswerBody,
-    splitter: Splitter,
-}
-
-enum Step {
-    Event(Event),
-    Ended,
-    Broke(String),
-}
-
-impl Leg {
-    /// The next whole event. May be dropped and called again.
-    async fn next(&mut self) -> Step {
-        loop {
-            if let Some(event) = self.splitter.take() {
-                return Step::Event(event);
-            }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    if self.splitter.push(&data).is_err() {
-                        return Step::Broke("an event without end".into());
-                    }
-                }
-                Some(Err(e)) => return Step::Broke(e.reason),
-                None if self.splitter.is_inside() => {
-                    return Step::Broke("ended inside an event".into());
-                }
-                None => return Step::Ended,
-            }
-        }
-    }
-}
-
 /// How a relay ends.
 enum End {
     Complete,
@@ -463,29 +427,6 @@
     }
 }
 
-/// Sends the request of a stream that has begun to a server.
-async fn reopen(
-    gateway: &Gateway,
-    call: &Call,
-    server: ServerKey,
-    sending: Sending,
-) -> Result<Leg, String> {
-    let now = time::now();
-    gateway.note_knowledge(now);
-    gateway.log_need(call, server);
-    let sent = gateway.wire.send(call, sending, None).await;
-    if let Ok(reply) = &sent {
-        gateway.hear_limit(server, reply, now);
-    }
-    match sent {
-        Ok(reply) if reply.status.is_success() => {
-            Ok(Leg { body: reply.body, splitter: Splitter::default() })
-        }
-        Ok(reply) => Err(format!("answered {}", reply.status.as_u16())),
-        Err(Lost::Unsent { reason, .. } | Lost::Unanswered { reason }) => Err(reason),
-    }
-}
-
 fn is_stopping(moving: &Option<Moving>) -> bool {
     moving.as_ref().is_some_and(|m| m.stopping.load(Ordering::Relaxed))
 }
--- /dev/null
+++ b/src/gateway/servers/limits.rs
@@ -0,0 +1,100 @@
+//! What servers say of the requests a second that they take, and what this daemon may send them.
+
+use super::{ServerKey, Servers, known};
+use crate::gateway::clock::before;
+use crate::gateway::limit::{LimitWord, Said, Share};
+use crate::gateway::server::Server;
+use crate::gateway::tag::Tag;
+use log::info;
+use std::time::Instant;
+
+impl Servers {
+    /// Takes in what an answer to a request that was sent at `asked` says of its server's limit. Says whether
+    /// other daemons should hear of it at once.
+    ///
+    /// That a limit is named counts from now on, and that none is named from when the request was sent: an
+    /// answer that was long on its way does not take back what the server has said since.
+    pub fn says_limit(
+        &mut self,
+        key: ServerKey,
+        word: LimitWord,
+        asked: Instant,
+        now: Instant,
+    ) -> bool {
+        let Some(server) = self.arena.get_mut(key) else {
+            return false;
+        };
+        let is_news = match word {
+            LimitWord::Free => server.limit.hear(None, asked, now),
+            LimitWord::Rate(rate) => server.limit.hear(Some(rate), now, now),
+            LimitWord::Unclear => false,
+        };
+        self.note_limit(key, now);
+        is_news
+    }
+
+    /// Notes whether a server names a limit, and that others are to be told of it.
+    fn note_limit(&mut self, key: ServerKey, now: Instant) {
+        let limit = &self.arena[key].limit;
+        if limit.told(now).is_some() {
+            self.noted.insert(key);
+        }
+        match limit.rate() {
+            Some(_) => self.in_need.insert(key),
+            None => self.in_need.remove(&key),
+        };
+    }
+
+    /// Servers of a service that name a limit and take new work.
+    pub fn in_need<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a Server)> {
+        let named = self.in_need.iter().filter_map(|key| Some((*key, self.arena.get(*key)?)));
+        named.filter(move |(_, server)| self.is_open(service, server))
+    }
+
+    /// Brings up to date what this daemon may send to servers in need, by its share of each.
+    pub fn settle_limits(&mut self, service: &str, share: impl Fn(Tag) -> Share, now: Instant) {
+        let keys: Vec<ServerKey> = self.in_need(service).map(|(key, _)| key).collect();
+        for key in keys {
+            let server = &mut self.arena[key];
+            server.limit.settle(share(server.tag), now);
+        }
+    }
+
+    /// Notes that a request goes to a server, in case it is in need.
+    pub fn takes_room(&mut self, key: ServerKey) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.limit.take();
+        }
+    }
+
+    /// Notes that a request does not go to a server after all.
+    pub fn gives_room_back(&mut self, key: ServerKey) {
+        if let Some(server) = self.arena.get_mut(key) {
+            server.limit.give_back();
+        }
+    }
+
+    /// How many servers name a limit.
+    pub fn count_in_need(&self) -> usize {
+        self.in_need.len()
+    }
+
+    /// Takes over what another daemon heard of limits, told by a message sent at `sent` at the earliest.
+    pub(super) fn take_limits(&mut self, limits: &[(Tag, Said)], sent: Instant, now: Instant) {
+        for (tag, told) in limits {
+            let Some((key, server)) = known(&self.by_tag, &mut self.arena, *tag) else {
+                continue;
+            };
+            let Some(said) = before(sent, told.age_ms) else {
+                continue;
+            };
+            if server.limit.hear(told.rate, said, now) {
+                info!(server = &*server.record.id, per_second = told.rate; "a peer says what a server takes");
+            }
+            self.note_limit(key, now);
+        }
+    }
+}
