--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -3,10 +3,9 @@
 use crate::gateway::budget::{BudgetBounds, Others, Repeat, RepeatBudget, Spent};
 use crate::gateway::cold::{ColdBounds, Rank};
 use crate::gateway::in_force::InForce;
-use crate::gateway::limit::LimitWord;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::place::Placing;
-use crate::gateway::port::{Reply, Wire};
+use crate::gateway::port::Wire;
 use crate::gateway::promises::Promises;
 use crate::gateway::quarantine::Quarantine;
 use crate::gateway::regions::{Allowed, Regions};
@@ -16,7 +15,6 @@
 use crate::gateway::table::{Homes, Service};
 use crate::gateway::tag::Tag;
 use crate::time;
-use log::info;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -306,42 +304,6 @@
         }
     }
 
-    /// Takes in what an answer to a request that was sent at `asked` says of its server's limit.
-    pub(crate) fn hear_limit(&self, server: ServerKey, reply: &Reply, asked: Instant) {
-        // Where another server answers at the address, its limit is its own; and one that declines a request
-        // without a word of its limit has not become well.
-        if reply.misdirected || (reply.declined && reply.limit == LimitWord::Free) {
-            return;
-        }
-        let (is_news, in_need) = {
-            let mut servers = self.servers();
-            let is_news = servers.says_limit(server, reply.limit, asked, time::now());
-            (is_news, servers.count_in_need())
-        };
-        self.metrics.limited_servers.set(in_need as i64);
-        if !is_news {
-            return;
-        }
-        let id = self.server_id(server).unwrap_or_default();
-        match reply.limit {
-            LimitWord::Rate(rate) => {
-                info!(server = &*id, per_second = rate; "server names a limit")
-            }
-            _ => info!(server = &*id; "server names no limit any more"),
-        }
-        self.tell();
-    }
-
-    /// Writes a line where a request goes to a server that named a limit.
-    pub(crate) fn log_need(&self, call: &Call, server: ServerKey) {
-        let limit = self.servers().get(server).and_then(|server| server.limit().rate());
-        if let Some(rate) = limit {
-            let id = self.server_id(server).unwrap_or_default();
-            info!(id = call.id.as_str(), server = &*id, per_second = rate; "sent to a server in need");
-            self.metrics.limited_sendings.inc();
-        }
-    }
-
     /// Requests that end servers.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine.lock().expect("no holder panics")
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -3,6 +3,7 @@
 use crate::gateway::admission::{self, Bound, Standing};
 use crate::gateway::budget::Repeat;
 use crate::gateway::core::Gateway;
+use crate::gateway::need::has_room;
 use crate::gateway::place::{
     ALIKE, COPY_ALIKE, Candidate, FAR_COPY_COST, FAR_COST, Need, UNSEEN_COST,
 };
@@ -248,17 +249,13 @@
         };
         let mut servers = self.servers();
         let room = self.room_in_need(&mut servers, service, may_take, now);
-        let has_room = |server: &Server| server.limit().room().is_none_or(|room| room >= 1.0);
-        let in_need = room.is_none_or(|room| self.may_use(room, service, terms.standing, now));
-        let is_open = |server: &Server| server.limit().rate().is_none() || in_need;
-        let may_take =
-            |key, server: &Server| may_take(key, server) && has_room(server) && is_open(server);
+        let may_use = room.is_some_and(|room| self.may_use(room, service, terms.standing, now));
+        let may_take = |key, server: &Server| may_take(key, server) && has_room(server, may_use);
         let candidates = candidates(&servers, service, may_take, now);
         let chosen = self.placing.choose(&candidates, need, now, &mut rand::rng());
         let Some(key) = chosen else {
-            return Err(
-                room.map_or("no_server".into(), |room| self.refuse(room, service, call, now))
-            );
+            let in_need = room.map(|room| self.no_room(room, service, call, now));
+            return Err(in_need.unwrap_or("no_server".into()));
         };
         let there = servers.get(key).map(Server::load).unwrap_or_default();
         if !terms.bound.holds(there) {
