tidestair limits: what all daemons sent to servers in need, from their lines

A margin is worth more than a verdict: the most within a window over all daemons, as a part of what the server named. Each start of a daemon keeps its own clock, as for lags, whose part that sorts lines by start is now shared (lines.rs).

--- a/src/bin/tidestair/app.rs
+++ b/src/bin/tidestair/app.rs
@@ -12,7 +12,7 @@
 use tidestair::error::{Error, Result};
 use tidestair::measure::{self, Figures};
 use tidestair::resource::{Kind, Resource};
-use tidestair::{lags, losses, quickstart, replay, show, trace};
+use tidestair::{lags, limits, losses, quickstart, replay, show, trace};
 
 /// Carries out a command; `false` where something stated does not hold.
 pub async fn run(command: Command) -> Result<bool> {
@@ -36,6 +36,9 @@
         Command::Capacity { check } => return show_capacity(check.as_deref()),
         Command::Losses { files, weights, json } => show_losses(&files, &weights, json)?,
         Command::Lags { files, bound, json } => return show_lags(&files, bound, json),
+        Command::Limits { files, window, bound, json } => {
+            return show_limits(&files, window, bound, json);
+        }
     }
     Ok(true)
 }
@@ -159,6 +162,18 @@
     Ok(spread.is_none_or(|spread| bound.is_none_or(|bound| spread.longest <= bound)))
 }
 
+/// What the daemons whose logs these are sent to servers in need; `false` where one got more within the window
+/// than `bound` times what it named.
+fn show_limits(files: &[PathBuf], window: u64, bound: Option<f64>, as_json: bool) -> Result<bool> {
+    let texts = read_texts(files)?;
+    let limits = limits::limits(texts.iter().flat_map(|text| text.lines()), window);
+    match as_json {
+        true => println!("{}", json!(limits)),
+        false => print!("{}", show::limits(&limits)),
+    }
+    Ok(limits.rows.iter().all(|row| bound.is_none_or(|bound| row.part <= bound)))
+}
+
 fn read_texts(files: &[PathBuf]) -> Result<Vec<String>> {
     files.iter().map(|path| read_text(path)).collect()
 }
--- a/src/bin/tidestair/args.rs
+++ b/src/bin/tidestair/args.rs
@@ -21,6 +21,7 @@
   tidestair capacity [--check FILE]
   tidestair losses FILE... [--weight ROUTE=NUMBER]... [--json]
   tidestair lags FILE... [--bound MS] [--json]
+  tidestair limits FILE... [--window MS] [--bound PART] [--json]
 
   --server ADDR  a daemon, for apply, get, delete, watch, status, rotate-keys
                  (or TIDESTAIR_SERVER)
@@ -28,7 +29,8 @@
   -h, --help     this text
   -V, --version  the version
 
-Exit codes: 0 done; 1 failed, a stated outcome or bound does not hold, or daemons lag;
+Exit codes: 0 done; 1 failed, a stated outcome or bound does not hold, daemons lag, or a
+server in need got more than the bound;
 2 the command line does not hold.
 ";
 
@@ -48,6 +50,7 @@
     Capacity { check: Option<PathBuf> },
     Losses { files: Vec<PathBuf>, weights: BTreeMap<String, f64>, json: bool },
     Lags { files: Vec<PathBuf>, bound: Option<u64>, json: bool },
+    Limits { files: Vec<PathBuf>, window: u64, bound: Option<f64>, json: bool },
 }
 
 /// A replay to run.
@@ -116,6 +119,7 @@
         }
         "losses" => return losses(args),
         "lags" => return lags(args),
+        "limits" => return limits(args),
         "" => {
             return Err(Error::Usage { message: "name a command".into() });
         }
@@ -144,6 +148,21 @@
     Ok(Command::Lags { files: log_files(args)?, bound, json })
 }
 
+/// Milliseconds within which requests are counted without `--window`: those of the users' platform.
+const WINDOW_MS: u64 = 4_000;
+
+fn limits(mut args: Arguments) -> Result<Command> {
+    let json = args.contains("--json");
+    let window: Option<u64> = args.opt_value_from_str("--window").map_err(usage)?;
+    let bound = args.opt_value_from_str("--bound").map_err(usage)?;
+    let window = window.unwrap_or(WINDOW_MS);
+    if window == 0 {
+        let message = "`--window 0` is not known; use milliseconds, 1 or more".into();
+        return Err(Error::Usage { message });
+    }
+    Ok(Command::Limits { files: log_files(args)?, window, bound, json })
+}
+
 /// The rest of the line, all of it names of files.
 fn log_files(args: Arguments) -> Result<Vec<PathBuf>> {
     let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
--- a/src/lags.rs
+++ b/src/lags.rs
@@ -7,7 +7,7 @@
 //! A lag is excused where the daemon had just started, or where it heard neither the store nor a peer
 //! that did. What a daemon wrote when it was cut off is not in its lines before it is back.
 
-use crate::lines::{Records, records};
+use crate::lines::{Records, Run, Stamped, records, runs};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
@@ -125,6 +125,20 @@
     unheard_ms: u64,
 }
 
+impl Stamped for Line {
+    fn vm(&self) -> &str {
+        &self.vm
+    }
+
+    fn unix_ms(&self) -> u64 {
+        self.unix_ms
+    }
+
+    fn up_ms(&self) -> u64 {
+        self.up_ms
+    }
+}
+
 impl Line {
     fn tells_of_leaving(&self) -> bool {
         match self.what.as_str() {
@@ -152,23 +166,7 @@
     unheard: bool,
 }
 
-/// One start of a daemon, until it ended.
-#[derive(Debug, Default)]
-struct Run {
-    vm: String,
-    lines: Vec<Line>,
-}
-
-impl Run {
-    /// From this process's clock to the time of day. The time of day may jump and come back, so
-    /// the median of what all lines say is taken.
-    fn offset(&self) -> u64 {
-        let mut offsets: Vec<u64> =
-            self.lines.iter().map(|l| l.unix_ms.saturating_sub(l.up_ms)).collect();
-        offsets.sort_unstable();
-        offsets.get(offsets.len() / 2).copied().unwrap_or(0)
-    }
-
+impl Run<Line> {
     fn learnt(&self) -> HashMap<&str, u64> {
         let offset = self.offset();
         let mut learnt = HashMap::new();
@@ -206,33 +204,12 @@
     }
 }
 
-/// The lines of each start of each daemon. A daemon's own lines are in the order in which it wrote
-/// them; its clock begins anew with each start.
-fn runs(lines: Vec<Line>) -> Vec<Run> {
-    let mut runs: Vec<Run> = Vec::new();
-    let mut latest: HashMap<String, usize> = HashMap::new();
-    for line in lines {
-        let known = latest.get(&line.vm).copied();
-        let last = known.and_then(|at| runs[at].lines.last());
-        let at = match known.filter(|_| last.is_some_and(|last| last.up_ms <= line.up_ms)) {
-            Some(at) => at,
-            None => {
-                runs.push(Run { vm: line.vm.clone(), lines: Vec::new() });
-                runs.len() - 1
-            }
-        };
-        latest.insert(line.vm.clone(), at);
-        runs[at].lines.push(line);
-    }
-    runs
-}
-
 /// Reads the lines of any number of daemons, each daemon's in its own order.
 pub fn lags<'a>(lines: impl Iterator<Item = &'a str>) -> Lags {
     let Records { read, skipped } = records::<Line>(lines);
     let runs = runs(read);
     let mut first: BTreeMap<&str, u64> = BTreeMap::new();
-    let learnt: Vec<HashMap<&str, u64>> = runs.iter().map(Run::learnt).collect();
+    let learnt: Vec<HashMap<&str, u64>> = runs.iter().map(Run::<Line>::learnt).collect();
     for (server, at) in learnt.iter().flatten() {
         let first = first.entry(server).or_insert(*at);
         *first = (*first).min(*at);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod health;
 pub mod journal;
 pub mod lags;
+pub mod limits;
 mod lines;
 pub mod logging;
 pub mod losses;
--- a/src/lines.rs
+++ b/src/lines.rs
@@ -1,6 +1,7 @@
 //! Records out of daemons' log lines, for the tools that read them.
 
 use serde::de::DeserializeOwned;
+use std::collections::HashMap;
 
 /// The records of some lines.
 #[derive(Debug, Clone)]
@@ -22,3 +23,54 @@
     }
     records
 }
+
+/// A record that tells who wrote it and when.
+pub trait Stamped {
+    /// The daemon's VM.
+    fn vm(&self) -> &str;
+    /// The time of day, in milliseconds since the Unix epoch; it may jump.
+    fn unix_ms(&self) -> u64;
+    /// Time since the daemon's start, in milliseconds.
+    fn up_ms(&self) -> u64;
+}
+
+/// One start of a daemon, until it ended.
+#[derive(Debug)]
+pub struct Run<T> {
+    /// The daemon's VM.
+    pub vm: String,
+    /// In the order in which it wrote them.
+    pub lines: Vec<T>,
+}
+
+impl<T: Stamped> Run<T> {
+    /// From this process's clock to the time of day, in milliseconds. The time of day may jump and come back,
+    /// so the median of what all lines say is taken.
+    pub fn offset(&self) -> u64 {
+        let offset = |line: &T| line.unix_ms().saturating_sub(line.up_ms());
+        let mut offsets: Vec<u64> = self.lines.iter().map(offset).collect();
+        offsets.sort_unstable();
+        offsets.get(offsets.len() / 2).copied().unwrap_or(0)
+    }
+}
+
+/// The lines of each start of each daemon. A daemon's own lines are in the order in which it wrote
+/// them; its clock begins anew with each start.
+pub fn runs<T: Stamped>(lines: Vec<T>) -> Vec<Run<T>> {
+    let mut runs: Vec<Run<T>> = Vec::new();
+    let mut latest: HashMap<String, usize> = HashMap::new();
+    for line in lines {
+        let known = latest.get(line.vm()).copied();
+        let last = known.and_then(|at| runs[at].lines.last());
+        let at = match known.filter(|_| last.is_some_and(|last| last.up_ms() <= line.up_ms())) {
+            Some(at) => at,
+            None => {
+                runs.push(Run { vm: line.vm().to_string(), lines: Vec::new() });
+                runs.len() - 1
+            }
+        };
+        latest.insert(line.vm().to_string(), at);
+        runs[at].lines.push(line);
+    }
+    runs
+}
--- a/src/show.rs
+++ b/src/show.rs
@@ -1,6 +1,7 @@
 //! Tables for the terminal.
 
 use crate::lags::Lags;
+use crate::limits::Limits;
 use crate::losses::{Ledger, Row};
 use crate::measure::{Figures, MEASURES, Verdict};
 use std::collections::BTreeMap;
@@ -82,6 +83,21 @@
     text
 }
 
+/// What was sent to servers in need, a row each.
+pub fn limits(limits: &Limits) -> String {
+    let cells = |row: &crate::limits::Row| {
+        let seconds = format!("{:.1}", row.lasted as f64 / 1_000.0);
+        let (least, part) = (format!("{:.2}", row.least), format!("{:.2}", row.part));
+        let counts = [row.daemons, row.sent, row.most].map(|n| n.to_string());
+        let [daemons, sent, most] = counts;
+        vec![row.server.clone(), least, daemons, sent, seconds, most, part]
+    };
+    let heading = ["server", "named /s", "daemons", "sent", "within s", "most", "of named"];
+    let mut text = table(&heading, &limits.rows.iter().map(cells).collect::<Vec<_>>());
+    let _ = writeln!(text, "{} lines had no record", limits.skipped);
+    text
+}
+
 /// Rows under a heading, in columns as wide as needed.
 pub fn table(heading: &[&str], rows: &[Vec<String>]) -> String {
     let width = |i: usize| {
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -272,3 +272,28 @@
         assert!(String::from_utf8_lossy(&told).contains(remedy), "{args:?}");
     }
 }
+
+#[test]
+fn what_servers_in_need_got_is_held_against_a_bound() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("vm-1.log");
+    let line = |up: u64| {
+        format!(
+            "{{\"unix_ms\":{up},\"up_ms\":{up},\"vm\":\"vm-1\",\"what\":\"sent to a server in need\",\"server\":\"i-1\",\"per_second\":0.5}}\n"
+        )
+    };
+    let lines: String = [0, 100, 200].into_iter().map(line).collect();
+    std::fs::write(&file, lines).expect("the folder can be written");
+    let file = file.to_str().expect("a name");
+    let run = |args: &[&str]| tidestair().arg("limits").args(args).assert();
+    let text = String::from_utf8(run(&[file]).success().get_output().stdout.clone()).unwrap();
+    assert!(text.contains("i-1") && text.contains("1.50"), "{text}");
+    run(&[file, "--bound", "1.5"]).success();
+    run(&[file, "--bound", "1.4"]).code(1);
+    run(&[file, "--window", "100", "--bound", "19"]).code(1);
+    run(&[file, "--window", "0"]).code(2);
+    run(&[]).code(2);
+    let json = run(&[file, "--json"]).success().get_output().stdout.clone();
+    let json: serde_json::Value = serde_json::from_slice(&json).unwrap();
+    assert_eq!(json["rows"][0]["most"], 3);
+}
