--- a/src/lags.rs
+++ b/src/lags.rs
@@ -7,7 +7,7 @@
 //! A lag is excused where the daemon had just started, or where it heard neither the store nor a peer
 //! that did. What a daemon wrote when it was cut off is not in its lines before it is back.
 
-use crate::lines::{Records, Run, Stamped, records, runs};
+use crate::lines::{Records, Run, Stamp, Stamped, records, runs};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
@@ -104,10 +104,9 @@
 
 #[derive(Debug, Deserialize)]
 struct Line {
+    #[serde(flatten)]
+    stamp: Stamp,
     what: String,
-    vm: String,
-    unix_ms: u64,
-    up_ms: u64,
     #[serde(default)]
     server: String,
     #[serde(default)]
@@ -126,16 +125,8 @@
 }
 
 impl Stamped for Line {
-    fn vm(&self) -> &str {
-        &self.vm
-    }
-
-    fn unix_ms(&self) -> u64 {
-        self.unix_ms
-    }
-
-    fn up_ms(&self) -> u64 {
-        self.up_ms
+    fn stamp(&self) -> &Stamp {
+        &self.stamp
     }
 }
 
@@ -172,7 +163,7 @@
         let mut learnt = HashMap::new();
         for line in &self.lines {
             for server in line.leavings() {
-                learnt.entry(server).or_insert(offset + line.up_ms);
+                learnt.entry(server).or_insert(offset + line.stamp.up_ms);
             }
         }
         learnt
@@ -182,7 +173,7 @@
         let offset = self.offset();
         let again = self.lines.iter().filter(|l| l.what == "copy of the store is current again");
         let gap = |l: &Line| {
-            let to = offset + l.up_ms;
+            let to = offset + l.stamp.up_ms;
             let unheard = l.unheard_ms > UNHEARD_MS;
             Gap { from: to.saturating_sub(l.late_ms), to, unheard }
         };
@@ -191,7 +182,7 @@
 
     /// The lag of this run at a server of which the first daemon learnt at `first`.
     fn lag(&self, server: &str, first: u64, learnt: u64, gaps: &[Gap]) -> Lag {
-        let start = self.offset() + self.lines.first().map_or(0, |line| line.up_ms);
+        let start = self.offset() + self.lines.first().map_or(0, |line| line.stamp.up_ms);
         let over = || gaps.iter().filter(|gap| gap.from <= learnt && gap.to >= first);
         let cause = match () {
             () if start > first => Cause::Started,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -3,7 +3,7 @@
 //! The most that was sent within a window, against what the limit in force then allows in it, is the margin to
 //! whatever bound holds for that. Only what was sent by daemons that knew of the limit has a line.
 
-use crate::lines::{Records, Stamped, records, runs};
+use crate::lines::{Records, Stamp, Stamped, records, runs};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -37,10 +37,9 @@
 
 #[derive(Debug, Deserialize)]
 struct Line {
+    #[serde(flatten)]
+    stamp: Stamp,
     what: String,
-    vm: String,
-    unix_ms: u64,
-    up_ms: u64,
     #[serde(default)]
     server: String,
     /// What the server takes, as the daemon knew it.
@@ -48,16 +47,8 @@
 }
 
 impl Stamped for Line {
-    fn vm(&self) -> &str {
-        &self.vm
-    }
-
-    fn unix_ms(&self) -> u64 {
-        self.unix_ms
-    }
-
-    fn up_ms(&self) -> u64 {
-        self.up_ms
+    fn stamp(&self) -> &Stamp {
+        &self.stamp
     }
 }
 
@@ -78,7 +69,7 @@
         let offset = run.offset();
         for line in run.lines.into_iter().filter(|line| line.what == "sent to a server in need") {
             let Some(rate) = line.per_second else { continue };
-            let sent = Sent { at: offset + line.up_ms, vm: line.vm, rate };
+            let sent = Sent { at: offset + line.stamp.up_ms, vm: line.stamp.vm, rate };
             servers.entry(line.server).or_default().push(sent);
         }
     }
--- a/src/lines.rs
+++ b/src/lines.rs
@@ -1,5 +1,6 @@
 //! Records out of daemons' log lines, for the tools that read them.
 
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
 
@@ -24,14 +25,21 @@
     records
 }
 
-/// A record that tells who wrote it and when.
-pub trait Stamped {
+/// Who wrote a line, and when.
+#[derive(Debug, Deserialize)]
+pub struct Stamp {
     /// The daemon's VM.
-    fn vm(&self) -> &str;
+    pub vm: String,
     /// The time of day, in milliseconds since the Unix epoch; it may jump.
-    fn unix_ms(&self) -> u64;
+    pub unix_ms: u64,
     /// Time since the daemon's start, in milliseconds.
-    fn up_ms(&self) -> u64;
+    pub up_ms: u64,
+}
+
+/// A record that tells who wrote it and when.
+pub trait Stamped {
+    /// Who and when.
+    fn stamp(&self) -> &Stamp;
 }
 
 /// One start of a daemon, until it ended.
@@ -47,7 +55,7 @@
     /// From this process's clock to the time of day, in milliseconds. The time of day may jump and come back,
     /// so the median of what all lines say is taken.
     pub fn offset(&self) -> u64 {
-        let offset = |line: &T| line.unix_ms().saturating_sub(line.up_ms());
+        let offset = |line: &T| line.stamp().unix_ms.saturating_sub(line.stamp().up_ms);
         let mut offsets: Vec<u64> = self.lines.iter().map(offset).collect();
         offsets.sort_unstable();
         offsets.get(offsets.len() / 2).copied().unwrap_or(0)
@@ -60,16 +68,17 @@
     let mut runs: Vec<Run<T>> = Vec::new();
     let mut latest: HashMap<String, usize> = HashMap::new();
     for line in lines {
-        let known = latest.get(line.vm()).copied();
+        let known = latest.get(&line.stamp().vm).copied();
         let last = known.and_then(|at| runs[at].lines.last());
-        let at = match known.filter(|_| last.is_some_and(|last| last.up_ms() <= line.up_ms())) {
+        let goes_on = last.is_some_and(|last| last.stamp().up_ms <= line.stamp().up_ms);
+        let at = match known.filter(|_| goes_on) {
             Some(at) => at,
             None => {
-                runs.push(Run { vm: line.vm().to_string(), lines: Vec::new() });
+                runs.push(Run { vm: line.stamp().vm.clone(), lines: Vec::new() });
                 runs.len() - 1
             }
         };
-        latest.insert(line.vm().to_string(), at);
+        latest.insert(line.stamp().vm.clone(), at);
         runs[at].lines.push(line);
     }
     runs
