--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -20,11 +20,11 @@
 use crate::gateway::update::{Lack, Update};
 use crate::gateway::view::{Own, View};
 use crate::message;
-use crate::peer::{Handler, Held, LinkLimits, Peers};
+use crate::peer::{Handler, Held, LinkLimits, NoAnswer, Peers};
 use crate::time;
 use crate::tls::Identity;
 use futures_util::future::BoxFuture;
-use log::warn;
+use log::{debug, warn};
 use rand::RngExt;
 use rand::seq::SliceRandom;
 use std::collections::HashMap;
@@ -430,9 +430,13 @@
             for peer in self.lenders(time::now()) {
                 let request = Request::Room(wanted.clone());
                 let asked = self.links.ask::<Option<Tag>>(peer, &request, ROOM_LIMIT, &handler);
-                // One that does not answer in time has given nothing that may be used.
-                if let Ok(Some(server)) = asked.await {
-                    return Some(server);
+                match asked.await {
+                    Ok(Some(server)) => return Some(server),
+                    Ok(None) => {}
+                    // What it may have given goes unused.
+                    Err(NoAnswer) => {
+                        debug!(peer = peer.to_string().as_str(); "peer did not say whether it has room")
+                    }
                 }
             }
             None
