Which servers may take a request is asked in one place; the gauge of servers in need is set on news only

Asking peers for room had a copy of the condition by which a server is chosen (not tried, in a hall that the request may go to, bears one more), which could have come apart; both call may_take now. And each answer of any server counted the servers in need and set the gauge, which only the beginning or end of a limit changes.

Behaviour as before; no check or test changed.

--- a/src/gateway/need.rs
+++ b/src/gateway/need.rs
@@ -33,15 +33,10 @@
         if reply.misdirected || (reply.declined && reply.limit == LimitWord::Free) {
             return;
         }
-        let (is_news, in_need) = {
-            let mut servers = self.servers();
-            let is_news = servers.says_limit(server, reply.limit, asked, time::now());
-            (is_news, servers.count_in_need())
-        };
-        self.metrics.limited_servers.set(in_need as i64);
-        if !is_news {
+        if !self.servers().says_limit(server, reply.limit, asked, time::now()) {
             return;
         }
+        self.metrics.limited_servers.set(self.servers().count_in_need() as i64);
         let id = self.server_id(server).unwrap_or_default();
         match reply.limit {
             LimitWord::Rate(rate) => {
@@ -136,12 +131,7 @@
         tried: &[ServerKey],
         now: Instant,
     ) -> bool {
-        let allowed = self.allowed(call);
-        let may_take = |key: ServerKey, server: &Server| {
-            !tried.contains(&key)
-                && allowed.has(&server.record.hall)
-                && self.bears(service, server, now)
-        };
+        let may_take = self.may_take(service, call, tried, now);
         let (mut wanted, mut pace) = (Vec::new(), 0.0);
         for (key, server) in self.servers().in_need(&service.name) {
             if may_take(key, server) {
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -138,7 +138,7 @@
 impl Gateway {
     /// Whether a server bears one more request of this daemon: it is not cold, or the daemon's share of
     /// what it may get is not used up.
-    pub(super) fn bears(&self, service: &Service, server: &Server, now: Instant) -> bool {
+    fn bears(&self, service: &Service, server: &Server, now: Instant) -> bool {
         if !server.is_cold(service.warm_up, now) {
             return true;
         }
@@ -146,6 +146,23 @@
         server.cold_sendings(now) < rank.share(server.tag(), service.warm_up, bounds)
     }
 
+    /// Whether a server may take a request, whatever it names: it is not among those that were tried, the
+    /// request may go to its hall, and it bears one more.
+    pub(super) fn may_take<'a>(
+        &'a self,
+        service: &'a Service,
+        call: &'a Call,
+        except: &'a [ServerKey],
+        now: Instant,
+    ) -> impl Fn(ServerKey, &Server) -> bool + 'a {
+        let allowed = self.allowed(call);
+        move |key, server| {
+            !except.contains(&key)
+                && allowed.has(&server.record.hall)
+                && self.bears(service, server, now)
+        }
+    }
+
     /// Requests for a service that daemons of this hall are expected to have sent since they told.
     fn unseen(&self, service: &Arc<str>, now: Instant) -> f64 {
         let late = *self.late.lock().expect("no holder panics");
@@ -241,14 +258,9 @@
         now: Instant,
     ) -> Result<Seat, NoSeat> {
         let load = need.load;
-        let allowed = self.allowed(call);
-        let may_take = |key, server: &Server| {
-            !except.contains(&key)
-                && allowed.has(&server.record.hall)
-                && self.bears(service, server, now)
-        };
+        let may_take = self.may_take(service, call, except, now);
         let mut servers = self.servers();
-        let room = self.room_in_need(&mut servers, &service.name, may_take, now);
+        let room = self.room_in_need(&mut servers, &service.name, &may_take, now);
         let may_use =
             room.is_some_and(|room| self.may_use(room, &service.name, terms.standing, now));
         let may_take = |key, server: &Server| may_take(key, server) && has_room(server, may_use);
