Few daemons of a cell hold the room at a server in need where a part of each is less than a request

Cause: room was divided among all daemons, so that each held a part of a request only; what is less than a request lapses, and nobody had a whole one to give.

Now as many daemons of a cell as it has whole requests hold the room of all of them, chosen by an order that each server has of its own, and give it to those that ask; in fleets of up to 64 the first holders of other halls are asked too.

The simulated way of equal parts is played without asking, as it was weighed.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -58,6 +58,39 @@
     pub heard: usize,
     /// What those have spent.
     pub spent: HashMap<Tag, Spent>,
+    /// The daemons of this one's cell among them.
+    pub near: Near,
+}
+
+/// The daemons of a cell, as one of them hears the others.
+#[derive(Debug)]
+pub struct Near {
+    /// The tag of this daemon's name.
+    pub own: Tag,
+    /// Those of the others.
+    pub others: Vec<Tag>,
+    /// What the others have spent.
+    pub spent: HashMap<Tag, Spent>,
+}
+
+impl Default for Near {
+    /// A cell of one.
+    fn default() -> Near {
+        Near { own: Tag::number(0), others: Vec::new(), spent: HashMap::new() }
+    }
+}
+
+impl Near {
+    /// How many daemons there are, this one included.
+    pub fn count(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// This daemon's place among them, in an order that each server has of its own.
+    pub fn place(&self, server: Tag) -> usize {
+        let own = self.own.with(server);
+        self.others.iter().filter(|tag| tag.with(server) < own).count()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -183,6 +216,28 @@
         (own + ASSUMED_REQUESTS) / (requests + ASSUMED_REQUESTS * all)
     }
 
+    /// The same for all daemons of this one's cell together.
+    pub fn cell_part(&mut self, service: &Arc<str>, now: Instant) -> f64 {
+        let tag = Tag::of(service);
+        let told = |spent: &HashMap<Tag, Spent>| spent.get(&tag).map_or(0, |spent| spent.requests);
+        let (told, near) = (told(&self.others.spent), told(&self.others.near.spent));
+        let daemons = self.others.near.count() as f64;
+        let all = self.others.daemons as f64 + 1.0;
+        let heard = self.others.heard as f64 + 1.0;
+        let number = self.number(now);
+        let window = self.window(service);
+        window.slice(number);
+        let own = f64::from(window.before(number).requests);
+        let requests = (own + f64::from(told)) * (all / heard).max(1.0);
+        let cell = own + f64::from(near);
+        (cell + ASSUMED_REQUESTS * daemons) / (requests + ASSUMED_REQUESTS * all)
+    }
+
+    /// The daemons of this one's cell.
+    pub fn near(&self) -> &Near {
+        &self.others.near
+    }
+
     /// What this daemon has spent within the window.
     pub fn spent(&mut self, now: Instant) -> Vec<(Tag, Spent)> {
         let number = self.number(now);
--- a/src/gateway/cell.rs
+++ b/src/gateway/cell.rs
@@ -106,6 +106,17 @@
     halls
 }
 
+/// The first daemon of each hall but the own, in an order that each server has of its own. It is also the first of
+/// its cell, however the hall is divided.
+pub fn first_of_halls(own: &Daemon, others: &[Daemon], server: Tag) -> Vec<SocketAddr> {
+    let halls = other_halls(own, others).into_values();
+    let first = |daemons: Vec<&Daemon>| {
+        let first = daemons.into_iter().min_by_key(|d| Tag::of(&d.vm).with(server));
+        first.map(|daemon| daemon.peers)
+    };
+    halls.filter_map(first).collect()
+}
+
 /// The order of a cell's daemons as its relay, and as the one that reads the store for all: strong ones
 /// first. A fleet's servers write some 0.4 kB a second each, which is more than a small VM's link carries
 /// where there are thousands.
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -9,8 +9,9 @@
 
 use crate::error::Result;
 use crate::gateway::beat::{Beat, Request, Told};
+use crate::gateway::cell::first_of_halls;
 use crate::gateway::clock::{Clock, before, millis};
-use crate::gateway::core::{Gateway, Hearing};
+use crate::gateway::core::{Gateway, Hearing, Wanted};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::Mirror;
 use crate::gateway::partner::{self, Pace, Relation};
@@ -27,7 +28,7 @@
 use log::{debug, warn};
 use rand::RngExt;
 use rand::seq::SliceRandom;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
@@ -57,9 +58,14 @@
 /// Longest time for a peer to give room at a server in need: some times a round trip within a region. The caller
 /// waits for it, and would be refused otherwise.
 const ROOM_LIMIT: Duration = Duration::from_millis(40);
-/// Peers that are asked for room at most, one after the other: all others of the users' small fleets. Where half of
-/// what a server names comes, about two thirds of the daemons have some.
+/// Peers of the same cell that are asked for room at most, one after the other: all others of a small fleet. Where
+/// half of what a server names comes, about two thirds of those that hold room have some.
 const MOST_ASKED: usize = 5;
+/// Daemons of other halls that are asked after them at most.
+const MOST_ASKED_FAR: usize = 3;
+/// Daemons up to which a fleet's daemons ask those of other halls: one that holds room may have a link to each, and
+/// a small VM bears so many.
+const MOST_SHARING: usize = 64;
 /// Updates given at a time; further askers get none and try another daemon or the store. Large ones
 /// fill the link of a small VM.
 const MOST_GIVEN: usize = 3;
@@ -396,11 +402,17 @@
         Some(complete)
     }
 
-    /// Daemons of the same cell that may have room at servers in need, in an order drawn at random.
-    fn lenders(&self, now: Instant) -> Vec<SocketAddr> {
-        let mut lenders = self.view().ready_near(now);
-        lenders.shuffle(&mut rand::rng());
-        lenders.truncate(MOST_ASKED);
+    /// Daemons that may hold room at servers in need, in an order drawn at random: those of the same cell first.
+    fn lenders(&self, wanted: &[Wanted], now: Instant) -> Vec<SocketAddr> {
+        let view = self.view();
+        let near = wanted.iter().flat_map(|w| view.holders_near(w.server, w.holders, now));
+        let mut lenders = drawn(near, MOST_ASKED);
+        let others = self.roster.others();
+        if view.layout().divided && others.len() < MOST_SHARING {
+            let own = self.roster.own();
+            let far = wanted.iter().flat_map(|w| first_of_halls(own, &others, w.server));
+            lenders.extend(drawn(far, MOST_ASKED_FAR));
+        }
         lenders
     }
 
@@ -424,11 +436,12 @@
         self.view().ahead(server, now)
     }
 
-    fn borrow_room(&self, wanted: Vec<Tag>) -> BoxFuture<'_, Option<Tag>> {
+    fn borrow_room(&self, wanted: Vec<Wanted>) -> BoxFuture<'_, Option<Tag>> {
         Box::pin(async move {
             let handler = self.own.upgrade()?.handler();
-            for peer in self.lenders(time::now()) {
-                let request = Request::Room(wanted.clone());
+            let servers: Vec<Tag> = wanted.iter().map(|w| w.server).collect();
+            for peer in self.lenders(&wanted, time::now()) {
+                let request = Request::Room(servers.clone());
                 let asked = self.links.ask::<Option<Tag>>(peer, &request, ROOM_LIMIT, &handler);
                 match asked.await {
                     Ok(Some(server)) => return Some(server),
@@ -444,6 +457,15 @@
     }
 }
 
+/// Some of these addresses, `most` of them, each once.
+fn drawn(addrs: impl Iterator<Item = SocketAddr>, most: usize) -> Vec<SocketAddr> {
+    let all: HashSet<SocketAddr> = addrs.collect();
+    let mut drawn: Vec<SocketAddr> = all.into_iter().collect();
+    drawn.shuffle(&mut rand::rng());
+    drawn.truncate(most);
+    drawn
+}
+
 /// Returns once something has changed, but not before `least`.
 async fn changed_after(changes: &mut watch::Receiver<u64>, least: Instant) {
     if changes.changed().await.is_err() {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -56,9 +56,18 @@
     fn heard(&self, now: Instant) -> Option<Heard>;
     /// What the daemons of the same cell that rank before this one have running at a server.
     fn ahead(&self, server: Tag, now: Instant) -> Load;
-    /// Asks daemons of the same cell for room for one request at one of these servers, which are in need. Says at
+    /// Asks other daemons for room for one request at one of these servers, which are in need. Says at
     /// which one it was given.
-    fn borrow_room(&self, wanted: Vec<Tag>) -> BoxFuture<'_, Option<Tag>>;
+    fn borrow_room(&self, wanted: Vec<Wanted>) -> BoxFuture<'_, Option<Tag>>;
+}
+
+/// A server at which room for a request is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wanted {
+    /// The server.
+    pub server: Tag,
+    /// How many daemons of the cell hold room there.
+    pub holders: usize,
 }
 
 /// The state that all requests of one daemon share.
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -7,8 +7,9 @@
 //! heard. Of those that are not heard, as many requests are assumed as of the others; two halves of a fleet that
 //! lose each other share the limit between them.
 //!
-//! A daemon of a small fleet keeps room for a request or two until they come. One of a large fleet may send a
-//! request in minutes. Its first moment follows from its place among the daemons, so that their moments lie as
+//! A daemon of a small fleet keeps room for a request or two until they come. Where the part of each is less, as many
+//! daemons of a cell hold the room of all as it has whole requests, and give it to those that have none. Where the
+//! room of a cell is less than a request, a daemon may send one in minutes. Its first moment follows from its place among the daemons, so that their moments lie as
 //! evenly as if one daemon had given them out, and a moment that is not used lapses: otherwise an idle fleet would
 //! come with one request from each daemon at once.
 //!
@@ -30,8 +31,7 @@
 const AT_ONCE: Duration = Duration::from_millis(1_500);
 /// Requests that a server bears at once besides: a few come together by chance wherever requests come. Where a
 /// daemon's part of these and of what may come at once is a whole request, it keeps that without end, and gives it
-/// to others that have none. With six daemons before a server that takes 2.2 a second, and half of that coming, 0.36
-/// of it was refused with room that lapses, and 0.06 with room that stays and is given.
+/// to others that have none.
 const SPARE: f64 = 4.0;
 /// Requests a second that a server gets which names less, or none at all: one in ten seconds from all daemons,
 /// since only an answer tells that the limit is over.
@@ -69,6 +69,19 @@
     /// How much of the time between two of its requests has passed when the limit is first heard of; evenly
     /// spread over the daemons.
     pub phase: f64,
+    /// What its cell has of it.
+    pub cell: CellShare,
+}
+
+/// What the daemons of a cell have together of what a server in need takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CellShare {
+    /// Their part.
+    pub part: f64,
+    /// How many they are.
+    pub daemons: usize,
+    /// This daemon's place among them, in an order of the server's own.
+    pub place: usize,
 }
 
 /// What is known of one server's limit, and what this daemon may send there.
@@ -86,6 +99,8 @@
     at: Option<Instant>,
     /// Whether this daemon keeps whole requests without end, as those of small fleets do.
     keeps: bool,
+    /// How many daemons of its cell do; none where room lapses.
+    holders: usize,
 }
 
 /// Room of which what is over `most` lapses: whole requests, so that the daemons' moments stay spread.
@@ -93,6 +108,20 @@
     room - (room - most).max(0.0).ceil()
 }
 
+/// How many daemons of a cell hold room where the server bears so many requests at once, and this daemon's part.
+/// Where a part of each is less than a request, as many hold it together as it has whole ones, and the others ask
+/// them; where all of it together is less, each has its own part, and its room lapses.
+fn held(share: Share, at_once: f64) -> (usize, f64) {
+    let cell = share.cell;
+    let holders = (cell.part * at_once) as usize;
+    match holders {
+        0 => (0, share.part),
+        _ if holders >= cell.daemons => (cell.daemons, share.part),
+        _ if cell.place < holders => (holders, cell.part / holders as f64),
+        _ => (holders, 0.0),
+    }
+}
+
 impl Limit {
     /// Takes in what the server said at a moment, unless it has said something since. Says whether other
     /// daemons should hear of it at once.
@@ -126,10 +155,13 @@
     /// Brings the room up to now.
     pub fn settle(&mut self, share: Share, now: Instant) {
         let since = self.at.replace(now).unwrap_or(now);
-        let pace = self.pace() * share.part;
+        let at_once = self.pace() * AT_ONCE.as_secs_f64() + SPARE;
+        let (holders, part) = held(share, at_once);
+        self.holders = holders;
+        let pace = self.pace() * part;
         let grown = self.room.unwrap_or(share.phase)
             + pace * now.saturating_duration_since(since).as_secs_f64();
-        let own = share.part * (self.pace() * AT_ONCE.as_secs_f64() + SPARE);
+        let own = part * at_once;
         self.keeps = own >= 1.0;
         self.room = Some(match self.keeps {
             true => grown.min(own),
@@ -149,6 +181,11 @@
         self.keeps
     }
 
+    /// How many daemons of this one's cell hold room which they give to others; none where room lapses.
+    pub fn holders(&self) -> usize {
+        self.holders
+    }
+
     /// Notes that a request goes there, whether there was room for it or not.
     pub fn take(&mut self) {
         self.room = self.room.map(|room| room - 1.0);
--- a/src/gateway/need.rs
+++ b/src/gateway/need.rs
@@ -2,8 +2,8 @@
 //! no room.
 
 use crate::gateway::admission::Standing;
-use crate::gateway::core::Gateway;
-use crate::gateway::limit::{LimitWord, Share};
+use crate::gateway::core::{Gateway, Wanted};
+use crate::gateway::limit::{CellShare, LimitWord, Share};
 use crate::gateway::port::Reply;
 use crate::gateway::promises::Room;
 use crate::gateway::request::Call;
@@ -67,10 +67,17 @@
     ) -> Option<Room> {
         // Most often there are none, and nothing more is to be done.
         servers.in_need(service).next()?;
-        let part = self.budget().part(service, now);
+        let mut budget = self.budget();
+        let (part, cell_part) = (budget.part(service, now), budget.cell_part(service, now));
         let (_, rank) = *self.cold.lock().expect("no holder panics");
-        let share = |server: Tag| Share { part, phase: rank.phase(server) };
+        let near = budget.near();
+        let share = |server: Tag| {
+            let (daemons, place) = (near.count(), near.place(server));
+            let cell = CellShare { part: cell_part, daemons, place };
+            Share { part, phase: rank.phase(server), cell }
+        };
         servers.settle_limits(service, share, now);
+        drop(budget);
         let in_need = servers.in_need(service).filter(|(key, server)| may_take(*key, server));
         in_need.fold(None, |room: Option<Room>, (_, server)| {
             let (limit, mut room) = (server.limit(), room.unwrap_or_default());
@@ -122,8 +129,10 @@
         NoSeat { why: IN_NEED, come_back: back.after, due: back.due }
     }
 
-    /// Asks peers for room for a request that would be refused here, where less comes to all daemons than the
-    /// servers in need take: then some have room that they don't use. Says whether it was given.
+    /// Asks other daemons for room for a request that would be refused here. Says whether it was given.
+    ///
+    /// Where few daemons hold the room of all, it is with them that there is some. Where each one does, some have
+    /// room that they don't use only where less comes to all than the servers in need take.
     pub(super) async fn borrow_room(
         &self,
         service: &Service,
@@ -132,15 +141,18 @@
         now: Instant,
     ) -> bool {
         let may_take = self.may_take(service, call, tried, now);
+        let daemons = self.budget().near().count();
         let (mut wanted, mut pace) = (Vec::new(), 0.0);
         for (key, server) in self.servers().in_need(&service.name) {
-            if may_take(key, server) {
-                wanted.extend(server.limit().may_lend().then_some(server.tag()));
+            let holders = server.limit().holders();
+            if holders > 0 && may_take(key, server) {
+                wanted.push(Wanted { server: server.tag(), holders });
                 pace += server.limit().pace();
             }
         }
-        let demand = self.budget().rate(&service.name, now);
-        let worth_asking = !wanted.is_empty() && demand <= pace;
+        let few_hold = wanted.iter().any(|wanted| wanted.holders < daemons);
+        let left_over = few_hold || self.budget().rate(&service.name, now) <= pace;
+        let worth_asking = !wanted.is_empty() && left_over;
         let Some(hearing) = self.hearing().filter(|_| worth_asking) else {
             return false;
         };
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,7 +1,7 @@
 //! What a daemon has heard of the others: who speaks, who is ready, what runs where, what is spent.
 
 use crate::gateway::beat::{Beat, Origin, Sum, Told};
-use crate::gateway::budget::Others;
+use crate::gateway::budget::{Near, Others};
 use crate::gateway::cell::{CellId, Layout, rank};
 use crate::gateway::clock::{Clock, Echo, before, micros, millis};
 use crate::gateway::partner::{Pace, Relation};
@@ -275,9 +275,15 @@
         entries
     }
 
-    /// Where the other daemons of this cell that are heard and ready are reached by daemons.
-    pub fn ready_near(&self, now: Instant) -> Vec<SocketAddr> {
-        self.near(now).filter(|p| p.ready).map(|p| p.daemon.peers).collect()
+    /// Where the other daemons of this cell that are heard and ready are reached by daemons, as far as they hold
+    /// room at a server, where `count` daemons of the cell do.
+    pub fn holders_near(&self, server: Tag, count: usize, now: Instant) -> Vec<SocketAddr> {
+        let mut all: Vec<(Tag, Option<&Peer>)> =
+            self.near(now).map(|p| (p.tag.with(server), Some(p))).collect();
+        all.push((self.tag.with(server), None));
+        all.sort_unstable_by_key(|(place, _)| *place);
+        let others = all.into_iter().take(count).filter_map(|(_, peer)| peer);
+        others.filter(|p| p.ready).map(|p| p.daemon.peers).collect()
     }
 
     /// Where callers may be sent in other cells and halls, as far as they are heard.
@@ -418,17 +424,21 @@
     /// many other daemons the store lists.
     pub fn spent(&self, listed: usize, now: Instant) -> Others {
         let mut spent = HashMap::new();
-        let mut heard = 0;
+        let mut near = Near { own: self.tag, ..Near::default() };
         for peer in self.near(now) {
-            heard += 1;
-            add(&mut spent, &peer.told.spent);
+            near.others.push(peer.tag);
+            add(&mut near.spent, &peer.told.spent);
+        }
+        let mut heard = near.others.len();
+        for (service, own) in &near.spent {
+            spent.insert(*service, *own);
         }
         for sum in self.distant(now) {
             heard += sum.daemons as usize;
             add(&mut spent, &sum.told.spent);
         }
         let lately = self.peers.values().filter(|p| since(p.heard, now) <= FORGOTTEN).count();
-        Others { daemons: listed.max(lately).max(heard), heard, spent }
+        Others { daemons: listed.max(lately).max(heard), heard, spent, near }
     }
 
     /// The share of all daemons that are of this hall and are heard through sums.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -140,7 +140,7 @@
     let mut total = 0;
     for _ in 0..daemons {
         let mut budget = RepeatBudget::new(BOUNDS, now);
-        let others = Others { daemons: daemons - 1, heard, spent: Default::default() };
+        let others = Others { daemons: daemons - 1, heard, ..Others::default() };
         budget.set_others(others);
         total += spend(&mut budget, &service, Repeat::Continuation, now);
     }
@@ -159,7 +159,8 @@
     let (now, service) = (Instant::now(), Arc::<str>::from("app"));
     let mut budget = RepeatBudget::new(BOUNDS, now);
     let spent = [(Tag::of("app"), Spent { requests: 0, repeats: 34 })];
-    budget.set_others(Others { daemons: 1, heard: 1, spent: spent.into() });
+    let spent = spent.into();
+    budget.set_others(Others { daemons: 1, heard: 1, spent, ..Others::default() });
     let own = spend(&mut budget, &service, Repeat::Continuation, now);
     assert!(own + 34 <= 50 && own <= 1, "{own}");
 }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -240,7 +240,12 @@
         (0..requests[i]).for_each(|_| own.request(&service, now));
         let told = heard.iter().map(|j| requests[*j]).sum();
         let spent = [(Tag::of(&service), Spent { requests: told, repeats: 0 })].into();
-        own.set_others(Others { daemons: requests.len() - 1, heard: heard.len(), spent });
+        own.set_others(Others {
+            daemons: requests.len() - 1,
+            heard: heard.len(),
+            spent,
+            ..Others::default()
+        });
         // Once what others have told is as old as what is counted here.
         own.part(&service, now + ms(1_000))
     };
--- a/tests/limits/play.rs
+++ b/tests/limits/play.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 use tidestair::gateway::beat::Told;
 use tidestair::gateway::budget::{BudgetBounds, RepeatBudget, Spent};
+use tidestair::gateway::cell::first_of_halls;
 use tidestair::gateway::cold::Rank;
-use tidestair::gateway::limit::{Limit, LimitWord, Share};
+use tidestair::gateway::limit::{CellShare, Limit, LimitWord, Share};
 use tidestair::gateway::servers::{Load, ServerKey, Servers};
 use tidestair::gateway::tag::Tag;
 
@@ -193,26 +194,48 @@
         let others = self.fleet.nodes[i].view.spent(listed - 1, now);
         let known = &mut self.known[i];
         known.budget.set_others(others);
-        let part = match self.way {
-            Way::Equal => 1.0 / listed as f64,
-            _ => known.budget.part(&Play::service(), now),
+        let budget = &mut known.budget;
+        let (part, cell_part) = match self.way {
+            Way::Equal => (1.0 / listed as f64, budget.near().count() as f64 / listed as f64),
+            _ => {
+                let service = Play::service();
+                (budget.part(&service, now), budget.cell_part(&service, now))
+            }
         };
         let rank = Rank { before: i, daemons: listed };
-        let share = |server: Tag| Share { part, phase: rank.phase(server) };
+        let near = budget.near();
+        let share = |server: Tag| {
+            let (daemons, place) = (near.count(), near.place(server));
+            let cell = CellShare { part: cell_part, daemons, place };
+            Share { part, phase: rank.phase(server), cell }
+        };
         known.servers.settle_limits(SERVICE, share, now);
     }
 
-    /// Asks some daemons of the same cell for room where less comes than the server takes.
+    /// Asks daemons that hold room for some of it, those of the same cell first.
     pub fn borrow(&mut self, i: usize, rate: f64, now: Instant) -> bool {
-        /// As many as daemons ask.
+        /// As many as daemons ask, in their cell and in other halls, and fleets up to which they do that.
         const ASKED: usize = 5;
-        if self.known[i].budget.rate(&Play::service(), now) > rate {
+        const ASKED_FAR: usize = 3;
+        const SHARING: usize = 64;
+        let known = &mut self.known[i];
+        let holders = known.limit().holders();
+        let all_hold = holders == known.budget.near().count();
+        let used_up = known.budget.rate(&Play::service(), now) > rate;
+        if self.way == Way::Equal || (all_hold && used_up) {
             return false;
         }
-        let mut near = self.fleet.nodes[i].view.ready_near(now);
+        let tag = known.servers.get(known.key).expect("it is listed").tag();
+        let node = &self.fleet.nodes[i];
+        let mut near = node.view.holders_near(tag, holders, now);
         near.sort_unstable();
         near.shuffle(&mut self.fleet.rng);
         near.truncate(ASKED);
+        if node.view.layout().divided && self.fleet.listed.len() <= SHARING {
+            let mut far = first_of_halls(&node.daemon, &self.fleet.listed, tag);
+            far.shuffle(&mut self.fleet.rng);
+            near.extend(far.into_iter().take(ASKED_FAR));
+        }
         let mut lenders: Vec<usize> = near.iter().map(|addr| self.fleet.at[addr]).collect();
         lenders.retain(|j| self.fleet.nodes[*j].alive);
         for lender in lenders {
