Answers' words about their server are read once, at the edge, and lines tell them

Sight, no decision changed: neither log nor metric told what an answer said of its server, so that the hypotheses (unread words, words that are forgotten, requests that were under way) could not be told apart.

Leaving, rest, limit and coldness are read in one module of the adapter into Remarks, from all answers (requests, reopened streams, health, reports, copies), and kept in the Condition of that start of the server. New: a line when an answer says that its server leaves or asks for rest, a line and a counter for each request that goes there all the same, with the time since it was told. The two questions that read a report are one now.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -194,12 +194,12 @@
         let left = self.call.left(now);
         let after = self.call.after;
         let sending = Sending { to: seat.place.to.clone(), left, from: None, after };
-        self.gateway.log_need(self.call, seat.key());
+        self.gateway.log_remarked(self.call, seat.key(), now);
         let reply = match self.gateway.wire.send(self.call, sending, proof).await {
             Ok(reply) => reply,
             Err(lost) => return self.lost(&seat, lost).await,
         };
-        self.gateway.hear_limit(seat.key(), &reply, now);
+        self.gateway.hear(seat.key(), &reply.remarks, now);
         let declared = || unrun.then(NotSent::declared);
         if reply.misdirected {
             self.gateway.servers().leaves(seat.key());
--- a/src/gateway/leg.rs
+++ b/src/gateway/leg.rs
@@ -62,10 +62,10 @@
 ) -> Result<Leg, String> {
     let now = time::now();
     gateway.note_knowledge(now);
-    gateway.log_need(call, server);
+    gateway.log_remarked(call, server, now);
     let sent = gateway.wire.send(call, sending, None).await;
     if let Ok(reply) = &sent {
-        gateway.hear_limit(server, reply, now);
+        gateway.hear(server, &reply.remarks, now);
     }
     match sent {
         Ok(reply) if reply.status.is_success() => Ok(Leg::new(reply.body)),
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -42,13 +42,14 @@
 const NEWS: f64 = 0.1;
 
 /// What an answer says of its server's limit.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum LimitWord {
     /// It names none.
     Free,
     /// Requests a second from all daemons together: zero or more, and finite.
     Rate(f64),
-    /// What it names is no such number, which changes nothing.
+    /// Nothing, or no such number, which changes nothing.
+    #[default]
     Unclear,
 }
 
--- a/src/gateway/lookout.rs
+++ b/src/gateway/lookout.rs
@@ -56,11 +56,13 @@
 
 /// Suspects a server that is not well.
 async fn check(gateway: &Gateway, server: &Watched, path: &str, now: Instant) {
-    match gateway.wire.health(server.to.addr, path, ROUND).await {
-        Ok(health) if health.well => gateway.servers().says_cold(server.key, health.cold, now),
-        Ok(_) => {
-            info!(server = &*server.to.id; "server is not well, it may leave");
-            gateway.servers().suspect(server.key, now);
+    match gateway.wire.health(&server.to, path, ROUND).await {
+        Ok(health) => {
+            gateway.hear(server.key, &health.remarks, now);
+            if !health.well {
+                info!(server = &*server.to.id; "server is not well, it may leave");
+                gateway.servers().suspect(server.key, now);
+            }
         }
         Err(why) => debug!(server = &*server.to.id; "no health: {why}"),
     }
@@ -69,17 +71,18 @@
 /// Asks a server for its report, which decides whether it leaves. `sure` says whether a report that does
 /// not tell of a leaving clears a suspected server.
 async fn ask(gateway: &Gateway, server: &Watched, sure: bool, now: Instant) {
-    match gateway.wire.is_leaving(server.to.addr, ROUND).await {
-        Ok(true) => {
-            info!(server = &*server.to.id; "server says that it leaves");
-            gateway.servers().leaves(server.key);
-            gateway.tell();
+    match gateway.wire.report(server.to.addr, ROUND).await {
+        Ok(report) => {
+            gateway.hear(server.key, &report.remarks, now);
+            if report.remarks.leaving {
+                info!(server = &*server.to.id; "server says that it leaves");
+                gateway.servers().leaves(server.key);
+                gateway.tell();
+            } else if sure {
+                info!(server = &*server.to.id; "server does not leave");
+                gateway.servers().trust(server.key, now);
+            }
         }
-        Ok(false) if sure => {
-            info!(server = &*server.to.id; "server does not leave");
-            gateway.servers().trust(server.key, now);
-        }
-        Ok(false) => {}
         Err(why) => debug!(server = &*server.to.id; "no report: {why}"),
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -39,6 +39,8 @@
     pub limited_servers: IntGauge,
     /// Requests sent to such servers.
     pub limited_sendings: IntCounter,
+    /// Requests sent to servers that had said that they leave or rest, by what they had said.
+    pub unheeded_sendings: IntCounterVec,
     /// Reads of the store, by outcome.
     pub store_reads: IntCounterVec,
     /// The store's revision of the configuration in force.
@@ -119,6 +121,12 @@
                 "tidestair_gateway_limited_sendings_total",
                 "Requests sent to backend servers that name how many they take",
             ),
+            unheeded_sendings: counters(
+                &r,
+                "tidestair_gateway_unheeded_sendings_total",
+                "Requests sent to backend servers that had said that they leave or rest",
+                &["said"],
+            ),
             store_reads: counters(
                 &r,
                 "tidestair_gateway_store_reads_total",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //!   reached, how exchanges with them went, and the choice among them
 //! - `halls`, [`cold`], [`regions`]: halls that are closed, servers that bear few requests yet, and the
 //!   regions that requests stay in
+//! - [`condition`], `remarks`: what servers say of themselves in their answers
 //! - [`limit`], `need`, [`promises`]: servers in need, which name how many requests they take, and callers who were told
 //!   to come back to them
 //! - [`admission`]: who is let in while engines are crowded
@@ -35,6 +36,7 @@
 pub mod clock;
 pub mod cluster;
 pub mod cold;
+pub mod condition;
 pub mod core;
 pub mod events;
 pub mod fingerprint;
@@ -61,6 +63,7 @@
 mod reach;
 pub mod regions;
 mod relay;
+mod remarks;
 pub mod request;
 pub mod roster;
 pub mod seat;
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -71,7 +71,7 @@
         let Some(mut seat) = gateway.seat_for_copy(&service, &call, &source, &refused, now) else {
             return Moved::Stays("no_server");
         };
-        let copier = Copier { gateway: &gateway, run: &call.id, from: source.to.addr, to: &seat };
+        let copier = Copier { gateway: &gateway, run: &call.id, from: &source, to: &seat };
         match copier.copy_until_quiet(noticed).await {
             Ok(copy) => {
                 seat.has_arrived();
@@ -86,7 +86,7 @@
         return Moved::Stays("no_repeat_left");
     }
     stopping.store(true, Ordering::Relaxed);
-    let copier = Copier { gateway: &gateway, run: &call.id, from: source.to.addr, to: &seat };
+    let copier = Copier { gateway: &gateway, run: &call.id, from: &source, to: &seat };
     let kept = |handle| KeptRun { server: source.to.addr, handle };
     match copier.copy(true).await {
         Ok(copied) => {
@@ -147,14 +147,15 @@
 struct Copier<'a> {
     gateway: &'a Arc<Gateway>,
     run: &'a str,
-    from: SocketAddr,
+    from: &'a Place,
     to: &'a Seat,
 }
 
 impl Copier<'_> {
     /// Copies while the run goes on, until a copy finds the links quiet or time is short.
     async fn copy_until_quiet(&self, noticed: Instant) -> Result<CopyAhead, NotCopied> {
-        let mut ahead = CopyAhead { gateway: self.gateway.clone(), from: self.from, handle: None };
+        let mut ahead =
+            CopyAhead { gateway: self.gateway.clone(), from: self.from.to.addr, handle: None };
         loop {
             let began = time::now();
             ahead.handle = Some(self.copy(false).await?.handle);
@@ -170,9 +171,10 @@
         let mut tries = 0;
         let copied = loop {
             tries += 1;
-            let copied =
-                self.gateway.wire.copy(self.from, self.run, self.to.place.to.addr, last).await;
-            match copied {
+            let (asked, target) = (time::now(), self.to.place.to.addr);
+            let answer = self.gateway.wire.copy(self.from.to.addr, self.run, target, last).await;
+            self.gateway.hear(self.from.key, &answer.remarks, asked);
+            match answer.outcome {
                 Err(NotCopied::Busy | NotCopied::NoRun) if tries < MOST_TRIES => sleep(AGAIN).await,
                 copied => break copied,
             }
--- a/src/gateway/need.rs
+++ b/src/gateway/need.rs
@@ -3,16 +3,13 @@
 
 use crate::gateway::admission::Standing;
 use crate::gateway::core::{Gateway, Wanted};
-use crate::gateway::limit::{CellShare, LimitWord, Share};
-use crate::gateway::port::Reply;
+use crate::gateway::limit::{CellShare, Share};
 use crate::gateway::promises::Room;
 use crate::gateway::request::Call;
 use crate::gateway::seat::NoSeat;
 use crate::gateway::servers::{Server, ServerKey, Servers};
 use crate::gateway::table::Service;
 use crate::gateway::tag::Tag;
-use crate::time;
-use log::info;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -26,37 +23,6 @@
 }
 
 impl Gateway {
-    /// Takes in what an answer to a request that was sent at `asked` says of its server's limit.
-    pub(crate) fn hear_limit(&self, server: ServerKey, reply: &Reply, asked: Instant) {
-        // Where another server answers at the address, its limit is its own; and one that declines a request
-        // without a word of its limit has not become well.
-        if reply.misdirected || (reply.declined && reply.limit == LimitWord::Free) {
-            return;
-        }
-        if !self.servers().says_limit(server, reply.limit, asked, time::now()) {
-            return;
-        }
-        self.metrics.limited_servers.set(self.servers().count_in_need() as i64);
-        let id = self.server_id(server).unwrap_or_default();
-        match reply.limit {
-            LimitWord::Rate(rate) => {
-                info!(server = &*id, per_second = rate; "server names a limit")
-            }
-            _ => info!(server = &*id; "server names no limit any more"),
-        }
-        self.tell();
-    }
-
-    /// Writes a line where a request goes to a server that named a limit.
-    pub(crate) fn log_need(&self, call: &Call, server: ServerKey) {
-        let limit = self.servers().get(server).and_then(|server| server.limit().rate());
-        if let Some(rate) = limit {
-            let id = self.server_id(server).unwrap_or_default();
-            info!(id = call.id.as_str(), server = &*id, per_second = rate; "sent to a server in need");
-            self.metrics.limited_sendings.inc();
-        }
-    }
-
     /// Room at the servers of a service that are in need and may take a request; `None` where there are none.
     pub(super) fn room_in_need(
         &self,
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -1,7 +1,7 @@
 //! What the gateway needs of its surroundings, as traits: an adapter translates each to what is
 //! spoken where the system runs.
 
-use crate::gateway::limit::LimitWord;
+use crate::gateway::condition::Remarks;
 use crate::gateway::request::{AnswerBody, Call};
 use crate::gateway::servers::ServerRecord;
 use crate::gateway::table::Table;
@@ -9,6 +9,7 @@
 use crate::platform::{Change, LeaseId, PlatformResult, Range};
 use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,8 +55,8 @@
     pub declined: bool,
     /// Whether another server has the address.
     pub misdirected: bool,
-    /// What it says of the server's limit.
-    pub limit: LimitWord,
+    /// What it says of its server.
+    pub remarks: Remarks,
     /// The body. Dropping it closes the connection, which ends the work at the server.
     pub body: AnswerBody,
 }
@@ -102,12 +103,30 @@
 }
 
 /// What a server's health check says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Health {
     /// Whether it is well.
     pub well: bool,
-    /// How long it stays cold.
-    pub cold: Duration,
+    /// What the answer says of its server.
+    pub remarks: Remarks,
+}
+
+/// What a server reports of itself, as of some hundred milliseconds ago.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Report {
+    /// What the answer says of its server, in its head or its body.
+    pub remarks: Remarks,
+    /// What it runs: the events that each run has made, by the request's id.
+    pub runs: HashMap<String, u64>,
+}
+
+/// The answer to a copy that was asked for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CopyAnswer {
+    /// What came of it.
+    pub outcome: Result<Copied, NotCopied>,
+    /// What the answer says of the run's server.
+    pub remarks: Remarks,
 }
 
 /// The way to backend servers.
@@ -127,32 +146,19 @@
         run: &'a str,
         target: SocketAddr,
         last: bool,
-    ) -> BoxFuture<'a, Result<Copied, NotCopied>>;
+    ) -> BoxFuture<'a, CopyAnswer>;
 
     /// Checks a server's health at `path`. It is not well when it is about to leave, and tells so
-    /// without the delay of a report; but it may be unwell, or be wrong, for other reasons.
+    /// without the delay of a report; but it may be unwell, or be wrong, for other reasons. An error where another server answers at the address.
     fn health<'a>(
         &'a self,
-        server: SocketAddr,
+        server: &'a Destination,
         path: &'a str,
         limit: Duration,
     ) -> BoxFuture<'a, Result<Health, String>>;
 
-    /// Asks a server whether it is about to leave. Its report is some hundred milliseconds old.
-    fn is_leaving(
-        &self,
-        server: SocketAddr,
-        limit: Duration,
-    ) -> BoxFuture<'_, Result<bool, String>>;
-
-    /// Asks a server how many events a run has made, as of some hundred milliseconds ago; `None` where
-    /// it runs no such request.
-    fn progress<'a>(
-        &'a self,
-        server: SocketAddr,
-        run: &'a str,
-        limit: Duration,
-    ) -> BoxFuture<'a, Result<Option<u64>, String>>;
+    /// Asks a server for its report.
+    fn report(&self, server: SocketAddr, limit: Duration) -> BoxFuture<'_, Result<Report, String>>;
 
     /// Whether nothing listens at a server's address any more, as seen within `limit`.
     fn is_gone(&self, server: SocketAddr, limit: Duration) -> BoxFuture<'_, bool>;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -283,8 +283,12 @@
     /// silent. A run that makes nothing, as one that waits for memory, stays where it is.
     async fn goes_on_unheard(&mut self) -> bool {
         let (server, run) = (self.seat.place.to.addr, self.call.id.as_str());
-        let made = match self.gateway.wire.progress(server, run, LOOK_LIMIT).await {
-            Ok(made) => made,
+        let asked = time::now();
+        let made = match self.gateway.wire.report(server, LOOK_LIMIT).await {
+            Ok(report) => {
+                self.gateway.hear(self.seat.key(), &report.remarks, asked);
+                report.runs.get(run).copied()
+            }
             Err(why) => {
                 info!(id = run, server = self.seat.id(), why = why.as_str(); "silent stream, no report");
                 None
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,6 +1,7 @@
 //! One backend server as this daemon knows it.
 
-use crate::gateway::cold::{Cold, Sendings, WarmUp};
+use crate::gateway::cold::{Sendings, WarmUp};
+use crate::gateway::condition::Condition;
 use crate::gateway::limit::Limit;
 use crate::gateway::outcomes::{Fading, Outcomes};
 use crate::gateway::port::Destination;
@@ -118,20 +119,18 @@
     pub(super) suspected: Option<Instant>,
     /// When it was last found not to leave although its health check said it was not well.
     pub(super) cleared: Option<Instant>,
-    /// Whether it is cold, as far as known.
-    pub(super) cold: Cold,
+    /// What it has said of itself.
+    pub(super) condition: Condition,
     /// What this daemon sent it lately while it was cold.
     pub(super) sendings: Sendings,
-    /// What it takes from all daemons together, and what this one may send.
-    pub(super) limit: Limit,
 }
 
 impl Server {
     pub(super) fn new(record: ServerRecord, now: Instant) -> Server {
         let leaving = watch::Sender::new(record.leaving);
         let tag = record.tag();
-        let mut cold = Cold::default();
-        cold.told(record.cold, now);
+        let mut condition = Condition::default();
+        condition.cold.told(record.cold, now);
         let none = Load::default();
         let (own, others) = (none, none);
         Server {
@@ -147,9 +146,8 @@
             reach: Reach::default(),
             suspected: None,
             cleared: None,
-            cold,
+            condition,
             sendings: Sendings::default(),
-            limit: Limit::default(),
         }
     }
 
@@ -170,7 +168,7 @@
 
     /// Whether it is cold, or may be, where servers of its service warm up like that.
     pub fn is_cold(&self, warm_up: WarmUp, now: Instant) -> bool {
-        self.cold.holds(warm_up, now)
+        self.condition.cold.holds(warm_up, now)
     }
 
     /// Requests that this daemon sent it while it was cold, within the last second.
@@ -180,7 +178,7 @@
 
     /// What it takes from all daemons together, and what this one may send.
     pub fn limit(&self) -> &Limit {
-        &self.limit
+        &self.condition.limit
     }
 
     /// Tells when the server is about to leave.
@@ -219,7 +217,7 @@
             || self.others_outcomes.matter()
             || self.leaves_untold()
             || self.reach.told(now).is_some()
-            || self.limit.told(now).is_some()
+            || self.condition.limit.told(now).is_some()
     }
 
     /// It leaves, which is never taken back.
@@ -248,7 +246,7 @@
         if record.leaving {
             self.leaves();
         }
-        self.cold.told(record.cold, now);
+        self.condition.cold.told(record.cold, now);
         self.named = true;
         self.record = record;
     }
@@ -256,7 +254,7 @@
     pub(super) fn judge(&mut self, failed: bool, now: Instant) {
         if !failed {
             self.reach.hit();
-            self.cold.reached(now);
+            self.condition.cold.reached(now);
         }
         self.outcomes.note(failed, now);
     }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -2,6 +2,7 @@
 //! halls are to get nothing, and which servers are cold.
 
 mod limits;
+mod remarks;
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::halls::Halls;
@@ -16,6 +17,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+pub use remarks::News;
+
 slotmap::new_key_type! {
     /// A backend server in this process's arena.
     pub struct ServerKey;
@@ -165,7 +168,7 @@
             return;
         }
         for server in self.arena.values_mut().filter(|s| s.record.hall == hall) {
-            server.cold.started(now);
+            server.condition.cold.started(now);
         }
     }
 
@@ -207,18 +210,11 @@
     pub fn not_reached(&mut self, key: ServerKey, refused: bool, now: Instant) {
         if let Some(server) = self.arena.get_mut(key) {
             server.reach.miss(refused, now);
-            server.cold.missed();
+            server.condition.cold.missed();
             self.noted.insert(key);
         }
     }
 
-    /// The server says itself how long it stays cold.
-    pub fn says_cold(&mut self, key: ServerKey, left: Duration, now: Instant) {
-        if let Some(server) = self.arena.get_mut(key) {
-            server.cold.told(left, now);
-        }
-    }
-
     /// Notes that a request goes to a server that is cold.
     pub fn sends_cold(&mut self, key: ServerKey, now: Instant) {
         if let Some(server) = self.arena.get_mut(key) {
@@ -234,7 +230,7 @@
             let left = s.reach.told(now)?;
             Some((s.tag, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
         });
-        let limits = self.noted().filter_map(|(_, s)| Some((s.tag, s.limit.told(now)?)));
+        let limits = self.noted().filter_map(|(_, s)| Some((s.tag, s.condition.limit.told(now)?)));
         Signs { leaving: leaving.collect(), refusing: refusing.collect(), limits: limits.collect() }
     }
 
--- a/src/gateway/servers/limits.rs
+++ b/src/gateway/servers/limits.rs
@@ -25,8 +25,8 @@
             return false;
         };
         let is_news = match word {
-            LimitWord::Free => server.limit.hear(None, asked, now),
-            LimitWord::Rate(rate) => server.limit.hear(Some(rate), now, now),
+            LimitWord::Free => server.condition.limit.hear(None, asked, now),
+            LimitWord::Rate(rate) => server.condition.limit.hear(Some(rate), now, now),
             LimitWord::Unclear => false,
         };
         self.note_limit(key, now);
@@ -35,7 +35,7 @@
 
     /// Notes whether a server names a limit, and that others are to be told of it.
     fn note_limit(&mut self, key: ServerKey, now: Instant) {
-        let limit = &self.arena[key].limit;
+        let limit = &self.arena[key].condition.limit;
         if limit.told(now).is_some() {
             self.noted.insert(key);
         }
@@ -59,28 +59,28 @@
         let keys: Vec<ServerKey> = self.in_need(service).map(|(key, _)| key).collect();
         for key in keys {
             let server = &mut self.arena[key];
-            server.limit.settle(share(server.tag), now);
+            server.condition.limit.settle(share(server.tag), now);
         }
     }
 
     /// Notes that a request goes to a server, in case it is in need.
     pub fn takes_room(&mut self, key: ServerKey) {
         if let Some(server) = self.arena.get_mut(key) {
-            server.limit.take();
+            server.condition.limit.take();
         }
     }
 
     /// Notes that a request does not go to a server after all.
     pub fn gives_room_back(&mut self, key: ServerKey) {
         if let Some(server) = self.arena.get_mut(key) {
-            server.limit.give_back();
+            server.condition.limit.give_back();
         }
     }
 
     /// Gives room for one request at one of these servers to another daemon, where this one has some.
     pub fn lend(&mut self, wanted: &[Tag]) -> Option<Tag> {
         let has_room = |key: &ServerKey| {
-            let limit = &self.arena[*key].limit;
+            let limit = &self.arena[*key].condition.limit;
             limit.may_lend() && limit.room().is_some_and(|room| room >= 1.0)
         };
         let mut known = wanted.iter().filter_map(|tag| self.by_tag.get(tag).copied());
@@ -110,7 +110,7 @@
             let Some(said) = before(sent, told.age_ms) else {
                 continue;
             };
-            if server.limit.hear(told.rate, said, now) {
+            if server.condition.limit.hear(told.rate, said, now) {
                 info!(server = &*server.record.id, per_second = told.rate; "a peer says what a server takes");
             }
             self.note_limit(key, now);
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -8,6 +8,7 @@
 use servers::add_server;
 use std::time::{Duration, Instant};
 use tidestair::gateway::cold::{ColdBounds, Rank, WarmUp};
+use tidestair::gateway::condition::Remarks;
 use tidestair::gateway::servers::{Load, ServerKey, Servers};
 use tidestair::gateway::tag::Tag;
 
@@ -94,12 +95,17 @@
     }
 }
 
+/// An answer whose server says that it stays cold for so long.
+fn cold_for(time: Duration) -> Remarks {
+    Remarks { cold: Some(time), ..Remarks::default() }
+}
+
 #[test]
 fn a_server_is_cold_for_as_long_as_it_says() {
     let (mut servers, key) = one_server();
     let now = Instant::now();
     assert!(!is_cold(&servers, key, now));
-    servers.says_cold(key, ms(700), now);
+    servers.hear(key, &cold_for(ms(700)), now, now);
     assert!(is_cold(&servers, key, now + ms(699)));
     assert!(!is_cold(&servers, key, now + ms(701)));
 }
@@ -120,6 +126,6 @@
     let (mut servers, key) = one_server();
     let now = Instant::now();
     servers.not_reached(key, true, now);
-    servers.says_cold(key, ms(700), now);
+    servers.hear(key, &cold_for(ms(700)), now, now);
     assert!(!servers.get(key).unwrap().is_cold(WarmUp::default(), now));
 }
--- a/tests/mirror/stand_ins.rs
+++ b/tests/mirror/stand_ins.rs
@@ -3,8 +3,10 @@
 use futures_util::future::BoxFuture;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tidestair::gateway::condition::Remarks;
 use tidestair::gateway::port::{
-    Copied, Health, Lost, NotCopied, Reply, Schema, Sending, Undecodable, Wire,
+    CopyAnswer, Destination, Health, Lost, NotCopied, Reply, Report, Schema, Sending, Undecodable,
+    Wire,
 };
 use tidestair::gateway::request::Call;
 use tidestair::gateway::servers::ServerRecord;
@@ -32,30 +34,22 @@
         _: &'a str,
         _: SocketAddr,
         _: bool,
-    ) -> BoxFuture<'a, Result<Copied, NotCopied>> {
-        Box::pin(async { Err(NotCopied::NoRun) })
+    ) -> BoxFuture<'a, CopyAnswer> {
+        let answer = CopyAnswer { outcome: Err(NotCopied::NoRun), remarks: Remarks::default() };
+        Box::pin(async { answer })
     }
 
     fn health<'a>(
         &'a self,
-        _: SocketAddr,
+        _: &'a Destination,
         _: &'a str,
         _: Duration,
     ) -> BoxFuture<'a, Result<Health, String>> {
-        Box::pin(async { Ok(Health { well: true, cold: Duration::ZERO }) })
-    }
-
-    fn is_leaving(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<bool, String>> {
-        Box::pin(async { Ok(false) })
+        Box::pin(async { Ok(Health { well: true, remarks: Remarks::default() }) })
     }
 
-    fn progress<'a>(
-        &'a self,
-        _: SocketAddr,
-        _: &'a str,
-        _: Duration,
-    ) -> BoxFuture<'a, Result<Option<u64>, String>> {
-        Box::pin(async { Ok(None) })
+    fn report(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<Report, String>> {
+        Box::pin(async { Ok(Report::default()) })
     }
 
     fn is_gone(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, bool> {
