--- /dev/null
+++ b/tests/remarks.rs
@@ -0,0 +1,31 @@
+//! What servers say of themselves is kept for as long as that start of them may serve.
+
+#[path = "common/servers.rs"]
+mod servers;
+
+use servers::add_server;
+use std::time::{Duration, Instant};
+use tidestair::gateway::condition::Remarks;
+use tidestair::gateway::limit::LimitWord;
+use tidestair::gateway::servers::{Load, ServerKey, Servers};
+
+const LEAVES: Remarks =
+    Remarks { leaving: true, rest: None, limit: LimitWord::Unclear, cold: None };
+
+/// A server on which this daemon has no runs.
+fn idle_server(servers: &mut Servers) -> ServerKey {
+    add_server(servers, 1, "here", Load::default())
+}
+
+/// While the store is away, entries of servers lapse and come back: as ready, where a server could not write since
+/// it said that it leaves.
+#[test]
+fn what_a_server_said_outlasts_its_entry_in_the_store() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    let key = idle_server(&mut servers);
+    let record = servers.get(key).unwrap().record.clone();
+    servers.hear(key, &LEAVES, now, now);
+    servers.remove(&record.id);
+    servers.upsert(record, now + Duration::from_secs(20));
+    assert_eq!(servers.open("model").count(), 0, "it leaves as it did before");
+}
