A server whose answer says that it leaves gets nothing new, from any daemon

What callers saw: requests went on to a server for up to 4.3 s after a VM had passed on its word that it leaves, and were cut there (504).

Cause: a leaving was learnt from the store, a report or a misdirected request only; the word in answers was passed on to the caller and read by nobody.

The word now counts as any other notice does, from every answer, reports, health checks and copies included: no new work, runs move, peers hear at once. It is one start's, and never taken back by answers that were under way, by a suspicion that proves wrong, or by the store's older entry.

Ruled out by the tests: requests under way, a silent store as the only cause.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -202,7 +202,7 @@
         self.gateway.hear(seat.key(), &reply.remarks, now);
         let declared = || unrun.then(NotSent::declared);
         if reply.misdirected {
-            self.gateway.servers().leaves(seat.key());
+            self.gateway.servers().leaves(seat.key(), time::now());
             return Sent::NotRun(declared(), "replaced");
         }
         if reply.declined && matches!(reply.status.as_u16(), 408 | 429 | 503) {
--- a/src/gateway/lookout.rs
+++ b/src/gateway/lookout.rs
@@ -74,11 +74,7 @@
     match gateway.wire.report(server.to.addr, ROUND).await {
         Ok(report) => {
             gateway.hear(server.key, &report.remarks, now);
-            if report.remarks.leaving {
-                info!(server = &*server.to.id; "server says that it leaves");
-                gateway.servers().leaves(server.key);
-                gateway.tell();
-            } else if sure {
+            if sure && !report.remarks.leaving {
                 info!(server = &*server.to.id; "server does not leave");
                 gateway.servers().trust(server.key, now);
             }
--- a/src/gateway/remarks.rs
+++ b/src/gateway/remarks.rs
@@ -16,7 +16,9 @@
         let news = self.servers().hear(server, remarks, asked, now);
         let id = self.server_id(server).unwrap_or_default();
         if news.leaves {
-            info!(server = &*id; "answer says that its server leaves");
+            // The store may say so much later, or never, and every daemon sends requests there until it knows.
+            info!(server = &*id; "server says that it leaves");
+            self.tell();
         }
         if let Some(rest) = remarks.rest.filter(|_| news.rests) {
             let ms = rest.as_millis() as u64;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -131,6 +131,9 @@
         let tag = record.tag();
         let mut condition = Condition::default();
         condition.cold.told(record.cold, now);
+        if record.leaving {
+            condition.leaves(now);
+        }
         let none = Load::default();
         let (own, others) = (none, none);
         Server {
@@ -220,11 +223,12 @@
             || self.condition.limit.told(now).is_some()
     }
 
-    /// It leaves, which is never taken back.
-    pub(super) fn leaves(&mut self) {
+    /// It leaves, which is never taken back. Says whether that is new.
+    pub(super) fn leaves(&mut self, now: Instant) -> bool {
         self.suspected = None;
         self.unlisted = false;
         self.leaving.send_replace(true);
+        self.condition.leaves(now)
     }
 
     /// The store no longer lists it: it may serve on for a while, or have gone.
@@ -244,7 +248,7 @@
     /// Takes in what the store says of the same start of it.
     pub(super) fn update(&mut self, record: ServerRecord, now: Instant) {
         if record.leaving {
-            self.leaves();
+            self.leaves(now);
         }
         self.condition.cold.told(record.cold, now);
         self.named = true;
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -180,12 +180,13 @@
     }
 
     /// The server is about to leave or has gone, by its own word or because another one answers at
-    /// its address.
-    pub fn leaves(&mut self, key: ServerKey) {
-        if let Some(server) = self.arena.get_mut(key) {
-            server.leaves();
-            self.noted.insert(key);
-        }
+    /// its address. Says whether that is new.
+    pub fn leaves(&mut self, key: ServerKey, now: Instant) -> bool {
+        let Some(server) = self.arena.get_mut(key) else {
+            return false;
+        };
+        self.noted.insert(key);
+        server.leaves(now)
     }
 
     /// The server is not well, which it is as well when it is about to leave: it is treated as
@@ -241,7 +242,7 @@
         for tag in &signs.leaving {
             if let Some((key, server)) = self.unsure(*tag) {
                 leaving.push(server.record.id.to_string());
-                server.leaves();
+                server.leaves(now);
                 self.noted.insert(key);
             }
         }
--- a/src/gateway/servers/remarks.rs
+++ b/src/gateway/servers/remarks.rs
@@ -25,6 +25,7 @@
         now: Instant,
     ) -> News {
         let limit = self.says_limit(key, remarks.limit, asked, now);
+        let leaves = remarks.leaving && self.leaves(key, now);
         let Some(server) = self.arena.get_mut(key) else {
             return News::default();
         };
@@ -32,7 +33,6 @@
         if let Some(left) = remarks.cold {
             condition.cold.told(left, now);
         }
-        let leaves = remarks.leaving && condition.leaves(now);
         let rests = remarks.rest.is_some_and(|time| condition.rests(time, now));
         News { leaves, rests, limit }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -331,7 +331,7 @@
 fn a_leaving_that_the_store_does_not_tell_is_told_to_peers() {
     let now = Instant::now();
     let (mut told, mut hears) = (one_server(now), one_server(now));
-    told.leaves(told.find("i-1").unwrap());
+    told.leaves(told.find("i-1").unwrap(), now);
     assert_eq!(told.signs(now).leaving, [Tag::of("i-1")]);
     hears.take_signs(&told.signs(now), Some(now), now);
     assert_eq!(hears.open("app").count(), 0);
--- a/tests/remarks.rs
+++ b/tests/remarks.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 use tidestair::gateway::condition::Remarks;
 use tidestair::gateway::limit::LimitWord;
-use tidestair::gateway::servers::{Load, ServerKey, Servers};
+use tidestair::gateway::servers::{Load, ServerKey, ServerRecord, Servers};
 
 const LEAVES: Remarks =
     Remarks { leaving: true, rest: None, limit: LimitWord::Unclear, cold: None };
@@ -29,3 +29,32 @@
     servers.upsert(record, now + Duration::from_secs(20));
     assert_eq!(servers.open("model").count(), 0, "it leaves as it did before");
 }
+
+/// Requests that were under way when it was said, and answers that say nothing of it, change nothing.
+#[test]
+fn that_a_server_leaves_is_never_taken_back() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    let key = idle_server(&mut servers);
+    let record = servers.get(key).unwrap().record.clone();
+    assert!(servers.hear(key, &LEAVES, now, now).leaves);
+    assert!(!servers.hear(key, &LEAVES, now, now).leaves, "it is known");
+    let free = Remarks { limit: LimitWord::Free, ..Remarks::default() };
+    servers.hear(key, &free, now, now + Duration::from_secs(3));
+    servers.suspect(key, now);
+    servers.trust(key, now);
+    servers.upsert(record, now + Duration::from_secs(4));
+    assert_eq!(servers.open("model").count(), 0);
+}
+
+#[test]
+fn a_later_start_under_the_same_id_has_said_nothing() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    let key = idle_server(&mut servers);
+    let record = servers.get(key).unwrap().record.clone();
+    servers.hear(key, &LEAVES, now, now);
+    servers.upsert(ServerRecord { born: Some(7), ..record }, now);
+    assert_eq!(servers.open("model").count(), 1);
+    // An answer of the start before, long on its way.
+    servers.hear(key, &LEAVES, now, now + Duration::from_secs(5));
+    assert_eq!(servers.open("model").count(), 1);
+}
