What a server said of itself outlasts its entry in the store

What callers would have seen: requests to a server that leaves, again, once its entry lapsed and came back. Entries lapse while the store is away or a server cannot write, and come back as ready where it could not write since.

Cause: what a daemon knows of a server lay with the server's record, and went with it unless the daemon had runs there. The same for a limit: none was known, and none was told, until the next answer.

What was said is kept for that start (its id and moment of start) while it is not listed, up to 8,192 starts, and taken up again with it; peers are told again.

Weighed: to keep it by time needs the present moment where entries go and runs end, and a time that is longer than any silence of the store; a count is bounded without one.

--- a/src/gateway/condition.rs
+++ b/src/gateway/condition.rs
@@ -63,6 +63,11 @@
         is_longer
     }
 
+    /// Whether it has said anything that outlasts the store's entry of it.
+    pub(super) fn says_anything(&self) -> bool {
+        self.leaving.is_some() || self.rest.is_some() || self.limit.rate().is_some()
+    }
+
     /// Since when it is known to leave by its own word.
     pub fn leaving(&self) -> Option<Instant> {
         self.leaving
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -245,6 +245,15 @@
         }
     }
 
+    /// It was listed before, and what it said of itself then still holds.
+    pub(super) fn resume(&mut self, condition: Condition, now: Instant) {
+        self.condition = condition;
+        self.condition.cold.told(self.record.cold, now);
+        if self.record.leaving || condition.leaving().is_some() {
+            self.leaves(now);
+        }
+    }
+
     /// Takes in what the store says of the same start of it.
     pub(super) fn update(&mut self, record: ServerRecord, now: Instant) {
         if record.leaving {
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -2,6 +2,7 @@
 //! halls are to get nothing, and which servers are cold.
 
 mod limits;
+mod past;
 mod remarks;
 
 use crate::gateway::fingerprint::Fingerprint;
@@ -17,6 +18,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use past::Past;
 pub use remarks::News;
 
 slotmap::new_key_type! {
@@ -76,6 +78,7 @@
     unlisted: Vec<ServerKey>,
     /// Servers that name a limit.
     in_need: HashSet<ServerKey>,
+    past: Past,
     halls: Halls,
 }
 
@@ -105,11 +108,26 @@
                 self.arena[key].update(record, now);
                 key
             }
-            None => self.insert(Server::new(record, now)),
+            None => self.insert_again(record, now),
         };
         self.by_id.insert(id, key);
     }
 
+    /// Inserts a start of a server, with what it said of itself where it was listed before.
+    fn insert_again(&mut self, record: ServerRecord, now: Instant) -> ServerKey {
+        let mut server = Server::new(record, now);
+        let past = self.past.take(server.tag);
+        if let Some(condition) = past {
+            server.resume(condition, now);
+        }
+        let key = self.insert(server);
+        if past.is_some() {
+            self.noted.insert(key);
+            self.note_limit(key, now);
+        }
+        key
+    }
+
     fn insert(&mut self, server: Server) -> ServerKey {
         let tag = server.tag;
         let key = self.arena.insert(server);
@@ -122,6 +140,7 @@
             self.by_tag.remove(&server.tag);
             self.noted.remove(&key);
             self.in_need.remove(&key);
+            self.past.keep(server.tag, server.condition);
         }
     }
 
--- a/src/gateway/servers/limits.rs
+++ b/src/gateway/servers/limits.rs
@@ -34,7 +34,7 @@
     }
 
     /// Notes whether a server names a limit, and that others are to be told of it.
-    fn note_limit(&mut self, key: ServerKey, now: Instant) {
+    pub(super) fn note_limit(&mut self, key: ServerKey, now: Instant) {
         let limit = &self.arena[key].condition.limit;
         if limit.told(now).is_some() {
             self.noted.insert(key);
--- a/tests/remarks.rs
+++ b/tests/remarks.rs
@@ -28,6 +28,25 @@
     servers.remove(&record.id);
     servers.upsert(record, now + Duration::from_secs(20));
     assert_eq!(servers.open("model").count(), 0, "it leaves as it did before");
+    assert_eq!(servers.signs(now).leaving.len(), 1, "and others may have to be told again");
+}
+
+/// What an answer said while the entry had lapsed, and what was said of a limit, holds as well.
+#[test]
+fn what_is_said_while_an_entry_has_lapsed_outlasts_that_too() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    let running = Load { runs: 1, ..Load::default() };
+    let key = add_server(&mut servers, 1, "here", running);
+    let record = servers.get(key).unwrap().record.clone();
+    servers.remove(&record.id);
+    // A request that was under way there.
+    servers.hear(key, &LEAVES, now, now);
+    let limited = Remarks { limit: LimitWord::Rate(2.0), ..Remarks::default() };
+    servers.hear(key, &limited, now, now);
+    servers.end(key, running);
+    servers.upsert(record, now);
+    assert_eq!(servers.open("model").count(), 0);
+    assert_eq!(servers.count_in_need(), 1);
 }
 
 /// Requests that were under way when it was said, and answers that say nothing of it, change nothing.
