A server that asks a daemon for rest gets nothing of it until that is over

What callers saw: a server that turned each request away and asked for 3 s of rest got 8 to 15 more from each VM within it. Being idle it was chosen most often; what it turned away was sent again elsewhere, used up the shared budget for repeats (98 requests ended with no_repeat_left), and 42 of 141 were refused.

Cause: Retry-After of a refusal was dropped with it. The refusal told only that this request had not run, nothing of the ones to come.

A 503 of the server's own with a decimal number of seconds now keeps all of this daemon's requests, questions and continued runs from that start of it until the longest rest that it asked for is over; copies of runs away from it go on. Other daemons are not bound. Others take the requests; where all servers rest, callers are refused at once and told when the first has rested, some of them up to 0.3 s later, since an idle server would turn most away that come together.

Weighed: to pass it over only while others take requests breaks the rest where all rest, and to send what is under way all the same is allowed for two requests only, which runs of several callers would pass.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -230,12 +230,14 @@
         drop(view);
         // What was not told again in time no longer counts.
         self.unheard.store(true, Ordering::Release);
-        let in_need = {
+        let (in_need, resting) = {
             let mut servers = self.gateway.servers();
             servers.tidy(now);
-            servers.count_in_need()
+            (servers.count_in_need(), servers.count_resting())
         };
-        self.gateway.metrics.limited_servers.set(in_need as i64);
+        let metrics = self.metrics();
+        metrics.limited_servers.set(in_need as i64);
+        metrics.resting_servers.set(resting as i64);
     }
 
     /// Daemons that this one sends heartbeats to.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -151,7 +151,8 @@
         }
         let arrived = self.tried.len() - self.unreached;
         if arrived >= MOST_SENDINGS || self.unreached >= MOST_UNREACHED {
-            return Err("servers_refuse".into());
+            let (servers, why) = (self.gateway.servers(), "servers_refuse".into());
+            return Err(self.gateway.after_rest(why, &servers, &self.service, self.call, now));
         }
         // Only what arrives at a server beyond the first time counts as a repeat.
         match arrived {
--- a/src/gateway/lookout.rs
+++ b/src/gateway/lookout.rs
@@ -34,7 +34,7 @@
         sleep(ROUND).await;
         let now = time::now();
         let late = gateway.in_force.age(now).is_some_and(|age| age > STORE_LATE);
-        let watched = gateway.servers().watched();
+        let watched = gateway.servers().watched(now);
         for server in watched.into_iter().filter(|w| late || w.suspected.is_some()) {
             tokio::spawn(look(gateway.clone(), server, now));
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -39,6 +39,8 @@
     pub limited_servers: IntGauge,
     /// Requests sent to such servers.
     pub limited_sendings: IntCounter,
+    /// Servers that rest.
+    pub resting_servers: IntGauge,
     /// Requests sent to servers that had said that they leave or rest, by what they had said.
     pub unheeded_sendings: IntCounterVec,
     /// Reads of the store, by outcome.
@@ -121,6 +123,11 @@
                 "tidestair_gateway_limited_sendings_total",
                 "Requests sent to backend servers that name how many they take",
             ),
+            resting_servers: gauge(
+                &r,
+                "tidestair_gateway_resting_servers",
+                "Backend servers that have asked this daemon for rest",
+            ),
             unheeded_sendings: counters(
                 &r,
                 "tidestair_gateway_unheeded_sendings_total",
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -81,6 +81,10 @@
             Err(_) => return Moved::Stays("copy_refused"),
         }
     };
+    // Copies may have taken a second, and a run that has stopped must go on somewhere.
+    if !gateway.servers().may_follow(seat.key(), time::now()) {
+        return Moved::Stays("target_rests");
+    }
     // Only what goes on elsewhere is a repeat, and other runs may have spent the last one meanwhile.
     if !gateway.take_repeat(&service.name, Repeat::Continuation, time::now()) {
         return Moved::Stays("no_repeat_left");
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -282,6 +282,11 @@
     /// Whether a run whose stream is silent goes on at its server: then it is the connection that is
     /// silent. A run that makes nothing, as one that waits for memory, stays where it is.
     async fn goes_on_unheard(&mut self) -> bool {
+        let now = time::now();
+        if self.gateway.servers().is_resting(self.seat.key(), now) {
+            self.looked = Some(Looked { at: now, made: None });
+            return false;
+        }
         let (server, run) = (self.seat.place.to.addr, self.call.id.as_str());
         let asked = time::now();
         let made = match self.gateway.wire.report(server, LOOK_LIMIT).await {
@@ -365,11 +370,12 @@
         if !elsewhere {
             self.gateway.servers().takes_room(key);
         }
-        // Nothing more is sent to a hall that was closed a while ago, not even what ran there.
+        // Nothing more is sent to a hall that was closed a while ago or to a server that rests, not even what ran
+        // there.
         let may_follow = self.gateway.servers().may_follow(key, now);
         let reopened = match may_follow {
             true => reopen(&self.gateway, &self.call, key, sending).await,
-            false => Err("its hall is closed".into()),
+            false => Err("its hall is closed, or it rests".into()),
         };
         let why = match reopened {
             Ok(leg) => {
--- a/src/gateway/remarks.rs
+++ b/src/gateway/remarks.rs
@@ -3,11 +3,19 @@
 use crate::gateway::condition::Remarks;
 use crate::gateway::core::Gateway;
 use crate::gateway::limit::LimitWord;
+use crate::gateway::need::IN_NEED;
 use crate::gateway::request::Call;
-use crate::gateway::servers::ServerKey;
+use crate::gateway::seat::NoSeat;
+use crate::gateway::servers::{Rested, Server, ServerKey, Servers};
+use crate::gateway::table::Service;
 use crate::time;
 use log::info;
-use std::time::Instant;
+use rand::RngExt;
+use std::time::{Duration, Instant};
+
+/// Time within which callers come back who were refused because all servers rest, from the end of the first rest
+/// on. At that moment the server is idle, and would turn most of them away again if they came together.
+const AFTER_REST: Duration = Duration::from_millis(300);
 
 impl Gateway {
     /// Takes in what an answer to something that was sent at `asked` says of its server.
@@ -21,8 +29,7 @@
             self.tell();
         }
         if let Some(rest) = remarks.rest.filter(|_| news.rests) {
-            let ms = rest.as_millis() as u64;
-            info!(server = &*id, ms = ms; "server asks for rest");
+            info!(server = &*id, ms = rest.as_millis() as u64; "server asks for rest");
         }
         if news.limit {
             self.metrics.limited_servers.set(self.servers().count_in_need() as i64);
@@ -36,6 +43,30 @@
         }
     }
 
+    /// Why a request gets no seat, with the time at which one of the servers that rest takes requests of this daemon
+    /// again: its caller is not to come back sooner where all rest, nor later where the others have no room.
+    pub(super) fn after_rest(
+        &self,
+        why: NoSeat,
+        servers: &Servers,
+        service: &Service,
+        call: &Call,
+        now: Instant,
+    ) -> NoSeat {
+        let allowed = self.allowed(call);
+        let may_serve = |server: &Server| allowed.has(&server.record.hall);
+        let Some(Rested { first: Some(left), all }) = servers.rested(&service.name, may_serve, now)
+        else {
+            return why;
+        };
+        // Those who are refused within a rest come back one after the other.
+        let come_back = left + rand::rng().random_range(Duration::ZERO..AFTER_REST);
+        match all || (why.why == IN_NEED && come_back < why.come_back) {
+            true => NoSeat { come_back, due: None, ..why },
+            false => why,
+        }
+    }
+
     /// Writes a line where a request goes to a server that has said something of itself.
     pub(crate) fn log_remarked(&self, call: &Call, server: ServerKey, now: Instant) {
         let Some((id, condition)) =
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -146,8 +146,8 @@
         server.cold_sendings(now) < rank.share(server.tag(), service.warm_up, bounds)
     }
 
-    /// Whether a server may take a request, whatever it names: it is not among those that were tried, the
-    /// request may go to its hall, and it bears one more.
+    /// Whether a server may take a request, whatever limit it names: it is not among those that were tried, the
+    /// request may go to its hall, it doesn't rest, and it bears one more.
     pub(super) fn may_take<'a>(
         &'a self,
         service: &'a Service,
@@ -159,6 +159,7 @@
         move |key, server| {
             !except.contains(&key)
                 && allowed.has(&server.record.hall)
+                && !server.is_resting(now)
                 && self.bears(service, server, now)
         }
     }
@@ -268,7 +269,8 @@
         let chosen = self.placing.choose(&candidates, need, now, &mut rand::rng());
         let Some(key) = chosen else {
             let in_need = room.map(|room| self.no_room(room, &service.name, call, now));
-            return Err(in_need.unwrap_or("no_server".into()));
+            let why = in_need.unwrap_or("no_server".into());
+            return Err(self.after_rest(why, &servers, service, call, now));
         };
         let there = servers.get(key).map(Server::load).unwrap_or_default();
         if !terms.bound.holds(there) {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -184,6 +184,11 @@
         &self.condition.limit
     }
 
+    /// Whether it has asked this daemon for rest, and still rests.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.condition.rest(now).is_some()
+    }
+
     /// Tells when the server is about to leave.
     pub fn notice(&self) -> watch::Receiver<bool> {
         self.leaving.subscribe()
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use past::Past;
-pub use remarks::News;
+pub use remarks::{News, Rested};
 
 slotmap::new_key_type! {
     /// A backend server in this process's arena.
@@ -78,6 +78,8 @@
     unlisted: Vec<ServerKey>,
     /// Servers that name a limit.
     in_need: HashSet<ServerKey>,
+    /// Servers that have asked this daemon for rest.
+    resting: HashSet<ServerKey>,
     past: Past,
     halls: Halls,
 }
@@ -124,6 +126,7 @@
         if past.is_some() {
             self.noted.insert(key);
             self.note_limit(key, now);
+            self.resting.insert(key);
         }
         key
     }
@@ -150,8 +153,9 @@
         server.is_some_and(|server| self.by_id.get(&server.record.id) == Some(&key))
     }
 
-    /// Drops servers of which there is nothing to tell any more.
+    /// Drops servers of which there is nothing to tell any more, and rests that are over.
     pub fn tidy(&mut self, now: Instant) {
+        self.end_rests(now);
         let arena = &self.arena;
         self.noted.retain(|key| arena.get(*key).is_some_and(|server| server.has_news(now)));
     }
@@ -192,10 +196,11 @@
     }
 
     /// Whether work that is under way may still be sent to a server: its hall is not closed, or has just
-    /// been closed.
+    /// been closed, and it doesn't rest.
     pub fn may_follow(&self, key: ServerKey, now: Instant) -> bool {
-        let server = self.arena.get(key);
-        server.is_some_and(|server| self.halls.may_follow(&server.record.hall, now))
+        self.arena.get(key).is_some_and(|server| {
+            self.halls.may_follow(&server.record.hall, now) && !server.is_resting(now)
+        })
     }
 
     /// The server is about to leave or has gone, by its own word or because another one answers at
@@ -291,10 +296,11 @@
     }
 
     /// Servers that take new work and have runs of this daemon that may not run again, and those that
-    /// are suspected.
-    pub fn watched(&self) -> Vec<Watched> {
+    /// are suspected; none that rests, which wants no questions either.
+    pub fn watched(&self, now: Instant) -> Vec<Watched> {
         let has_runs = |s: &Server| s.open() && s.own.once > 0;
-        let watched = self.arena.iter().filter(|(_, s)| has_runs(s) || s.suspected.is_some());
+        let matters = |s: &Server| (has_runs(s) || s.suspected.is_some()) && !s.is_resting(now);
+        let watched = self.arena.iter().filter(|(_, s)| matters(s));
         let watched = watched.map(|(key, s)| Watched {
             key,
             to: s.destination(),
--- a/src/gateway/servers/remarks.rs
+++ b/src/gateway/servers/remarks.rs
@@ -2,7 +2,9 @@
 
 use super::{ServerKey, Servers};
 use crate::gateway::condition::Remarks;
-use std::time::Instant;
+use crate::gateway::server::Server;
+use log::info;
+use std::time::{Duration, Instant};
 
 /// What of an answer's words was not known before.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -15,6 +17,22 @@
     pub limit: bool,
 }
 
+/// Servers of a service that rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rested {
+    /// Time until the first of them has rested; `None` where none rests.
+    pub first: Option<Duration>,
+    /// Whether all rest.
+    pub all: bool,
+}
+
+impl Rested {
+    fn with(self, other: Rested) -> Rested {
+        let first = self.first.into_iter().chain(other.first).min();
+        Rested { first, all: self.all && other.all }
+    }
+}
+
 impl Servers {
     /// Takes in what an answer to something that was sent at `asked` says of its server.
     pub fn hear(
@@ -34,6 +52,48 @@
             condition.cold.told(left, now);
         }
         let rests = remarks.rest.is_some_and(|time| condition.rests(time, now));
+        if rests {
+            self.resting.insert(key);
+        }
         News { leaves, rests, limit }
     }
+
+    /// Whether a server has asked this daemon for rest, and still rests.
+    pub fn is_resting(&self, key: ServerKey, now: Instant) -> bool {
+        self.arena.get(key).is_some_and(|server| server.is_resting(now))
+    }
+
+    /// How many servers rest, as of the last time at which it was looked.
+    pub fn count_resting(&self) -> usize {
+        self.resting.len()
+    }
+
+    /// Notes which servers' rests are over.
+    pub(super) fn end_rests(&mut self, now: Instant) {
+        let arena = &self.arena;
+        self.resting.retain(|key| {
+            let server = arena.get(*key);
+            let rests = server.is_some_and(|server| server.is_resting(now));
+            if let Some(server) = server.filter(|_| !rests) {
+                info!(server = &*server.record.id; "server's rest is over");
+            }
+            rests
+        });
+    }
+
+    /// When the first of a service's servers that `may_serve` will have rested; with `None`, there is no such server.
+    pub fn rested(
+        &self,
+        service: &str,
+        may_serve: impl Fn(&Server) -> bool,
+        now: Instant,
+    ) -> Option<Rested> {
+        let mut rested = None;
+        for (_, server) in self.open(service).filter(|(_, server)| may_serve(server)) {
+            let left = server.condition.rest(now).map(|rest| rest.until - now);
+            let one = Rested { first: left, all: left.is_some() };
+            rested = Some(rested.map_or(one, |others: Rested| others.with(one)));
+        }
+        rested
+    }
 }
--- a/tests/remarks.rs
+++ b/tests/remarks.rs
@@ -77,3 +77,55 @@
     servers.hear(key, &LEAVES, now, now + Duration::from_secs(5));
     assert_eq!(servers.open("model").count(), 1);
 }
+
+fn rests(seconds: u64) -> Remarks {
+    Remarks { rest: Some(Duration::from_secs(seconds)), ..Remarks::default() }
+}
+
+/// Answers pass each other on their way, and a rest is never shortened.
+#[test]
+fn a_rest_lasts_as_long_as_the_longest_that_was_asked_for() {
+    let (mut servers, start) = (Servers::default(), Instant::now());
+    let key = idle_server(&mut servers);
+    let at = |seconds| start + Duration::from_secs(seconds);
+    assert!(servers.hear(key, &rests(5), at(0), at(0)).rests);
+    assert!(
+        !servers.hear(key, &rests(1), at(0), at(1)).rests,
+        "an older answer, or a shorter rest"
+    );
+    // It served a request that was under way.
+    let free = Remarks { limit: LimitWord::Free, ..Remarks::default() };
+    servers.hear(key, &free, at(0), at(2));
+    assert!(servers.is_resting(key, at(4)));
+    assert!(!servers.is_resting(key, at(5)));
+    assert!(servers.hear(key, &rests(1), at(6), at(6)).rests);
+    assert!(servers.is_resting(key, at(6)) && !servers.is_resting(key, at(7)));
+}
+
+#[test]
+fn a_rest_that_has_no_end_is_none() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    let key = idle_server(&mut servers);
+    let endless = Remarks { rest: Some(Duration::MAX), ..Remarks::default() };
+    assert!(!servers.hear(key, &endless, now, now).rests);
+    assert!(!servers.is_resting(key, now));
+}
+
+#[test]
+fn a_rest_outlasts_the_entry_and_ends_with_that_start_of_the_server() {
+    let (mut servers, now) = (Servers::default(), Instant::now());
+    let key = idle_server(&mut servers);
+    let record = servers.get(key).unwrap().record.clone();
+    servers.hear(key, &rests(60), now, now);
+    servers.remove(&record.id);
+    servers.upsert(record.clone(), now);
+    let again = servers.find(&record.id).unwrap();
+    assert!(servers.is_resting(again, now));
+    assert_eq!(
+        servers.signs(now).limits.len() + servers.signs(now).leaving.len(),
+        0,
+        "no peer is told"
+    );
+    servers.upsert(ServerRecord { born: Some(7), ..record.clone() }, now);
+    assert!(!servers.is_resting(servers.find(&record.id).unwrap(), now));
+}
