Asking for room and answering peers are modules of their own; a caller waits 120 ms at most for room

A caller for whom eight daemons were asked in turn, all silent, would have waited 0.32 s for its refusal.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -7,9 +7,11 @@
 //! heartbeats come several times a second and as soon as a load changes; between cells and halls, relays
 //! tell sums.
 
+mod answering;
+mod room;
+
 use crate::error::Result;
 use crate::gateway::beat::{Beat, Request, Told};
-use crate::gateway::cell::first_of_halls;
 use crate::gateway::clock::{Clock, before, millis};
 use crate::gateway::core::{Gateway, Hearing, Wanted};
 use crate::gateway::metrics::GatewayMetrics;
@@ -20,15 +22,14 @@
 use crate::gateway::tag::Tag;
 use crate::gateway::update::{Lack, Update};
 use crate::gateway::view::{Own, View};
-use crate::message;
-use crate::peer::{Handler, Held, LinkLimits, NoAnswer, Peers};
+use crate::peer::{Handler, LinkLimits, Peers};
 use crate::time;
 use crate::tls::Identity;
+use answering::Answering;
 use futures_util::future::BoxFuture;
-use log::{debug, warn};
+use log::warn;
 use rand::RngExt;
-use rand::seq::SliceRandom;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
@@ -55,17 +56,6 @@
 const BEHIND: Duration = Duration::from_millis(250);
 /// Longest time for a peer to give what this daemon lacks.
 const FETCH_LIMIT: Duration = Duration::from_millis(400);
-/// Longest time for a peer to give room at a server in need: some times a round trip within a region. The caller
-/// waits for it, and would be refused otherwise.
-const ROOM_LIMIT: Duration = Duration::from_millis(40);
-/// Peers of the same cell that are asked for room at most, one after the other: all others of a small fleet. Where
-/// half of what a server names comes, about two thirds of those that hold room have some.
-const MOST_ASKED: usize = 5;
-/// Daemons of other halls that are asked after them at most.
-const MOST_ASKED_FAR: usize = 3;
-/// Daemons up to which a fleet's daemons ask those of other halls: one that holds room may have a link to each, and
-/// a small VM bears so many.
-const MOST_SHARING: usize = 64;
 /// Updates given at a time; further askers get none and try another daemon or the store. Large ones
 /// fill the link of a small VM.
 const MOST_GIVEN: usize = 3;
@@ -404,20 +394,6 @@
         Some(complete)
     }
 
-    /// Daemons that may hold room at servers in need, in an order drawn at random: those of the same cell first.
-    fn lenders(&self, wanted: &[Wanted], now: Instant) -> Vec<SocketAddr> {
-        let view = self.view();
-        let near = wanted.iter().flat_map(|w| view.holders_near(w.server, w.holders, now));
-        let mut lenders = drawn(near, MOST_ASKED);
-        let others = self.roster.others();
-        if view.layout().divided && others.len() < MOST_SHARING {
-            let own = self.roster.own();
-            let far = wanted.iter().flat_map(|w| first_of_halls(own, &others, w.server));
-            lenders.extend(drawn(far, MOST_ASKED_FAR));
-        }
-        lenders
-    }
-
     /// Whether this copy has been behind for so long that the daemon reads the store itself.
     fn is_behind(&self, now: Instant) -> bool {
         let behind = *self.behind.lock().expect("no holder panics");
@@ -439,35 +415,10 @@
     }
 
     fn borrow_room(&self, wanted: Vec<Wanted>) -> BoxFuture<'_, Option<Tag>> {
-        Box::pin(async move {
-            let handler = self.own.upgrade()?.handler();
-            let servers: Vec<Tag> = wanted.iter().map(|w| w.server).collect();
-            for peer in self.lenders(&wanted, time::now()) {
-                let request = Request::Room(servers.clone());
-                let asked = self.links.ask::<Option<Tag>>(peer, &request, ROOM_LIMIT, &handler);
-                match asked.await {
-                    Ok(Some(server)) => return Some(server),
-                    Ok(None) => {}
-                    // What it may have given goes unused.
-                    Err(NoAnswer) => {
-                        debug!(peer = peer.to_string().as_str(); "peer did not say whether it has room")
-                    }
-                }
-            }
-            None
-        })
+        Box::pin(self.ask_for_room(wanted))
     }
 }
 
-/// Some of these addresses, `most` of them, each once.
-fn drawn(addrs: impl Iterator<Item = SocketAddr>, most: usize) -> Vec<SocketAddr> {
-    let all: HashSet<SocketAddr> = addrs.collect();
-    let mut drawn: Vec<SocketAddr> = all.into_iter().collect();
-    drawn.shuffle(&mut rand::rng());
-    drawn.truncate(most);
-    drawn
-}
-
 /// Returns once something has changed, but not before `least`.
 async fn changed_after(changes: &mut watch::Receiver<u64>, least: Instant) {
     if changes.changed().await.is_err() {
@@ -476,58 +427,3 @@
     }
     time::sleep_until(least).await;
 }
-
-/// The side of [`Cluster`] that answers peers.
-struct Answering(Arc<Cluster>);
-
-impl Answering {
-    /// Small values that a copy at `position` lacks. A copy that lacks everything waits its turn.
-    async fn give_small(&self, position: u64, held: &mut Held) {
-        let now = time::now();
-        match self.0.mirror.update_after(position, now).filter(|update| !update.whole) {
-            Some(update) => send(Some(update), held).await,
-            None => self.give_all(position, held).await,
-        }
-    }
-
-    /// All that a copy at `position` lacks; nothing while this daemon gives to others.
-    async fn give_all(&self, position: u64, held: &mut Held) {
-        let permit = self.0.giving.try_acquire();
-        let update = match &permit {
-            Ok(_) => self.0.mirror.all_after(position, time::now()),
-            Err(_) => None,
-        };
-        send(update, held).await;
-    }
-}
-
-async fn send(update: Option<Update>, held: &mut Held) {
-    if held.send(&update).await.is_ok() {
-        held.finish().await;
-    }
-}
-
-impl Handler for Answering {
-    fn told(&self, bytes: &[u8]) {
-        match message::decode::<Beat>(bytes) {
-            Ok(beat) => self.0.hear(beat, time::now()),
-            Err(e) => warn!(why = format!("{e:?}").as_str(); "heartbeat not readable"),
-        }
-    }
-
-    fn stream(&self, first: Vec<u8>, mut held: Held) -> BoxFuture<'_, ()> {
-        Box::pin(async move {
-            match message::decode::<Request>(&first) {
-                Ok(Request::After(position)) => self.give_small(position, &mut held).await,
-                Ok(Request::AllAfter(position)) => self.give_all(position, &mut held).await,
-                Ok(Request::Room(wanted)) => {
-                    let given = self.0.gateway.lend_room(&wanted, time::now());
-                    if held.send(&given).await.is_ok() {
-                        held.finish().await;
-                    }
-                }
-                Err(e) => warn!(why = format!("{e:?}").as_str(); "request of a peer not readable"),
-            }
-        })
-    }
-}
--- /dev/null
+++ b/src/gateway/cluster/answering.rs
@@ -0,0 +1,66 @@
+//! Answering peers: their heartbeats, what their copies of the store lack, and room at servers in need.
+
+use super::Cluster;
+use crate::gateway::beat::{Beat, Request};
+use crate::gateway::update::Update;
+use crate::message;
+use crate::peer::{Handler, Held};
+use crate::time;
+use futures_util::future::BoxFuture;
+use log::warn;
+use std::sync::Arc;
+
+/// The side of [`Cluster`] that answers peers.
+pub(super) struct Answering(pub(super) Arc<Cluster>);
+
+impl Answering {
+    /// Small values that a copy at `position` lacks. A copy that lacks everything waits its turn.
+    async fn give_small(&self, position: u64, held: &mut Held) {
+        let now = time::now();
+        match self.0.mirror.update_after(position, now).filter(|update| !update.whole) {
+            Some(update) => send(Some(update), held).await,
+            None => self.give_all(position, held).await,
+        }
+    }
+
+    /// All that a copy at `position` lacks; nothing while this daemon gives to others.
+    async fn give_all(&self, position: u64, held: &mut Held) {
+        let permit = self.0.giving.try_acquire();
+        let update = match &permit {
+            Ok(_) => self.0.mirror.all_after(position, time::now()),
+            Err(_) => None,
+        };
+        send(update, held).await;
+    }
+}
+
+async fn send(update: Option<Update>, held: &mut Held) {
+    if held.send(&update).await.is_ok() {
+        held.finish().await;
+    }
+}
+
+impl Handler for Answering {
+    fn told(&self, bytes: &[u8]) {
+        match message::decode::<Beat>(bytes) {
+            Ok(beat) => self.0.hear(beat, time::now()),
+            Err(e) => warn!(why = format!("{e:?}").as_str(); "heartbeat not readable"),
+        }
+    }
+
+    fn stream(&self, first: Vec<u8>, mut held: Held) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            match message::decode::<Request>(&first) {
+                Ok(Request::After(position)) => self.give_small(position, &mut held).await,
+                Ok(Request::AllAfter(position)) => self.give_all(position, &mut held).await,
+                Ok(Request::Room(wanted)) => {
+                    let given = self.0.gateway.lend_room(&wanted, time::now());
+                    if held.send(&given).await.is_ok() {
+                        held.finish().await;
+                    }
+                }
+                Err(e) => warn!(why = format!("{e:?}").as_str(); "request of a peer not readable"),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/cluster/room.rs
@@ -0,0 +1,76 @@
+//! Asking other daemons for room at servers in need.
+
+use super::Cluster;
+use crate::gateway::beat::Request;
+use crate::gateway::cell::first_of_halls;
+use crate::gateway::core::Wanted;
+use crate::gateway::tag::Tag;
+use crate::peer::NoAnswer;
+use crate::time;
+use log::debug;
+use rand::seq::SliceRandom;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Longest time for a peer to give room at a server in need: some times a round trip within a region.
+const ROOM_LIMIT: Duration = Duration::from_millis(40);
+/// Longest time for all that are asked, one after the other. The caller waits for it, and is refused otherwise.
+const ALL_ROOM_LIMIT: Duration = Duration::from_millis(120);
+/// Peers of the same cell that are asked for room at most, one after the other: all others of a small fleet. Where
+/// half of what a server names comes, about two thirds of those that hold room have some.
+const MOST_ASKED: usize = 5;
+/// Daemons of other halls that are asked after them at most.
+const MOST_ASKED_FAR: usize = 3;
+/// Daemons up to which a fleet's daemons ask those of other halls: one that holds room may have a link to each, and
+/// a small VM bears so many.
+const MOST_SHARING: usize = 64;
+
+impl Cluster {
+    /// Asks them, within a time that a caller may wait. What one of them gives later goes unused.
+    pub(super) async fn ask_for_room(&self, wanted: Vec<Wanted>) -> Option<Tag> {
+        timeout(ALL_ROOM_LIMIT, self.ask_lenders(wanted)).await.unwrap_or(None)
+    }
+
+    async fn ask_lenders(&self, wanted: Vec<Wanted>) -> Option<Tag> {
+        let handler = self.own.upgrade()?.handler();
+        let servers: Vec<Tag> = wanted.iter().map(|w| w.server).collect();
+        for peer in self.lenders(&wanted, time::now()) {
+            let request = Request::Room(servers.clone());
+            let asked = self.links.ask::<Option<Tag>>(peer, &request, ROOM_LIMIT, &handler);
+            match asked.await {
+                Ok(Some(server)) => return Some(server),
+                Ok(None) => {}
+                // What it may have given goes unused.
+                Err(NoAnswer) => {
+                    debug!(peer = peer.to_string().as_str(); "peer did not say whether it has room")
+                }
+            }
+        }
+        None
+    }
+
+    /// Daemons that may hold room at servers in need, in an order drawn at random: those of the same cell first.
+    fn lenders(&self, wanted: &[Wanted], now: Instant) -> Vec<SocketAddr> {
+        let view = self.view();
+        let near = wanted.iter().flat_map(|w| view.holders_near(w.server, w.holders, now));
+        let mut lenders = drawn(near, MOST_ASKED);
+        let others = self.roster.others();
+        if view.layout().divided && others.len() < MOST_SHARING {
+            let own = self.roster.own();
+            let far = wanted.iter().flat_map(|w| first_of_halls(own, &others, w.server));
+            lenders.extend(drawn(far, MOST_ASKED_FAR));
+        }
+        lenders
+    }
+}
+
+/// Some of these addresses, `most` of them, each once.
+fn drawn(addrs: impl Iterator<Item = SocketAddr>, most: usize) -> Vec<SocketAddr> {
+    let all: HashSet<SocketAddr> = addrs.collect();
+    let mut drawn: Vec<SocketAddr> = all.into_iter().collect();
+    drawn.shuffle(&mut rand::rng());
+    drawn.truncate(most);
+    drawn
+}
