A request that a server turned away counts as a failed exchange with it

What callers saw: where a server turned requests away, others that came were refused with no_repeat_left though the rest of the servers had room.

Cause: a refusal that said 'not run' was no outcome at all. A server that turns everything away is idle, so it seems free to each daemon that it has not yet turned away, each sends it a request or more, and each refusal uses up a repeat of the shared budget. Rest binds one daemon only: of a fleet of 300, 100 requests a second would be sent twice at a rest of 3 s.

It now weighs as a failure does, also at other daemons, and fades in seconds; it binds nobody: where no other server has room, it is asked.

Weighed and not taken: refusals that ask for rest only, which leaves servers without that word as they were.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -207,6 +207,8 @@
             return Sent::NotRun(declared(), "replaced");
         }
         if reply.declined && matches!(reply.status.as_u16(), 408 | 429 | 503) {
+            // It is idle, and would seem free to each daemon that it has not yet turned away.
+            seat.judge(true);
             return Sent::NotRun(declared(), "declined");
         }
         if self.call.route.kind == RouteKind::Streaming && reply.status.is_success() {
