A cold time without an end says nothing, where it ended the task that read it

Found in reading the change: the time that an answer names was added to the present moment unchecked, which panics where the sum is out of range (its test did before). Answers without news take no second look at the server.

--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -107,9 +107,9 @@
 impl Cold {
     /// It said how long it stays cold, some time before now.
     pub(crate) fn told(&mut self, left: Duration, now: Instant) {
-        if !left.is_zero() {
-            self.until = self.until.max(Some(now + left));
-        }
+        // A time that has no end says nothing.
+        let until = now.checked_add(left).filter(|until| *until > now);
+        self.until = self.until.max(until);
     }
 
     /// It has just started, or may have turned cold.
--- a/src/gateway/remarks.rs
+++ b/src/gateway/remarks.rs
@@ -6,7 +6,7 @@
 use crate::gateway::need::IN_NEED;
 use crate::gateway::request::Call;
 use crate::gateway::seat::NoSeat;
-use crate::gateway::servers::{Rested, Server, ServerKey, Servers};
+use crate::gateway::servers::{News, Rested, Server, ServerKey, Servers};
 use crate::gateway::table::Service;
 use crate::time;
 use log::info;
@@ -22,6 +22,9 @@
     pub(crate) fn hear(&self, server: ServerKey, remarks: &Remarks, asked: Instant) {
         let now = time::now();
         let news = self.servers().hear(server, remarks, asked, now);
+        if news == News::default() {
+            return;
+        }
         let id = self.server_id(server).unwrap_or_default();
         if news.leaves {
             // The store may say so much later, or never, and every daemon sends requests there until it knows.
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -110,6 +110,14 @@
     assert!(!is_cold(&servers, key, now + ms(701)));
 }
 
+#[test]
+fn a_server_is_not_cold_for_a_time_that_has_no_end() {
+    let (mut servers, key) = one_server();
+    let now = Instant::now();
+    servers.hear(key, &cold_for(Duration::MAX), now, now);
+    assert!(!is_cold(&servers, key, now + ms(1)));
+}
+
 #[test]
 fn a_server_that_was_not_reached_may_have_started_again() {
     let (mut servers, key) = one_server();
