--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -103,6 +103,7 @@
             id: id(n).into(),
             born: None,
             service: "model".into(),
+            version: "v1".into(),
             addr: SocketAddr::from(([10, 9, (n / 250) as u8, (n % 250) as u8], 80)),
             hall: format!("hall-{}", n % halls),
             slots: ENGINE.slots,
--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -6,6 +6,8 @@
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::quarantine::Evidence;
+use crate::gateway::rollout::Stratum;
+use crate::gateway::rollout::tally::Tally;
 use crate::gateway::roster::Daemon;
 use crate::gateway::servers::{Load, Signs};
 use crate::gateway::tag::Tag;
@@ -58,6 +60,10 @@
     pub outcomes: Vec<(Tag, Outcomes)>,
     /// What became of the servers that ran requests under which some ended.
     pub evidence: Vec<(Fingerprint, Evidence)>,
+    /// How requests went in roll-outs that are under way.
+    pub tallies: Vec<(Stratum, Tally)>,
+    /// How long ago those were ordered at least, in milliseconds.
+    pub orders: Vec<(Tag, u32)>,
 }
 
 /// Whose words a sum adds up.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -10,6 +10,7 @@
 use crate::gateway::quarantine::Quarantine;
 use crate::gateway::regions::{Allowed, Regions};
 use crate::gateway::request::Call;
+use crate::gateway::rollout::Rollouts;
 use crate::gateway::roster::Roster;
 use crate::gateway::servers::{Heard, Load, Server, ServerKey, Servers};
 use crate::gateway::table::{Homes, Service};
@@ -21,7 +22,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, Weak};
 use std::time::{Duration, Instant};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 /// Bounds that the platform sets.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -32,6 +33,8 @@
     pub budget: BudgetBounds,
     /// What a cold server may get.
     pub cold: ColdBounds,
+    /// Part of a service's requests that servers of a new version may get before they are known to be sound.
+    pub exposure: f64,
 }
 
 /// Part of the bound on revoked keys up to which a confirmation counts. The rest is for the time
@@ -90,6 +93,10 @@
     servers: Mutex<Servers>,
     budget: Mutex<RepeatBudget>,
     quarantine: Mutex<Quarantine>,
+    pub(super) rollouts: Mutex<Rollouts>,
+    /// Tells that a roll-out was ordered or has come further.
+    pub(super) rollout_news: Notify,
+    exposure: Mutex<f64>,
     /// Room at servers in need that was promised, by service.
     promises: Mutex<HashMap<Arc<str>, Promises>>,
     /// Whether loads in other halls are told late, in sums.
@@ -129,6 +136,9 @@
             servers: Mutex::default(),
             budget: Mutex::new(RepeatBudget::new(bounds.budget, now)),
             quarantine: Mutex::default(),
+            rollouts: Mutex::default(),
+            rollout_news: Notify::new(),
+            exposure: Mutex::new(bounds.exposure),
             promises: Mutex::default(),
             divided: AtomicBool::new(false),
             late: Mutex::new(0.0),
@@ -143,9 +153,15 @@
     pub fn set_bounds(&self, bounds: Bounds) {
         *self.revoke.lock().expect("no holder panics") = bounds.revoke;
         self.cold.lock().expect("no holder panics").0 = bounds.cold;
+        *self.exposure.lock().expect("no holder panics") = bounds.exposure;
         self.budget().set_bounds(bounds.budget);
     }
 
+    /// Part of a service's requests that servers of a new version may get before they are known to be sound.
+    pub(super) fn exposure(&self) -> f64 {
+        *self.exposure.lock().expect("no holder panics")
+    }
+
     /// Sets whether the fleet is divided, so that loads in other halls are told late.
     pub fn set_divided(&self, divided: bool) {
         self.divided.store(divided, Ordering::Relaxed);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -135,17 +135,21 @@
         if after == 0 {
             return false;
         }
-        let [servers, halls] = self.mirror.urgent();
-        // Servers' changes, the more frequent ones, are waited for; halls are looked at beside them.
+        let [servers, halls, rollouts] = self.mirror.urgent();
+        // Servers' changes, the more frequent ones, are waited for; the others are looked at beside them.
         let servers = self.read_below(servers, after, WAIT);
         let halls = self.read_below(halls, after, Duration::ZERO);
-        let (servers, halls) = tokio::join!(servers, halls);
-        let (Some(mut read), Some(halls)) = (servers, halls) else {
-            debug!(after = after; "servers' entries and closed halls not read apart");
+        let rollouts = self.read_below(rollouts, after, Duration::ZERO);
+        let (servers, halls, rollouts) = tokio::join!(servers, halls, rollouts);
+        let (Some(mut read), Some(halls), Some(rollouts)) = (servers, halls, rollouts) else {
+            debug!(after = after; "servers' entries, closed halls and roll-outs not read apart");
             return false;
         };
+        let revision = read.revision.min(halls.revision).min(rollouts.revision);
+        // An order goes before the servers that it is about.
         read.changes.extend(halls.changes);
-        let revision = read.revision.min(halls.revision);
+        read.changes.extend(rollouts.changes);
+        read.changes.sort_by_key(|change| change.revision);
         let now = time::now();
         self.mirror.store_answered(now, now);
         self.mirror.advance_urgent(read.changes, revision, asked, now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -178,12 +178,15 @@
 
     /// Sends; a silent server is given up in time for another one where that may run too.
     async fn send_patiently(&self, seat: Seat, proof: Option<NotSent>) -> Sent {
-        let key = seat.key();
+        let (key, trial) = (seat.key(), seat.trial);
         let Some(limit) = self.patience(&seat) else {
             return self.send(seat, proof).await;
         };
         timeout(limit, self.send(seat, proof)).await.unwrap_or_else(|_| {
             self.gateway.judge(key, true);
+            if let Some(trial) = trial {
+                self.gateway.note_trial(trial, true);
+            }
             Sent::Failed(None, "silent")
         })
     }
@@ -208,7 +211,7 @@
         }
         if reply.declined && matches!(reply.status.as_u16(), 408 | 429 | 503) {
             // It is idle, and would seem free to each daemon that it has not yet turned away.
-            seat.judge(true);
+            seat.declined();
             return Sent::NotRun(declared(), "declined");
         }
         if self.call.route.kind == RouteKind::Streaming && reply.status.is_success() {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,6 +43,8 @@
     pub resting_servers: IntGauge,
     /// Requests sent to servers that had said that they leave or rest, by what they had said.
     pub unheeded_sendings: IntCounterVec,
+    /// States of roll-outs that came into force, by state.
+    pub rollouts: IntCounterVec,
     /// Reads of the store, by outcome.
     pub store_reads: IntCounterVec,
     /// The store's revision of the configuration in force.
@@ -134,6 +136,12 @@
                 "Requests sent to backend servers that had said that they leave or rest",
                 &["said"],
             ),
+            rollouts: counters(
+                &r,
+                "tidestair_gateway_rollouts_total",
+                "States that roll-outs came to, by state",
+                &["state"],
+            ),
             store_reads: counters(
                 &r,
                 "tidestair_gateway_store_reads_total",
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -337,8 +337,8 @@
     }
 
     /// The prefixes of what is read apart from large values.
-    pub fn urgent(&self) -> [&str; 2] {
-        [self.schema.servers(), self.schema.closed_halls()]
+    pub fn urgent(&self) -> [&str; 3] {
+        [self.schema.servers(), self.schema.closed_halls(), self.schema.rollouts()]
     }
 
     fn take_ahead(&self, news: Vec<News>, seen: Instant, now: Instant) {
@@ -435,10 +435,12 @@
         let schema = &self.schema;
         let prefixes =
             [schema.servers(), schema.daemons(), schema.closed_halls(), schema.quarantine()];
-        key == schema.declaration() || prefixes.iter().any(|prefix| key.starts_with(prefix))
+        let prefixes = prefixes.into_iter().chain([schema.rollouts(), schema.rollout_records()]);
+        key == schema.declaration() || prefixes.into_iter().any(|prefix| key.starts_with(prefix))
     }
 
-    /// Whether a key is read and told apart from large values: a server's entry, or that a hall is closed.
+    /// Whether a key is read and told apart from large values: a server's entry, that a hall is closed, or an order
+    /// for a roll-out.
     fn is_urgent(&self, key: &str) -> bool {
         self.urgent().iter().any(|prefix| key.starts_with(prefix))
     }
--- a/src/gateway/mirror/enforce.rs
+++ b/src/gateway/mirror/enforce.rs
@@ -30,6 +30,35 @@
             self.take_hall(hall, value.is_some(), now);
         } else if let Some(request) = key.strip_prefix(self.schema.quarantine()) {
             self.take_quarantine(request, value.is_some(), now);
+        } else if let Some(service) = key.strip_prefix(self.schema.rollouts()) {
+            self.take_rollout(service, revision, value.as_deref(), now);
+        } else if let Some(service) = key.strip_prefix(self.schema.rollout_records()) {
+            self.take_rollout_record(service, revision, value.as_deref(), now);
+        }
+    }
+
+    fn take_rollout(&self, service: &str, revision: u64, value: Option<&[u8]>, now: Instant) {
+        match value.map(|value| self.schema.rollout(service, value)).transpose() {
+            Ok(order) => self.gateway.take_order(service, revision, order, now),
+            Err(e) => {
+                warn!(service = service, why = e.0.as_str(); "order for a roll-out not readable: write it again")
+            }
+        }
+    }
+
+    fn take_rollout_record(
+        &self,
+        service: &str,
+        revision: u64,
+        value: Option<&[u8]>,
+        now: Instant,
+    ) {
+        match value.map(serde_json::from_slice).transpose() {
+            Ok(Some(record)) => self.gateway.take_record(service, revision, record, now),
+            Ok(None) => {}
+            Err(e) => {
+                warn!(service = service, why = e.to_string().as_str(); "record of a roll-out not readable")
+            }
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! - `halls`, [`cold`], [`regions`]: halls that are closed, servers that bear few requests yet, and the
 //!   regions that requests stay in
 //! - [`condition`], `remarks`: what servers say of themselves in their answers
+//! - [`rollout`]: moving a service to a new version of its servers
 //! - [`limit`], `need`, [`promises`]: servers in need, which name how many requests they take, and callers who were told
 //!   to come back to them
 //! - [`admission`]: who is let in while engines are crowded
@@ -65,6 +66,7 @@
 mod relay;
 mod remarks;
 pub mod request;
+pub mod rollout;
 pub mod roster;
 pub mod seat;
 mod server;
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -3,10 +3,11 @@
 
 use crate::gateway::condition::Remarks;
 use crate::gateway::request::{AnswerBody, Call};
+use crate::gateway::rollout::{Order, State};
 use crate::gateway::servers::ServerRecord;
 use crate::gateway::table::Table;
 use crate::outcome::NotSent;
-use crate::platform::{Change, LeaseId, PlatformResult, Range};
+use crate::platform::{Change, LeaseId, PlatformResult, Range, Swap};
 use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode};
 use std::collections::HashMap;
@@ -199,6 +200,13 @@
         value: Vec<u8>,
         lease: LeaseId,
     ) -> BoxFuture<'a, PlatformResult<bool>>;
+    /// Writes keys if `key` was last changed at this revision; at zero, if it is not there.
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        revision: u64,
+        puts: Vec<(String, Vec<u8>)>,
+    ) -> BoxFuture<'a, PlatformResult<Swap>>;
     /// Ends a lease and its keys.
     fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, PlatformResult<()>>;
 }
@@ -220,6 +228,14 @@
     /// The prefix of the keys that name requests which end servers, by their fingerprints; whatever the
     /// value says.
     fn quarantine(&self) -> &str;
+    /// The prefix of the keys that order roll-outs, by their services.
+    fn rollouts(&self) -> &str;
+    /// The prefix of the daemons' records of roll-outs, by their services.
+    fn rollout_records(&self) -> &str;
+    /// Reads an order for a roll-out of a service.
+    fn rollout(&self, service: &str, value: &[u8]) -> Result<Order, Undecodable>;
+    /// The key and the value that tell the operators how far a roll-out has come.
+    fn rollout_status(&self, service: &str, version: &str, state: State) -> (String, Vec<u8>);
     /// Reads a declared configuration.
     fn table(&self, value: &[u8]) -> Result<Table, Undecodable>;
     /// Reads a backend server's entry.
--- /dev/null
+++ b/src/gateway/rollout.rs
@@ -0,0 +1,616 @@
+//! Roll-outs: a service's traffic moves to a version whose servers start beside the old ones.
+//!
+//! The servers of the new version are the candidate, those of all others the baseline. Until the candidate is known
+//! to be sound it gets a bounded part of the requests: each request is drawn by its own id, so that daemons that are
+//! killed, cut off or join don't change the part. All of them go to a few of its servers at a time, the canaries, which
+//! are as full as the old ones are; the others follow in turn. Rare routes get a larger part of their requests, so
+//! that each is tried.
+//!
+//! Daemons add up how requests went at each version, by route ([`tally`]), and each of them tests the sums
+//! ([`verdict`]). One that finds the candidate bad sends nothing more there, whatever the store says. What is to be
+//! agreed, how far the roll-out has come, is a record in the store that is written under a condition
+//! ([`controller`]), so that any daemon may take the next step and only one does.
+
+pub mod controller;
+pub mod tally;
+pub mod verdict;
+
+use crate::gateway::clock::{before, millis};
+use crate::gateway::server::Server;
+use crate::gateway::servers::ServerKey;
+use crate::gateway::tag::Tag;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tally::Tally;
+use verdict::Test;
+
+/// Part of the platform's bound on what a candidate may get that is used.
+const USED_PART: f64 = 0.75;
+/// Most of one route's requests that the candidate gets.
+const MOST_OF_ROUTE: f64 = 0.3;
+/// Time for which requests go to the same canaries.
+const CANARY_TIME: Duration = Duration::from_millis(2_500);
+/// Part of a roll-out's time, and its bounds, for the shift of all traffic and of the runs under way.
+const SHIFT_PART: f64 = 0.35;
+const SHORTEST_SHIFT: Duration = Duration::from_millis(3_000);
+const LONGEST_SHIFT: Duration = Duration::from_millis(5_000);
+/// Part of the time for the shift in which the candidate's part of the requests grows to all of them.
+const RAMP_PART: f64 = 0.25;
+/// Time before a roll-out's end at which it is decided, whatever is still under way.
+const LAST_MOMENT: Duration = Duration::from_millis(800);
+/// Time before its end up to which a candidate may still be found sound.
+const LAST_SHIFT: Duration = Duration::from_millis(2_500);
+/// Time after which servers of which none is listed are taken not to be there.
+const SETTLED: Duration = Duration::from_millis(2_000);
+/// Requests at the candidate without which it is not known to be sound, if so many could come.
+const LEAST_TRIED: u32 = 12;
+/// The same for each route.
+const LEAST_TRIED_OF_ROUTE: u32 = 3;
+/// Time after a completed roll-out within which servers of another version are old ones that are about to stop.
+const STOPPING: Duration = Duration::from_secs(30);
+
+/// What the operators order for a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The new version.
+    pub version: Arc<str>,
+    /// Time from the order within which it is to be in force.
+    pub time: Duration,
+}
+
+/// How far a roll-out has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// The candidate gets a part of the requests.
+    Trial,
+    /// The candidate was found sound, and all requests and runs go there.
+    Shift,
+    /// The new version is in force.
+    Completed,
+    /// The new version gets nothing.
+    Reverted,
+}
+
+impl State {
+    /// Whether the roll-out is over.
+    pub fn is_final(self) -> bool {
+        self >= State::Completed
+    }
+
+    /// The name, for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Trial => "trial",
+            State::Shift => "shift",
+            State::Completed => "completed",
+            State::Reverted => "reverted",
+        }
+    }
+}
+
+/// What the store holds of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The store's revision of the order.
+    pub order: u64,
+    /// How far the roll-out has come.
+    pub state: State,
+    /// Why.
+    pub why: String,
+}
+
+/// The servers that a request goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Arm {
+    /// Those of the old versions.
+    Baseline,
+    /// Those of the new version.
+    Candidate,
+}
+
+/// Requests of one route at the servers of one arm of a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Stratum {
+    rollout: Tag,
+    route: Tag,
+    arm: Arm,
+}
+
+impl Stratum {
+    /// The arm.
+    pub fn arm(&self) -> Arm {
+        self.arm
+    }
+}
+
+/// What daemons tell each other of roll-outs.
+#[derive(Debug, Clone, Default)]
+pub struct Heard {
+    /// How requests went.
+    pub tallies: HashMap<Stratum, Tally>,
+    /// How long ago orders were given at least, in milliseconds.
+    pub ages: HashMap<Tag, u32>,
+}
+
+/// The servers of a service by version.
+#[derive(Debug, Clone, Default)]
+pub struct Census {
+    /// Whether they have been counted since the order.
+    pub counted: bool,
+    /// Whether the configuration declares the service.
+    pub declared: bool,
+    /// Servers of the candidate that take requests, in an order that all daemons see alike.
+    pub candidate: Vec<ServerKey>,
+    /// Servers of the candidate that are listed.
+    pub candidates: usize,
+    /// Servers of the baseline that are listed.
+    pub baseline: usize,
+    /// What runs at those.
+    pub runs: u32,
+}
+
+/// The servers that a request may go to, of a service with a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pick {
+    version: Arc<str>,
+    /// Where the request goes.
+    pub arm: Arm,
+    /// Only these; any of the arm where there are none.
+    only: Vec<ServerKey>,
+}
+
+impl Pick {
+    /// Whether a server is among them.
+    pub fn admits(&self, key: ServerKey, server: &Server) -> bool {
+        let is_candidate = server.record.version == self.version;
+        is_candidate == (self.arm == Arm::Candidate) && self.has(key)
+    }
+
+    /// Whether a server of the right version is among them.
+    pub fn has(&self, key: ServerKey) -> bool {
+        self.only.is_empty() || self.only.contains(&key)
+    }
+
+    /// The baseline's servers instead.
+    pub fn baseline(self) -> Pick {
+        Pick { arm: Arm::Baseline, only: Vec::new(), ..self }
+    }
+}
+
+/// Servers of a service that are to get nothing more, and whose runs move away.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Retired {
+    /// Those of this version.
+    Version(Arc<str>),
+    /// Those of all others.
+    Others(Arc<str>),
+}
+
+impl Retired {
+    /// Whether a server of such a version is among them.
+    pub fn includes(&self, version: &str) -> bool {
+        match self {
+            Retired::Version(retired) => **retired == *version,
+            Retired::Others(kept) => **kept != *version,
+        }
+    }
+}
+
+/// A step that is due in a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step {
+    /// The state that it leads to.
+    pub to: State,
+    /// Why.
+    pub why: &'static str,
+}
+
+/// One roll-out as this daemon knows it.
+#[derive(Debug)]
+pub struct Rollout {
+    order: Order,
+    /// The store's revision of the order.
+    revision: u64,
+    /// Its name among daemons.
+    tag: Tag,
+    /// When the order was given, as far as known.
+    began: Instant,
+    /// How far the store says it has come, and since when this daemon knows.
+    state: Option<(State, Instant)>,
+    /// Why this daemon sends nothing to the candidate.
+    halted: Option<&'static str>,
+    own: HashMap<(Tag, Arm), Tally>,
+    others: HashMap<(Tag, Arm), Tally>,
+    test: Test,
+    census: Census,
+    /// Whether servers of the baseline were seen since the order.
+    had_baseline: bool,
+}
+
+impl Rollout {
+    fn new(service: &str, revision: u64, order: Order, now: Instant) -> Rollout {
+        Rollout {
+            order,
+            revision,
+            tag: Tag::of(service).with(Tag::number(revision)),
+            began: now,
+            state: None,
+            halted: None,
+            own: HashMap::new(),
+            others: HashMap::new(),
+            test: Test::default(),
+            census: Census::default(),
+            had_baseline: false,
+        }
+    }
+
+    /// How far it has come for this daemon's own requests.
+    fn state(&self) -> State {
+        match self.state {
+            Some((State::Completed, _)) => State::Completed,
+            _ if self.halted.is_some() => State::Reverted,
+            Some((state, _)) => state,
+            None => State::Trial,
+        }
+    }
+
+    /// Time for the shift of all traffic and of the runs under way.
+    fn shift(&self) -> Duration {
+        let shift = self.order.time.mul_f64(SHIFT_PART);
+        shift.clamp(SHORTEST_SHIFT, LONGEST_SHIFT).min(self.order.time)
+    }
+
+    /// Time in which the candidate's part of the requests grows to all of them.
+    fn ramp(&self) -> Duration {
+        self.shift().mul_f64(RAMP_PART)
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.began)
+    }
+
+    /// What all daemons counted.
+    fn total(&self, route: Tag, arm: Arm) -> Tally {
+        let mut total = self.own.get(&(route, arm)).copied().unwrap_or_default();
+        total += self.others.get(&(route, arm)).copied().unwrap_or_default();
+        total
+    }
+
+    fn routes(&self) -> Vec<Tag> {
+        let mut routes: Vec<Tag> =
+            self.own.keys().chain(self.others.keys()).map(|(route, _)| *route).collect();
+        routes.sort_unstable();
+        routes.dedup();
+        routes
+    }
+
+    /// Requests of a route at both arms.
+    fn requests(&self, route: Tag) -> u32 {
+        self.total(route, Arm::Baseline).tried + self.total(route, Arm::Candidate).tried
+    }
+
+    /// Part of a route's requests that go to the candidate in its trial: all routes get as many there, as far as
+    /// they have them.
+    fn part(&self, route: Tag, bound: f64) -> f64 {
+        let mut routes = self.routes();
+        if !routes.contains(&route) {
+            routes.push(route);
+        }
+        let all: f64 = routes.iter().map(|route| f64::from(self.requests(*route)) + 1.0).sum();
+        let own = f64::from(self.requests(route)) + 1.0;
+        let even = all / routes.len() as f64 / own;
+        (bound * USED_PART * even).min(MOST_OF_ROUTE)
+    }
+
+    /// The candidate's servers that get its requests at present.
+    fn canaries(&self, bound: f64, now: Instant) -> Vec<ServerKey> {
+        let all = &self.census.candidate;
+        let count = (self.census.baseline as f64 * bound * USED_PART).ceil() as usize;
+        let count = count.clamp(1, all.len().max(1));
+        let turn = (self.age(now).as_millis() / CANARY_TIME.as_millis()) as usize;
+        let from = turn * count;
+        (from..from + count).filter_map(|n| all.get(n % all.len().max(1)).copied()).collect()
+    }
+
+    /// Where a request goes, which `drawn` from zero to one tells; `None` where all servers are alike to it.
+    fn pick(&self, drawn: Draw, bound: f64, now: Instant) -> Option<Pick> {
+        let state = self.state();
+        let is_alone = self.census.counted && self.census.baseline == 0;
+        if state == State::Completed || (is_alone && state != State::Reverted) {
+            return None;
+        }
+        let part = match drawn {
+            Draw::First(route, _) => self.part(route, bound),
+            Draw::Again => 0.0,
+        };
+        let part = match self.state {
+            Some((State::Shift, since)) if state == State::Shift => {
+                let ramp = now.saturating_duration_since(since).div_duration_f64(self.ramp());
+                part.max(ramp)
+            }
+            _ => part,
+        };
+        let is_candidate = match drawn {
+            Draw::First(_, drawn) => drawn < part,
+            Draw::Again => part >= 1.0,
+        };
+        let version = self.order.version.clone();
+        let baseline = Pick { version, arm: Arm::Baseline, only: Vec::new() };
+        let only = match state {
+            State::Trial if is_candidate => self.canaries(bound, now),
+            _ => Vec::new(),
+        };
+        let shifts = state == State::Shift && self.census.candidates > 0;
+        let to_candidate = is_candidate && (shifts || !only.is_empty());
+        Some(if to_candidate { Pick { arm: Arm::Candidate, only, ..baseline } } else { baseline })
+    }
+
+    /// Servers that get nothing more.
+    fn retired(&self, now: Instant) -> Option<Retired> {
+        let version = || self.order.version.clone();
+        let since = self.state.map_or(self.began, |(_, since)| since);
+        let past = now.saturating_duration_since(since);
+        match self.state() {
+            State::Trial => None,
+            State::Shift => (past >= self.ramp() && self.census.candidates > 0)
+                .then(|| Retired::Others(version())),
+            State::Completed => {
+                (past < STOPPING && self.census.candidates > 0).then(|| Retired::Others(version()))
+            }
+            State::Reverted => Some(Retired::Version(version())),
+        }
+    }
+
+    /// Tests what was counted.
+    fn weigh(&mut self) {
+        if self.state().is_final() {
+            return;
+        }
+        for route in self.routes() {
+            let (baseline, candidate) =
+                (self.total(route, Arm::Baseline), self.total(route, Arm::Candidate));
+            let fault = self.test.weigh(route, &baseline, &candidate);
+            if let Some(fault) = fault {
+                self.halted.get_or_insert(fault.name());
+            }
+        }
+    }
+
+    /// Whether the candidate has been tried enough, on each route, and nothing speaks against it.
+    fn is_sound(&self, bound: f64) -> bool {
+        let routes = self.routes();
+        let tried = |route: &Tag| self.total(*route, Arm::Candidate).tried;
+        let expected = |route: &Tag| f64::from(self.requests(*route)) * bound * USED_PART;
+        let is_tried = |route: &Tag| {
+            tried(route) >= LEAST_TRIED_OF_ROUTE
+                || expected(route) < f64::from(2 * LEAST_TRIED_OF_ROUTE)
+        };
+        let all: u32 = routes.iter().map(tried).sum();
+        let most: f64 = routes.iter().map(expected).sum();
+        let enough = all >= LEAST_TRIED || most < f64::from(2 * LEAST_TRIED);
+        enough && routes.iter().all(is_tried) && !self.test.doubts()
+    }
+
+    /// The step that is due; the same for each daemon that knows as much.
+    fn due(&self, bound: f64, now: Instant) -> Option<Step> {
+        let step = |to, why| Some(Step { to, why });
+        let Some((state, since)) = self.state else {
+            return step(State::Trial, "ordered");
+        };
+        if let Some(why) = self.halted.filter(|_| !state.is_final()) {
+            return step(State::Reverted, why);
+        }
+        let (age, time) = (self.age(now), self.order.time);
+        let ends = age + LAST_MOMENT >= time;
+        match state {
+            State::Trial if self.census.candidates == 0 => match self.census.declared {
+                false if age >= SETTLED => step(State::Reverted, "the service is not declared"),
+                _ if ends => step(State::Reverted, "no server of the version came"),
+                _ => None,
+            },
+            State::Trial if !self.had_baseline && age >= SETTLED => {
+                step(State::Completed, "no server has another version")
+            }
+            State::Trial => {
+                let shift = time.mul_f64(SHIFT_PART).clamp(SHORTEST_SHIFT, LONGEST_SHIFT);
+                if age + shift < time {
+                    None
+                } else if self.is_sound(bound) {
+                    step(State::Shift, "the version is sound")
+                } else if age + LAST_SHIFT.min(shift) >= time {
+                    step(State::Reverted, "the version was not shown to be sound in time")
+                } else {
+                    None
+                }
+            }
+            State::Shift => {
+                let moved = now.saturating_duration_since(since) >= 2 * self.ramp();
+                match () {
+                    () if moved && self.census.runs == 0 => {
+                        step(State::Completed, "all runs have ended or moved")
+                    }
+                    () if ends => step(State::Completed, "time is over"),
+                    () => None,
+                }
+            }
+            State::Completed | State::Reverted => None,
+        }
+    }
+}
+
+/// How the servers of a request are drawn.
+#[derive(Debug, Clone, Copy)]
+pub enum Draw {
+    /// A request that was not sent yet: its route, and a number from zero to one of its own.
+    First(Tag, f64),
+    /// One that was sent before, or a run that moves.
+    Again,
+}
+
+impl Draw {
+    /// The draw of a request by its route and id.
+    pub fn first(route: &str, id: &str) -> Draw {
+        let route = Tag::of(route);
+        let drawn = route.with(Tag::of(id)).value() as f64 / u64::MAX as f64;
+        Draw::First(route, drawn)
+    }
+}
+
+/// All roll-outs.
+#[derive(Debug, Default)]
+pub struct Rollouts {
+    by_service: HashMap<Arc<str>, Rollout>,
+    /// The store's records, each with its revision.
+    records: HashMap<Arc<str>, (u64, Record)>,
+}
+
+impl Rollouts {
+    /// Takes in an order, or with `None` that it was withdrawn.
+    pub fn order(&mut self, service: &str, revision: u64, order: Option<Order>, now: Instant) {
+        match order {
+            Some(order) => {
+                let rollout = Rollout::new(service, revision, order, now);
+                self.by_service.insert(service.into(), rollout);
+                self.apply_record(service, now);
+            }
+            None => {
+                if let Some(rollout) = self.by_service.get_mut(service) {
+                    rollout.halted.get_or_insert("the order was withdrawn");
+                }
+            }
+        }
+    }
+
+    /// Takes in what the store says of how far a roll-out has come.
+    pub fn record(&mut self, service: &str, revision: u64, record: Record, now: Instant) {
+        let known = self.records.get(service);
+        if known.is_none_or(|(known, _)| *known < revision) {
+            self.records.insert(service.into(), (revision, record));
+            self.apply_record(service, now);
+        }
+    }
+
+    fn apply_record(&mut self, service: &str, now: Instant) {
+        let (Some(rollout), Some((_, record))) =
+            (self.by_service.get_mut(service), self.records.get(service))
+        else {
+            return;
+        };
+        if record.order == rollout.revision
+            && rollout.state.map(|(state, _)| state) != Some(record.state)
+        {
+            rollout.state = Some((record.state, now));
+        }
+    }
+
+    /// The record that a step leads to, and the revision of the one that it replaces; zero where there is none.
+    pub fn next_record(&self, service: &str, step: Step) -> Option<(u64, Record)> {
+        let rollout = self.by_service.get(service)?;
+        let replaced = self.records.get(service).map_or(0, |(revision, _)| *revision);
+        let record = Record { order: rollout.revision, state: step.to, why: step.why.into() };
+        Some((replaced, record))
+    }
+
+    /// Whether any roll-out is under way, or its old servers are about to stop.
+    pub fn is_live(&self, now: Instant) -> bool {
+        let stops = |rollout: &Rollout| match rollout.state {
+            Some((State::Completed, since)) => now.saturating_duration_since(since) < STOPPING,
+            _ => false,
+        };
+        self.live().next().is_some() || self.by_service.values().any(stops)
+    }
+
+    fn live(&self) -> impl Iterator<Item = (&Arc<str>, &Rollout)> {
+        self.by_service
+            .iter()
+            .filter(|(_, rollout)| rollout.state.is_none_or(|(state, _)| !state.is_final()))
+    }
+
+    /// Services with a roll-out, each with its new version.
+    pub fn versions(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let all = self.by_service.iter();
+        all.map(|(service, rollout)| (service.clone(), rollout.order.version.clone())).collect()
+    }
+
+    /// The new version of a service's roll-out.
+    pub fn version(&self, service: &str) -> Option<String> {
+        Some(self.by_service.get(service)?.order.version.to_string())
+    }
+
+    /// Where a request goes; `None` where all servers of its service are alike to it.
+    pub fn pick(&self, service: &str, draw: Draw, bound: f64, now: Instant) -> Option<Pick> {
+        self.by_service.get(service)?.pick(draw, bound, now)
+    }
+
+    /// Under which heading a request at a server of such a version counts; `None` where that tells nothing.
+    pub fn stratum(&self, service: &str, route: &str, version: &str) -> Option<Stratum> {
+        let rollout = self.by_service.get(service)?;
+        if rollout.state().is_final() {
+            return None;
+        }
+        let is_candidate = *rollout.order.version == *version;
+        let arm = if is_candidate { Arm::Candidate } else { Arm::Baseline };
+        Some(Stratum { rollout: rollout.tag, route: Tag::of(route), arm })
+    }
+
+    /// Notes an answer with its time, or with `None` a failure.
+    pub fn note(&mut self, stratum: Stratum, time: Option<Duration>) {
+        let rollout = self.by_service.values_mut().find(|r| r.tag == stratum.rollout);
+        if let Some(rollout) = rollout {
+            rollout.own.entry((stratum.route, stratum.arm)).or_default().note(time);
+            rollout.weigh();
+        }
+    }
+
+    /// What this daemon tells others: how its requests went, and how old orders are.
+    pub fn told(&self, now: Instant) -> (Vec<(Stratum, Tally)>, Vec<(Tag, u32)>) {
+        let mut tallies = Vec::new();
+        let mut ages = Vec::new();
+        for (_, rollout) in self.live() {
+            ages.push((rollout.tag, millis(rollout.began, now)));
+            let stratum = |(route, arm)| Stratum { rollout: rollout.tag, route, arm };
+            tallies.extend(rollout.own.iter().map(|(key, tally)| (stratum(*key), *tally)));
+        }
+        (tallies, ages)
+    }
+
+    /// Takes over what the other daemons told.
+    pub fn set_others(&mut self, heard: &Heard, now: Instant) {
+        for rollout in self.by_service.values_mut() {
+            rollout.others.clear();
+            let its = heard.tallies.iter().filter(|(stratum, _)| stratum.rollout == rollout.tag);
+            rollout.others.extend(its.map(|(s, tally)| ((s.route, s.arm), *tally)));
+            // An order is as old as any daemon knows it to be.
+            let age = heard.ages.get(&rollout.tag).and_then(|age| before(now, *age));
+            rollout.began = age.map_or(rollout.began, |began| began.min(rollout.began));
+            rollout.weigh();
+        }
+    }
+
+    /// Takes in which servers a service with a roll-out has.
+    pub fn count(&mut self, service: &str, census: Census) {
+        if let Some(rollout) = self.by_service.get_mut(service) {
+            rollout.had_baseline |= census.baseline > 0;
+            rollout.census = census;
+        }
+    }
+
+    /// The steps that are due.
+    pub fn due(&self, bound: f64, now: Instant) -> Vec<(Arc<str>, Step)> {
+        let due = self.live();
+        due.filter_map(|(service, r)| Some((service.clone(), r.due(bound, now)?))).collect()
+    }
+
+    /// Servers of a service that get nothing more.
+    pub fn retired(&self, service: &str, now: Instant) -> Option<Retired> {
+        self.by_service.get(service)?.retired(now)
+    }
+
+    /// Whether this daemon has found the candidate bad, and why.
+    pub fn halted(&self, service: &str) -> Option<&'static str> {
+        self.by_service.get(service)?.halted
+    }
+}
--- /dev/null
+++ b/src/gateway/rollout/controller.rs
@@ -0,0 +1,200 @@
+//! Taking roll-outs from step to step: looking at what is known, and writing the record in the store.
+
+use crate::gateway::cluster::Cluster;
+use crate::gateway::core::Gateway;
+use crate::gateway::mirror::Mirror;
+use crate::gateway::port::{Schema, Store};
+use crate::gateway::rollout::{Census, Draw, Order, Pick, Record, Rollouts, Step};
+use crate::gateway::server::Server;
+use crate::gateway::servers::ServerKey;
+use crate::platform::{PlatformResult, Swap};
+use crate::time;
+use log::{info, warn};
+use std::collections::HashMap;
+use std::sync::{Arc, MutexGuard};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Time between two looks at roll-outs that are under way.
+const LOOK: Duration = Duration::from_millis(200);
+/// What a daemon waits longer with a step for each one that reads the store before it: the first one's write is heard
+/// of meanwhile.
+const TURN: Duration = Duration::from_millis(400);
+/// Longest such wait.
+const LONGEST_TURN: Duration = Duration::from_millis(1_600);
+/// Pause after a write that failed; every call is priced.
+const AFTER_FAILURE: Duration = Duration::from_millis(500);
+
+impl Gateway {
+    /// The roll-outs. Servers are not to be locked while it is held.
+    pub fn rollouts(&self) -> MutexGuard<'_, Rollouts> {
+        self.rollouts.lock().expect("no holder panics")
+    }
+
+    /// Takes in an order of the operators, or with `None` that it was withdrawn.
+    pub(crate) fn take_order(
+        &self,
+        service: &str,
+        revision: u64,
+        order: Option<Order>,
+        now: Instant,
+    ) {
+        match &order {
+            Some(order) => {
+                let ms = order.time.as_millis() as u64;
+                info!(service = service, version = &*order.version, ms = ms; "roll-out ordered");
+            }
+            None => info!(service = service; "roll-out withdrawn"),
+        }
+        self.rollouts().order(service, revision, order, now);
+        self.look_at_rollouts(now);
+        self.rollout_news.notify_one();
+    }
+
+    /// Takes in the store's record of a roll-out.
+    pub(crate) fn take_record(&self, service: &str, revision: u64, record: Record, now: Instant) {
+        let (state, why) = (record.state.name(), record.why.clone());
+        info!(service = service, state = state, why = why.as_str(); "roll-out");
+        self.metrics.rollouts.with_label_values(&[state]).inc();
+        self.rollouts().record(service, revision, record, now);
+        self.look_at_rollouts(now);
+        self.rollout_news.notify_one();
+    }
+
+    /// Where a request of `service` goes.
+    pub(crate) fn pick(&self, service: &str, draw: Draw, now: Instant) -> Option<Pick> {
+        self.rollouts().pick(service, draw, self.exposure(), now)
+    }
+
+    /// Counts servers by version, and takes those out of use that get nothing more.
+    pub(crate) fn look_at_rollouts(&self, now: Instant) {
+        let versions = self.rollouts().versions();
+        for (service, version) in versions {
+            let census = self.census(&service, &version, now);
+            let (retired, halted) = {
+                let mut rollouts = self.rollouts();
+                rollouts.count(&service, census);
+                (rollouts.retired(&service, now), rollouts.halted(&service))
+            };
+            if self.servers().retire(&service, retired.clone()) {
+                let why = halted.unwrap_or("recorded");
+                info!(service = &*service, version = &*version, retired = format!("{retired:?}").as_str(), why = why; "servers of a roll-out in use");
+            }
+        }
+    }
+
+    fn census(&self, service: &str, version: &str, now: Instant) -> Census {
+        let declared = self.in_force.get();
+        let declared = declared.as_ref().and_then(|d| d.table.service(service));
+        let is_cold = |server: &Server| declared.is_some_and(|s| server.is_cold(s.warm_up, now));
+        let mut census =
+            Census { counted: true, declared: declared.is_some(), ..Census::default() };
+        let servers = self.servers();
+        let mut candidate = Vec::new();
+        for (key, server) in servers.listed(service) {
+            match *server.record.version == *version {
+                true => {
+                    census.candidates += 1;
+                    if server.open() && !is_cold(server) {
+                        candidate.push((server.tag(), key));
+                    }
+                }
+                false => {
+                    census.baseline += 1;
+                    census.runs += server.load().runs;
+                }
+            }
+        }
+        candidate.sort_unstable_by_key(|(tag, _)| *tag);
+        census.candidate = candidate.into_iter().map(|(_, key): (_, ServerKey)| key).collect();
+        census
+    }
+}
+
+/// A step that is due, and since when.
+#[derive(Debug, Clone, Copy)]
+struct Due {
+    step: Step,
+    since: Instant,
+}
+
+/// See the module.
+pub struct Controller {
+    gateway: Arc<Gateway>,
+    store: Arc<dyn Store>,
+    schema: Arc<dyn Schema>,
+    mirror: Arc<Mirror>,
+    cluster: Arc<Cluster>,
+    due: HashMap<Arc<str>, Due>,
+}
+
+impl Controller {
+    /// A controller that has seen no order.
+    pub fn new(
+        gateway: Arc<Gateway>,
+        store: Arc<dyn Store>,
+        schema: Arc<dyn Schema>,
+        mirror: Arc<Mirror>,
+        cluster: Arc<Cluster>,
+    ) -> Controller {
+        Controller { gateway, store, schema, mirror, cluster, due: HashMap::new() }
+    }
+
+    /// Takes the steps that are due until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            if !self.gateway.rollouts().is_live(time::now()) {
+                self.gateway.rollout_news.notified().await;
+            }
+            self.look(time::now()).await;
+            sleep(LOOK).await;
+        }
+    }
+
+    async fn look(&mut self, now: Instant) {
+        self.gateway.listen(now);
+        self.gateway.look_at_rollouts(now);
+        let steps = self.gateway.rollouts().due(self.gateway.exposure(), now);
+        self.due.retain(|service, _| steps.iter().any(|(due, _)| due == service));
+        for (service, step) in steps {
+            let due = self.due.entry(service.clone()).or_insert(Due { step, since: now });
+            if due.step.to != step.to {
+                *due = Due { step, since: now };
+            }
+            let before = u32::try_from(self.cluster.readers_before(now)).unwrap_or(u32::MAX);
+            let turn = TURN.saturating_mul(before).min(LONGEST_TURN);
+            let is_turn = now.saturating_duration_since(due.since) >= turn;
+            if is_turn && !self.mirror.store_is_away() {
+                self.take(&service, step).await;
+            }
+        }
+    }
+
+    /// Writes the record that a step leads to, unless another daemon has written one meanwhile.
+    async fn take(&self, service: &Arc<str>, step: Step) {
+        let Some((replaced, record)) = self.gateway.rollouts().next_record(service, step) else {
+            return;
+        };
+        match self.write(service, replaced, &record).await {
+            Ok(Swap::Won(revision)) => {
+                info!(service = &**service, state = step.to.name(), why = step.why; "roll-out's step recorded");
+                self.gateway.take_record(service, revision, record, time::now());
+            }
+            // Its record comes with the copy of the store.
+            Ok(Swap::Lost) => info!(service = &**service; "another daemon records the roll-out"),
+            Err(e) => {
+                warn!(service = &**service, state = step.to.name(), why = e.to_string().as_str(); "roll-out's step not recorded");
+                sleep(AFTER_FAILURE).await;
+            }
+        }
+    }
+
+    async fn write(&self, service: &str, replaced: u64, record: &Record) -> PlatformResult<Swap> {
+        let key = format!("{}{service}", self.schema.rollout_records());
+        let value = serde_json::to_vec(record).expect("a record is JSON");
+        let version = self.gateway.rollouts().version(service).unwrap_or_default();
+        let status = self.schema.rollout_status(service, &version, record.state);
+        // The record goes last: the revision of the whole is then its own, however the store counts.
+        self.store.swap(&key, replaced, vec![status, (key.clone(), value)]).await
+    }
+}
--- /dev/null
+++ b/src/gateway/rollout/verdict.rs
@@ -0,0 +1,163 @@
+//! Telling a bad version from a sound one by a sequential test.
+//!
+//! For each route the candidate's failures and its slow answers are weighed against the baseline's by a one-sided
+//! cumulative sum of log-likelihood ratios (E. S. Page, Continuous Inspection Schemes, Biometrika 41, 1954). It
+//! starts anew wherever the evidence speaks for the candidate, so that a version which turns bad later is told as
+//! soon as one that is bad from the start. By Ville's inequality a sound version crosses the threshold within n
+//! requests with a chance of at most n times e to the minus threshold; `tests/rollouts.rs` draws the chances of
+//! both mistakes.
+
+use crate::gateway::rollout::tally::Tally;
+use crate::gateway::tag::Tag;
+use std::collections::HashMap;
+
+/// Score at which a version is bad.
+const THRESHOLD: f64 = 8.0;
+/// Score up to which nothing speaks against a version.
+const DOUBT: f64 = 0.75 * THRESHOLD;
+/// How much more often than the baseline's a bad version's requests fail, as a part of those that don't.
+const MORE_FAILURES: f64 = 0.2;
+/// Least rate of failures that is taken as usual: fewer are not told apart from none by some hundred requests.
+const LEAST_FAILURES: f64 = 0.02;
+/// Part of the baseline's answers that count as its slowest.
+const SLOWEST: f64 = 0.25;
+/// Part of a sound version's answers that may take half as long again as those: its few servers are fuller at times.
+const SLOW_AT_MOST: f64 = 0.12;
+/// The same of a bad version.
+const SLOW_AT_LEAST: f64 = 0.55;
+/// Answers of the baseline from which its slowest are known.
+const LEAST_ANSWERS: u32 = 20;
+/// Requests that are assumed of the baseline besides those counted, one of which failed.
+const ASSUMED: f64 = 10.0;
+
+/// What is wrong with a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Its requests fail more often than the baseline's.
+    Fails,
+    /// Its answers take several times as long.
+    Slow,
+}
+
+impl Fault {
+    /// The name, for logs and records.
+    pub fn name(self) -> &'static str {
+        match self {
+            Fault::Fails => "the version's requests fail",
+            Fault::Slow => "the version's answers are slow",
+        }
+    }
+}
+
+/// The score of one kind of event: a sum of log-likelihood ratios that does not fall below zero.
+#[derive(Debug, Clone, Copy, Default)]
+struct Score(f64);
+
+impl Score {
+    fn add(&mut self, ratio: f64) {
+        self.0 = (self.0 + ratio).max(0.0);
+    }
+}
+
+/// The log-likelihood ratio of so many events in so many requests, expected at the rates `bad` and `sound`.
+fn ratio(events: u32, requests: u32, sound: f64, bad: f64) -> f64 {
+    let others = f64::from(requests.saturating_sub(events));
+    f64::from(events) * (bad / sound).ln() + others * ((1.0 - bad) / (1.0 - sound)).ln()
+}
+
+/// The scores of failures and of slow answers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Scores {
+    failures: Score,
+    slowness: Score,
+}
+
+impl Scores {
+    fn add(&mut self, ratios: Ratios) {
+        self.failures.add(ratios.failures);
+        self.slowness.add(ratios.slowness);
+    }
+
+    fn fault(&self) -> Option<Fault> {
+        if self.failures.0 >= THRESHOLD {
+            return Some(Fault::Fails);
+        }
+        (self.slowness.0 >= THRESHOLD).then_some(Fault::Slow)
+    }
+
+    fn doubts(&self) -> bool {
+        self.failures.0.max(self.slowness.0) > DOUBT
+    }
+}
+
+/// What new requests of one route add to the scores.
+#[derive(Debug, Clone, Copy)]
+struct Ratios {
+    failures: f64,
+    slowness: f64,
+}
+
+/// The candidate's requests of one route that were taken in.
+#[derive(Debug, Clone, Copy, Default)]
+struct Taken {
+    /// Those of which the failures were.
+    tried: Tally,
+    /// Those of which the times were.
+    timed: Tally,
+}
+
+impl Taken {
+    /// Takes in what has come since the last time.
+    fn take(&mut self, baseline: &Tally, candidate: &Tally) -> Ratios {
+        Ratios {
+            failures: self.take_failures(baseline, candidate),
+            slowness: self.take_times(baseline, candidate),
+        }
+    }
+
+    fn take_failures(&mut self, baseline: &Tally, candidate: &Tally) -> f64 {
+        let tried = candidate.tried.saturating_sub(self.tried.tried);
+        let failed = candidate.failed.saturating_sub(self.tried.failed);
+        self.tried = *candidate;
+        let usual = (f64::from(baseline.failed) + 1.0) / (f64::from(baseline.tried) + ASSUMED);
+        let sound = usual.max(LEAST_FAILURES);
+        let bad = sound + (1.0 - sound) * MORE_FAILURES;
+        ratio(failed, tried.max(failed), sound, bad)
+    }
+
+    fn take_times(&mut self, baseline: &Tally, candidate: &Tally) -> f64 {
+        if baseline.answered() < LEAST_ANSWERS {
+            return 0.0;
+        }
+        let slow = |tally: &Tally| tally.slower_than(baseline, SLOWEST);
+        let answered = candidate.answered().saturating_sub(self.timed.answered());
+        let slow = slow(candidate).saturating_sub(slow(&self.timed)).min(answered);
+        self.timed = *candidate;
+        ratio(slow, answered, SLOW_AT_MOST, SLOW_AT_LEAST)
+    }
+}
+
+/// The test of one candidate: by each route, for one that is bad on that route only, and by all together.
+#[derive(Debug, Default)]
+pub struct Test {
+    taken: HashMap<Tag, Taken>,
+    routes: HashMap<Tag, Scores>,
+    all: Scores,
+}
+
+impl Test {
+    /// Takes in what has come of a route since the last time. Says what is wrong with the candidate, if that is
+    /// proved.
+    pub fn weigh(&mut self, route: Tag, baseline: &Tally, candidate: &Tally) -> Option<Fault> {
+        let ratios = self.taken.entry(route).or_default().take(baseline, candidate);
+        let scores = self.routes.entry(route).or_default();
+        scores.add(ratios);
+        self.all.add(ratios);
+        scores.fault().or(self.all.fault())
+    }
+
+    /// Whether something speaks against the candidate, though it proves nothing.
+    pub fn doubts(&self) -> bool {
+        self.all.doubts() || self.routes.values().any(Scores::doubts)
+    }
+}
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -9,6 +9,7 @@
 };
 use crate::gateway::port::Destination;
 use crate::gateway::request::Call;
+use crate::gateway::rollout::{Arm, Draw, Pick, Stratum};
 use crate::gateway::servers::{Load, Server, ServerKey, Servers};
 use crate::gateway::table::Service;
 use crate::gateway::tag::Tag;
@@ -68,6 +69,15 @@
     pub knowledge: Option<Duration>,
     /// Tokens of prompts that waited there before this request.
     pub waiting: u32,
+    /// What its outcome counts for.
+    pub trial: Option<Trial>,
+}
+
+/// A request that counts in a roll-out.
+#[derive(Debug, Clone, Copy)]
+pub struct Trial {
+    stratum: Stratum,
+    sent: Instant,
 }
 
 impl Seat {
@@ -112,6 +122,14 @@
     /// Notes how the exchange went.
     pub fn judge(&self, failed: bool) {
         self.gateway.judge(self.key(), failed);
+        if let Some(trial) = self.trial {
+            self.gateway.note_trial(trial, failed);
+        }
+    }
+
+    /// Notes that the server turned the request away, which tells nothing of its version.
+    pub fn declined(&self) {
+        self.gateway.judge(self.key(), true);
     }
 }
 
@@ -135,6 +153,15 @@
     bound: Bound,
 }
 
+/// Which servers a request may go to.
+#[derive(Debug, Clone, Copy)]
+struct Among<'a> {
+    /// Those that were tried.
+    except: &'a [ServerKey],
+    /// Those that a roll-out gives it; `None` where all are alike.
+    pick: Option<&'a Pick>,
+}
+
 impl Gateway {
     /// Whether a server bears one more request of this daemon: it is not cold, or the daemon's share of
     /// what it may get is not used up.
@@ -174,9 +201,10 @@
     }
 
     /// Takes in what came from other daemons since the last time.
-    fn listen(&self, now: Instant) {
+    pub(super) fn listen(&self, now: Instant) {
         if let Some(heard) = self.hearing().and_then(|hearing| hearing.heard(now)) {
             self.servers().set_others(&heard);
+            self.rollouts().set_others(&heard.rollouts, now);
             self.quarantine().set_others(&heard.evidence, now);
         }
     }
@@ -205,7 +233,21 @@
             None => Bound::NONE,
         };
         let terms = Terms { standing, bound };
-        self.choose_seat(service, &need, call, terms, tried, now)
+        let draw = match tried {
+            [] => Draw::first(&call.route.name, &call.id),
+            _ => Draw::Again,
+        };
+        let pick = self.pick(&service.name, draw, now);
+        let among = Among { except: tried, pick: pick.as_ref() };
+        let seat = self.choose_seat(service, &need, call, terms, among, now);
+        match pick {
+            // The old servers have room where the few of the new version have none.
+            Some(pick) if seat.is_err() && pick.arm == Arm::Candidate => {
+                let among = Among { except: tried, pick: Some(&pick.baseline()) };
+                self.choose_seat(service, &need, call, terms, among, now)
+            }
+            _ => seat,
+        }
     }
 
     /// Takes a seat for a request that was sent before, if the shared budget allows another sending.
@@ -225,6 +267,12 @@
         Ok(seat)
     }
 
+    /// Notes how a request went that counts in a roll-out.
+    pub(crate) fn note_trial(&self, trial: Trial, failed: bool) {
+        let time = (!failed).then(|| time::since(trial.sent));
+        self.rollouts().note(trial.stratum, time);
+    }
+
     /// The shortest aim of a service's routes.
     fn aim(&self, service: &Service, call: &Call) -> Duration {
         let declared = self.in_force.get();
@@ -246,7 +294,9 @@
         let (hall, far) = (source.hall.as_str(), FAR_COPY_COST);
         let need = Need { hall, far, alike: COPY_ALIKE, unseen: 0.0, load, engine };
         let terms = Terms { standing: Standing::Begun, bound: Bound::NONE };
-        self.choose_seat(service, &need, call, terms, refused, now).ok()
+        let pick = self.pick(&service.name, Draw::Again, now);
+        let among = Among { except: refused, pick: pick.as_ref() };
+        self.choose_seat(service, &need, call, terms, among, now).ok()
     }
 
     fn choose_seat(
@@ -255,11 +305,13 @@
         need: &Need<'_>,
         call: &Call,
         terms: Terms,
-        except: &[ServerKey],
+        among: Among<'_>,
         now: Instant,
     ) -> Result<Seat, NoSeat> {
         let load = need.load;
-        let may_take = self.may_take(service, call, except, now);
+        let may_take = self.may_take(service, call, among.except, now);
+        let admits = |key, server: &Server| among.pick.is_none_or(|pick| pick.admits(key, server));
+        let may_take = |key, server: &Server| admits(key, server) && may_take(key, server);
         let mut servers = self.servers();
         let room = self.room_in_need(&mut servers, &service.name, &may_take, now);
         let may_use =
@@ -290,7 +342,11 @@
         let to = server.destination();
         let place = Place { key, to, tag: server.tag(), hall: server.record.hall.clone(), load };
         let notice = server.notice();
-        Ok(Seat { gateway: self.clone(), place, notice, knowledge: None, waiting: there.reading })
+        let stratum =
+            self.rollouts().stratum(&service.name, &call.route.name, &server.record.version);
+        let trial = stratum.map(|stratum| Trial { stratum, sent: now });
+        let (gateway, waiting) = (self.clone(), there.reading);
+        Ok(Seat { gateway, place, notice, knowledge: None, waiting, trial })
     }
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -27,6 +27,8 @@
     pub born: Option<u64>,
     /// Its service.
     pub service: Arc<str>,
+    /// The version of its software.
+    pub version: Arc<str>,
     /// Where it takes requests.
     pub addr: SocketAddr,
     /// Its hall.
@@ -104,6 +106,8 @@
     pub(super) named: bool,
     /// Whether it counts as leaving only because the store no longer lists it.
     pub(super) unlisted: bool,
+    /// Whether it counts as leaving only because a roll-out takes its version out of use.
+    retired: bool,
     /// What this daemon has there.
     pub own: Load,
     /// What the other daemons said they have there.
@@ -141,6 +145,7 @@
             tag,
             named: true,
             unlisted: false,
+            retired: false,
             own,
             others,
             leaving,
@@ -213,9 +218,24 @@
         self.reach.is_passed_over(now)
     }
 
+    /// Whether it leaves, and not only may, or takes no work for another reason.
+    pub(super) fn is_known_to_leave(&self) -> bool {
+        *self.leaving.borrow() && self.suspected.is_none() && !self.retired
+    }
+
     /// Whether it leaves, and other daemons can't know it from the store.
     pub(super) fn leaves_untold(&self) -> bool {
-        *self.leaving.borrow() && !self.record.leaving && self.suspected.is_none()
+        self.is_known_to_leave() && !self.record.leaving
+    }
+
+    /// A roll-out takes its version out of use, or back into use.
+    pub(super) fn set_retired(&mut self, retired: bool) {
+        if retired && !self.retired && !self.is_known_to_leave() {
+            (self.retired, self.suspected) = (true, None);
+            self.leaving.send_replace(true);
+        } else if !retired && std::mem::take(&mut self.retired) {
+            self.leaving.send_replace(false);
+        }
     }
 
     /// Whether this daemon has anything to tell others of it.
@@ -231,15 +251,15 @@
     /// It leaves, which is never taken back. Says whether that is new.
     pub(super) fn leaves(&mut self, now: Instant) -> bool {
         self.suspected = None;
-        self.unlisted = false;
+        (self.unlisted, self.retired) = (false, false);
         self.leaving.send_replace(true);
         self.condition.leaves(now)
     }
 
     /// The store no longer lists it: it may serve on for a while, or have gone.
     pub(super) fn unlist(&mut self) {
-        self.unlisted |= self.suspected.is_some() || !*self.leaving.borrow();
-        self.suspected = None;
+        self.unlisted |= self.suspected.is_some() || self.retired || !*self.leaving.borrow();
+        (self.suspected, self.retired) = (None, false);
         self.leaving.send_replace(true);
     }
 
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -11,6 +11,7 @@
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::port::Destination;
 use crate::gateway::quarantine::Evidence;
+use crate::gateway::rollout::{self, Retired};
 pub use crate::gateway::server::{Load, Server, ServerRecord};
 use crate::gateway::tag::Tag;
 use log::info;
@@ -46,6 +47,8 @@
     pub outcomes: HashMap<Tag, Outcomes>,
     /// What became of the servers that ran suspected requests.
     pub evidence: HashMap<Fingerprint, Evidence>,
+    /// How requests went in roll-outs that are under way.
+    pub rollouts: rollout::Heard,
 }
 
 /// A server that is asked about itself.
@@ -82,6 +85,8 @@
     resting: HashSet<ServerKey>,
     past: Past,
     halls: Halls,
+    /// Servers of each service that get nothing more, by version.
+    retired: HashMap<Arc<str>, Retired>,
 }
 
 impl Servers {
@@ -90,7 +95,10 @@
     pub fn upsert(&mut self, record: ServerRecord, now: Instant) {
         let known = self.by_id.get(&record.id).copied();
         match known.filter(|key| self.arena[*key].record.born == record.born) {
-            Some(key) => self.arena[key].update(record, now),
+            Some(key) => {
+                self.arena[key].update(record, now);
+                self.settle_retired(key);
+            }
             None => {
                 self.remove(&record.id.clone());
                 self.add(record, now);
@@ -98,6 +106,33 @@
         }
     }
 
+    /// Sets which servers of a service get nothing more, by version; their runs move away, and those that no longer
+    /// are among them take work again. Says whether that has changed.
+    pub fn retire(&mut self, service: &Arc<str>, retired: Option<Retired>) -> bool {
+        if self.retired.get(service) == retired.as_ref() {
+            return false;
+        }
+        match retired {
+            Some(retired) => self.retired.insert(service.clone(), retired),
+            None => self.retired.remove(service),
+        };
+        let keys: Vec<ServerKey> = self.listed(service).map(|(key, _)| key).collect();
+        keys.into_iter().for_each(|key| self.settle_retired(key));
+        true
+    }
+
+    fn settle_retired(&mut self, key: ServerKey) {
+        let server = &mut self.arena[key];
+        let retired = self.retired.get(&server.record.service);
+        server.set_retired(retired.is_some_and(|r| r.includes(&server.record.version)));
+    }
+
+    /// Servers of a service that the store lists, whether they take work or not.
+    pub fn listed<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (ServerKey, &'a Server)> {
+        let all = self.by_id.values().map(|key| (*key, &self.arena[*key]));
+        all.filter(move |(_, server)| *server.record.service == *service)
+    }
+
     /// Adds a start of a server that is not listed. One that has runs of this daemon and was listed
     /// before is still known: its entry had lapsed.
     fn add(&mut self, record: ServerRecord, now: Instant) {
@@ -113,6 +148,7 @@
             None => self.insert_again(record, now),
         };
         self.by_id.insert(id, key);
+        self.settle_retired(key);
     }
 
     /// Inserts a start of a server, with what it said of itself where it was listed before.
@@ -287,8 +323,7 @@
     /// A server that is not known to leave.
     fn unsure(&mut self, tag: Tag) -> Option<(ServerKey, &mut Server)> {
         let (key, server) = known(&self.by_tag, &mut self.arena, tag)?;
-        let leaves = *server.leaving.borrow() && server.suspected.is_none();
-        (!leaves).then_some((key, server))
+        (!server.is_known_to_leave()).then_some((key, server))
     }
 
     fn noted(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -11,6 +11,7 @@
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::quarantine::{Evidence, most_ended};
+use crate::gateway::rollout;
 use crate::gateway::servers::Load;
 use crate::gateway::tag::Tag;
 use std::collections::{HashMap, HashSet};
@@ -146,6 +147,8 @@
     pub(crate) outcomes: HashMap<Tag, Outcomes>,
     /// What became of the servers that ran suspected requests.
     pub(crate) evidence: HashMap<Fingerprint, Evidence>,
+    /// How requests went in roll-outs.
+    pub(crate) rollouts: rollout::Heard,
 }
 
 impl Adder {
@@ -157,6 +160,11 @@
         for (request, evidence) in &told.evidence {
             self.evidence.entry(*request).or_default().merge(evidence);
         }
+        add(&mut self.rollouts.tallies, &told.tallies);
+        for (order, age) in &told.orders {
+            let known = self.rollouts.ages.entry(*order).or_default();
+            *known = (*known).max(*age);
+        }
     }
 
     /// Adds one daemon's word; `entry` is where callers may be sent to it.
@@ -191,6 +199,8 @@
                 spent: self.spent.into_iter().collect(),
                 outcomes: self.outcomes.into_iter().collect(),
                 evidence: most_ended(self.evidence.into_iter().collect()),
+                tallies: self.rollouts.tallies.into_iter().collect(),
+                orders: self.rollouts.ages.into_iter().collect(),
             },
         }
     }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -407,7 +407,8 @@
         for sum in self.distant(now) {
             adder.add(&sum.told);
         }
-        Heard { loads: adder.loads, outcomes: adder.outcomes, evidence: adder.evidence }
+        let Adder { loads, outcomes, evidence, rollouts, .. } = adder;
+        Heard { loads, outcomes, evidence, rollouts }
     }
 
     /// What the daemons of the same cell that rank before this one have running at a server.
--- a/tests/common/servers.rs
+++ b/tests/common/servers.rs
@@ -21,6 +21,7 @@
         id: id.as_str().into(),
         born: None,
         service: "model".into(),
+        version: "v1".into(),
         addr: "127.0.0.1:9".parse().expect("an address"),
         hall: hall.into(),
         slots: ENGINE.slots,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -170,6 +170,7 @@
         id: id.into(),
         born: None,
         service: "app".into(),
+        version: "v1".into(),
         addr: "127.0.0.1:9".parse().unwrap(),
         hall: "hall".into(),
         slots: 6,
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -76,8 +76,12 @@
 
 fn node(now: Instant) -> Node {
     let budget = BudgetBounds { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) };
-    let bounds =
-        Bounds { revoke: Some(Duration::from_secs(5)), budget, cold: ColdBounds::default() };
+    let bounds = Bounds {
+        revoke: Some(Duration::from_secs(5)),
+        budget,
+        cold: ColdBounds::default(),
+        exposure: 0.1,
+    };
     let gateway =
         Gateway::new("hall", Regions::default(), bounds, Arc::new(NoWire), Box::new(Headroom), now);
     let addr: SocketAddr = "127.0.0.1:9".parse().expect("an address");
--- a/tests/mirror/stand_ins.rs
+++ b/tests/mirror/stand_ins.rs
@@ -9,6 +9,7 @@
     Wire,
 };
 use tidestair::gateway::request::Call;
+use tidestair::gateway::rollout::{Order, State};
 use tidestair::gateway::servers::ServerRecord;
 use tidestair::gateway::table::{Limits, Table};
 use tidestair::outcome::NotSent;
@@ -91,6 +92,23 @@
         "quarantine/"
     }
 
+    fn rollouts(&self) -> &str {
+        "orders/"
+    }
+
+    fn rollout_records(&self) -> &str {
+        "rollouts/"
+    }
+
+    fn rollout(&self, _: &str, value: &[u8]) -> Result<Order, Undecodable> {
+        let version = String::from_utf8_lossy(value);
+        Ok(Order { version: version.into(), time: Duration::from_secs(10) })
+    }
+
+    fn rollout_status(&self, service: &str, _: &str, state: State) -> (String, Vec<u8>) {
+        (format!("status/{service}"), state.name().into())
+    }
+
     fn table(&self, value: &[u8]) -> Result<Table, Undecodable> {
         let text = String::from_utf8_lossy(value);
         let version = text.parse().map_err(|_| Undecodable(text.into_owned()))?;
@@ -114,6 +132,7 @@
             id: id.into(),
             born: start.and_then(|(_, born)| born.parse().ok()),
             service: "app".into(),
+            version: "v1".into(),
             addr: "127.0.0.1:9".parse().expect("an address"),
             hall: hall_of(id),
             slots: 1,
