--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -2,28 +2,41 @@
 //!
 //! `cargo bench --bench fleet`; it takes about ten seconds. Times are microseconds on one core.
 
+#[allow(dead_code)]
+#[path = "../tests/mirror/stand_ins.rs"]
+mod stand_ins;
+
 use serde_json::json;
+use stand_ins::{NoWire, Plain};
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tidestair::gateway::beat::{Beat, Origin, Sum, Told};
+use tidestair::gateway::budget::BudgetBounds;
 use tidestair::gateway::cell::CellId;
 use tidestair::gateway::clock::{Clock, Echo};
+use tidestair::gateway::cold::ColdBounds;
+use tidestair::gateway::core::{Bounds, Gateway};
 use tidestair::gateway::fingerprint::Fingerprint;
+use tidestair::gateway::mirror::Mirror;
 use tidestair::gateway::partner::{Pace, Relation};
 use tidestair::gateway::place::{ALIKE, Candidate, Headroom, Need, Placing, UNSEEN_COST};
 use tidestair::gateway::quarantine::{Quarantine, Run};
-use tidestair::gateway::roster::Daemon;
+use tidestair::gateway::regions::Regions;
+use tidestair::gateway::roster::{Daemon, Roster};
 use tidestair::gateway::servers::{Load, ServerRecord, Servers, Signs};
 use tidestair::gateway::table::Engine;
 use tidestair::gateway::tag::Tag;
 use tidestair::gateway::view::{Own, View};
 use tidestair::message;
+use tidestair::platform::{Change, Entry};
 
-/// Daemons and servers of the fleets that are measured: the users' grown one, one of 300 VMs with ten servers
-/// each, and the one that the design is for.
-const FLEETS: [(usize, usize, usize); 3] = [(4, 64, 72), (6, 300, 3_000), (20, 1_000, 6_600)];
+/// Halls, daemons and servers of the fleets that are measured: the users' grown one, one of 300 VMs with ten servers
+/// each, the users' whole one, and one of twice that size.
+const FLEETS: [(usize, usize, usize); 4] =
+    [(4, 64, 72), (6, 300, 3_000), (6, 985, 10_002), (12, 1_970, 20_004)];
 /// Servers at which a daemon has something running.
 const OWN: usize = 12;
 
@@ -52,6 +65,8 @@
         let known = servers_of(servers, halls);
         note("choice", choice(&known));
         note("own_words", own_words(&known));
+        note("watched", micros(50, || drop(black_box(known.watched(Instant::now())))));
+        copy(halls, daemons, servers, &mut note);
         hearing(halls, daemons, servers, known, &mut note);
     }
     for bytes in [1_000, 16_000] {
@@ -120,6 +135,47 @@
     servers
 }
 
+/// Taking in the whole store at a start, giving a peer what has just changed, and what is asked of the list of
+/// daemons at each division.
+fn copy(halls: usize, daemons: usize, servers: usize, note: &mut impl FnMut(&str, f64)) {
+    let now = Instant::now();
+    let budget = BudgetBounds { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) };
+    let bounds = Bounds { revoke: None, budget, cold: ColdBounds::default(), exposure: 0.1 };
+    let (wire, placing) = (Arc::new(NoWire), Box::new(Headroom));
+    let gateway = Gateway::new("hall-0", Regions::default(), bounds, wire, placing, now);
+    let roster = Arc::new(Roster::new(daemon(halls, 0)));
+    let mirror = Mirror::new(gateway, roster.clone(), Arc::new(Plain));
+    let entry = |key: String, value: Vec<u8>, revision: usize| Entry {
+        key,
+        value,
+        revision: revision as u64,
+    };
+    let listed = (0..servers).map(|n| entry(format!("servers/{n}"), b"ready.1".to_vec(), n + 1));
+    let others = (1..daemons).map(|n| {
+        let value = serde_json::to_vec(&daemon(halls, n)).expect("plain data is JSON");
+        entry(format!("daemons/vm-{n}"), value, servers + n)
+    });
+    let all: Vec<Entry> = listed.chain(others).collect();
+    let position = (servers + daemons) as u64;
+    let began = Instant::now();
+    mirror.replace(all, position, now, now);
+    note("start_copy", began.elapsed().as_secs_f64() * 1e6);
+    note("give_all", micros(5, || drop(black_box(mirror.all_after(0, now)))));
+    let change = |n: u64| Change {
+        key: format!("servers/{}", n % 50),
+        value: Some(if n % 2 == 0 { b"leaving".to_vec() } else { b"ready".to_vec() }),
+        revision: position + n,
+    };
+    let mut n = 0;
+    let changed = micros(50, || {
+        n += 1;
+        mirror.advance(vec![change(n)], position + n, now, now);
+    });
+    note("take_change", changed);
+    note("give_changes", micros(50, || drop(black_box(mirror.update_after(position + 48, now)))));
+    note("roster", micros(50, || drop(black_box((roster.others(), roster.rank())))));
+}
+
 fn choice(servers: &Servers) -> f64 {
     let need = Need {
         hall: "hall-0",
@@ -177,6 +233,7 @@
         stamp,
         echo: Some(echo),
         ready: true,
+        pause_ms: 250,
         chosen: true,
         statement: None,
         read_ms: None,
--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -41,7 +41,7 @@
     mut phase: watch::Receiver<Phase>,
 ) {
     let own = roster.own();
-    let key = format!("{}{}", schema.daemons(), own.vm);
+    let key = format!("{}{}/{}", schema.daemons(), own.hall, own.vm);
     let value = serde_json::to_vec(own).expect("a daemon's record is JSON");
     let mut lease = None;
     let mut after_failure = AFTER_FAILURE;
--- a/src/gateway/beat.rs
+++ b/src/gateway/beat.rs
@@ -28,6 +28,8 @@
     pub echo: Option<Echo>,
     /// Whether callers may be sent to it.
     pub ready: bool,
+    /// Time within which the next one follows, in milliseconds.
+    pub pause_ms: u32,
     /// Whether the receiver is a contact of the sender's choice, which should answer.
     pub chosen: bool,
     /// How the sender's copy of the store stands.
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -200,6 +200,12 @@
         requests / counted.as_secs_f64().max(1.0)
     }
 
+    /// The same of each service that this daemon has had requests for.
+    pub fn rates(&mut self, now: Instant) -> Vec<(Arc<str>, f64)> {
+        let services: Vec<Arc<str>> = self.services.keys().cloned().collect();
+        services.into_iter().map(|s| (s.clone(), self.rate(&s, now))).collect()
+    }
+
     /// This daemon's part of the requests for a service of all daemons. Those that are not heard are taken to
     /// have as many each as the others; the parts of all daemons add up to one.
     pub fn part(&mut self, service: &Arc<str>, now: Instant) -> f64 {
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -12,11 +12,12 @@
 
 use crate::error::Result;
 use crate::gateway::beat::{Beat, Request, Told};
+use crate::gateway::cell::rank;
 use crate::gateway::clock::{Clock, before, millis};
 use crate::gateway::core::{Gateway, Hearing, Wanted};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::Mirror;
-use crate::gateway::partner::{self, Pace, Relation};
+use crate::gateway::partner::{Pace, Relation, Stretch};
 use crate::gateway::roster::Roster;
 use crate::gateway::servers::{Heard, Load};
 use crate::gateway::tag::Tag;
@@ -40,8 +41,10 @@
 /// Least time between two heartbeats to one daemon for changes of load: changes that come together
 /// are told together.
 const SPACING: Duration = Duration::from_millis(40);
-/// Time between two divisions of the fleet into cells, and two looks for daemons to be greeted.
+/// Time between two looks at whether the fleet is to be divided otherwise, and for daemons to be greeted.
 const DIVIDE: Duration = Duration::from_millis(100);
+/// The same where heartbeats come seldom.
+const DIVIDE_SELDOM: Duration = Duration::from_millis(300);
 /// Age of the last read of the store by any daemon up to which the others need not read it.
 const READ_LATELY: Duration = Duration::from_millis(700);
 /// What a daemon waits longer for each one that reads before it.
@@ -54,8 +57,16 @@
 /// Time after which a daemon that knows that its copy is behind reads the store itself: its peers
 /// may have no bandwidth for a large change.
 const BEHIND: Duration = Duration::from_millis(250);
-/// Longest time for a peer to give what this daemon lacks.
+/// Longest time for a peer to begin to give what this daemon lacks, and longest pause within it. A whole copy takes as
+/// long as the links need.
 const FETCH_LIMIT: Duration = Duration::from_millis(400);
+/// What a daemon that starts waits for its peers' copy for each daemon of its hall that is listed, and at most: as many
+/// are given copies before it.
+const START_WAIT: Duration = Duration::from_millis(15);
+const LONGEST_START_WAIT: Duration = Duration::from_millis(2_500);
+/// What each one waits longer than the one before it, so that they don't read the store together after all.
+const START_STEP: Duration = Duration::from_millis(100);
+const MOST_START_STEPS: u32 = 30;
 /// Updates given at a time; further askers get none and try another daemon or the store. Large ones
 /// fill the link of a small VM.
 const MOST_GIVEN: usize = 3;
@@ -82,6 +93,8 @@
     fetching: AtomicBool,
     /// Whether this daemon last asked the store in vain.
     in_vain: AtomicBool,
+    /// When this daemon last read the store.
+    own_read: Mutex<Option<Instant>>,
     /// Since when this copy is known to be behind.
     behind: Mutex<Option<Instant>>,
     giving: Semaphore,
@@ -118,6 +131,7 @@
             unheard: AtomicBool::new(true),
             fetching: AtomicBool::new(false),
             in_vain: AtomicBool::new(false),
+            own_read: Mutex::default(),
             behind: Mutex::default(),
             giving: Semaphore::new(MOST_GIVEN),
         });
@@ -145,7 +159,8 @@
             for addr in self.wanted(time::now()) {
                 self.greet(addr);
             }
-            sleep(DIVIDE).await;
+            let seldom = self.view().spacing(SPACING) > DIVIDE_SELDOM;
+            sleep(if seldom { DIVIDE_SELDOM } else { DIVIDE }).await;
         }
     }
 
@@ -177,6 +192,32 @@
         read.is_none_or(|read| now.saturating_duration_since(read) > lately)
     }
 
+    /// The hall of this daemon.
+    pub fn hall(&self) -> &str {
+        &self.roster.own().hall
+    }
+
+    /// How long this daemon, which starts, waits for a peer's copy of the store: not at all if it is the first of its
+    /// hall in the order of reading.
+    pub fn start_wait(&self) -> Duration {
+        let (own, (listing, _)) = (self.roster.own(), self.roster.listing());
+        let mates: Vec<_> = listing.daemons.iter().filter(|d| d.hall == own.hall).collect();
+        let before = mates.iter().filter(|d| rank(d) < rank(own)).count();
+        if before == 0 {
+            return Duration::ZERO;
+        }
+        let count = u32::try_from(mates.len()).unwrap_or(u32::MAX);
+        let steps = u32::try_from(before).unwrap_or(u32::MAX).min(MOST_START_STEPS).min(count / 2);
+        START_WAIT.saturating_mul(count).min(LONGEST_START_WAIT) + START_STEP * steps
+    }
+
+    /// How long this daemon need not look again whether it should read: what others read lately is known.
+    pub fn unread_for(&self, now: Instant) -> Duration {
+        let read = self.view().read();
+        let left = read.map(|at| (at + READ_LATELY).saturating_duration_since(now));
+        left.unwrap_or_default().min(BEHIND)
+    }
+
     /// How many daemons are to read the store before this one.
     pub fn readers_before(&self, now: Instant) -> usize {
         self.view().readers_before(now)
@@ -185,6 +226,7 @@
     /// Notes that this daemon has read the store.
     pub fn has_read(&self, now: Instant) {
         self.view().has_read(Some(now));
+        *self.own_read.lock().expect("no holder panics") = Some(now);
         self.in_vain.store(false, Ordering::Release);
         *self.behind.lock().expect("no holder panics") = None;
     }
@@ -207,16 +249,18 @@
 
     /// Divides the fleet anew and takes over what the others have running and have spent.
     fn divide(&self, now: Instant) {
-        let listed = self.roster.others();
-        let count = listed.len();
+        let (listing, rank) = self.roster.listing();
+        let count = listing.daemons.len();
+        let stretch = Stretch::of(self.gateway.request_gap(now));
         let greeted = self.greeted.lock().expect("no holder panics").clone();
         let mut view = self.view();
-        view.divide(listed, |addr| greeted.get(&addr).copied(), now);
+        view.divide_listed(&listing, |addr| greeted.get(&addr).copied(), now);
+        view.set_stretch(stretch);
         self.gateway.metrics.peers.set(view.count(now) as i64);
         self.gateway.set_others(view.spent(count, now));
         self.gateway.set_divided(view.layout().divided);
         self.gateway.set_late(view.late_share(now));
-        self.gateway.set_rank(self.roster.rank());
+        self.gateway.set_rank(rank);
         drop(view);
         // What was not told again in time no longer counts.
         self.unheard.store(true, Ordering::Release);
@@ -251,7 +295,7 @@
 
     /// Whether an address is neither listed by the store nor heard.
     fn is_unknown(&self, view: &View, addr: SocketAddr) -> bool {
-        !view.knows(addr) && !self.roster.peers().contains(&addr)
+        !view.knows(addr) && !self.roster.has_peer(addr)
     }
 
     /// One task for each daemon that heartbeats are due to; it ends when they no longer are.
@@ -274,6 +318,7 @@
 
     async fn talk(self: &Arc<Self>, addr: SocketAddr, handler: &Arc<dyn Handler>) {
         let (mut news, mut loads) = (self.gateway.news(), self.gateway.load_news());
+        let mut copy = self.gateway.copy_news();
         let mut pace = Pace::default();
         loop {
             let now = time::now();
@@ -284,23 +329,35 @@
             // What changes from here on is not in this heartbeat.
             news.mark_unchanged();
             loads.mark_unchanged();
+            copy.mark_unchanged();
             self.links.tell(addr, &beat, handler).await;
-            let (heard, relay) = {
-                let view = self.view();
-                (view.hears(addr, time::now()), view.layout().is_relay())
+            let (heard, pause, spacing, forwards) = {
+                let (view, now) = (self.view(), time::now());
+                let heard = view.hears(addr, now);
+                let (pause, spacing) = (view.pause(addr, relation, now), view.spacing(SPACING));
+                (heard, pause, spacing, heard && self.forwards(&view, now))
             };
-            let pause = partner::pause(relation, relay, heard);
             let pause = pause.mul_f64(rand::rng().random_range(0.9..1.1));
-            let near = heard && relation == Relation::Near;
+            let near = heard && relation == Relation::Near && spacing < pause;
             tokio::select! {
                 () = sleep(pause) => {}
                 // News goes out at once.
                 told = news.changed(), if heard => if told.is_err() { return },
-                () = changed_after(&mut loads, now + SPACING), if near => {}
+                told = copy.changed(), if forwards => if told.is_err() { return },
+                () = changed_after(&mut loads, now + spacing), if near => {}
             }
         }
     }
 
+    /// Whether others hear of changes of the store from this daemon: a relay, one that reads the store, or any of a
+    /// small fleet. All others have them from one of these, as their peers do.
+    fn forwards(&self, view: &View, now: Instant) -> bool {
+        let layout = view.layout();
+        let reads = |at: Instant| now.saturating_duration_since(at) < READ_LATELY;
+        let reads = self.own_read.lock().expect("no holder panics").is_some_and(reads);
+        !layout.divided || layout.is_relay() || reads
+    }
+
     fn beat(&self, to: SocketAddr, relation: Relation, pace: &mut Pace, now: Instant) -> Beat {
         let mut view = self.view();
         let spent = self.gateway.spent(now);
@@ -378,7 +435,16 @@
     async fn take_from(self: &Arc<Self>, from: SocketAddr, request: Request) -> Option<bool> {
         let handler = self.handler();
         let asked = time::now();
-        let answer = self.links.ask::<Option<Update>>(from, &request, FETCH_LIMIT, &handler).await;
+        let progress = || {
+            // The store is not asked for what a peer is giving.
+            let mut behind = self.behind.lock().expect("no holder panics");
+            *behind = behind.map(|_| time::now());
+        };
+        let limits = (FETCH_LIMIT, FETCH_LIMIT);
+        let answer = self
+            .links
+            .ask_large::<Option<Update>>(from, &request, limits, &handler, progress)
+            .await;
         let Ok(given) = answer else {
             warn!(peer = from.to_string().as_str(); "peer did not give what it has");
             return None;
--- a/src/gateway/cluster/room.rs
+++ b/src/gateway/cluster/room.rs
@@ -56,10 +56,11 @@
         let view = self.view();
         let near = wanted.iter().flat_map(|w| view.holders_near(w.server, w.holders, now));
         let mut lenders = drawn(near, MOST_ASKED);
-        let others = self.roster.others();
+        let (listing, _) = self.roster.listing();
+        let others = &listing.daemons;
         if view.layout().divided && others.len() < MOST_SHARING {
             let own = self.roster.own();
-            let far = wanted.iter().flat_map(|w| first_of_halls(own, &others, w.server));
+            let far = wanted.iter().flat_map(|w| first_of_halls(own, others, w.server));
             lenders.extend(drawn(far, MOST_ASKED_FAR));
         }
         lenders
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -107,8 +107,14 @@
     ends: Mutex<Option<Instant>>,
     /// Counts what other daemons should hear at once.
     news: watch::Sender<u64>,
+    /// Counts changes of this daemon's copy of the store.
+    copy_news: watch::Sender<u64>,
     /// Counts changes of what this daemon has running.
     load_news: watch::Sender<u64>,
+    /// Tells that work went to a server.
+    pub(super) work: Notify,
+    /// Tells that a request may be kept back from now on.
+    pub(super) quarantine_news: Notify,
     /// Turns of this daemon's own runs that move away from a server.
     turns: Mutex<HashMap<ServerKey, Weak<Semaphore>>>,
 }
@@ -144,7 +150,10 @@
             late: Mutex::new(0.0),
             ends: Mutex::default(),
             news: watch::Sender::new(0),
+            copy_news: watch::Sender::new(0),
             load_news: watch::Sender::new(0),
+            work: Notify::new(),
+            quarantine_news: Notify::new(),
             turns: Mutex::default(),
         })
     }
@@ -221,6 +230,27 @@
         }
     }
 
+    /// Something changed in this daemon's copy of the store.
+    pub(super) fn tell_copy(&self) {
+        self.copy_news.send_modify(|count| *count += 1);
+    }
+
+    /// Tells of changes of this daemon's copy of the store.
+    pub fn copy_news(&self) -> watch::Receiver<u64> {
+        self.copy_news.subscribe()
+    }
+
+    /// Time between two requests at one server of the busiest service, as far as known.
+    pub(super) fn request_gap(&self, now: Instant) -> f64 {
+        let rates = self.budget().rates(now);
+        let servers = self.servers();
+        let gaps = rates.into_iter().filter_map(|(service, rate)| {
+            let count = servers.count(&service);
+            (count > 0 && rate > 0.0).then(|| count as f64 / rate)
+        });
+        gaps.fold(f64::INFINITY, f64::min)
+    }
+
     /// Tells of changes of what this daemon has running that others should hear soon.
     pub fn load_news(&self) -> watch::Receiver<u64> {
         self.load_news.subscribe()
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,7 +7,7 @@
 use crate::gateway::cluster::Cluster;
 use crate::gateway::mirror::Mirror;
 use crate::gateway::port::{Changes, Store};
-use crate::platform::{PlatformError, PlatformResult};
+use crate::platform::{PlatformError, PlatformResult, Range};
 use crate::time;
 use futures_util::future::BoxFuture;
 use log::{debug, info, warn};
@@ -59,14 +59,16 @@
         loop {
             let asked = time::now();
             if !self.cluster.should_read(asked) {
-                sleep(LOOK).await;
+                sleep(self.cluster.unread_for(asked).max(LOOK)).await;
                 continue;
             }
             let read = self.read(asked).await;
             let outcome = if read.is_ok() { "read" } else { "failed" };
             self.cluster.metrics().store_reads.with_label_values(&[outcome]).inc();
             match read {
-                Ok(()) => {
+                // A peer has given everything.
+                Ok(false) => {}
+                Ok(true) => {
                     self.cluster.has_read(time::now());
                     self.heard();
                     self.failures = 0;
@@ -83,7 +85,8 @@
         }
     }
 
-    async fn read(&mut self, asked: Instant) -> PlatformResult<()> {
+    /// Reads what has changed, or everything. Says whether it did, or a peer gave it.
+    async fn read(&mut self, asked: Instant) -> PlatformResult<bool> {
         let after = self.mirror.position();
         if after == 0 {
             return self.read_whole(asked).await;
@@ -93,7 +96,7 @@
                 let now = time::now();
                 self.mirror.store_answered(now, now);
                 self.mirror.advance(changes.changes, changes.revision, asked, now);
-                Ok(())
+                Ok(true)
             }
             None => {
                 info!(after = after; "the store's history is gone; reading everything again");
@@ -102,13 +105,44 @@
         }
     }
 
-    async fn read_whole(&mut self, asked: Instant) -> PlatformResult<()> {
-        // Pages are no snapshot: what changes after the first is asked for again.
-        let all = self.overtake(self.store.range(EVERYTHING)).await?;
+    async fn read_whole(&mut self, asked: Instant) -> PlatformResult<bool> {
+        let Some(all) = self.overtake(Box::pin(self.read_pages())).await? else {
+            return Ok(false);
+        };
         let now = time::now();
         self.mirror.store_answered(now, now);
         self.mirror.replace(all.entries, all.revision, asked, now);
-        Ok(())
+        Ok(true)
+    }
+
+    /// Reads everything; `None` where a peer gives it meanwhile.
+    async fn read_pages(&self) -> PlatformResult<Option<Range>> {
+        let mut page = self.store.page(EVERYTHING, None).await?;
+        if page.more && self.mirror.position() == 0 && self.is_given().await? {
+            return Ok(None);
+        }
+        // Pages are no snapshot: what changes after the first is asked for again.
+        let mut range = Range { entries: Vec::new(), revision: page.revision };
+        loop {
+            range.entries.append(&mut page.entries);
+            match range.entries.last().filter(|_| page.more) {
+                Some(last) => page = self.store.page(EVERYTHING, Some(&last.key)).await?,
+                None => return Ok(Some(range)),
+            }
+        }
+    }
+
+    /// Waits for a peer's copy where others are to read the store first: of daemons that start together few read all of
+    /// its pages. Says whether one was given.
+    async fn is_given(&self) -> PlatformResult<bool> {
+        let asked = time::now();
+        let mates = self.store.page(&self.mirror.daemons_of(self.cluster.hall()), None).await?;
+        self.mirror.take_early(mates.entries, asked, time::now());
+        let until = asked + self.cluster.start_wait();
+        while self.mirror.position() == 0 && time::now() < until {
+            sleep(LOOK).await;
+        }
+        Ok(self.mirror.position() > 0)
     }
 
     /// Waits for an answer, and follows the servers' entries apart while it takes long.
--- a/src/gateway/lookout.rs
+++ b/src/gateway/lookout.rs
@@ -31,6 +31,9 @@
 /// Looks out until the process ends.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
+        if !gateway.servers().is_watched() {
+            gateway.work.notified().await;
+        }
         sleep(ROUND).await;
         let now = time::now();
         let late = gateway.in_force.age(now).is_some_and(|age| age > STORE_LATE);
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -17,12 +17,10 @@
 use crate::gateway::outage::Outages;
 use crate::gateway::port::Schema;
 use crate::gateway::roster::Roster;
-use crate::gateway::servers::ServerRecord;
-use crate::gateway::update::{Cell, Lack, Statement, Update};
+use crate::gateway::update::{Cell, Content, Lack, Statement, Update};
 use crate::platform::{Change, Entry};
-use bytes::Bytes;
 use log::info;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -47,15 +45,16 @@
     /// The revision of its last change that matters: a server's signs of life since then are not given to
     /// peers, which would get some hundred bytes a second for each server of the fleet.
     mattered: u64,
-    value: Option<Bytes>,
-    /// What a server's entry says; `None` for other keys, and where it can't be read. It is kept since to
-    /// read the earlier entry again at each sign of life would double their cost.
-    record: Option<ServerRecord>,
+    content: Content,
 }
 
 #[derive(Default)]
 struct State {
-    held: HashMap<String, Held>,
+    held: HashMap<Arc<str>, Held>,
+    /// The keys by the revision of their last change that matters: what a peer lacks is found without a look at all.
+    order: BTreeSet<(u64, Arc<str>)>,
+    /// How many of the keys are deleted ones.
+    deleted: usize,
     position: u64,
     /// The last change that matters among those up to the position.
     changed: u64,
@@ -79,21 +78,25 @@
 
 /// A change on its way into the copy.
 struct News {
-    change: Change,
+    key: String,
+    revision: u64,
+    content: Content,
     /// The revision of the last change of the key that matters, where a peer told it.
     mattered: Option<u64>,
 }
 
 impl From<Change> for News {
     fn from(change: Change) -> News {
-        News { change, mattered: None }
+        let Change { key, value, revision } = change;
+        let content = value.map_or(Content::Deleted, |value| Content::Value(value.into()));
+        News { key, revision, content, mattered: None }
     }
 }
 
 impl From<Cell> for News {
     fn from(cell: Cell) -> News {
-        let Cell { key, revision, mattered, value } = cell;
-        News { change: Change { key, value, revision }, mattered: Some(mattered) }
+        let Cell { key, revision, mattered, content } = cell;
+        News { key, revision, content, mattered: Some(mattered) }
     }
 }
 
@@ -117,6 +120,50 @@
 }
 
 impl State {
+    /// Holds a key's latest change.
+    fn hold(&mut self, key: &str, held: Held) {
+        let shared = self.held.get_key_value(key).map(|(key, _)| key.clone());
+        let shared = shared.unwrap_or_else(|| key.into());
+        let (mattered, deleted) = (held.mattered, held.content.is_deleted());
+        let before = self.held.insert(shared.clone(), held);
+        self.deleted += usize::from(deleted);
+        if let Some(before) = before {
+            self.deleted -= usize::from(before.content.is_deleted());
+            if before.mattered == mattered {
+                return;
+            }
+            self.order.remove(&(before.mattered, shared.clone()));
+        }
+        self.order.insert((mattered, shared));
+    }
+
+    /// Forgets the older half of the deleted keys where there are too many.
+    fn forget_deleted(&mut self) {
+        if self.deleted <= MOST_DELETED {
+            return;
+        }
+        let gone = self.held.values().filter(|held| held.content.is_deleted());
+        let mut gone: Vec<u64> = gone.map(|held| held.revision).collect();
+        gone.sort_unstable();
+        let middle = gone[gone.len() / 2];
+        let order = &mut self.order;
+        self.held.retain(|key, held| {
+            let kept = !held.content.is_deleted() || held.revision > middle;
+            if !kept {
+                order.remove(&(held.mattered, key.clone()));
+            }
+            kept
+        });
+        self.deleted = self.held.values().filter(|held| held.content.is_deleted()).count();
+        self.forgotten = self.forgotten.max(middle);
+    }
+
+    /// Keys whose last change that matters came after a revision.
+    fn changed_after(&self, after: u64) -> impl Iterator<Item = (&Arc<str>, &Held)> {
+        let newer = self.order.range((after + 1, Arc::from(""))..);
+        newer.map(|(_, key)| (key, &self.held[key]))
+    }
+
     /// How long ago the copy was known to be current; nothing before the first time.
     fn age(&self, now: Instant) -> Duration {
         self.confirmed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
@@ -181,20 +228,24 @@
 
     /// Takes in all keys, read at `position`, as the store stood at `seen`.
     pub fn replace(&self, entries: Vec<Entry>, position: u64, seen: Instant, now: Instant) {
+        let news = entries.into_iter().map(|Entry { key, value, revision }| {
+            News::from(Change { key, value: Some(value), revision })
+        });
+        self.replace_all(news.collect(), position, seen, now);
+    }
+
+    fn replace_all(&self, news: Vec<News>, position: u64, seen: Instant, now: Instant) {
         let mut state = self.state();
         if position < state.position {
             // Older than what is known: a read that was overtaken.
             return;
         }
-        let listed: HashSet<&str> = entries.iter().map(|e| e.key.as_str()).collect();
-        let gone: Vec<String> = state
-            .held
-            .iter()
-            .filter(|(key, held)| {
-                held.value.is_some() && held.revision <= position && !listed.contains(key.as_str())
-            })
-            .map(|(key, _)| key.clone())
-            .collect();
+        let listed: HashSet<&str> = news.iter().map(|news| news.key.as_str()).collect();
+        let is_gone = |(key, held): &(&Arc<str>, &Held)| {
+            !held.content.is_deleted() && held.revision <= position && !listed.contains(&***key)
+        };
+        let gone: Vec<String> =
+            state.held.iter().filter(is_gone).map(|(key, _)| key.to_string()).collect();
         // Keys that were written and deleted since this copy's last position were never seen.
         state.forgotten = position;
         let before = state.position;
@@ -203,13 +254,11 @@
             let change = Change { key, value: None, revision: position };
             self.take(&mut state, change.into(), seen, now);
         }
-        for entry in entries {
+        for news in news {
             // What was written since may have gone in between, however it looks: peers that saw it go must be
             // told that it is back.
-            let mattered = (entry.revision > before).then_some(entry.revision);
-            let change =
-                Change { key: entry.key, value: Some(entry.value), revision: entry.revision };
-            self.take(&mut state, News { change, mattered }, seen, now);
+            let mattered = (news.revision > before).then_some(news.revision);
+            self.take(&mut state, News { mattered, ..news }, seen, now);
         }
         state.news.log();
     }
@@ -286,15 +335,17 @@
         let statement = self.statement(now)?;
         let state = self.state();
         let whole = after < state.forgotten;
-        let lacking = state.held.iter().filter(|(_, held)| whole || held.mattered > after);
         // Told apart before any value is copied: a large one may have a megabyte.
-        let (given, left): (Vec<_>, Vec<_>) =
-            lacking.partition(|(_, held)| held.value.as_ref().is_none_or(|v| v.len() <= most));
-        let cell = |(key, held): (&String, &Held)| Cell {
-            key: key.clone(),
+        let is_given = |(_, held): &(&Arc<str>, &Held)| held.content.bytes() <= most;
+        let (given, left): (Vec<_>, Vec<_>) = match whole {
+            true => state.held.iter().partition(is_given),
+            false => state.changed_after(after).partition(is_given),
+        };
+        let cell = |(key, held): (&Arc<str>, &Held)| Cell {
+            key: key.to_string(),
             revision: held.revision,
             mattered: held.mattered,
-            value: held.value.as_ref().map(|v| v.to_vec()),
+            content: held.content.clone(),
         };
         let cells = given.into_iter().map(cell).collect();
         Some(Update { statement, whole, complete: left.is_empty(), cells })
@@ -304,14 +355,12 @@
     pub fn apply(&self, update: Update, seen: Instant, now: Instant) {
         let Statement { position, servers, .. } = update.statement;
         if update.whole && update.complete {
-            let live = update.cells.into_iter().filter_map(|cell| {
-                Some(Entry { key: cell.key, value: cell.value?, revision: cell.revision })
-            });
-            self.replace(live.collect(), position, seen, now);
+            let live = update.cells.into_iter().filter(|cell| !cell.content.is_deleted());
+            self.replace_all(live.map(News::from).collect(), position, seen, now);
             return;
         }
         let mut news: Vec<News> = update.cells.into_iter().map(News::from).collect();
-        news.sort_by_key(|news| news.change.revision);
+        news.sort_by_key(|news| news.revision);
         match update.complete {
             true => self.take_all(news, position, seen, now),
             false => self.take_ahead(news, seen, now),
@@ -349,6 +398,19 @@
         state.news.log();
     }
 
+    /// Takes in some keys before all have been read.
+    pub fn take_early(&self, entries: Vec<Entry>, seen: Instant, now: Instant) {
+        let news = entries.into_iter().map(|Entry { key, value, revision }| {
+            News::from(Change { key, value: Some(value), revision })
+        });
+        self.take_ahead(news.collect(), seen, now);
+    }
+
+    /// The prefix of the keys of a hall's daemons.
+    pub fn daemons_of(&self, hall: &str) -> String {
+        format!("{}{hall}/", self.schema.daemons())
+    }
+
     /// Gives up servers whose entries did not come back in time.
     pub fn tick(&self, now: Instant) {
         let mut state = self.state();
@@ -384,38 +446,46 @@
     }
 
     fn take(&self, state: &mut State, news: News, seen: Instant, now: Instant) {
-        let News { change, mattered } = news;
-        if !self.is_wanted(&change.key) {
+        let News { key, revision, content, mattered } = news;
+        if !self.is_wanted(&key) {
             return;
         }
-        let known = state.held.get(&change.key);
-        if known.is_some_and(|held| held.revision >= change.revision) {
+        let known = state.held.get(&*key);
+        if known.is_some_and(|held| held.revision >= revision) {
             return;
         }
-        let value = change.value.map(Bytes::from);
-        let is_server = change.key.starts_with(self.schema.servers());
-        let read = value.as_deref().filter(|_| is_server);
-        let read = read.map(|value| self.schema.server(&change.key, value));
-        let record = read.as_ref().and_then(|read| read.as_ref().ok()).cloned();
+        let is_server = key.starts_with(self.schema.servers());
+        // A server's entry is read once, where it comes from the store.
+        let (content, read) = match content {
+            Content::Value(value) if is_server => match self.schema.server(&key, &value) {
+                Ok(record) => (Content::Server(record.clone()), Some(Ok(record))),
+                Err(e) => (Content::Value(value), Some(Err(e))),
+            },
+            Content::Server(record) => (Content::Server(record.clone()), Some(Ok(record))),
+            content => (content, None),
+        };
         // Between two deletions something was there, which a peer may still have.
-        let is_new = known.is_none_or(|known| match (&known.value, &value) {
-            (Some(_), Some(_)) if is_server => known.record != record,
-            (Some(before), Some(after)) => before != after,
-            _ => true,
+        let is_new = known.is_none_or(|known| match (&known.content, &content) {
+            (Content::Deleted, Content::Deleted) => true,
+            (Content::Value(_), Content::Value(_)) if is_server => false,
+            (before, after) => before != after,
         });
         let known = known.map_or(0, |held| held.mattered);
         let mattered = match mattered {
             Some(mattered) => mattered.max(known),
-            None if is_new => change.revision,
+            None if is_new => revision,
             None => known,
         };
         let matters = is_new || mattered > known;
-        let held = Held { revision: change.revision, mattered, value: value.clone(), record };
-        state.held.insert(change.key.clone(), held);
+        let value = match &content {
+            Content::Value(value) => Some(value.clone()),
+            Content::Deleted | Content::Server(_) => None,
+        };
+        state.hold(&key, Held { revision, mattered, content });
         if !matters {
             return;
         }
-        if self.is_urgent(&change.key) {
+        if self.is_urgent(&key) {
             state.server_change = state.server_change.max(mattered);
         }
         match mattered > state.position {
@@ -423,12 +493,12 @@
             false => state.changed = state.changed.max(mattered),
         }
         match read {
-            Some(read) => self.take_server(state, &change.key, read, now),
-            None if is_server => self.server_gone(state, &change.key, now),
-            None => self.put_in_force(&change.key, change.revision, value, seen, now),
+            Some(read) => self.take_server(state, &key, read, now),
+            None if is_server => self.server_gone(state, &key, now),
+            None => self.put_in_force(&key, revision, value, seen, now),
         }
-        forget_deleted(state);
-        self.gateway.tell();
+        state.forget_deleted();
+        self.gateway.tell_copy();
     }
 
     fn is_wanted(&self, key: &str) -> bool {
@@ -450,16 +520,3 @@
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Forgets the older half of the deleted keys where there are too many.
-fn forget_deleted(state: &mut State) {
-    let mut deleted: Vec<u64> =
-        state.held.values().filter(|h| h.value.is_none()).map(|h| h.revision).collect();
-    if deleted.len() <= MOST_DELETED {
-        return;
-    }
-    deleted.sort_unstable();
-    let middle = deleted[deleted.len() / 2];
-    state.held.retain(|_, held| held.value.is_some() || held.revision > middle);
-    state.forgotten = state.forgotten.max(middle);
-}
--- a/src/gateway/mirror/enforce.rs
+++ b/src/gateway/mirror/enforce.rs
@@ -139,6 +139,8 @@
             true => quarantine.is_stored(fingerprint, now),
             false => quarantine.is_released(fingerprint, now),
         }
+        drop(quarantine);
+        self.gateway.quarantine_news.notify_one();
     }
 
     fn take_daemon(&self, key: &str, value: Option<&[u8]>) {
--- a/src/gateway/partner.rs
+++ b/src/gateway/partner.rs
@@ -24,6 +24,55 @@
 /// each daemon of the cell: a relay on a link of 20 Mbit/s sends 2 Mbit/s of them.
 const ALL_SUMS: Duration = Duration::from_millis(140);
 
+/// Part of the time between two requests at one server after which a load may be heard: no more than one in so many
+/// requests meets another one of which it could not know.
+const UNHEARD_PART: f64 = 0.07;
+/// Most by which pauses between heartbeats are stretched, and the longest stretched ones: silence is noticed within three
+/// of them, and what the store's first reader knows takes two ways between relays and one within a cell.
+const MOST_STRETCHED: f64 = 10.0;
+const LONGEST_BEAT: Duration = Duration::from_millis(1_000);
+const LONGEST_RELAY_BEAT: Duration = Duration::from_millis(350);
+const LONGEST_CONTACT_BEAT: Duration = Duration::from_millis(200);
+/// Requests at a server below which it is as good as idle to other halls, where pauses are stretched most.
+const LIGHT: f64 = 3.0;
+/// Heartbeats that may be lost before a daemon counts as silent, and a little.
+const SILENT_BEATS: f64 = 2.8;
+
+/// By how much pauses between heartbeats are longer than where servers are busy. Heartbeats tell loads, and where
+/// servers are many for the requests, a load that is heard late changes no choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Stretch(f64);
+
+impl Stretch {
+    /// Not at all.
+    pub const NONE: Stretch = Stretch(1.0);
+
+    /// For a time between two requests at one server, in seconds.
+    pub fn of(gap: f64) -> Stretch {
+        Stretch((gap * UNHEARD_PART / RELAY_BEAT.as_secs_f64()).clamp(1.0, MOST_STRETCHED))
+    }
+
+    fn pause(self, pause: Duration, longest: Duration) -> Duration {
+        pause.mul_f64(self.0).min(longest)
+    }
+
+    /// Requests at a server below which other halls are not told of them: they take it for idle.
+    pub fn light(self) -> u32 {
+        // Not negative, and at most three.
+        (LIGHT * (self.0 - 1.0) / (MOST_STRETCHED - 1.0)) as u32
+    }
+
+    /// A time after which changes of load are told before a heartbeat is due anyway.
+    pub fn spacing(self, spacing: Duration) -> Duration {
+        spacing.mul_f64(self.0 * self.0)
+    }
+}
+
+/// Silence after which a daemon that sends heartbeats so often is taken as gone; not below `least`.
+pub fn silence(pause: Duration, least: Duration) -> Duration {
+    least.max(pause.mul_f64(SILENT_BEATS))
+}
+
 /// What a daemon is to another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Relation {
@@ -38,12 +87,14 @@
 }
 
 /// When a heartbeat is due to a partner, as told by whether this daemon is a relay and hears it.
-pub fn pause(relation: Relation, relay: bool, heard: bool) -> Duration {
+pub fn pause(relation: Relation, relay: bool, heard: bool, stretch: Stretch) -> Duration {
     match relation {
         _ if !heard => GREET,
-        Relation::Near if relay => RELAY_BEAT,
-        Relation::Near => BEAT,
-        Relation::Sibling | Relation::Hall | Relation::Unknown => CONTACT_BEAT,
+        Relation::Near if relay => stretch.pause(RELAY_BEAT, LONGEST_RELAY_BEAT),
+        Relation::Near => stretch.pause(BEAT, LONGEST_BEAT),
+        Relation::Sibling | Relation::Hall | Relation::Unknown => {
+            stretch.pause(CONTACT_BEAT, LONGEST_CONTACT_BEAT)
+        }
     }
 }
 
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -7,7 +7,7 @@
 use crate::gateway::servers::ServerRecord;
 use crate::gateway::table::Table;
 use crate::outcome::NotSent;
-use crate::platform::{Change, LeaseId, PlatformResult, Range, Swap};
+use crate::platform::{Change, Entry, LeaseId, PlatformResult, Swap};
 use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode};
 use std::collections::HashMap;
@@ -177,10 +177,25 @@
     pub revision: u64,
 }
 
+/// Some keys of the store. Pages of one read are no snapshot.
+#[derive(Debug, Clone)]
+pub struct Page {
+    /// In the order of their keys.
+    pub entries: Vec<Entry>,
+    /// The store's revision at the read.
+    pub revision: u64,
+    /// Whether there are more.
+    pub more: bool,
+}
+
 /// The platform's store as the gateway uses it: reads that wait for a change, and keys under a lease.
 pub trait Store: Send + Sync {
-    /// Reads all keys that start with `prefix`.
-    fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, PlatformResult<Range>>;
+    /// Reads keys that start with `prefix`, those after another one, as many as the store gives at a time.
+    fn page<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+    ) -> BoxFuture<'a, PlatformResult<Page>>;
     /// Changes below `prefix` after a revision, at latest after `wait`; `None` where the store no
     /// longer knows that far back.
     fn changes<'a>(
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -306,6 +306,11 @@
         self.others.remove(&request);
     }
 
+    /// Whether any is kept back, or is still to be written to the store.
+    pub fn is_empty(&self) -> bool {
+        self.unsaved.is_empty() && self.held.is_empty() && self.stored.is_empty()
+    }
+
     /// Requests that are still to be written to the store; each is given once.
     pub fn take_unsaved(&mut self) -> Vec<Fingerprint> {
         std::mem::take(&mut self.unsaved)
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// What a daemon says of itself, under its own key in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,17 +23,39 @@
     pub strength: u32,
 }
 
+/// The other daemons that the store lists, at one moment.
+#[derive(Debug)]
+pub struct Listing {
+    /// Tells listings apart.
+    pub number: u64,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// Where they reach each other.
+    pub peers: HashSet<SocketAddr>,
+}
+
+impl Listing {
+    /// A listing of these daemons.
+    pub fn new(daemons: Vec<Daemon>) -> Listing {
+        static NUMBER: AtomicU64 = AtomicU64::new(0);
+        let peers = daemons.iter().map(|d| d.peers).collect();
+        Listing { number: NUMBER.fetch_add(1, Ordering::Relaxed), daemons, peers }
+    }
+}
+
 /// All daemons known, this one included.
 #[derive(Debug)]
 pub struct Roster {
     own: Daemon,
     listed: Mutex<HashMap<String, Daemon>>,
+    /// What is asked for often, until the list changes.
+    latest: Mutex<Option<(Arc<Listing>, Rank)>>,
 }
 
 impl Roster {
     /// A roster that knows this daemon only.
     pub fn new(own: Daemon) -> Roster {
-        Roster { own, listed: Mutex::default() }
+        Roster { own, listed: Mutex::default(), latest: Mutex::default() }
     }
 
     /// This daemon.
@@ -43,28 +66,37 @@
     /// Takes in a daemon's key; `None` where it is gone.
     pub fn take(&self, key: &str, daemon: Option<Daemon>) {
         let mut listed = self.listed();
-        match daemon {
-            Some(daemon) => {
-                listed.insert(key.to_string(), daemon);
-            }
-            None => {
-                listed.remove(key);
-            }
+        let changed = match daemon {
+            Some(daemon) => listed.insert(key.to_string(), daemon.clone()) != Some(daemon),
+            None => listed.remove(key).is_some(),
+        };
+        if changed {
+            *self.latest.lock().expect("no holder panics") = None;
         }
     }
 
+    /// The other daemons, and this one's place among all by name; made anew only after a change.
+    pub fn listing(&self) -> (Arc<Listing>, Rank) {
+        let listed = self.listed();
+        let mut latest = self.latest.lock().expect("no holder panics");
+        let (listing, rank) = latest.get_or_insert_with(|| {
+            let others = listed.values().filter(|d| d.vm != self.own.vm).cloned().collect();
+            let listing = Listing::new(others);
+            let before = listing.daemons.iter().filter(|d| d.vm < self.own.vm).count();
+            let rank = Rank { before, daemons: listing.daemons.len() + 1 };
+            (Arc::new(listing), rank)
+        });
+        (listing.clone(), *rank)
+    }
+
     /// The other daemons.
     pub fn others(&self) -> Vec<Daemon> {
-        let listed = self.listed();
-        listed.values().filter(|d| d.vm != self.own.vm).cloned().collect()
+        self.listing().0.daemons.clone()
     }
 
     /// This daemon's place among all that are listed, by name.
     pub fn rank(&self) -> Rank {
-        let listed = self.listed();
-        let others = || listed.values().filter(|d| d.vm != self.own.vm);
-        let before = others().filter(|d| d.vm < self.own.vm).count();
-        Rank { before, daemons: others().count() + 1 }
+        self.listing().1
     }
 
     /// The halls of all that are listed, by where callers reach them.
@@ -76,7 +108,7 @@
 
     /// How many other daemons the store lists.
     pub fn count(&self) -> usize {
-        self.listed().values().filter(|d| d.vm != self.own.vm).count()
+        self.listing().0.daemons.len()
     }
 
     /// Whether the store lists this daemon as it is.
@@ -84,10 +116,9 @@
         self.listed().values().any(|d| *d == self.own)
     }
 
-    /// Where the other daemons reach each other.
-    pub fn peers(&self) -> HashSet<SocketAddr> {
-        let listed = self.listed();
-        listed.values().filter(|d| d.vm != self.own.vm).map(|d| d.peers).collect()
+    /// Whether one of the other daemons is reached there.
+    pub fn has_peer(&self, addr: SocketAddr) -> bool {
+        self.listing().0.peers.contains(&addr)
     }
 
     fn listed(&self) -> MutexGuard<'_, HashMap<String, Daemon>> {
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -206,6 +206,9 @@
             self.servers().set_others(&heard);
             self.rollouts().set_others(&heard.rollouts, now);
             self.quarantine().set_others(&heard.evidence, now);
+            if !heard.evidence.is_empty() {
+                self.quarantine_news.notify_one();
+            }
         }
     }
 
@@ -317,7 +320,11 @@
         let may_use =
             room.is_some_and(|room| self.may_use(room, &service.name, terms.standing, now));
         let may_take = |key, server: &Server| may_take(key, server) && has_room(server, may_use);
-        let candidates = candidates(&servers, service, may_take, now);
+        let candidates = candidates(&servers, service, need.hall, may_take, now);
+        // What is unseen lies at all servers, drawn or not.
+        let all = servers.count(&service.name);
+        let drawn = if all > MOST_LOOKED_AT { candidates.len() as f64 / all as f64 } else { 1.0 };
+        let need = &Need { unseen: need.unseen * drawn, ..*need };
         let chosen = self.placing.choose(&candidates, need, now, &mut rand::rng());
         let Some(key) = chosen else {
             let in_need = room.map(|room| self.no_room(room, &service.name, call, now));
@@ -337,6 +344,7 @@
             self.redeem(&service.name, terms.standing, now);
         }
         servers.begin(key, load);
+        self.work.notify_one();
         self.tell_load(load);
         let server = servers.get(key).ok_or("no_server")?;
         let to = server.destination();
@@ -350,13 +358,38 @@
     }
 }
 
+/// Servers of a service up to which all are looked at for each request. The least loaded of as many as are drawn of more
+/// differs from the least loaded of all by nothing that a request would notice.
+const MOST_LOOKED_AT: usize = 256;
+/// Servers of the preferred hall that are drawn of more, and of all other halls.
+const DRAWN: usize = 64;
+
+/// The servers that a request may go to; of many servers some that are drawn, or all where none of those may be used.
 fn candidates<'a>(
     servers: &'a Servers,
     service: &'a Service,
+    hall: &'a str,
     may_take: impl Fn(ServerKey, &Server) -> bool,
     now: Instant,
 ) -> Vec<Candidate<'a>> {
-    let open = servers.open(&service.name).filter(|(key, server)| may_take(*key, server));
+    let may_take = |(key, server): &(ServerKey, &Server)| {
+        servers.is_open(&service.name, server) && may_take(*key, server)
+    };
+    if servers.count(&service.name) > MOST_LOOKED_AT {
+        let drawn = servers.draw(&service.name, hall, DRAWN, &mut rand::rng());
+        let drawn = reached(drawn.into_iter().filter(may_take), now);
+        if drawn.iter().any(|candidate| !candidate.server.is_passed_over(now)) {
+            return drawn;
+        }
+    }
+    reached(servers.listed(&service.name).filter(may_take), now)
+}
+
+/// Those of some servers that can be reached, or all where none can.
+fn reached<'a>(
+    open: impl Iterator<Item = (ServerKey, &'a Server)>,
+    now: Instant,
+) -> Vec<Candidate<'a>> {
     let (passed_over, mut reached): (Vec<_>, Vec<_>) =
         open.partition(|(_, server)| server.is_passed_over(now));
     if reached.is_empty() {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -18,7 +18,7 @@
 const LEAST_TRIED: f32 = 0.01;
 
 /// What the store says of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ServerRecord {
     /// Its id. A server that starts again may have it again.
     pub id: Arc<str>,
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,6 +1,7 @@
 //! The backend servers as this daemon knows them: who they are, who leaves, how loaded, how well, which
 //! halls are to get nothing, and which servers are cold.
 
+mod index;
 mod limits;
 mod past;
 mod remarks;
@@ -19,6 +20,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use index::Index;
 use past::Past;
 pub use remarks::{News, Rested};
 
@@ -72,6 +74,8 @@
     arena: slotmap::SlotMap<ServerKey, Server>,
     by_id: HashMap<Arc<str>, ServerKey>,
     by_tag: HashMap<Tag, ServerKey>,
+    /// The listed ones by service and hall.
+    index: Index,
     /// Servers of which this daemon may have something to tell: what is told of a fleet's servers costs
     /// as much as this daemon uses, not as much as there are.
     noted: HashSet<ServerKey>,
@@ -96,6 +100,11 @@
         let known = self.by_id.get(&record.id).copied();
         match known.filter(|key| self.arena[*key].record.born == record.born) {
             Some(key) => {
+                let before = &self.arena[key].record;
+                if (&before.service, &before.hall) != (&record.service, &record.hall) {
+                    self.index.remove(before, key);
+                    self.index.add(&record, key);
+                }
                 self.arena[key].update(record, now);
                 self.settle_retired(key);
             }
@@ -129,8 +138,25 @@
 
     /// Servers of a service that the store lists, whether they take work or not.
     pub fn listed<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (ServerKey, &'a Server)> {
-        let all = self.by_id.values().map(|key| (*key, &self.arena[*key]));
-        all.filter(move |(_, server)| *server.record.service == *service)
+        let halls = self.index.halls(service);
+        halls.flat_map(|(_, keys)| keys.iter().map(|key| (*key, &self.arena[*key])))
+    }
+
+    /// How many servers of a service the store lists.
+    pub fn count(&self, service: &str) -> usize {
+        self.index.halls(service).map(|(_, keys)| keys.len()).sum()
+    }
+
+    /// Servers of a service drawn by chance, so many of `hall` and as many of all others. Some may come twice.
+    pub fn draw<'a>(
+        &'a self,
+        service: &'a str,
+        hall: &'a str,
+        count: usize,
+        rng: &mut impl rand::Rng,
+    ) -> Vec<(ServerKey, &'a Server)> {
+        let keys = self.index.draw(service, hall, count, rng);
+        keys.into_iter().map(|key| (key, &self.arena[key])).collect()
     }
 
     /// Adds a start of a server that is not listed. One that has runs of this daemon and was listed
@@ -148,6 +174,7 @@
             None => self.insert_again(record, now),
         };
         self.by_id.insert(id, key);
+        self.index.add(&self.arena[key].record, key);
         self.settle_retired(key);
     }
 
@@ -201,6 +228,7 @@
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
+        self.index.remove(&self.arena[key].record, key);
         self.arena[key].unlist();
         match self.arena[key].own.runs {
             0 => self.forget(key),
@@ -255,6 +283,7 @@
         if let Some(server) = self.arena.get_mut(key).filter(|s| s.open()) {
             server.suspected = Some(now);
             server.leaving.send_replace(true);
+            self.noted.insert(key);
         }
     }
 
@@ -335,7 +364,8 @@
     pub fn watched(&self, now: Instant) -> Vec<Watched> {
         let has_runs = |s: &Server| s.open() && s.own.once > 0;
         let matters = |s: &Server| (has_runs(s) || s.suspected.is_some()) && !s.is_resting(now);
-        let watched = self.arena.iter().filter(|(_, s)| matters(s));
+        // Where it has runs or a suspicion, a server is noted.
+        let watched = self.noted().filter(|(_, s)| matters(s));
         let watched = watched.map(|(key, s)| Watched {
             key,
             to: s.destination(),
@@ -346,6 +376,11 @@
         watched.collect()
     }
 
+    /// Whether there may be any such server soon.
+    pub fn is_watched(&self) -> bool {
+        self.noted().any(|(_, s)| s.own.once > 0 || s.suspected.is_some())
+    }
+
     /// A server by key; `None` once it has gone.
     pub fn get(&self, key: ServerKey) -> Option<&Server> {
         self.arena.get(key)
@@ -368,11 +403,11 @@
 
     /// Servers of a service that take new work.
     pub fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (ServerKey, &'a Server)> {
-        self.arena.iter().filter(move |(_, server)| self.is_open(service, server))
+        self.listed(service).filter(move |(_, server)| self.is_open(service, server))
     }
 
     /// Whether a server is one of a service and takes new work.
-    fn is_open(&self, service: &str, server: &Server) -> bool {
+    pub fn is_open(&self, service: &str, server: &Server) -> bool {
         let serves = server.open() && *server.record.service == *service;
         serves && !self.halls.is_closed(&server.record.hall)
     }
--- /dev/null
+++ b/src/gateway/servers/index.rs
@@ -0,0 +1,77 @@
+//! Listed servers by service and hall, so that what concerns one service costs nothing for the others, and some of many
+//! servers can be drawn without a look at all.
+
+use crate::gateway::server::ServerRecord;
+use crate::gateway::servers::ServerKey;
+use rand::{Rng, RngExt};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// The servers of one service in one hall.
+#[derive(Debug)]
+struct Row {
+    hall: String,
+    keys: Vec<ServerKey>,
+}
+
+/// See the module.
+#[derive(Debug, Default)]
+pub(super) struct Index {
+    services: HashMap<Arc<str>, Vec<Row>>,
+}
+
+impl Index {
+    /// Adds a server.
+    pub(super) fn add(&mut self, record: &ServerRecord, key: ServerKey) {
+        let rows = self.services.entry(record.service.clone()).or_default();
+        match rows.iter_mut().find(|row| row.hall == record.hall) {
+            Some(row) => row.keys.push(key),
+            None => rows.push(Row { hall: record.hall.clone(), keys: vec![key] }),
+        }
+    }
+
+    /// Removes a server that was added under this record.
+    pub(super) fn remove(&mut self, record: &ServerRecord, key: ServerKey) {
+        let Some(rows) = self.services.get_mut(&record.service) else {
+            return;
+        };
+        for row in rows.iter_mut().filter(|row| row.hall == record.hall) {
+            if let Some(at) = row.keys.iter().position(|other| *other == key) {
+                row.keys.swap_remove(at);
+            }
+        }
+    }
+
+    /// The servers of a service by hall.
+    pub(super) fn halls(&self, service: &str) -> impl Iterator<Item = (&str, &[ServerKey])> {
+        let rows = self.services.get(service).into_iter().flatten();
+        rows.map(|row| (row.hall.as_str(), row.keys.as_slice()))
+    }
+
+    /// Servers of a service drawn by chance, so many of `hall` and as many of all others. Some may come twice.
+    pub(super) fn draw(
+        &self,
+        service: &str,
+        hall: &str,
+        count: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<ServerKey> {
+        let mut drawn = Vec::with_capacity(2 * count);
+        let (own, others): (Vec<_>, Vec<_>) =
+            self.halls(service).partition(|(name, _)| *name == hall);
+        for rows in [own, others] {
+            let all: usize = rows.iter().map(|(_, keys)| keys.len()).sum();
+            for _ in 0..count.min(all) {
+                let mut at = rng.random_range(0..all);
+                for (_, keys) in &rows {
+                    if at < keys.len() {
+                        drawn.push(keys[at]);
+                        break;
+                    }
+                    at -= keys.len();
+                }
+            }
+        }
+        drawn
+    }
+}
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -183,6 +183,11 @@
         self.entries.extend(sum.entries.first());
     }
 
+    /// Leaves out servers with fewer requests than so many.
+    pub(crate) fn leave_out_light(&mut self, least: u32) {
+        self.loads.retain(|_, load| load.runs >= least);
+    }
+
     /// The sum, made now by the process of that clock.
     pub(crate) fn sum(mut self, origin: Origin, clock: &Clock, now: Instant) -> Sum {
         self.entries.truncate(LEAST_ENTRIES);
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -43,6 +43,7 @@
         }
         let (request, now) = (call.fingerprint(), time::now());
         let proved = self.quarantine().ended(request, seat.place.tag, run, now);
+        self.quarantine_news.notify_one();
         self.metrics.ended_servers.inc();
         let name = request.to_string();
         warn!(id = call.id.as_str(), request = name.as_str(), server = seat.id(), proved = proved; "server ended under a request");
@@ -58,6 +59,10 @@
     mirror: Arc<Mirror>,
 ) {
     loop {
+        if gateway.quarantine().is_empty() {
+            gateway.metrics.quarantined.set(0);
+            gateway.quarantine_news.notified().await;
+        }
         sleep(LOOK).await;
         let (proved, count) = {
             let mut quarantine = gateway.quarantine();
--- a/src/gateway/update.rs
+++ b/src/gateway/update.rs
@@ -1,5 +1,7 @@
 //! What daemons tell and give each other of their copies of the store.
 
+use crate::gateway::servers::ServerRecord;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 /// What a daemon says of its copy.
@@ -30,8 +32,35 @@
     /// The revision of the last one that matters. A daemon that is given the key can't tell by itself: a
     /// server that went and came back looks to it as it did before.
     pub mattered: u64,
-    /// Its value; `None` where it was deleted.
-    pub value: Option<Vec<u8>>,
+    /// What it holds.
+    pub content: Content,
+}
+
+/// What a key holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// Nothing: it was deleted.
+    Deleted,
+    /// A value as the store has it.
+    Value(Bytes),
+    /// A backend server's entry, as it was read: a fifth of the bytes of what the server writes, which most of all
+    /// that daemons hold and give each other consists of.
+    Server(ServerRecord),
+}
+
+impl Content {
+    /// Whether the key was deleted.
+    pub fn is_deleted(&self) -> bool {
+        *self == Content::Deleted
+    }
+
+    /// Bytes of a value as the store has it.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Content::Deleted | Content::Server(_) => 0,
+            Content::Value(value) => value.len(),
+        }
+    }
 }
 
 /// What a daemon that is behind is given.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -4,8 +4,8 @@
 use crate::gateway::budget::{Near, Others};
 use crate::gateway::cell::{CellId, Layout, rank};
 use crate::gateway::clock::{Clock, Echo, before, micros, millis};
-use crate::gateway::partner::{Pace, Relation};
-use crate::gateway::roster::Daemon;
+use crate::gateway::partner::{self, Pace, Relation, Stretch};
+use crate::gateway::roster::{Daemon, Listing};
 use crate::gateway::servers::{Heard, Load, Signs};
 use crate::gateway::sums::{Adder, LEAST_ENTRIES, Sums, Way, add, halls_of};
 use crate::gateway::tag::Tag;
@@ -29,6 +29,8 @@
 const RELAYED_MS: u64 = 100;
 /// Other daemons that a heartbeat names.
 const NAMED: usize = 3;
+/// Longest time to a next heartbeat that is believed.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
 /// A daemon as its heartbeats tell.
 #[derive(Debug)]
@@ -40,6 +42,8 @@
     /// Its clock in its last heartbeat.
     stamp: u64,
     heard: Instant,
+    /// Time within which its next heartbeat follows.
+    pause: Duration,
     ready: bool,
     /// Whether it chose this daemon as its contact.
     chose: bool,
@@ -73,6 +77,21 @@
     relayed: Option<Sum>,
     /// The latest read of the store by any daemon, as far as told.
     read: Option<Instant>,
+    /// By how much this daemon's pauses are longer than at full load.
+    stretch: Stretch,
+    /// Of what the fleet was last divided.
+    divided: Option<Division>,
+}
+
+/// What a division of the fleet follows from.
+#[derive(Debug, PartialEq)]
+struct Division {
+    /// Names the list of daemons.
+    listing: u64,
+    /// Daemons that are heard and not listed.
+    unlisted: Vec<SocketAddr>,
+    /// Daemons that don't answer.
+    silent: Vec<SocketAddr>,
 }
 
 impl View {
@@ -89,6 +108,8 @@
             sums: Sums::default(),
             relayed: None,
             read: None,
+            stretch: Stretch::NONE,
+            divided: None,
         }
     }
 
@@ -110,27 +131,68 @@
         tried: impl Fn(SocketAddr) -> Option<Instant>,
         now: Instant,
     ) {
-        let addrs: HashSet<SocketAddr> = listed.iter().map(|d| d.peers).collect();
-        self.peers.retain(|addr, peer| addrs.contains(addr) || since(peer.heard, now) <= FORGOTTEN);
+        let listing = Listing::new(listed);
+        self.divide_listed(&listing, tried, now);
+    }
+
+    /// The same of a list that is known by its number: it is divided anew only where something has changed.
+    pub fn divide_listed(
+        &mut self,
+        listing: &Listing,
+        tried: impl Fn(SocketAddr) -> Option<Instant>,
+        now: Instant,
+    ) {
+        let is_listed = |addr: &SocketAddr| listing.peers.contains(addr);
+        self.peers.retain(|addr, peer| is_listed(addr) || since(peer.heard, now) <= FORGOTTEN);
         self.sums.forget(now);
-        let unlisted = self.peers.values().filter(|p| !addrs.contains(&p.daemon.peers));
-        let mut others = listed;
-        others.extend(unlisted.map(|p| p.daemon.clone()));
         let partners = self.layout.partners();
         let missed: Vec<SocketAddr> =
             partners.filter(|addr| self.is_silent(*addr, tried(*addr), now)).collect();
         self.missed.retain(|_, at| since(*at, now) <= MISSED);
         self.missed.extend(missed.into_iter().map(|addr| (addr, now)));
-        let is_silent =
-            |addr| self.missed.contains_key(&addr) || self.is_silent(addr, tried(addr), now);
+        let mut unlisted: Vec<SocketAddr> =
+            self.peers.keys().copied().filter(|addr| !is_listed(addr)).collect();
+        unlisted.sort_unstable();
+        // Only those that were heard or greeted can be silent.
+        let quiet = |addr: &SocketAddr| self.is_silent(*addr, tried(*addr), now);
+        let known = self.peers.keys().chain(self.missed.keys()).copied();
+        let known = known.chain(self.layout.partners()).collect::<HashSet<SocketAddr>>();
+        let silent = known.into_iter().filter(|a| self.missed.contains_key(a) || quiet(a));
+        let mut silent: Vec<SocketAddr> = silent.collect();
+        silent.sort_unstable();
+        let division = Division { listing: listing.number, unlisted, silent };
+        if self.divided.as_ref() == Some(&division) {
+            return;
+        }
+        let mut others = listing.daemons.clone();
+        others.retain(|daemon| daemon.vm != self.own.vm);
+        let heard = division.unlisted.iter().filter_map(|addr| self.peers.get(addr));
+        others.extend(heard.map(|p| p.daemon.clone()));
+        let is_silent = |addr| division.silent.binary_search(&addr).is_ok();
         self.layout = Layout::of(&self.own, &others, is_silent);
+        self.divided = Some(division);
+    }
+
+    /// Sets by how much this daemon's pauses are longer than at full load.
+    pub fn set_stretch(&mut self, stretch: Stretch) {
+        self.stretch = stretch;
+    }
+
+    /// Time to the next heartbeat to a partner.
+    pub fn pause(&self, to: SocketAddr, relation: Relation, now: Instant) -> Duration {
+        partner::pause(relation, self.layout.is_relay(), self.hears(to, now), self.stretch)
+    }
+
+    /// Time after a heartbeat before which changes of load are not told.
+    pub fn spacing(&self, spacing: Duration) -> Duration {
+        self.stretch.spacing(spacing)
     }
 
     /// Whether a daemon, which is being greeted since `tried`, does not answer.
     fn is_silent(&self, addr: SocketAddr, tried: Option<Instant>, now: Instant) -> bool {
         let peer = self.peers.get(&addr);
         let from = peer.map(|p| p.heard).max(tried);
-        let silent = peer.map_or(SILENT, |p| self.silence(p.cell));
+        let silent = peer.map_or(SILENT, |p| self.silence(p));
         from.is_some_and(|from| since(from, now) > silent)
     }
 
@@ -156,6 +218,7 @@
             boot: beat.boot,
             stamp: beat.stamp,
             heard: now,
+            pause: Duration::from_millis(beat.pause_ms.into()).min(LONGEST_PAUSE),
             ready: beat.ready,
             chose: beat.chosen,
             cell: beat.cell,
@@ -209,11 +272,17 @@
 
     /// Whether a daemon is heard.
     pub fn hears(&self, addr: SocketAddr, now: Instant) -> bool {
-        self.peers.get(&addr).is_some_and(|p| since(p.heard, now) <= self.silence(p.cell))
+        self.peers.get(&addr).is_some_and(|p| self.is_heard(p, now))
+    }
+
+    fn is_heard(&self, peer: &Peer, now: Instant) -> bool {
+        since(peer.heard, now) <= self.silence(peer)
     }
 
-    fn silence(&self, cell: CellId) -> Duration {
-        if cell.hall == self.layout.own.hall { SILENT } else { FAR_SILENT }
+    /// Silence after which a daemon is taken as gone for now.
+    fn silence(&self, peer: &Peer) -> Duration {
+        let is_near = peer.cell.hall == self.layout.own.hall;
+        partner::silence(peer.pause, if is_near { SILENT } else { FAR_SILENT })
     }
 
     /// What a daemon is to this one; `None` where no heartbeats are due to it, or it was never heard.
@@ -289,7 +358,7 @@
     /// Where callers may be sent in other cells and halls, as far as they are heard.
     pub fn far_entries(&self, now: Instant) -> Vec<SocketAddr> {
         let others = self.peers.values().filter(|p| p.cell != self.layout.own);
-        let heard = others.filter(|p| p.ready && since(p.heard, now) <= FAR_SILENT);
+        let heard = others.filter(|p| p.ready && self.is_heard(p, now));
         let told = self.other_cells(now).into_iter().chain(self.other_halls(now));
         let told = told.flat_map(|sum| sum.entries.iter().copied());
         heard.map(|p| p.daemon.callers).chain(told).collect()
@@ -316,6 +385,8 @@
             stamp: self.clock.stamp(now),
             echo: self.echo(to, now),
             ready: own.ready,
+            // Pauses are drawn up to a tenth longer.
+            pause_ms: self.pause(to, relation, now).mul_f64(1.1).as_millis() as u32,
             chosen: chosen || relation == Relation::Unknown,
             statement: None,
             read_ms: self.read.map(|at| millis(at, now)),
@@ -380,6 +451,7 @@
         for cell in self.other_cells(now).into_iter().chain([&self.cell_sum(own, now)]) {
             adder.add_sum(cell);
         }
+        adder.leave_out_light(self.stretch.light());
         adder.sum(Origin::Hall(self.layout.own.hall), &self.clock, now)
     }
 
@@ -458,7 +530,7 @@
     /// The daemons of this cell that are heard.
     fn near(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         let same = self.peers.values().filter(|p| p.cell == self.layout.own);
-        same.filter(move |p| since(p.heard, now) <= SILENT)
+        same.filter(move |p| self.is_heard(p, now))
     }
 
     /// Sums of the hall's other cells.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -171,6 +171,35 @@
         timeout(limit, exchange).await.unwrap_or(Err(NoAnswer))
     }
 
+    /// The same for an answer that may be large: it begins within `first` and then never pauses for longer than
+    /// `pause`, however long it takes in all. Each part of it is told to `progress`.
+    pub async fn ask_large<A: DeserializeOwned>(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        request: &impl Serialize,
+        (first, pause): (Duration, Duration),
+        handler: &Arc<dyn Handler>,
+        progress: impl Fn(),
+    ) -> Result<A, NoAnswer> {
+        let begin = async {
+            let link = self.link(to, handler).await.ok_or(NoAnswer)?;
+            let mut held = self.open(&link, request).await?;
+            let length = held.receive_length().await?;
+            Ok((held, length))
+        };
+        let (mut held, length) = timeout(first, begin).await.unwrap_or(Err(NoAnswer))?;
+        let mut bytes = vec![0; length];
+        let mut read = 0;
+        while read < length {
+            let part = timeout(pause, held.recv.read(&mut bytes[read..])).await;
+            let part = part.map_err(drop_reason)?.map_err(drop_reason)?;
+            read += part.ok_or(NoAnswer)?;
+            progress();
+        }
+        held.traffic.count("in", length + LENGTH_BYTES);
+        message::decode(&bytes).map_err(drop_reason)
+    }
+
     /// Sends a request whose stream stays open.
     pub async fn hold(
         self: &Arc<Self>,
@@ -342,13 +371,15 @@
         message::decode(&bytes).map_err(drop_reason)
     }
 
-    async fn receive_bytes(&mut self) -> Result<Vec<u8>, NoAnswer> {
+    async fn receive_length(&mut self) -> Result<usize, NoAnswer> {
         let mut length = [0; LENGTH_BYTES];
         self.recv.read_exact(&mut length).await.map_err(drop_reason)?;
         let length = u32::from_le_bytes(length) as usize;
-        if length > MOST_BYTES {
-            return Err(NoAnswer);
-        }
+        if length <= MOST_BYTES { Ok(length) } else { Err(NoAnswer) }
+    }
+
+    async fn receive_bytes(&mut self) -> Result<Vec<u8>, NoAnswer> {
+        let length = self.receive_length().await?;
         let mut bytes = vec![0; length];
         self.recv.read_exact(&mut bytes).await.map_err(drop_reason)?;
         self.traffic.count("in", length + LENGTH_BYTES);
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -212,6 +212,7 @@
             stamp,
             echo: Some(Echo { boot: BOOT, stamp: at.as_micros() as u64, held: 0 }),
             ready: true,
+            pause_ms: 250,
             chosen: false,
             statement: None,
             read_ms: None,
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -11,8 +11,8 @@
 use tidestair::gateway::beat::{Beat, Told};
 use tidestair::gateway::budget::Spent;
 use tidestair::gateway::clock::Clock;
-use tidestair::gateway::partner::{Pace, pause};
-use tidestair::gateway::roster::Daemon;
+use tidestair::gateway::partner::{Pace, Stretch};
+use tidestair::gateway::roster::{Daemon, Listing};
 use tidestair::gateway::servers::{Load, Signs};
 use tidestair::gateway::tag::Tag;
 use tidestair::gateway::view::{Own, View};
@@ -63,6 +63,10 @@
     boots: u64,
     /// Bytes sent within halls and between them.
     pub bytes: [u64; 2],
+    /// Heartbeats sent.
+    pub beats: u64,
+    /// The list of daemons as each of them last read it.
+    listing: (Vec<Daemon>, Listing),
 }
 
 impl Fleet {
@@ -91,6 +95,8 @@
             count: 0,
             boots: 0,
             bytes: [0; 2],
+            beats: 0,
+            listing: (listed.clone(), Listing::new(listed.clone())),
         };
         for daemon in listed {
             let node = fleet.start(daemon);
@@ -148,9 +154,12 @@
         let due = node.divided.is_none_or(|at| now - at >= DIVIDE);
         if due {
             node.divided = Some(now);
-            let others = self.listed.iter().filter(|d| d.vm != node.daemon.vm).cloned().collect();
+            if self.listing.0 != self.listed {
+                self.listing = (self.listed.clone(), Listing::new(self.listed.clone()));
+            }
             let partners = &node.partners;
-            node.view.divide(others, |addr| partners.get(&addr).map(|(at, ..)| *at), now);
+            let tried = |addr| partners.get(&addr).map(|(at, ..): &(Instant, _, _)| *at);
+            node.view.divide_listed(&self.listing.1, tried, now);
             let wanted = node.view.partners(now);
             node.partners.retain(|addr, _| wanted.contains(addr));
             for addr in wanted {
@@ -174,11 +183,11 @@
         let pace = &mut node.partners.get_mut(&to).expect("it is due").2;
         let signs = node.signs.clone();
         let beat = Beat { signs, ..node.view.beat(to, relation, node.own.clone(), pace, now) };
-        let heard = node.view.hears(to, now);
-        let wait = pause(relation, node.view.layout().is_relay(), heard);
+        let wait = node.view.pause(to, relation, now);
         let wait = wait.mul_f64(self.rng.random_range(0.9..1.1));
         node.partners.get_mut(&to).expect("it is due").1 = now + wait;
         node.sent += 1;
+        self.beats += 1;
         let pair = (beat.daemon.hall.clone(), self.nodes[self.at[&to]].daemon.hall.clone());
         let far = pair.0 != pair.1;
         self.bytes[usize::from(far)] += tidestair::message::encode(&beat).len() as u64;
@@ -225,6 +234,11 @@
         counted.max().unwrap_or(0)
     }
 
+    /// Sets the time between two requests at one server, in seconds, that all daemons know.
+    pub fn set_gap(&mut self, seconds: f64) {
+        self.nodes.iter_mut().for_each(|node| node.view.set_stretch(Stretch::of(seconds)));
+    }
+
     pub fn relays(&self) -> Vec<usize> {
         let relay = |i: &usize| self.nodes[*i].alive && self.nodes[*i].view.layout().is_relay();
         (0..self.nodes.len()).filter(relay).collect()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -155,6 +155,53 @@
     }
 }
 
+/// Ten thousand servers before a thousand daemons with a request each in five seconds: nothing that a daemon does at rest
+/// may cost more than it would cost one of a small fleet.
+#[test]
+fn an_idle_fleet_sends_few_heartbeats_and_is_heard_all_the_same() {
+    // Each way, of the mean daemon and of a relay.
+    const MOST_BEATS: f64 = 32.0;
+    const HEARD_LATE: Duration = Duration::from_millis(3_000);
+    for (halls, in_hall) in [(6, 49), (6, 164)] {
+        let mut fleet = Fleet::new(halls, in_hall, 6);
+        fleet.set_gap(60.0);
+        fleet.run(SETTLED);
+        (fleet.beats, fleet.bytes) = (0, [0; 2]);
+        fleet.run(ms(2_000));
+        let daemons = fleet.nodes.len() as f64;
+        let (beats, bytes) = (fleet.beats as f64 / 2.0, fleet.bytes.iter().sum::<u64>() as f64);
+        println!(
+            "{halls} halls of {in_hall}: {:.1} heartbeats and {:.0} B/s each",
+            beats / daemons,
+            bytes / 2.0 / daemons
+        );
+        assert!(beats / daemons <= MOST_BEATS, "{}", beats / daemons);
+        // Other halls are told of servers that are not as good as idle.
+        for runs in [1, 8] {
+            fleet.set_loads(runs);
+            fleet.run(HEARD_LATE);
+            assert_all_heard(&fleet, true, runs);
+        }
+        assert_all_heard(&fleet, false, 8);
+    }
+}
+
+#[test]
+fn a_dead_relay_of_an_idle_fleet_is_missing_for_a_stated_time_only() {
+    // Three stretched heartbeats until it is missed, and the successor's first ones.
+    const SUCCESSION: Duration = Duration::from_millis(4_500);
+    let mut fleet = Fleet::new(6, 49, 7);
+    fleet.set_gap(60.0);
+    fleet.run(SETTLED);
+    let relays = fleet.relays();
+    fleet.kill(relays[3]);
+    fleet.run(SUCCESSION);
+    fleet.set_loads(8);
+    fleet.run(ms(3_000));
+    assert_all_heard(&fleet, true, 8);
+    assert_all_heard(&fleet, false, 8);
+}
+
 #[test]
 fn halls_are_crossed_by_few_bytes() {
     // One relay to each other hall, with sums of some 20 servers: bounds in bytes a second.
