--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -13,13 +13,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tidestair::gateway::beat::{Beat, Origin, Sum, Told};
 use tidestair::gateway::budget::BudgetBounds;
 use tidestair::gateway::cell::CellId;
 use tidestair::gateway::clock::{Clock, Echo};
 use tidestair::gateway::cold::ColdBounds;
 use tidestair::gateway::core::{Bounds, Gateway};
 use tidestair::gateway::fingerprint::Fingerprint;
+use tidestair::gateway::heartbeat::{Heartbeat, Origin, Sum, Told};
 use tidestair::gateway::mirror::Mirror;
 use tidestair::gateway::partner::{Pace, Relation};
 use tidestair::gateway::place::{ALIKE, Candidate, Headroom, Need, Placing, UNSEEN_COST};
@@ -224,10 +224,17 @@
     Told { loads: loads.into_iter().collect(), ..Told::default() }
 }
 
-fn beat(from: &Daemon, view: &View, told: Told, sums: Vec<Sum>, stamp: u64, now: Instant) -> Beat {
+fn heartbeat(
+    from: &Daemon,
+    view: &View,
+    told: Told,
+    sums: Vec<Sum>,
+    stamp: u64,
+    now: Instant,
+) -> Heartbeat {
     let clock = view.clock();
     let echo = Echo { boot: clock.boot(), stamp: clock.stamp(now), held: 0 };
-    Beat {
+    Heartbeat {
         daemon: from.clone(),
         boot: 1,
         stamp,
@@ -279,8 +286,8 @@
     };
     for (n, peer) in near.iter().enumerate() {
         let sums = if n == 0 { vec![sum.clone()] } else { Vec::new() };
-        let beat = beat(peer, &view, told(n, 1, servers), sums, 1, now);
-        view.note(&beat, Instant::now());
+        let heartbeat = heartbeat(peer, &view, told(n, 1, servers), sums, 1, now);
+        view.note(&heartbeat, Instant::now());
     }
     let heard = micros(100, || {
         let heard = view.heard(Instant::now());
@@ -291,11 +298,11 @@
     let to = near[0].peers;
     let send = micros(200, || {
         let (mut pace, now) = (Pace::default(), Instant::now());
-        let beat = view.beat(to, Relation::Near, own.clone(), &mut pace, now);
-        black_box(message::encode(&beat));
+        let heartbeat = view.heartbeat(to, Relation::Near, own.clone(), &mut pace, now);
+        black_box(message::encode(&heartbeat));
     });
     note("send", send);
-    let with_sum = beat(near[0], &view, told(0, 1, servers), vec![sum], 2, now);
+    let with_sum = heartbeat(near[0], &view, told(0, 1, servers), vec![sum], 2, now);
     let bytes = message::encode(&with_sum);
-    note("read_sums", micros(100, || drop(black_box(message::decode::<Beat>(&bytes)))));
+    note("read_sums", micros(100, || drop(black_box(message::decode::<Heartbeat>(&bytes)))));
 }
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -11,10 +11,10 @@
 mod room;
 
 use crate::error::Result;
-use crate::gateway::beat::{Beat, Request, Told};
 use crate::gateway::cell::rank;
 use crate::gateway::clock::{Clock, before, millis};
 use crate::gateway::core::{Gateway, Hearing, Wanted};
+use crate::gateway::heartbeat::{Heartbeat, Request, Told};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::Mirror;
 use crate::gateway::partner::{Pace, Relation, Stretch};
@@ -325,12 +325,12 @@
             let Some(relation) = self.relation(addr, now) else {
                 return;
             };
-            let beat = self.beat(addr, relation, &mut pace, now);
+            let heartbeat = self.heartbeat(addr, relation, &mut pace, now);
             // What changes from here on is not in this heartbeat.
             news.mark_unchanged();
             loads.mark_unchanged();
             copy.mark_unchanged();
-            self.links.tell(addr, &beat, handler).await;
+            self.links.tell(addr, &heartbeat, handler).await;
             let (heard, pause, spacing, forwards) = {
                 let (view, now) = (self.view(), time::now());
                 let heard = view.hears(addr, now);
@@ -358,7 +358,13 @@
         !layout.divided || layout.is_relay() || reads
     }
 
-    fn beat(&self, to: SocketAddr, relation: Relation, pace: &mut Pace, now: Instant) -> Beat {
+    fn heartbeat(
+        &self,
+        to: SocketAddr,
+        relation: Relation,
+        pace: &mut Pace,
+        now: Instant,
+    ) -> Heartbeat {
         let mut view = self.view();
         let spent = self.gateway.spent(now);
         let evidence = self.gateway.quarantine().told(now);
@@ -369,26 +375,26 @@
             (Told { loads, spent, outcomes, evidence, tallies, orders }, servers.signs(now))
         };
         let own = Own { told, ready: (self.ready)() };
-        Beat {
+        Heartbeat {
             statement: self.mirror.statement(now),
             failed_ms: self.mirror.last_failure().map(|at| millis(at, now)),
             signs,
-            ..view.beat(to, relation, own, pace, now)
+            ..view.heartbeat(to, relation, own, pace, now)
         }
     }
 
-    fn hear(self: &Arc<Self>, beat: Beat, now: Instant) {
-        let from = beat.daemon.peers;
+    fn hear(self: &Arc<Self>, heartbeat: Heartbeat, now: Instant) {
+        let from = heartbeat.daemon.peers;
         let sent = {
             let mut view = self.view();
-            view.note(&beat, now);
-            view.clock().sent(beat.echo, now)
+            view.note(&heartbeat, now);
+            view.clock().sent(heartbeat.echo, now)
         };
         self.unheard.store(true, Ordering::Release);
-        self.gateway.servers().take_signs(&beat.signs, sent, now);
-        self.hear_of_store(&beat, sent, now);
-        self.named.lock().expect("no holder panics").extend(beat.others);
-        let Some(statement) = beat.statement else {
+        self.gateway.servers().take_signs(&heartbeat.signs, sent, now);
+        self.hear_of_store(&heartbeat, sent, now);
+        self.named.lock().expect("no holder panics").extend(heartbeat.others);
+        let Some(statement) = heartbeat.statement else {
             return;
         };
         let seen = sent.and_then(|sent| before(sent, statement.age_ms));
@@ -406,12 +412,12 @@
     }
 
     /// Takes over when the store was last read, and last asked in vain, as far as a peer knows.
-    fn hear_of_store(&self, beat: &Beat, sent: Option<Instant>, now: Instant) {
+    fn hear_of_store(&self, heartbeat: &Heartbeat, sent: Option<Instant>, now: Instant) {
         let at = |ms: u32| sent.and_then(|sent| before(sent, ms));
-        if let Some(failed) = beat.failed_ms.and_then(at) {
+        if let Some(failed) = heartbeat.failed_ms.and_then(at) {
             self.mirror.store_failed(failed);
         }
-        if let Some(read) = beat.read_ms.and_then(at) {
+        if let Some(read) = heartbeat.read_ms.and_then(at) {
             self.mirror.store_answered(read, now);
         }
     }
--- a/src/gateway/cluster/answering.rs
+++ b/src/gateway/cluster/answering.rs
@@ -1,7 +1,7 @@
 //! Answering peers: their heartbeats, what their copies of the store lack, and room at servers in need.
 
 use super::Cluster;
-use crate::gateway::beat::{Beat, Request};
+use crate::gateway::heartbeat::{Heartbeat, Request};
 use crate::gateway::update::Update;
 use crate::message;
 use crate::peer::{Handler, Held};
@@ -42,8 +42,8 @@
 
 impl Handler for Answering {
     fn told(&self, bytes: &[u8]) {
-        match message::decode::<Beat>(bytes) {
-            Ok(beat) => self.0.hear(beat, time::now()),
+        match message::decode::<Heartbeat>(bytes) {
+            Ok(heartbeat) => self.0.hear(heartbeat, time::now()),
             Err(e) => warn!(why = format!("{e:?}").as_str(); "heartbeat not readable"),
         }
     }
--- a/src/gateway/cluster/room.rs
+++ b/src/gateway/cluster/room.rs
@@ -1,9 +1,9 @@
 //! Asking other daemons for room at servers in need.
 
 use super::Cluster;
-use crate::gateway::beat::Request;
 use crate::gateway::cell::first_of_halls;
 use crate::gateway::core::Wanted;
+use crate::gateway::heartbeat::Request;
 use crate::gateway::tag::Tag;
 use crate::peer::NoAnswer;
 use crate::time;
--- a/src/gateway/beat.rs
+++ b/src/gateway/heartbeat.rs
@@ -17,7 +17,7 @@
 
 /// A heartbeat.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// The sender.
     pub daemon: Daemon,
     /// Tells this start of the process from others.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 //! - [`update`]: what daemons tell and give each other of their copies
 //! - [`outage`]: whether the store was away
 //! - [`announce`], [`roster`]: who else serves
-//! - [`cell`], [`partner`], [`beat`]: which daemons tell each other what, and how often
+//! - [`cell`], [`partner`], [`heartbeat`]: which daemons tell each other what, and how often
 //! - [`view`], `sums`, [`clock`]: what was heard, and how old it is
 //! - [`lookout`]: notices from servers themselves while the store is away
 //! - [`listen`], [`stop`]: connections of callers, and a planned stop
@@ -31,7 +31,6 @@
 
 pub mod admission;
 pub mod announce;
-pub mod beat;
 pub mod budget;
 pub mod cell;
 pub mod clock;
@@ -44,6 +43,7 @@
 pub mod follow;
 pub mod forward;
 mod halls;
+pub mod heartbeat;
 pub mod in_force;
 mod leg;
 pub mod limit;
--- a/src/gateway/partner.rs
+++ b/src/gateway/partner.rs
@@ -4,14 +4,14 @@
 
 /// Time between two heartbeats within a cell where nothing changes: almost three of them within the
 /// silence after which a daemon is taken as gone.
-const BEAT: Duration = Duration::from_millis(250);
+const HEARTBEAT: Duration = Duration::from_millis(250);
 /// Time between two heartbeats of a relay to its cell: all that the cell knows of others waits for it. With
 /// 100 ms here and 150 ms between relays, a fleet of 295 daemons had 124 late first events of 1,387 in 15 s of
 /// reclaims, with 50 ms and 60 ms it had 48.
-const RELAY_BEAT: Duration = Duration::from_millis(50);
+const RELAY_HEARTBEAT: Duration = Duration::from_millis(50);
 /// Time between two heartbeats of relays to each other. A daemon is four of them from the first reader
 /// of the store in the worst case, and its copy must not seem late on an ordinary day.
-const CONTACT_BEAT: Duration = Duration::from_millis(40);
+const CONTACT_HEARTBEAT: Duration = Duration::from_millis(40);
 /// Time between two attempts to reach a daemon that does not answer.
 const GREET: Duration = Duration::from_millis(400);
 /// Least time between two sums of a cell that a relay makes for one sibling: below the shortest time between
@@ -30,13 +30,13 @@
 /// Most by which pauses between heartbeats are stretched, and the longest stretched ones: silence is noticed within three
 /// of them, and what the store's first reader knows takes two ways between relays and one within a cell.
 const MOST_STRETCHED: f64 = 10.0;
-const LONGEST_BEAT: Duration = Duration::from_millis(1_000);
-const LONGEST_RELAY_BEAT: Duration = Duration::from_millis(350);
-const LONGEST_CONTACT_BEAT: Duration = Duration::from_millis(200);
+const LONGEST_HEARTBEAT: Duration = Duration::from_millis(1_000);
+const LONGEST_RELAY_HEARTBEAT: Duration = Duration::from_millis(350);
+const LONGEST_CONTACT_HEARTBEAT: Duration = Duration::from_millis(200);
 /// Requests at a server below which it is as good as idle to other halls, where pauses are stretched most.
 const LIGHT: f64 = 3.0;
 /// Heartbeats that may be lost before a daemon counts as silent, and a little.
-const SILENT_BEATS: f64 = 2.8;
+const SILENT_HEARTBEATS: f64 = 2.8;
 
 /// By how much pauses between heartbeats are longer than where servers are busy. Heartbeats tell loads, and where
 /// servers are many for the requests, a load that is heard late changes no choice.
@@ -49,7 +49,7 @@
 
     /// For a time between two requests at one server, in seconds.
     pub fn of(gap: f64) -> Stretch {
-        Stretch((gap * UNHEARD_PART / RELAY_BEAT.as_secs_f64()).clamp(1.0, MOST_STRETCHED))
+        Stretch((gap * UNHEARD_PART / RELAY_HEARTBEAT.as_secs_f64()).clamp(1.0, MOST_STRETCHED))
     }
 
     fn pause(self, pause: Duration, longest: Duration) -> Duration {
@@ -70,7 +70,7 @@
 
 /// Silence after which a daemon that sends heartbeats so often is taken as gone; not below `least`.
 pub fn silence(pause: Duration, least: Duration) -> Duration {
-    least.max(pause.mul_f64(SILENT_BEATS))
+    least.max(pause.mul_f64(SILENT_HEARTBEATS))
 }
 
 /// What a daemon is to another one.
@@ -90,10 +90,10 @@
 pub fn pause(relation: Relation, relay: bool, heard: bool, stretch: Stretch) -> Duration {
     match relation {
         _ if !heard => GREET,
-        Relation::Near if relay => stretch.pause(RELAY_BEAT, LONGEST_RELAY_BEAT),
-        Relation::Near => stretch.pause(BEAT, LONGEST_BEAT),
+        Relation::Near if relay => stretch.pause(RELAY_HEARTBEAT, LONGEST_RELAY_HEARTBEAT),
+        Relation::Near => stretch.pause(HEARTBEAT, LONGEST_HEARTBEAT),
         Relation::Sibling | Relation::Hall | Relation::Unknown => {
-            stretch.pause(CONTACT_BEAT, LONGEST_CONTACT_BEAT)
+            stretch.pause(CONTACT_HEARTBEAT, LONGEST_CONTACT_HEARTBEAT)
         }
     }
 }
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -4,11 +4,11 @@
 //! twice however it came here. Sums of one hall's cells name their members: where two of them hold the
 //! same daemon, which has just changed its cell, the later one counts and the other waits for its next.
 
-use crate::gateway::beat::{Origin, Sum, Told};
 use crate::gateway::budget::Spent;
 use crate::gateway::cell::CellId;
 use crate::gateway::clock::{Clock, before, millis};
 use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::heartbeat::{Origin, Sum, Told};
 use crate::gateway::outcomes::Outcomes;
 use crate::gateway::quarantine::{Evidence, most_ended};
 use crate::gateway::rollout;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,9 +1,9 @@
 //! What a daemon has heard of the others: who speaks, who is ready, what runs where, what is spent.
 
-use crate::gateway::beat::{Beat, Origin, Sum, Told};
 use crate::gateway::budget::{Near, Others};
 use crate::gateway::cell::{CellId, Layout, rank};
 use crate::gateway::clock::{Clock, Echo, before, micros, millis};
+use crate::gateway::heartbeat::{Heartbeat, Origin, Sum, Told};
 use crate::gateway::partner::{self, Pace, Relation, Stretch};
 use crate::gateway::roster::{Daemon, Listing};
 use crate::gateway::servers::{Heard, Load, Signs};
@@ -198,31 +198,32 @@
 
     /// Notes a heartbeat, unless a later one of the same process came before it. Says whether it
     /// was noted.
-    pub fn note(&mut self, beat: &Beat, now: Instant) -> bool {
-        let addr = beat.daemon.peers;
+    pub fn note(&mut self, heartbeat: &Heartbeat, now: Instant) -> bool {
+        let addr = heartbeat.daemon.peers;
         let known = self.peers.get(&addr);
-        if known.is_some_and(|known| known.boot == beat.boot && known.stamp > beat.stamp) {
+        if known.is_some_and(|known| known.boot == heartbeat.boot && known.stamp > heartbeat.stamp)
+        {
             return false;
         }
-        if known.is_none_or(|known| known.boot != beat.boot) {
-            info!(peer = beat.daemon.vm.as_str(), addr = addr.to_string().as_str(); "peer heard");
+        if known.is_none_or(|known| known.boot != heartbeat.boot) {
+            info!(peer = heartbeat.daemon.vm.as_str(), addr = addr.to_string().as_str(); "peer heard");
         }
         // What can't be dated is told again with the next heartbeat, which can.
-        if let Some(sent) = self.clock.sent(beat.echo, now) {
-            self.has_read(beat.read_ms.and_then(|ms| before(sent, ms)));
-            self.take_sums(beat, sent, now);
+        if let Some(sent) = self.clock.sent(heartbeat.echo, now) {
+            self.has_read(heartbeat.read_ms.and_then(|ms| before(sent, ms)));
+            self.take_sums(heartbeat, sent, now);
         }
         let peer = Peer {
-            daemon: beat.daemon.clone(),
-            tag: Tag::of(&beat.daemon.vm),
-            boot: beat.boot,
-            stamp: beat.stamp,
+            daemon: heartbeat.daemon.clone(),
+            tag: Tag::of(&heartbeat.daemon.vm),
+            boot: heartbeat.boot,
+            stamp: heartbeat.stamp,
             heard: now,
-            pause: Duration::from_millis(beat.pause_ms.into()).min(LONGEST_PAUSE),
-            ready: beat.ready,
-            chose: beat.chosen,
-            cell: beat.cell,
-            told: beat.told.clone(),
+            pause: Duration::from_millis(heartbeat.pause_ms.into()).min(LONGEST_PAUSE),
+            ready: heartbeat.ready,
+            chose: heartbeat.chosen,
+            cell: heartbeat.cell,
+            told: heartbeat.told.clone(),
         };
         self.peers.insert(addr, peer);
         self.missed.remove(&addr);
@@ -230,14 +231,14 @@
     }
 
     /// Takes in the sums that this daemon does not make itself.
-    fn take_sums(&mut self, beat: &Beat, sent: Instant, now: Instant) {
+    fn take_sums(&mut self, heartbeat: &Heartbeat, sent: Instant, now: Instant) {
         let own = self.layout.own;
-        let way = match beat.cell {
+        let way = match heartbeat.cell {
             cell if cell == own => Way::OwnCell,
             cell if cell.hall == own.hall => Way::OwnHall,
             _ => Way::OtherHall,
         };
-        for sum in &beat.sums {
+        for sum in &heartbeat.sums {
             let wanted = match sum.origin {
                 Origin::Cell(cell) => cell != own && cell.hall == own.hall,
                 Origin::Hall(hall) => hall != own.hall,
@@ -366,20 +367,20 @@
 
     /// A heartbeat to such a partner, with what this daemon knows of others; nothing yet of the store and
     /// of servers.
-    pub fn beat(
+    pub fn heartbeat(
         &mut self,
         to: SocketAddr,
         relation: Relation,
         own: Own,
         pace: &mut Pace,
         now: Instant,
-    ) -> Beat {
+    ) -> Heartbeat {
         let sums = self.sums_for(to, relation, &own, pace, now);
         let near = relation == Relation::Near;
         let layout = &self.layout;
         let chosen = layout.siblings.contains(&to) || layout.halls.contains(&to);
         let named = self.near(now).map(|p| p.daemon.peers).take(NAMED);
-        Beat {
+        Heartbeat {
             daemon: self.own.clone(),
             boot: self.clock.boot(),
             stamp: self.clock.stamp(now),
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -3,10 +3,10 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tidestair::gateway::beat::{Beat, Origin, Sum, Told};
 use tidestair::gateway::budget::Spent;
 use tidestair::gateway::cell::{CellId, Layout, MOST_IN_CELL, ONE_CELL};
 use tidestair::gateway::clock::{Clock, Echo};
+use tidestair::gateway::heartbeat::{Heartbeat, Origin, Sum, Told};
 use tidestair::gateway::outcomes::Outcomes;
 use tidestair::gateway::roster::Daemon;
 use tidestair::gateway::servers::{Load, Signs};
@@ -205,8 +205,8 @@
     }
 
     /// A heartbeat sent just now by one that has just heard this daemon.
-    fn beat(&self, from: &Daemon, stamp: u64, at: Duration) -> Beat {
-        Beat {
+    fn heartbeat(&self, from: &Daemon, stamp: u64, at: Duration) -> Heartbeat {
+        Heartbeat {
             daemon: from.clone(),
             boot: 1,
             stamp,
@@ -226,14 +226,14 @@
     }
 
     /// A heartbeat of a daemon that carries a sum.
-    fn sum(&self, from: usize, sum: Sum, at: Duration) -> Beat {
+    fn sum(&self, from: usize, sum: Sum, at: Duration) -> Heartbeat {
         let stamp = at.as_micros() as u64;
-        Beat { sums: vec![sum], ..self.beat(&self.fleet[from], stamp, at) }
+        Heartbeat { sums: vec![sum], ..self.heartbeat(&self.fleet[from], stamp, at) }
     }
 
     fn hear(&mut self, from: usize, stamp: u64, at: Duration) {
-        let beat = self.beat(&self.fleet[from].clone(), stamp, at);
-        self.view.note(&beat, self.start + at);
+        let heartbeat = self.heartbeat(&self.fleet[from].clone(), stamp, at);
+        self.view.note(&heartbeat, self.start + at);
     }
 
     fn runs(&self, at: Duration) -> u32 {
@@ -277,13 +277,13 @@
     // Two daemons pass on the same sum of another hall, and one tells a later one.
     let origin = hall(&watcher.fleet, 1);
     for (from, made, at) in [(3, 1, 1), (4, 1, 2), (3, 2, 3)] {
-        let beat = watcher.sum(from, sum(origin, 9, made, &[], 5), ms(at));
-        watcher.view.note(&beat, watcher.start + ms(at));
+        let heartbeat = watcher.sum(from, sum(origin, 9, made, &[], 5), ms(at));
+        watcher.view.note(&heartbeat, watcher.start + ms(at));
     }
     assert_eq!(watcher.runs(ms(3)), 2 + 2 + 5);
     let origin = hall(&watcher.fleet, 2);
-    let beat = watcher.sum(3, sum(origin, 8, 1, &[], 5), ms(4));
-    watcher.view.note(&beat, watcher.start + ms(4));
+    let heartbeat = watcher.sum(3, sum(origin, 8, 1, &[], 5), ms(4));
+    watcher.view.note(&heartbeat, watcher.start + ms(4));
     assert_eq!(watcher.runs(ms(4)), 2 + 2 + 5 + 5);
     let spent = watcher.view.spent(59, watcher.start + ms(4));
     assert_eq!((spent.daemons, spent.heard), (59, 4 + 5 + 5));
@@ -300,18 +300,19 @@
     // The first cell's sum still holds the daemon, which the second cell's later one has as well.
     for (at, (from, cell)) in cells.iter().enumerate() {
         let origin = Origin::Cell(*cell);
-        let beat = watcher.sum(*from, sum(origin, 9 + at as u64, 1, &[moved], 1), ms(at as u64));
-        let mut beat = beat;
-        beat.daemon = fleet[cells[1].0].clone();
-        beat.cell = cells[1].1;
-        beat.stamp = at as u64 + 1;
-        watcher.view.note(&beat, watcher.start + ms(at as u64));
+        let heartbeat =
+            watcher.sum(*from, sum(origin, 9 + at as u64, 1, &[moved], 1), ms(at as u64));
+        let mut heartbeat = heartbeat;
+        heartbeat.daemon = fleet[cells[1].0].clone();
+        heartbeat.cell = cells[1].1;
+        heartbeat.stamp = at as u64 + 1;
+        watcher.view.note(&heartbeat, watcher.start + ms(at as u64));
     }
     assert_eq!(watcher.runs(ms(1)), 1);
     // Once it is heard itself in the own cell, neither sum with it counts.
-    let mut beat = watcher.beat(moved, 1, ms(2));
-    beat.cell = watcher.view.layout().own;
-    watcher.view.note(&beat, watcher.start + ms(2));
+    let mut heartbeat = watcher.heartbeat(moved, 1, ms(2));
+    heartbeat.cell = watcher.view.layout().own;
+    watcher.view.note(&heartbeat, watcher.start + ms(2));
     assert_eq!(watcher.runs(ms(2)), 1);
 }
 
@@ -320,13 +321,13 @@
     let mut watcher = Watcher::of(fleet(4, 15));
     let origin = hall(&watcher.fleet, 1);
     for (at, maker, daemons) in [(0, 8, 5), (100, 9, 7), (200, 8, 5), (300, 9, 7)] {
-        let beat = watcher.sum(1, sum(origin, maker, at + 1, &[], daemons), ms(at));
-        watcher.view.note(&beat, watcher.start + ms(at));
+        let heartbeat = watcher.sum(1, sum(origin, maker, at + 1, &[], daemons), ms(at));
+        watcher.view.note(&heartbeat, watcher.start + ms(at));
         assert_eq!(watcher.runs(ms(at)), 1 + 5);
     }
     // The first relay is gone: the second one takes its place before its sum lapses.
-    let beat = watcher.sum(1, sum(origin, 9, 901, &[], 7), ms(900));
-    watcher.view.note(&beat, watcher.start + ms(900));
+    let heartbeat = watcher.sum(1, sum(origin, 9, 901, &[], 7), ms(900));
+    watcher.view.note(&heartbeat, watcher.start + ms(900));
     assert_eq!(watcher.runs(ms(900)), 1 + 7);
 }
 
@@ -335,8 +336,8 @@
     let mut watcher = Watcher::of(fleet(4, 15));
     watcher.hear(1, 1, ms(0));
     let origin = hall(&watcher.fleet, 1);
-    let beat = watcher.sum(2, sum(origin, 9, 1, &[], 1), ms(0));
-    watcher.view.note(&beat, watcher.start);
+    let heartbeat = watcher.sum(2, sum(origin, 9, 1, &[], 1), ms(0));
+    watcher.view.note(&heartbeat, watcher.start);
     assert_eq!(watcher.runs(ms(500)), 3);
     assert_eq!(watcher.runs(ms(1_000)), 1, "daemons of the own cell are missed soon");
     assert_eq!(watcher.runs(ms(3_000)), 0);
@@ -349,8 +350,8 @@
     let origin = hall(&watcher.fleet, 1);
     let mut old = sum(origin, 9, 1, &[], 5);
     old.age_ms = 2_400;
-    let beat = watcher.sum(1, old.clone(), ms(3_000));
-    watcher.view.note(&beat, watcher.start + ms(3_000));
+    let heartbeat = watcher.sum(1, old.clone(), ms(3_000));
+    watcher.view.note(&heartbeat, watcher.start + ms(3_000));
     assert_eq!(watcher.runs(ms(3_050)), 1 + 5);
     assert_eq!(watcher.runs(ms(3_150)), 1, "it lapses by its age, not by when it came");
     // One that can't be dated does not count, however young it says it is.
@@ -365,7 +366,7 @@
 fn a_heartbeat_that_was_overtaken_changes_nothing() {
     let mut watcher = Watcher::of(fleet(1, 3));
     watcher.hear(1, 5, ms(0));
-    let mut late = watcher.beat(&watcher.fleet[1].clone(), 4, ms(1));
+    let mut late = watcher.heartbeat(&watcher.fleet[1].clone(), 4, ms(1));
     late.ready = false;
     late.told.loads.clear();
     assert!(!watcher.view.note(&late, watcher.start + ms(1)));
@@ -377,7 +378,7 @@
 fn a_restarted_daemon_is_heard_though_its_clock_began_anew() {
     let mut watcher = Watcher::of(fleet(1, 3));
     watcher.hear(1, 5_000_000, ms(0));
-    let mut again = watcher.beat(&watcher.fleet[1].clone(), 1, ms(1));
+    let mut again = watcher.heartbeat(&watcher.fleet[1].clone(), 1, ms(1));
     again.boot = 2;
     again.ready = false;
     assert!(watcher.view.note(&again, watcher.start + ms(1)));
@@ -388,8 +389,8 @@
 fn callers_are_sent_to_their_cell_and_further_only_where_it_has_few() {
     let mut watcher = Watcher::of(fleet(4, 15));
     let far = watcher.fleet[15].clone();
-    let beat = watcher.sum(1, sum(hall(&watcher.fleet, 1), 9, 1, &[&far], 1), ms(0));
-    watcher.view.note(&beat, watcher.start);
+    let heartbeat = watcher.sum(1, sum(hall(&watcher.fleet, 1), 9, 1, &[&far], 1), ms(0));
+    watcher.view.note(&heartbeat, watcher.start);
     let callers = |i: usize| watcher.fleet[i].callers;
     let entries: HashSet<_> = watcher.view.entries(watcher.start).into_iter().collect();
     assert_eq!(entries, HashSet::from([callers(1), callers(15)]));
@@ -406,9 +407,9 @@
     let mut watcher = Watcher::of(fleet(4, 15));
     assert_eq!(watcher.view.read(), None);
     for (from, read_ms) in [(1, 600), (15, 200), (2, 400)] {
-        let mut beat = watcher.beat(&watcher.fleet[from].clone(), 1, ms(1_000));
-        beat.read_ms = Some(read_ms);
-        watcher.view.note(&beat, watcher.start + ms(1_000));
+        let mut heartbeat = watcher.heartbeat(&watcher.fleet[from].clone(), 1, ms(1_000));
+        heartbeat.read_ms = Some(read_ms);
+        watcher.view.note(&heartbeat, watcher.start + ms(1_000));
     }
     assert_eq!(watcher.view.read(), Some(watcher.start + ms(800)));
 }
@@ -428,14 +429,14 @@
     let mut now = start;
     for round in 0..50 {
         let (from, to) = (round % 2, (round + 1) % 2);
-        let mut beat = watchers[from].beat(&fleet[from], round as u64 + 1, ms(0));
+        let mut heartbeat = watchers[from].heartbeat(&fleet[from], round as u64 + 1, ms(0));
         let read = watchers[from].view.read();
-        beat.read_ms = read.map(|read| (now - read).as_millis() as u32);
-        beat.boot = from as u64;
-        beat.stamp = watchers[from].view.clock().stamp(now);
-        beat.echo = watchers[from].view.echo(fleet[to].peers, now);
+        heartbeat.read_ms = read.map(|read| (now - read).as_millis() as u32);
+        heartbeat.boot = from as u64;
+        heartbeat.stamp = watchers[from].view.clock().stamp(now);
+        heartbeat.echo = watchers[from].view.echo(fleet[to].peers, now);
         now += way;
-        watchers[to].view.note(&beat, now);
+        watchers[to].view.note(&heartbeat, now);
     }
     for watcher in &watchers {
         assert!(watcher.view.read() <= Some(start), "nobody has read since");
@@ -459,8 +460,8 @@
         }
         for other in 0..4 {
             let (origin, at) = (hall(&fleet, other), ms(other as u64 + 1));
-            let beat = watcher.sum(1, sum(origin, 9, 1, &[], 15), at);
-            watcher.view.note(&beat, watcher.start + at);
+            let heartbeat = watcher.sum(1, sum(origin, 9, 1, &[], 15), at);
+            watcher.view.note(&heartbeat, watcher.start + at);
         }
         firsts += usize::from(watcher.view.readers_before(watcher.start + ms(5)) == 0);
     }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -8,9 +8,9 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tidestair::gateway::beat::{Beat, Told};
 use tidestair::gateway::budget::Spent;
 use tidestair::gateway::clock::Clock;
+use tidestair::gateway::heartbeat::{Heartbeat, Told};
 use tidestair::gateway::partner::{Pace, Stretch};
 use tidestair::gateway::roster::{Daemon, Listing};
 use tidestair::gateway::servers::{Load, Signs};
@@ -58,13 +58,13 @@
     pub late: Duration,
     /// Pairs of halls that don't reach each other.
     pub cut: HashSet<(String, String)>,
-    flying: BTreeMap<(Instant, u64), (SocketAddr, Beat)>,
+    flying: BTreeMap<(Instant, u64), (SocketAddr, Heartbeat)>,
     count: u64,
     boots: u64,
     /// Bytes sent within halls and between them.
     pub bytes: [u64; 2],
     /// Heartbeats sent.
-    pub beats: u64,
+    pub heartbeats: u64,
     /// The list of daemons as each of them last read it.
     listing: (Vec<Daemon>, Listing),
 }
@@ -95,7 +95,7 @@
             count: 0,
             boots: 0,
             bytes: [0; 2],
-            beats: 0,
+            heartbeats: 0,
             listing: (listed.clone(), Listing::new(listed.clone())),
         };
         for daemon in listed {
@@ -138,12 +138,12 @@
 
     fn deliver(&mut self) {
         let later = self.flying.split_off(&(self.now, u64::MAX));
-        for (_, (to, beat)) in std::mem::replace(&mut self.flying, later) {
+        for (_, (to, heartbeat)) in std::mem::replace(&mut self.flying, later) {
             let node = &mut self.nodes[self.at[&to]];
             if node.alive {
-                node.view.note(&beat, self.now);
-                let sent = node.view.clock().sent(beat.echo, self.now);
-                node.heard.push((beat.signs, sent));
+                node.view.note(&heartbeat, self.now);
+                let sent = node.view.clock().sent(heartbeat.echo, self.now);
+                node.heard.push((heartbeat.signs, sent));
             }
         }
     }
@@ -182,22 +182,23 @@
         };
         let pace = &mut node.partners.get_mut(&to).expect("it is due").2;
         let signs = node.signs.clone();
-        let beat = Beat { signs, ..node.view.beat(to, relation, node.own.clone(), pace, now) };
+        let heartbeat =
+            Heartbeat { signs, ..node.view.heartbeat(to, relation, node.own.clone(), pace, now) };
         let wait = node.view.pause(to, relation, now);
         let wait = wait.mul_f64(self.rng.random_range(0.9..1.1));
         node.partners.get_mut(&to).expect("it is due").1 = now + wait;
         node.sent += 1;
-        self.beats += 1;
-        let pair = (beat.daemon.hall.clone(), self.nodes[self.at[&to]].daemon.hall.clone());
+        self.heartbeats += 1;
+        let pair = (heartbeat.daemon.hall.clone(), self.nodes[self.at[&to]].daemon.hall.clone());
         let far = pair.0 != pair.1;
-        self.bytes[usize::from(far)] += tidestair::message::encode(&beat).len() as u64;
+        self.bytes[usize::from(far)] += tidestair::message::encode(&heartbeat).len() as u64;
         if self.cut.contains(&pair) || self.rng.random_bool(self.loss) {
             return;
         }
         let delay = if far { FAR_DELAY } else { NEAR_DELAY };
         let delay = (delay + self.late).mul_f64(self.rng.random_range(0.3..1.0));
         self.count += 1;
-        self.flying.insert((now + delay, self.count), (to, beat));
+        self.flying.insert((now + delay, self.count), (to, heartbeat));
     }
 
     /// Sets what each living daemon has running at a server of its own name, and at one that all use.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -160,22 +160,23 @@
 #[test]
 fn an_idle_fleet_sends_few_heartbeats_and_is_heard_all_the_same() {
     // Each way, of the mean daemon and of a relay.
-    const MOST_BEATS: f64 = 32.0;
+    const MOST_HEARTBEATS: f64 = 32.0;
     const HEARD_LATE: Duration = Duration::from_millis(3_000);
     for (halls, in_hall) in [(6, 49), (6, 164)] {
         let mut fleet = Fleet::new(halls, in_hall, 6);
         fleet.set_gap(60.0);
         fleet.run(SETTLED);
-        (fleet.beats, fleet.bytes) = (0, [0; 2]);
+        (fleet.heartbeats, fleet.bytes) = (0, [0; 2]);
         fleet.run(ms(2_000));
         let daemons = fleet.nodes.len() as f64;
-        let (beats, bytes) = (fleet.beats as f64 / 2.0, fleet.bytes.iter().sum::<u64>() as f64);
+        let (heartbeats, bytes) =
+            (fleet.heartbeats as f64 / 2.0, fleet.bytes.iter().sum::<u64>() as f64);
         println!(
             "{halls} halls of {in_hall}: {:.1} heartbeats and {:.0} B/s each",
-            beats / daemons,
+            heartbeats / daemons,
             bytes / 2.0 / daemons
         );
-        assert!(beats / daemons <= MOST_BEATS, "{}", beats / daemons);
+        assert!(heartbeats / daemons <= MOST_HEARTBEATS, "{}", heartbeats / daemons);
         // Other halls are told of servers that are not as good as idle.
         for runs in [1, 8] {
             fleet.set_loads(runs);
