--- a/src/gateway/lookout.rs
+++ b/src/gateway/health_check.rs
@@ -28,7 +28,7 @@
 /// forth at the expense of the shared budget.
 const DISBELIEF: Duration = Duration::from_secs(10);
 
-/// Looks out until the process ends.
+/// Checks servers until the process ends.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
         if !gateway.servers().is_watched() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 //! - [`announce`], [`roster`]: who else serves
 //! - [`cell`], [`partner`], [`heartbeat`]: which daemons tell each other what, and how often
 //! - [`view`], `sums`, [`clock`]: what was heard, and how old it is
-//! - [`lookout`]: notices from servers themselves while the store is away
+//! - [`health_check`]: notices from servers themselves while the store is away
 //! - [`listen`], [`stop`]: connections of callers, and a planned stop
 //! - [`tag`]: short names between daemons
 //! - [`metrics`]: counters and latencies
@@ -43,12 +43,12 @@
 pub mod follow;
 pub mod forward;
 mod halls;
+pub mod health_check;
 pub mod heartbeat;
 pub mod in_force;
 mod leg;
 pub mod limit;
 pub mod listen;
-pub mod lookout;
 pub mod metrics;
 pub mod mirror;
 mod moving;
