--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,7 +13,7 @@
 //!   to come back to them
 //! - [`admission`]: who is let in while engines are crowded
 //! - [`core`], [`seat`]: what all requests of a daemon share, and their places at servers
-//! - [`forward`], `relay`, `leg`, [`events`], `moving`: the way of a request, and of a stream over the
+//! - [`forward`], `relay`, `upstream`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
 //! - [`quarantine`], [`suspicion`]: requests that end the servers which run them
@@ -46,7 +46,6 @@
 pub mod health_check;
 pub mod heartbeat;
 pub mod in_force;
-mod leg;
 pub mod limit;
 pub mod listen;
 pub mod metrics;
@@ -77,4 +76,5 @@
 pub mod table;
 pub mod tag;
 pub mod update;
+mod upstream;
 pub mod view;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,13 +7,13 @@
 use crate::gateway::core::Gateway;
 use crate::gateway::events::Event;
 use crate::gateway::forward::Sent;
-use crate::gateway::leg::{Leg, Step, reopen};
 use crate::gateway::moving::{self, Moved};
 use crate::gateway::port::{KeptRun, Reply, Sending};
 use crate::gateway::quarantine::Run;
 use crate::gateway::request::{Answer, BrokenOff, Call};
 use crate::gateway::seat::Seat;
 use crate::gateway::table::Service;
+use crate::gateway::upstream::{Step, Upstream, reopen};
 use crate::time;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -61,8 +61,8 @@
     reply: Reply,
 ) -> Sent {
     let Reply { status, headers, body, .. } = reply;
-    let mut leg = Leg::new(body);
-    let first = match leg.next().await {
+    let mut upstream = Upstream::new(body);
+    let first = match upstream.next().await {
         Step::Event(event) => event,
         Step::Ended | Step::Broke(_) => {
             seat.judge(true);
@@ -82,7 +82,7 @@
         call: call.clone(),
         service: service.clone(),
         seat,
-        leg,
+        upstream,
         last: call.after,
         passed: time::now(),
         began: None,
@@ -112,7 +112,7 @@
     call: Arc<Call>,
     service: Arc<Service>,
     seat: Seat,
-    leg: Leg,
+    upstream: Upstream,
     /// Id of the last event passed on.
     last: Option<u64>,
     /// When it was passed on.
@@ -204,7 +204,7 @@
                 () = &mut deadline => Happened::OutOfTime,
                 moved = finished(&mut moving) => Happened::Moved(moved),
                 () = noticed(&mut self.seat), if may_move => Happened::Notice,
-                step = self.leg.next() => Happened::Step(step),
+                step = self.upstream.next() => Happened::Step(step),
                 () = look, if may_look => Happened::Silence,
             };
             let ended = match happened {
@@ -339,20 +339,20 @@
                 Ok(())
             }
             Moved::Stopped { kept, seat } => {
-                self.drain_leg().await?;
+                self.drain_upstream().await?;
                 self.go_on(kept, Some(seat)).await
             }
             Moved::SourceKeeps(kept) => {
-                self.drain_leg().await?;
+                self.drain_upstream().await?;
                 self.go_on(kept, None).await
             }
         }
     }
 
     /// Passes on what a stopped run still sent.
-    async fn drain_leg(&mut self) -> Result<(), End> {
+    async fn drain_upstream(&mut self) -> Result<(), End> {
         let until = time::now() + LAST_EVENTS;
-        while let Some(Step::Event(event)) = time::timeout_at(until, self.leg.next()).await {
+        while let Some(Step::Event(event)) = time::timeout_at(until, self.upstream.next()).await {
             self.pass_on(event).await?;
         }
         Ok(())
@@ -378,8 +378,8 @@
             false => Err("its hall is closed, or it rests".into()),
         };
         let why = match reopened {
-            Ok(leg) => {
-                self.leg = leg;
+            Ok(upstream) => {
+                self.upstream = upstream;
                 if let Some(seat) = seat {
                     (self.began, self.survived) = (None, false);
                     self.count_move("moved");
@@ -428,7 +428,8 @@
         let request = self.call.fingerprint().to_string();
         info!(id = self.call.id.as_str(), request = request.as_str(), server = self.seat.id(), why = why.as_str(); "stream broke off");
         let key = seat.key();
-        self.leg = reopen(&self.gateway, &self.call, key, sending).await.map_err(End::Broken)?;
+        self.upstream =
+            reopen(&self.gateway, &self.call, key, sending).await.map_err(End::Broken)?;
         info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), why = why.as_str(), last = self.last; "run begun anew");
         self.seat = seat;
         (self.began, self.survived) = (None, false);
--- a/src/gateway/leg.rs
+++ b/src/gateway/upstream.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 
 /// The stream of one server.
-pub(crate) struct Leg {
+pub(crate) struct Upstream {
     body: AnswerBody,
     splitter: Splitter,
 }
@@ -24,10 +24,10 @@
     Broke(String),
 }
 
-impl Leg {
+impl Upstream {
     /// A stream of which nothing has been read.
-    pub(crate) fn new(body: AnswerBody) -> Leg {
-        Leg { body, splitter: Splitter::default() }
+    pub(crate) fn new(body: AnswerBody) -> Upstream {
+        Upstream { body, splitter: Splitter::default() }
     }
 
     /// The next whole event. May be dropped and called again.
@@ -59,7 +59,7 @@
     call: &Call,
     server: ServerKey,
     sending: Sending,
-) -> Result<Leg, String> {
+) -> Result<Upstream, String> {
     let now = time::now();
     gateway.note_knowledge(now);
     gateway.log_remarked(call, server, now);
@@ -68,7 +68,7 @@
         gateway.hear(server, &reply.remarks, now);
     }
     match sent {
-        Ok(reply) if reply.status.is_success() => Ok(Leg::new(reply.body)),
+        Ok(reply) if reply.status.is_success() => Ok(Upstream::new(reply.body)),
         Ok(reply) => Err(format!("answered {}", reply.status.as_u16())),
         Err(Lost::Unsent { reason, .. } | Lost::Unanswered { reason }) => Err(reason),
     }
