--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,8 +7,8 @@
 use crate::gateway::quarantine::Run;
 use crate::gateway::relay;
 use crate::gateway::request::{Answer, AnswerBody, BrokenOff, Call, whole};
-use crate::gateway::seat::{NoSeat, Seat};
 use crate::gateway::servers::ServerKey;
+use crate::gateway::slot::{NoSlot, Slot};
 use crate::gateway::table::{RouteKind, Service};
 use crate::outcome::{Failure, NotSent, Reason};
 use crate::time;
@@ -99,12 +99,12 @@
         // The latest answer of a server that failed the request.
         let mut fallback = None;
         loop {
-            let seat = match self.seat_or_borrow().await {
-                Ok(seat) => seat,
+            let slot = match self.slot_or_borrow().await {
+                Ok(slot) => slot,
                 Err(why) => return self.give_up(proof, fallback, why),
             };
-            self.tried.push(seat.key());
-            match self.send_patiently(seat, proof.take()).await {
+            self.tried.push(slot.key());
+            match self.send_patiently(slot, proof.take()).await {
                 Sent::Answered(answer) => return Ok(answer),
                 Sent::NotReached(unspent) => {
                     self.count_failed("not run by a server", "not_reached");
@@ -128,21 +128,21 @@
     }
 
     /// The next server to try; where only servers in need could have room, also with a peer's.
-    async fn seat_or_borrow(&self) -> Result<Seat, NoSeat> {
+    async fn slot_or_borrow(&self) -> Result<Slot, NoSlot> {
         let now = time::now();
-        match self.next_seat(now) {
+        match self.next_slot(now) {
             Err(why) if why.why == IN_NEED => {
                 match self.gateway.borrow_room(&self.service, self.call, &self.tried, now).await {
-                    true => self.next_seat(time::now()),
+                    true => self.next_slot(time::now()),
                     false => Err(why),
                 }
             }
-            seat => seat,
+            slot => slot,
         }
     }
 
     /// The next server to try, where the rules and the budget allow one.
-    fn next_seat(&self, now: Instant) -> Result<Seat, NoSeat> {
+    fn next_slot(&self, now: Instant) -> Result<Slot, NoSlot> {
         if !self.gateway.may_send(self.call, now) {
             return Err("key_not_confirmed".into());
         }
@@ -158,11 +158,11 @@
         match arrived {
             0 => {
                 let standing = self.standing();
-                self.gateway.seat(&self.service, self.call, standing, &self.tried, now)
+                self.gateway.slot(&self.service, self.call, standing, &self.tried, now)
             }
             _ => {
                 let standing = Standing::Returned;
-                self.gateway.seat_again(&self.service, self.call, standing, &self.tried, now)
+                self.gateway.slot_again(&self.service, self.call, standing, &self.tried, now)
             }
         }
     }
@@ -177,12 +177,12 @@
     }
 
     /// Sends; a silent server is given up in time for another one where that may run too.
-    async fn send_patiently(&self, seat: Seat, proof: Option<NotSent>) -> Sent {
-        let (key, trial) = (seat.key(), seat.trial);
-        let Some(limit) = self.patience(&seat) else {
-            return self.send(seat, proof).await;
+    async fn send_patiently(&self, slot: Slot, proof: Option<NotSent>) -> Sent {
+        let (key, trial) = (slot.key(), slot.trial);
+        let Some(limit) = self.patience(&slot) else {
+            return self.send(slot, proof).await;
         };
-        timeout(limit, self.send(seat, proof)).await.unwrap_or_else(|_| {
+        timeout(limit, self.send(slot, proof)).await.unwrap_or_else(|_| {
             self.gateway.judge(key, true);
             if let Some(trial) = trial {
                 self.gateway.note_trial(trial, true);
@@ -191,43 +191,43 @@
         })
     }
 
-    async fn send(&self, mut seat: Seat, proof: Option<NotSent>) -> Sent {
+    async fn send(&self, mut slot: Slot, proof: Option<NotSent>) -> Sent {
         let unrun = proof.is_some();
         let now = time::now();
-        seat.knowledge = self.gateway.note_knowledge(now);
+        slot.knowledge = self.gateway.note_knowledge(now);
         let left = self.call.left(now);
         let after = self.call.after;
-        let sending = Sending { to: seat.place.to.clone(), left, from: None, after };
-        self.gateway.log_remarked(self.call, seat.key(), now);
+        let sending = Sending { to: slot.place.to.clone(), left, from: None, after };
+        self.gateway.log_remarked(self.call, slot.key(), now);
         let reply = match self.gateway.wire.send(self.call, sending, proof).await {
             Ok(reply) => reply,
-            Err(lost) => return self.lost(&seat, lost).await,
+            Err(lost) => return self.lost(&slot, lost).await,
         };
-        self.gateway.hear(seat.key(), &reply.remarks, now);
+        self.gateway.hear(slot.key(), &reply.remarks, now);
         let declared = || unrun.then(NotSent::declared);
         if reply.misdirected {
-            self.gateway.servers().leaves(seat.key(), time::now());
+            self.gateway.servers().leaves(slot.key(), time::now());
             return Sent::NotRun(declared(), "replaced");
         }
         if reply.declined && matches!(reply.status.as_u16(), 408 | 429 | 503) {
             // It is idle, and would seem free to each daemon that it has not yet turned away.
-            seat.declined();
+            slot.declined();
             return Sent::NotRun(declared(), "declined");
         }
         if self.call.route.kind == RouteKind::Streaming && reply.status.is_success() {
-            return relay::begin(self.gateway, self.call, &self.service, seat, reply).await;
+            return relay::begin(self.gateway, self.call, &self.service, slot, reply).await;
         }
         let failed = reply.status.is_server_error();
         let status = reply.status.as_u16();
         let answer = hold(reply).await;
-        seat.judge(failed || answer.is_err());
+        slot.judge(failed || answer.is_err());
         let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
-        let (server, whole) = (seat.id(), answer.is_ok());
+        let (server, whole) = (slot.id(), answer.is_ok());
         let ms = time::since(self.call.arrived).as_millis() as u64;
-        let knew = seat.knowledge_ms();
+        let knew = slot.knowledge_ms();
         info!(id = id, route = route, server = server, status = status, whole = whole, ms = ms, knowledge_ms = knew; "answer from a server");
         let Ok(answer) = answer else {
-            self.gateway.suspect(self.call, &seat, Run::Unseen).await;
+            self.gateway.suspect(self.call, &slot, Run::Unseen).await;
             return Sent::Failed(None, "broken_answer");
         };
         self.gateway.has_survived(self.call);
@@ -237,32 +237,32 @@
         }
     }
 
-    async fn lost(&self, seat: &Seat, lost: Lost) -> Sent {
-        seat.judge(true);
-        let (id, server) = (self.call.id.as_str(), seat.id());
+    async fn lost(&self, slot: &Slot, lost: Lost) -> Sent {
+        slot.judge(true);
+        let (id, server) = (self.call.id.as_str(), slot.id());
         match lost {
             Lost::Unsent { proof, refused, reason } => {
-                seat.not_reached(refused);
+                slot.not_reached(refused);
                 warn!(id = id, server = server, reason = reason.as_str(); "server not reached");
                 Sent::NotReached(proof)
             }
             Lost::Unanswered { reason } => {
                 warn!(id = id, server = server, reason = reason.as_str(); "no answer from a server");
-                self.gateway.suspect(self.call, seat, Run::Unseen).await;
+                self.gateway.suspect(self.call, slot, Run::Unseen).await;
                 Sent::Failed(None, "no_answer")
             }
         }
     }
 
     /// How long a silent server is waited for while another run is allowed.
-    fn patience(&self, seat: &Seat) -> Option<Duration> {
+    fn patience(&self, slot: &Slot) -> Option<Duration> {
         if !self.call.route.may_run_again(self.runs + 1) {
             return None;
         }
         let aim = self.call.route.aim;
         Some(match self.call.route.kind {
             RouteKind::Safe => aim.mul_f64(SILENT_PART),
-            _ => admission::patience(aim, seat.waiting + seat.place.load.reading),
+            _ => admission::patience(aim, slot.waiting + slot.place.load.reading),
         })
     }
 
@@ -284,7 +284,7 @@
         &self,
         proof: Option<NotSent>,
         fallback: Option<Answer>,
-        why: NoSeat,
+        why: NoSlot,
     ) -> Result<Answer, Failure> {
         self.log("ended without success", why.why);
         match proof {
@@ -303,7 +303,7 @@
 }
 
 /// A refusal of a request that did not run.
-pub(crate) fn refused(proof: NotSent, why: NoSeat) -> Failure {
+pub(crate) fn refused(proof: NotSent, why: NoSlot) -> Failure {
     let reason = Reason::new(503, why.why, "not run; send the request again after Retry-After");
     Failure::not_run(proof, reason.retry_after(why.come_back.as_millis() as u64))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,7 +12,7 @@
 //! - [`limit`], `need`, [`promises`]: servers in need, which name how many requests they take, and callers who were told
 //!   to come back to them
 //! - [`admission`]: who is let in while engines are crowded
-//! - [`core`], [`seat`]: what all requests of a daemon share, and their places at servers
+//! - [`core`], [`slot`]: what all requests of a daemon share, and their places at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: the way of a request, and of a stream over the
 //!   servers it lives on
 //! - [`budget`]: the daemon's share of repeats
@@ -67,9 +67,9 @@
 pub mod request;
 pub mod rollout;
 pub mod roster;
-pub mod seat;
 mod server;
 pub mod servers;
+pub mod slot;
 pub mod stop;
 mod sums;
 pub mod suspicion;
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -9,7 +9,7 @@
 use crate::gateway::core::Gateway;
 use crate::gateway::port::{Copied, KeptRun, NotCopied};
 use crate::gateway::request::Call;
-use crate::gateway::seat::{Place, Seat};
+use crate::gateway::slot::{Place, Slot};
 use crate::gateway::table::{Engine, Service};
 use crate::time;
 use log::info;
@@ -37,12 +37,12 @@
 
 /// What a move came to.
 pub(crate) enum Moved {
-    /// The run was stopped and its memory is whole at the server of the seat.
+    /// The run was stopped and its memory is whole at the server of the slot.
     Stopped {
         /// The copy.
         kept: KeptRun,
         /// The server that holds it.
-        seat: Seat,
+        slot: Slot,
     },
     /// The run was stopped, and only its own server holds its memory.
     SourceKeeps(KeptRun),
@@ -66,23 +66,23 @@
         return Moved::Stays("no_repeat_left");
     }
     let mut refused = vec![source.key];
-    let (seat, mut copy) = loop {
+    let (slot, mut copy) = loop {
         let now = time::now();
-        let Some(mut seat) = gateway.seat_for_copy(&service, &call, &source, &refused, now) else {
+        let Some(mut slot) = gateway.slot_for_copy(&service, &call, &source, &refused, now) else {
             return Moved::Stays("no_server");
         };
-        let copier = Copier { gateway: &gateway, run: &call.id, from: &source, to: &seat };
+        let copier = Copier { gateway: &gateway, run: &call.id, from: &source, to: &slot };
         match copier.copy_until_quiet(noticed).await {
             Ok(copy) => {
-                seat.has_arrived();
-                break (seat, copy);
+                slot.has_arrived();
+                break (slot, copy);
             }
-            Err(NotCopied::NoRoom(_)) => refused.push(seat.key()),
+            Err(NotCopied::NoRoom(_)) => refused.push(slot.key()),
             Err(_) => return Moved::Stays("copy_refused"),
         }
     };
     // Copies may have taken a second, and a run that has stopped must go on somewhere.
-    if !gateway.servers().may_follow(seat.key(), time::now()) {
+    if !gateway.servers().may_follow(slot.key(), time::now()) {
         return Moved::Stays("target_rests");
     }
     // Only what goes on elsewhere is a repeat, and other runs may have spent the last one meanwhile.
@@ -90,12 +90,12 @@
         return Moved::Stays("no_repeat_left");
     }
     stopping.store(true, Ordering::Relaxed);
-    let copier = Copier { gateway: &gateway, run: &call.id, from: &source, to: &seat };
+    let copier = Copier { gateway: &gateway, run: &call.id, from: &source, to: &slot };
     let kept = |handle| KeptRun { server: source.to.addr, handle };
     match copier.copy(true).await {
         Ok(copied) => {
             copy.handle = None;
-            Moved::Stopped { kept: kept(copied.handle), seat }
+            Moved::Stopped { kept: kept(copied.handle), slot }
         }
         Err(NotCopied::NoRoom(Some(handle))) => {
             copy.handle = None;
@@ -152,7 +152,7 @@
     gateway: &'a Arc<Gateway>,
     run: &'a str,
     from: &'a Place,
-    to: &'a Seat,
+    to: &'a Slot,
 }
 
 impl Copier<'_> {
--- a/src/gateway/need.rs
+++ b/src/gateway/need.rs
@@ -6,8 +6,8 @@
 use crate::gateway::limit::{CellShare, Share};
 use crate::gateway::promises::Room;
 use crate::gateway::request::Call;
-use crate::gateway::seat::NoSeat;
 use crate::gateway::servers::{Server, ServerKey, Servers};
+use crate::gateway::slot::NoSlot;
 use crate::gateway::table::Service;
 use crate::gateway::tag::Tag;
 use std::sync::Arc;
@@ -80,19 +80,19 @@
         }
     }
 
-    /// Why a request gets no seat where no server has room, and when there is some.
+    /// Why a request gets no slot where no server has room, and when there is some.
     pub(super) fn no_room(
         &self,
         room: Room,
         service: &Arc<str>,
         call: &Call,
         now: Instant,
-    ) -> NoSeat {
+    ) -> NoSlot {
         let demand = self.budget().rate(service, now);
         let mut promises = self.promises();
         let promises = promises.entry(service.clone()).or_default();
         let back = promises.come_back(room, demand, call.left(now), now);
-        NoSeat { why: IN_NEED, come_back: back.after, due: back.due }
+        NoSlot { why: IN_NEED, come_back: back.after, due: back.due }
     }
 
     /// Asks other daemons for room for a request that would be refused here. Says whether it was given.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use crate::gateway::port::{KeptRun, Reply, Sending};
 use crate::gateway::quarantine::Run;
 use crate::gateway::request::{Answer, BrokenOff, Call};
-use crate::gateway::seat::Seat;
+use crate::gateway::slot::Slot;
 use crate::gateway::table::Service;
 use crate::gateway::upstream::{Step, Upstream, reopen};
 use crate::time;
@@ -57,7 +57,7 @@
     gateway: &Arc<Gateway>,
     call: &Arc<Call>,
     service: &Arc<Service>,
-    mut seat: Seat,
+    mut slot: Slot,
     reply: Reply,
 ) -> Sent {
     let Reply { status, headers, body, .. } = reply;
@@ -65,23 +65,23 @@
     let first = match upstream.next().await {
         Step::Event(event) => event,
         Step::Ended | Step::Broke(_) => {
-            seat.judge(true);
-            gateway.suspect(call, &seat, Run::Unseen).await;
+            slot.judge(true);
+            gateway.suspect(call, &slot, Run::Unseen).await;
             return Sent::Failed(None, "no_event");
         }
     };
-    seat.judge(false);
-    seat.has_read();
+    slot.judge(false);
+    slot.has_read();
     let (id, route) = (call.id.as_str(), call.route.name.as_str());
     let ms = time::since(call.arrived).as_millis() as u64;
-    let knew = seat.knowledge_ms();
-    info!(id = id, route = route, server = seat.id(), ms = ms, tokens = call.size.tokens(), knowledge_ms = knew; "stream begun");
+    let knew = slot.knowledge_ms();
+    info!(id = id, route = route, server = slot.id(), ms = ms, tokens = call.size.tokens(), knowledge_ms = knew; "stream begun");
     let (out, events) = mpsc::channel(QUEUE);
     let relay = Relay {
         gateway: gateway.clone(),
         call: call.clone(),
         service: service.clone(),
-        seat,
+        slot,
         upstream,
         last: call.after,
         passed: time::now(),
@@ -111,7 +111,7 @@
     gateway: Arc<Gateway>,
     call: Arc<Call>,
     service: Arc<Service>,
-    seat: Seat,
+    slot: Slot,
     upstream: Upstream,
     /// Id of the last event passed on.
     last: Option<u64>,
@@ -164,7 +164,7 @@
             () = caller.closed() => End::CallerLeft,
             end = self.pass_all_on(first) => end,
         };
-        let (id, server) = (self.call.id.as_str(), self.seat.id());
+        let (id, server) = (self.call.id.as_str(), self.slot.id());
         match end {
             End::Complete => {
                 let ms = time::since(self.call.arrived).as_millis() as u64;
@@ -174,7 +174,7 @@
             End::CallerLeft => info!(id = id, server = server, last = self.last; "caller left"),
             End::Broken(reason) => {
                 self.gateway.metrics.cut_streams.inc();
-                let leaving = *self.seat.notice.borrow();
+                let leaving = *self.slot.notice.borrow();
                 let request = self.call.fingerprint().to_string();
                 warn!(id = id, request = request.as_str(), server = server, leaving = leaving, last = self.last, why = reason.as_str(); "stream cut");
                 // Refused only where the caller has left.
@@ -203,7 +203,7 @@
                 biased;
                 () = &mut deadline => Happened::OutOfTime,
                 moved = finished(&mut moving) => Happened::Moved(moved),
-                () = noticed(&mut self.seat), if may_move => Happened::Notice,
+                () = noticed(&mut self.slot), if may_move => Happened::Notice,
                 step = self.upstream.next() => Happened::Step(step),
                 () = look, if may_look => Happened::Silence,
             };
@@ -231,7 +231,7 @@
                         moving = None;
                         if self.is_young(time::now()) {
                             let run = self.began.map_or(Run::Unseen, |_| Run::Begun);
-                            self.gateway.suspect(&self.call, &self.seat, run).await;
+                            self.gateway.suspect(&self.call, &self.slot, run).await;
                         }
                         self.run_again(why).await
                     }
@@ -283,19 +283,19 @@
     /// silent. A run that makes nothing, as one that waits for memory, stays where it is.
     async fn goes_on_unheard(&mut self) -> bool {
         let now = time::now();
-        if self.gateway.servers().is_resting(self.seat.key(), now) {
+        if self.gateway.servers().is_resting(self.slot.key(), now) {
             self.looked = Some(Looked { at: now, made: None });
             return false;
         }
-        let (server, run) = (self.seat.place.to.addr, self.call.id.as_str());
+        let (server, run) = (self.slot.place.to.addr, self.call.id.as_str());
         let asked = time::now();
         let made = match self.gateway.wire.report(server, LOOK_LIMIT).await {
             Ok(report) => {
-                self.gateway.hear(self.seat.key(), &report.remarks, asked);
+                self.gateway.hear(self.slot.key(), &report.remarks, asked);
                 report.runs.get(run).copied()
             }
             Err(why) => {
-                info!(id = run, server = self.seat.id(), why = why.as_str(); "silent stream, no report");
+                info!(id = run, server = self.slot.id(), why = why.as_str(); "silent stream, no report");
                 None
             }
         };
@@ -306,13 +306,13 @@
 
     fn start_moving(&mut self, why: &str) -> Moving {
         self.moves += 1;
-        info!(id = self.call.id.as_str(), server = self.seat.id(), last = self.last, why = why; "run is to be moved");
+        info!(id = self.call.id.as_str(), server = self.slot.id(), last = self.last, why = why; "run is to be moved");
         let stopping = Arc::new(AtomicBool::new(false));
         let done = moving::move_run(
             self.gateway.clone(),
             self.call.clone(),
             self.service.clone(),
-            self.seat.place.clone(),
+            self.slot.place.clone(),
             stopping.clone(),
         );
         Moving { done: Box::pin(done), stopping }
@@ -335,12 +335,12 @@
             Moved::Stays(why) => {
                 self.count_move(why);
                 self.stays = Some(time::now());
-                info!(id = self.call.id.as_str(), server = self.seat.id(), why = why; "run not moved");
+                info!(id = self.call.id.as_str(), server = self.slot.id(), why = why; "run not moved");
                 Ok(())
             }
-            Moved::Stopped { kept, seat } => {
+            Moved::Stopped { kept, slot } => {
                 self.drain_upstream().await?;
-                self.go_on(kept, Some(seat)).await
+                self.go_on(kept, Some(slot)).await
             }
             Moved::SourceKeeps(kept) => {
                 self.drain_upstream().await?;
@@ -360,13 +360,13 @@
 
     /// Goes on from a copy at another server, or from what the stopped run left at its own. It is
     /// the same run, accepted while its key held: a key that was taken away since does not cut it.
-    async fn go_on(&mut self, kept: KeptRun, seat: Option<Seat>) -> Result<(), End> {
-        let to = seat.as_ref().map_or(&self.seat.place.to, |seat| &seat.place.to).clone();
+    async fn go_on(&mut self, kept: KeptRun, slot: Option<Slot>) -> Result<(), End> {
+        let to = slot.as_ref().map_or(&self.slot.place.to, |slot| &slot.place.to).clone();
         let now = time::now();
-        let key = seat.as_ref().map_or(self.seat.key(), Seat::key);
+        let key = slot.as_ref().map_or(self.slot.key(), Slot::key);
         let sending =
             Sending { to, left: self.call.left(now), from: Some(kept.clone()), after: self.last };
-        let elsewhere = seat.is_some();
+        let elsewhere = slot.is_some();
         if !elsewhere {
             self.gateway.servers().takes_room(key);
         }
@@ -380,11 +380,11 @@
         let why = match reopened {
             Ok(upstream) => {
                 self.upstream = upstream;
-                if let Some(seat) = seat {
+                if let Some(slot) = slot {
                     (self.began, self.survived) = (None, false);
                     self.count_move("moved");
-                    info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), last = self.last; "run moved");
-                    self.seat = seat;
+                    info!(id = self.call.id.as_str(), from = self.slot.id(), to = slot.id(), last = self.last; "run moved");
+                    self.slot = slot;
                     self.moves = 0;
                 }
                 return Ok(());
@@ -407,31 +407,31 @@
     /// Runs the request anew at another server, from the last event on, where it may run again.
     async fn run_again(&mut self, why: String) -> Result<(), End> {
         let now = time::now();
-        self.seat.judge(true);
+        self.slot.judge(true);
         let allowed = self.call.route.may_run_again(self.runs);
         if !allowed || !self.gateway.may_send(&self.call, now) {
             return Err(End::Broken(why));
         }
-        let tried = [self.seat.key()];
+        let tried = [self.slot.key()];
         let begun = Standing::Begun;
-        let Ok(seat) = self.gateway.seat_again(&self.service, &self.call, begun, &tried, now)
+        let Ok(slot) = self.gateway.slot_again(&self.service, &self.call, begun, &tried, now)
         else {
             return Err(End::Broken(why));
         };
         self.runs += 1;
         let sending = Sending {
-            to: seat.place.to.clone(),
+            to: slot.place.to.clone(),
             left: self.call.left(now),
             from: None,
             after: self.last,
         };
         let request = self.call.fingerprint().to_string();
-        info!(id = self.call.id.as_str(), request = request.as_str(), server = self.seat.id(), why = why.as_str(); "stream broke off");
-        let key = seat.key();
+        info!(id = self.call.id.as_str(), request = request.as_str(), server = self.slot.id(), why = why.as_str(); "stream broke off");
+        let key = slot.key();
         self.upstream =
             reopen(&self.gateway, &self.call, key, sending).await.map_err(End::Broken)?;
-        info!(id = self.call.id.as_str(), from = self.seat.id(), to = seat.id(), why = why.as_str(), last = self.last; "run begun anew");
-        self.seat = seat;
+        info!(id = self.call.id.as_str(), from = self.slot.id(), to = slot.id(), why = why.as_str(), last = self.last; "run begun anew");
+        self.slot = slot;
         (self.began, self.survived) = (None, false);
         self.moves = 0;
         Ok(())
@@ -450,7 +450,7 @@
 }
 
 /// Returns once the server is about to leave.
-async fn noticed(seat: &mut Seat) {
+async fn noticed(slot: &mut Slot) {
     // An error means that the server is no longer in the table: it has gone as well.
-    drop(seat.notice.wait_for(|leaving| *leaving).await);
+    drop(slot.notice.wait_for(|leaving| *leaving).await);
 }
--- a/src/gateway/remarks.rs
+++ b/src/gateway/remarks.rs
@@ -5,8 +5,8 @@
 use crate::gateway::limit::LimitWord;
 use crate::gateway::need::IN_NEED;
 use crate::gateway::request::Call;
-use crate::gateway::seat::NoSeat;
 use crate::gateway::servers::{News, Rested, Server, ServerKey, Servers};
+use crate::gateway::slot::NoSlot;
 use crate::gateway::table::Service;
 use crate::time;
 use log::info;
@@ -46,16 +46,16 @@
         }
     }
 
-    /// Why a request gets no seat, with the time at which one of the servers that rest takes requests of this daemon
+    /// Why a request gets no slot, with the time at which one of the servers that rest takes requests of this daemon
     /// again: its caller is not to come back sooner where all rest, nor later where the others have no room.
     pub(super) fn after_rest(
         &self,
-        why: NoSeat,
+        why: NoSlot,
         servers: &Servers,
         service: &Service,
         call: &Call,
         now: Instant,
-    ) -> NoSeat {
+    ) -> NoSlot {
         let allowed = self.allowed(call);
         let may_serve = |server: &Server| allowed.has(&server.record.hall);
         let Some(Rested { first: Some(left), all }) = servers.rested(&service.name, may_serve, now)
@@ -65,7 +65,7 @@
         // Those who are refused within a rest come back one after the other.
         let come_back = left + rand::rng().random_range(Duration::ZERO..AFTER_REST);
         match all || (why.why == IN_NEED && come_back < why.come_back) {
-            true => NoSeat { come_back, due: None, ..why },
+            true => NoSlot { come_back, due: None, ..why },
             false => why,
         }
     }
--- a/src/gateway/seat.rs
+++ b/src/gateway/slot.rs
@@ -1,4 +1,4 @@
-//! Choosing a backend server for a request, and the seat that the request has there.
+//! Choosing a backend server for a request, and the slot that the request has there.
 
 use crate::gateway::admission::{self, Bound, Standing};
 use crate::gateway::budget::Repeat;
@@ -41,9 +41,9 @@
 /// Time after which a caller that was refused may come back, where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(300);
 
-/// Why a request gets no seat.
+/// Why a request gets no slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NoSeat {
+pub struct NoSlot {
     /// The reason, for logs and answers.
     pub why: &'static str,
     /// When its caller is to come back.
@@ -52,14 +52,14 @@
     pub due: Option<Instant>,
 }
 
-impl From<&'static str> for NoSeat {
-    fn from(why: &'static str) -> NoSeat {
-        NoSeat { why, come_back: COME_BACK, due: None }
+impl From<&'static str> for NoSlot {
+    fn from(why: &'static str) -> NoSlot {
+        NoSlot { why, come_back: COME_BACK, due: None }
     }
 }
 
 /// A backend server that was chosen for a request; counted as loaded until it is dropped.
-pub struct Seat {
+pub struct Slot {
     gateway: Arc<Gateway>,
     /// Where it is.
     pub place: Place,
@@ -80,7 +80,7 @@
     sent: Instant,
 }
 
-impl Seat {
+impl Slot {
     /// The server.
     pub fn key(&self) -> ServerKey {
         self.place.key
@@ -133,7 +133,7 @@
     }
 }
 
-impl Drop for Seat {
+impl Drop for Slot {
     fn drop(&mut self) {
         self.gateway.servers().end(self.key(), self.place.load);
         self.gateway.tell_load(self.place.load);
@@ -144,7 +144,7 @@
     }
 }
 
-/// On which terms a request gets a seat.
+/// On which terms a request gets a slot.
 #[derive(Debug, Clone, Copy)]
 struct Terms {
     /// How it stands to those that wait.
@@ -212,18 +212,18 @@
         }
     }
 
-    /// Takes a seat for a request at a server of `service`, not one of `tried`.
-    pub fn seat(
+    /// Takes a slot for a request at a server of `service`, not one of `tried`.
+    pub fn slot(
         self: &Arc<Self>,
         service: &Service,
         call: &Call,
         standing: Standing,
         tried: &[ServerKey],
         now: Instant,
-    ) -> Result<Seat, NoSeat> {
+    ) -> Result<Slot, NoSlot> {
         self.listen(now);
         if let Some(left) = self.quarantine().kept_back(call.fingerprint(), now) {
-            return Err(NoSeat { why: "ends_servers", come_back: left, due: None });
+            return Err(NoSlot { why: "ends_servers", come_back: left, due: None });
         }
         let engine = service.engine.as_ref();
         let load = Load::of(call.size, call.route.repeatable());
@@ -242,32 +242,32 @@
         };
         let pick = self.pick(&service.name, draw, now);
         let among = Among { except: tried, pick: pick.as_ref() };
-        let seat = self.choose_seat(service, &need, call, terms, among, now);
+        let slot = self.choose_slot(service, &need, call, terms, among, now);
         match pick {
             // The old servers have room where the few of the new version have none.
-            Some(pick) if seat.is_err() && pick.arm == Arm::Candidate => {
+            Some(pick) if slot.is_err() && pick.arm == Arm::Candidate => {
                 let among = Among { except: tried, pick: Some(&pick.baseline()) };
-                self.choose_seat(service, &need, call, terms, among, now)
+                self.choose_slot(service, &need, call, terms, among, now)
             }
-            _ => seat,
+            _ => slot,
         }
     }
 
-    /// Takes a seat for a request that was sent before, if the shared budget allows another sending.
-    pub fn seat_again(
+    /// Takes a slot for a request that was sent before, if the shared budget allows another sending.
+    pub fn slot_again(
         self: &Arc<Self>,
         service: &Service,
         call: &Call,
         standing: Standing,
         tried: &[ServerKey],
         now: Instant,
-    ) -> Result<Seat, NoSeat> {
-        let seat = self.seat(service, call, standing, tried, now)?;
+    ) -> Result<Slot, NoSlot> {
+        let slot = self.slot(service, call, standing, tried, now)?;
         if !self.take_repeat(&service.name, Repeat::Retry, now) {
-            self.servers().gives_room_back(seat.key());
+            self.servers().gives_room_back(slot.key());
             return Err("no_repeat_left".into());
         }
-        Ok(seat)
+        Ok(slot)
     }
 
     /// Notes how a request went that counts in a roll-out.
@@ -282,15 +282,15 @@
         declared.and_then(|d| d.table.aim(&service.name)).unwrap_or(call.route.aim)
     }
 
-    /// Takes a seat for a run of `call` that is copied from `source`, not at one of `refused`.
-    pub fn seat_for_copy(
+    /// Takes a slot for a run of `call` that is copied from `source`, not at one of `refused`.
+    pub fn slot_for_copy(
         self: &Arc<Self>,
         service: &Service,
         call: &Call,
         source: &Place,
         refused: &[ServerKey],
         now: Instant,
-    ) -> Option<Seat> {
+    ) -> Option<Slot> {
         self.listen(now);
         let engine = service.engine.as_ref();
         let load = Load { reading: 0, arriving: source.load.tokens, ..source.load };
@@ -299,10 +299,10 @@
         let terms = Terms { standing: Standing::Begun, bound: Bound::NONE };
         let pick = self.pick(&service.name, Draw::Again, now);
         let among = Among { except: refused, pick: pick.as_ref() };
-        self.choose_seat(service, &need, call, terms, among, now).ok()
+        self.choose_slot(service, &need, call, terms, among, now).ok()
     }
 
-    fn choose_seat(
+    fn choose_slot(
         self: &Arc<Self>,
         service: &Service,
         need: &Need<'_>,
@@ -310,7 +310,7 @@
         terms: Terms,
         among: Among<'_>,
         now: Instant,
-    ) -> Result<Seat, NoSeat> {
+    ) -> Result<Slot, NoSlot> {
         let load = need.load;
         let may_take = self.may_take(service, call, among.except, now);
         let admits = |key, server: &Server| among.pick.is_none_or(|pick| pick.admits(key, server));
@@ -334,7 +334,7 @@
         let there = servers.get(key).map(Server::load).unwrap_or_default();
         if !terms.bound.holds(there) {
             let come_back = admission::come_back(there.reading, &mut rand::rng());
-            return Err(NoSeat { why: "crowded", come_back, due: None });
+            return Err(NoSlot { why: "crowded", come_back, due: None });
         }
         if servers.get(key).is_some_and(|server| server.is_cold(service.warm_up, now)) {
             servers.sends_cold(key, now);
@@ -354,7 +354,7 @@
             self.rollouts().stratum(&service.name, &call.route.name, &server.record.version);
         let trial = stratum.map(|stratum| Trial { stratum, sent: now });
         let (gateway, waiting) = (self.clone(), there.reading);
-        Ok(Seat { gateway, place, notice, knowledge: None, waiting, trial })
+        Ok(Slot { gateway, place, notice, knowledge: None, waiting, trial })
     }
 }
 
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -7,7 +7,7 @@
 use crate::gateway::port::{Schema, Store};
 use crate::gateway::quarantine::{MEMORY, Run};
 use crate::gateway::request::Call;
-use crate::gateway::seat::Seat;
+use crate::gateway::slot::Slot;
 use crate::platform::PlatformResult;
 use crate::time;
 use log::{info, warn};
@@ -37,17 +37,17 @@
     /// A run that had just begun, or had not, was lost at a server: if that server has ended, the request may
     /// be why. One that was known to leave has ended for that reason. Other daemons hear at once that nothing
     /// listens there, and of what was seen.
-    pub(crate) async fn suspect(&self, call: &Call, seat: &Seat, run: Run) {
-        if *seat.notice.borrow() || !self.wire.is_gone(seat.place.to.addr, KNOCK).await {
+    pub(crate) async fn suspect(&self, call: &Call, slot: &Slot, run: Run) {
+        if *slot.notice.borrow() || !self.wire.is_gone(slot.place.to.addr, KNOCK).await {
             return;
         }
         let (request, now) = (call.fingerprint(), time::now());
-        let proved = self.quarantine().ended(request, seat.place.tag, run, now);
+        let proved = self.quarantine().ended(request, slot.place.tag, run, now);
         self.quarantine_news.notify_one();
         self.metrics.ended_servers.inc();
         let name = request.to_string();
-        warn!(id = call.id.as_str(), request = name.as_str(), server = seat.id(), proved = proved; "server ended under a request");
-        seat.not_reached(true);
+        warn!(id = call.id.as_str(), request = name.as_str(), server = slot.id(), proved = proved; "server ended under a request");
+        slot.not_reached(true);
     }
 }
 
