--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -11,7 +11,6 @@
 mod room;
 
 use crate::error::Result;
-use crate::gateway::cell::rank;
 use crate::gateway::clock::{Clock, before, millis};
 use crate::gateway::core::{Gateway, Hearing, Wanted};
 use crate::gateway::heartbeat::{Heartbeat, Request, Told};
@@ -20,6 +19,7 @@
 use crate::gateway::partner::{Pace, Relation, Stretch};
 use crate::gateway::roster::Roster;
 use crate::gateway::servers::{Heard, Load};
+use crate::gateway::start;
 use crate::gateway::tag::Tag;
 use crate::gateway::update::{Lack, Update};
 use crate::gateway::view::{Own, View};
@@ -64,13 +64,6 @@
 /// Longest time for a peer to begin to give what this daemon lacks, and longest pause within it. A whole copy takes as
 /// long as the links need.
 const FETCH_LIMIT: Duration = Duration::from_millis(400);
-/// What a daemon that starts waits for its peers' copy for each daemon of its hall that is listed, and at most: as many
-/// are given copies before it.
-const START_WAIT: Duration = Duration::from_millis(25);
-const LONGEST_START_WAIT: Duration = Duration::from_millis(4_000);
-/// What each one waits longer than the one before it, so that they don't read the store together after all.
-const START_STEP: Duration = Duration::from_millis(100);
-const MOST_START_STEPS: u32 = 30;
 /// Updates given at a time; further askers get none and try another daemon or the store. Large ones
 /// fill the link of a small VM.
 const MOST_GIVEN: usize = 3;
@@ -201,18 +194,9 @@
         &self.roster.own().hall
     }
 
-    /// How long this daemon, which starts, waits for a peer's copy of the store: not at all if it is the first of its
-    /// hall in the order of reading.
+    /// How long this daemon, which starts, waits for a peer's copy of the store.
     pub fn start_wait(&self) -> Duration {
-        let (own, (listing, _)) = (self.roster.own(), self.roster.listing());
-        let mates: Vec<_> = listing.daemons.iter().filter(|d| d.hall == own.hall).collect();
-        let before = mates.iter().filter(|d| rank(d) < rank(own)).count();
-        if before == 0 {
-            return Duration::ZERO;
-        }
-        let count = u32::try_from(mates.len()).unwrap_or(u32::MAX);
-        let steps = u32::try_from(before).unwrap_or(u32::MAX).min(MOST_START_STEPS).min(count / 2);
-        START_WAIT.saturating_mul(count).min(LONGEST_START_WAIT) + START_STEP * steps
+        start::wait(self.roster.own(), &self.roster.listing().0.daemons)
     }
 
     /// How long this daemon need not look again whether it should read: what others read lately is known.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,7 +20,7 @@
 //! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read or heard from peers
 //! - [`update`]: what daemons tell and give each other of their copies
 //! - [`outage`]: whether the store was away
-//! - [`announce`], [`roster`]: who else serves
+//! - [`announce`], [`roster`], [`start`]: who else serves, and who reads the store as a fleet starts
 //! - [`cell`], [`partner`], [`heartbeat`]: which daemons tell each other what, and how often
 //! - [`view`], `sums`, [`clock`]: what was heard, and how old it is
 //! - [`health_check`]: notices from servers themselves while the store is away
@@ -70,6 +70,7 @@
 mod server;
 pub mod servers;
 pub mod slot;
+pub mod start;
 pub mod stop;
 mod sums;
 pub mod suspicion;
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -10,6 +10,7 @@
 use tidestair::gateway::outcomes::Outcomes;
 use tidestair::gateway::roster::Daemon;
 use tidestair::gateway::servers::{Load, Signs};
+use tidestair::gateway::start;
 use tidestair::gateway::tag::Tag;
 use tidestair::gateway::view::View;
 
@@ -495,3 +496,26 @@
     assert!((15..=45).contains(&tenth), "{tenth}");
     assert!(turns[0] < 10, "one of the fleet asks soon");
 }
+
+/// A fleet that starts before a store of many pages: each daemon that reads all of them costs as many calls.
+#[test]
+fn one_daemon_of_each_hall_reads_the_store_as_a_fleet_starts() {
+    const LONGEST: Duration = Duration::from_millis(7_000);
+    for (halls, in_hall) in [(3, 2), (4, 15), (6, 164), (12, 164)] {
+        let fleet = fleet(halls, in_hall);
+        let mut waits: Vec<Duration> = fleet.iter().map(|own| start::wait(own, &fleet)).collect();
+        waits.sort_unstable();
+        assert_eq!(waits.iter().filter(|wait| wait.is_zero()).count(), halls);
+        assert!(waits.last() <= Some(&LONGEST), "{waits:?}");
+        // Where the first one of a hall doesn't read, the next one does before the others.
+        let mut hall: Vec<Duration> = fleet
+            .iter()
+            .filter(|d| d.hall == fleet[0].hall)
+            .map(|d| start::wait(d, &fleet))
+            .collect();
+        hall.sort_unstable();
+        assert!(in_hall < 3 || hall[1] < hall[2], "{hall:?}");
+    }
+    let alone = &fleet(1, 1)[0];
+    assert_eq!(start::wait(alone, &[]), Duration::ZERO);
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -169,8 +169,7 @@
         (fleet.heartbeats, fleet.bytes) = (0, [0; 2]);
         fleet.run(ms(1_000));
         let daemons = fleet.nodes.len() as f64;
-        let (heartbeats, bytes) =
-            (fleet.heartbeats as f64, fleet.bytes.iter().sum::<u64>() as f64);
+        let (heartbeats, bytes) = (fleet.heartbeats as f64, fleet.bytes.iter().sum::<u64>() as f64);
         println!(
             "{halls} halls of {in_hall}: {:.1} heartbeats and {:.0} B/s each",
             heartbeats / daemons,
