--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -163,7 +163,7 @@
     note("give_all", micros(5, || drop(black_box(mirror.all_after(0, now)))));
     let change = |n: u64| Change {
         key: format!("servers/{}", n % 50),
-        value: Some(if n % 2 == 0 { b"leaving".to_vec() } else { b"ready".to_vec() }),
+        value: Some(if n.is_multiple_of(2) { b"leaving".to_vec() } else { b"ready".to_vec() }),
         revision: position + n,
     };
     let mut n = 0;
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -370,10 +370,12 @@
         let mut view = self.view();
         let spent = self.gateway.spent(now);
         let evidence = self.gateway.quarantine().told(now);
-        let (tallies, orders) = self.gateway.rollouts().told(now);
+        let rollouts = self.gateway.rollouts().told(now);
         let (told, signs) = {
             let servers = self.gateway.servers();
             let (loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
+            let tallies = rollouts.tallies.into_iter().collect();
+            let orders = rollouts.ages.into_iter().collect();
             (Told { loads, spent, outcomes, evidence, tallies, orders }, servers.signs(now))
         };
         let own = Own { told, ready: (self.ready)() };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -151,7 +151,7 @@
     OutOfTime,
     Notice,
     Silence,
-    Moved(Moved),
+    Moved(Box<Moved>),
     Step(Step),
 }
 
@@ -202,7 +202,7 @@
             let happened = tokio::select! {
                 biased;
                 () = &mut deadline => Happened::OutOfTime,
-                moved = finished(&mut moving) => Happened::Moved(moved),
+                moved = finished(&mut moving) => Happened::Moved(Box::new(moved)),
                 () = noticed(&mut self.slot), if may_move => Happened::Notice,
                 step = self.upstream.next() => Happened::Step(step),
                 () = look, if may_look => Happened::Silence,
@@ -221,7 +221,7 @@
                 }
                 Happened::Moved(moved) => {
                     moving = None;
-                    self.moved(moved).await
+                    self.moved(*moved).await
                 }
                 Happened::Step(Step::Event(event)) => self.pass_on(event).await,
                 Happened::Step(Step::Ended) => return End::Complete,
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -128,7 +128,7 @@
 
 /// What daemons tell each other of roll-outs.
 #[derive(Debug, Clone, Default)]
-pub struct Heard {
+pub struct Reports {
     /// How requests went.
     pub tallies: HashMap<Stratum, Tally>,
     /// How long ago orders were given at least, in milliseconds.
@@ -566,19 +566,19 @@
     }
 
     /// What this daemon tells others: how its requests went, and how old orders are.
-    pub fn told(&self, now: Instant) -> (Vec<(Stratum, Tally)>, Vec<(Tag, u32)>) {
-        let mut tallies = Vec::new();
-        let mut ages = Vec::new();
+    pub fn told(&self, now: Instant) -> Reports {
+        let mut reports = Reports::default();
         for (_, rollout) in self.live() {
-            ages.push((rollout.tag, millis(rollout.began, now)));
+            reports.ages.insert(rollout.tag, millis(rollout.began, now));
             let stratum = |(route, arm)| Stratum { rollout: rollout.tag, route, arm };
-            tallies.extend(rollout.own.iter().map(|(key, tally)| (stratum(*key), *tally)));
+            let own = rollout.own.iter().map(|(key, tally)| (stratum(*key), *tally));
+            reports.tallies.extend(own);
         }
-        (tallies, ages)
+        reports
     }
 
     /// Takes over what the other daemons told.
-    pub fn set_others(&mut self, heard: &Heard, now: Instant) {
+    pub fn set_others(&mut self, heard: &Reports, now: Instant) {
         for rollout in self.by_service.values_mut() {
             rollout.others.clear();
             let its = heard.tallies.iter().filter(|(stratum, _)| stratum.rollout == rollout.tag);
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -50,7 +50,7 @@
     /// What became of the servers that ran suspected requests.
     pub evidence: HashMap<Fingerprint, Evidence>,
     /// How requests went in roll-outs that are under way.
-    pub rollouts: rollout::Heard,
+    pub rollouts: rollout::Reports,
 }
 
 /// A server that is asked about itself.
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -316,7 +316,7 @@
         let admits = |key, server: &Server| among.pick.is_none_or(|pick| pick.admits(key, server));
         let may_take = |key, server: &Server| admits(key, server) && may_take(key, server);
         let mut servers = self.servers();
-        let room = self.room_in_need(&mut servers, &service.name, &may_take, now);
+        let room = self.room_in_need(&mut servers, &service.name, may_take, now);
         let may_use =
             room.is_some_and(|room| self.may_use(room, &service.name, terms.standing, now));
         let may_take = |key, server: &Server| may_take(key, server) && has_room(server, may_use);
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -148,7 +148,7 @@
     /// What became of the servers that ran suspected requests.
     pub(crate) evidence: HashMap<Fingerprint, Evidence>,
     /// How requests went in roll-outs.
-    pub(crate) rollouts: rollout::Heard,
+    pub(crate) rollouts: rollout::Reports,
 }
 
 impl Adder {
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -15,7 +15,7 @@
 use tidestair::gateway::rollout::tally::Tally;
 use tidestair::gateway::rollout::verdict::{Fault, Test};
 use tidestair::gateway::rollout::{
-    Arm, Census, Draw, Heard, Order, Record, Retired, Rollouts, State, Step,
+    Arm, Census, Draw, Order, Record, Reports, Retired, Rollouts, State, Step,
 };
 use tidestair::gateway::servers::{Load, ServerKey, ServerRecord, Servers};
 use tidestair::gateway::tag::Tag;
@@ -86,14 +86,14 @@
 }
 
 /// Adds up what all daemons tell.
-fn add_up(daemons: &[Rollouts], own: usize, now: Instant) -> Heard {
-    let mut heard = Heard::default();
+fn add_up(daemons: &[Rollouts], own: usize, now: Instant) -> Reports {
+    let mut heard = Reports::default();
     for (_, daemon) in daemons.iter().enumerate().filter(|(n, _)| *n != own) {
-        let (tallies, ages) = daemon.told(now);
-        for (stratum, tally) in tallies {
+        let told = daemon.told(now);
+        for (stratum, tally) in told.tallies {
             *heard.tallies.entry(stratum).or_default() += tally;
         }
-        heard.ages.extend(ages);
+        heard.ages.extend(told.ages);
     }
     heard
 }
@@ -209,7 +209,7 @@
 
 /// Failures at the candidate that a daemon has counted.
 fn bad_of(daemon: &Rollouts, now: Instant) -> usize {
-    let candidate = daemon.told(now).0.into_iter().filter(|(s, _)| s.arm() == Arm::Candidate);
+    let candidate = daemon.told(now).tallies.into_iter().filter(|(s, _)| s.arm() == Arm::Candidate);
     candidate.map(|(_, tally)| tally.failed as usize).sum()
 }
 
@@ -445,11 +445,11 @@
     let all = keys(56);
     for second in [0, 3, 6] {
         let now = start + Duration::from_secs(second);
-        let picks = (0..4_000).filter_map(|n| {
+        let mut picks = (0..4_000).filter_map(|n| {
             let draw = Draw::first("round", &n.to_string());
             rollouts.pick(SERVICE, draw, SHARE, now).filter(|pick| pick.arm == Arm::Candidate)
         });
-        let pick = picks.last().expect("some are drawn");
+        let pick = picks.next().expect("some are drawn");
         let now_used = all.iter().filter(|key| pick.has(**key)).count();
         // Seven or eight in a hundred requests at five of 56 servers, where the others have one in 56 each.
         assert_eq!(now_used, 5);
