--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -398,12 +398,18 @@
         state.news.log();
     }
 
-    /// Takes in some keys before all have been read.
+    /// Takes in some keys, as the store stood at `seen`, before all have been read. With the configuration and some
+    /// servers a daemon serves callers while the rest of a large store is on its way.
     pub fn take_early(&self, entries: Vec<Entry>, seen: Instant, now: Instant) {
+        let declared = entries.iter().find(|entry| entry.key == self.schema.declaration());
+        let declared = declared.map(|entry| entry.revision);
         let news = entries.into_iter().map(|Entry { key, value, revision }| {
             News::from(Change { key, value: Some(value), revision })
         });
         self.take_ahead(news.collect(), seen, now);
+        if let Some(revision) = declared {
+            self.gateway.in_force.confirm(revision, seen);
+        }
     }
 
     /// The prefix of the keys of a hall's daemons.
