A new version is held against what is usual at the same time

The candidate's answers were held against all of the baseline's since the order, so that a burst, or a machine that gets busy, made it look slow; after the ramp the baseline has no requests at all.

--- a/src/gateway/rollout/tally.rs
+++ b/src/gateway/rollout/tally.rs
@@ -8,6 +8,8 @@
 const BUCKETS: usize = 24;
 /// Upper bound of the first bucket, in milliseconds. The last bucket begins at 5.8 s.
 const FIRST_BOUND_MS: f64 = 2.0;
+/// Requests after which those before them count for a third.
+const WINDOW: f64 = 20.0;
 /// Buckets that double a time.
 const DOUBLED: usize = 2;
 
@@ -54,15 +56,67 @@
         self.times.iter().sum()
     }
 
-    /// Answers that took half as long again as all but a `part` of those of `usual`, or longer.
-    pub fn slower_than(&self, usual: &Tally, part: f64) -> u32 {
-        let most = f64::from(usual.answered()) * part;
-        let mut above = f64::from(usual.answered());
-        let bound = usual.times.iter().position(|count| {
-            above -= f64::from(*count);
+    /// What has come since an earlier tally.
+    pub fn since(&self, earlier: &Tally) -> Tally {
+        let mut times = self.times;
+        for (count, known) in times.iter_mut().zip(earlier.times) {
+            *count = count.saturating_sub(known);
+        }
+        Tally {
+            tried: self.tried.saturating_sub(earlier.tried),
+            failed: self.failed.saturating_sub(earlier.failed),
+            times,
+        }
+    }
+
+    /// Answers that took longer than a time that [`Recent::slow`] gave.
+    pub fn slower(&self, than: Slow) -> u32 {
+        self.times.iter().skip(than.0 + 1).sum()
+    }
+}
+
+/// A bound on times.
+#[derive(Debug, Clone, Copy)]
+pub struct Slow(usize);
+
+/// How requests went lately; each new one makes those before it count a little less.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Recent {
+    tried: f64,
+    failed: f64,
+    times: [f64; BUCKETS],
+}
+
+impl Recent {
+    /// Adds requests.
+    pub fn add(&mut self, more: &Tally) {
+        let kept = (1.0 - f64::from(more.tried) / WINDOW).max(0.0);
+        let add = |known: &mut f64, more: u32| *known = *known * kept + f64::from(more);
+        add(&mut self.tried, more.tried);
+        add(&mut self.failed, more.failed);
+        for (known, more) in self.times.iter_mut().zip(more.times) {
+            add(known, more);
+        }
+    }
+
+    /// Answers with a time.
+    pub fn answered(&self) -> f64 {
+        self.times.iter().sum()
+    }
+
+    /// The rate of failures, with `assumed` requests besides of which one failed.
+    pub fn failing(&self, assumed: f64) -> f64 {
+        (self.failed + 1.0) / (self.tried + assumed)
+    }
+
+    /// Half as long again as all but a `part` of the answers take.
+    pub fn slow(&self, part: f64) -> Slow {
+        let mut above = self.answered();
+        let most = above * part;
+        let bound = self.times.iter().position(|count| {
+            above -= count;
             above <= most
         });
-        let bound = bound.unwrap_or(BUCKETS - 1) + 1;
-        self.times.iter().skip(bound + 1).sum()
+        Slow(bound.unwrap_or(BUCKETS - 1) + 1)
     }
 }
--- a/src/gateway/rollout/verdict.rs
+++ b/src/gateway/rollout/verdict.rs
@@ -7,7 +7,7 @@
 //! requests with a chance of at most n times e to the minus threshold; `tests/rollouts.rs` draws the chances of
 //! both mistakes.
 
-use crate::gateway::rollout::tally::Tally;
+use crate::gateway::rollout::tally::{Recent, Tally};
 use crate::gateway::tag::Tag;
 use std::collections::HashMap;
 
@@ -26,7 +26,9 @@
 /// The same of a bad version.
 const SLOW_AT_LEAST: f64 = 0.55;
 /// Answers of the baseline from which its slowest are known.
-const LEAST_ANSWERS: u32 = 20;
+const LEAST_ANSWERS: f64 = 15.0;
+/// Answers of the candidate without one of the baseline after which it is not known what is usual.
+const MOST_ALONE: u32 = 3;
 /// Requests that are assumed of the baseline besides those counted, one of which failed.
 const ASSUMED: f64 = 10.0;
 
@@ -97,43 +99,50 @@
     slowness: f64,
 }
 
-/// The candidate's requests of one route that were taken in.
+/// The requests of one route that were taken in.
 #[derive(Debug, Clone, Copy, Default)]
 struct Taken {
-    /// Those of which the failures were.
+    baseline: Tally,
+    /// How the baseline's went lately: a candidate is held against what is usual at the same time.
+    usual: Recent,
+    /// The candidate's of which the failures were taken in.
     tried: Tally,
     /// Those of which the times were.
     timed: Tally,
+    /// Answers of the candidate since the baseline's last one.
+    alone: u32,
 }
 
 impl Taken {
     /// Takes in what has come since the last time.
     fn take(&mut self, baseline: &Tally, candidate: &Tally) -> Ratios {
-        Ratios {
-            failures: self.take_failures(baseline, candidate),
-            slowness: self.take_times(baseline, candidate),
-        }
+        let news = baseline.since(&self.baseline);
+        self.baseline = *baseline;
+        self.usual.add(&news);
+        let alone = candidate.since(&self.timed).answered();
+        self.alone = if news.answered() > 0 { 0 } else { self.alone + alone };
+        Ratios { failures: self.take_failures(candidate), slowness: self.take_times(candidate) }
     }
 
-    fn take_failures(&mut self, baseline: &Tally, candidate: &Tally) -> f64 {
-        let tried = candidate.tried.saturating_sub(self.tried.tried);
-        let failed = candidate.failed.saturating_sub(self.tried.failed);
+    fn take_failures(&mut self, candidate: &Tally) -> f64 {
+        let news = candidate.since(&self.tried);
         self.tried = *candidate;
-        let usual = (f64::from(baseline.failed) + 1.0) / (f64::from(baseline.tried) + ASSUMED);
-        let sound = usual.max(LEAST_FAILURES);
+        let sound = self.usual.failing(ASSUMED).max(LEAST_FAILURES);
         let bad = sound + (1.0 - sound) * MORE_FAILURES;
-        ratio(failed, tried.max(failed), sound, bad)
+        ratio(news.failed, news.tried.max(news.failed), sound, bad)
     }
 
-    fn take_times(&mut self, baseline: &Tally, candidate: &Tally) -> f64 {
-        if baseline.answered() < LEAST_ANSWERS {
+    fn take_times(&mut self, candidate: &Tally) -> f64 {
+        if self.usual.answered() < LEAST_ANSWERS {
             return 0.0;
         }
-        let slow = |tally: &Tally| tally.slower_than(baseline, SLOWEST);
-        let answered = candidate.answered().saturating_sub(self.timed.answered());
-        let slow = slow(candidate).saturating_sub(slow(&self.timed)).min(answered);
+        let news = candidate.since(&self.timed);
         self.timed = *candidate;
-        ratio(slow, answered, SLOW_AT_MOST, SLOW_AT_LEAST)
+        if self.alone > MOST_ALONE {
+            return 0.0;
+        }
+        let slow = news.slower(self.usual.slow(SLOWEST));
+        ratio(slow, news.answered(), SLOW_AT_MOST, SLOW_AT_LEAST)
     }
 }
 
