A new version's answers are weighed some times a second, and no longer by what nobody would notice

A moment in which a machine is held up makes all answers of the moment late. The answers of one look count as four at most, and times below a twentieth of the route's aim are alike. A daemon that serves by the store's first page says that it is ready only if it knows servers of each service.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -439,6 +439,7 @@
 
     fn confirm(&self, state: &mut State, position: u64, seen: Instant, now: Instant) {
         state.position = state.position.max(position);
+        self.gateway.has_copy();
         let late = state.age(now);
         state.confirmed = state.confirmed.max(Some(seen));
         if state.age(now) <= LATE {
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -27,7 +27,7 @@
 use verdict::Test;
 
 /// Part of the platform's bound on what a candidate may get that is used.
-const USED_PART: f64 = 0.75;
+const USED_PART: f64 = 0.85;
 /// Most of one route's requests that the candidate gets.
 const MOST_OF_ROUTE: f64 = 0.3;
 /// Time for which requests go to the same canaries.
@@ -561,7 +561,6 @@
         let rollout = self.by_service.values_mut().find(|r| r.tag == stratum.rollout);
         if let Some(rollout) = rollout {
             rollout.own.entry((stratum.route, stratum.arm)).or_default().note(time);
-            rollout.weigh();
         }
     }
 
@@ -586,10 +585,15 @@
             // An order is as old as any daemon knows it to be.
             let age = heard.ages.get(&rollout.tag).and_then(|age| before(now, *age));
             rollout.began = age.map_or(rollout.began, |began| began.min(rollout.began));
-            rollout.weigh();
         }
     }
 
+    /// Tests what was counted since the last time. Answers of one moment are late together, so that this is done some
+    /// times a second and not for each of them.
+    pub fn weigh(&mut self) {
+        self.by_service.values_mut().for_each(Rollout::weigh);
+    }
+
     /// Takes in which servers a service with a roll-out has.
     pub fn count(&mut self, service: &str, census: Census) {
         if let Some(rollout) = self.by_service.get_mut(service) {
--- a/src/gateway/rollout/controller.rs
+++ b/src/gateway/rollout/controller.rs
@@ -153,6 +153,7 @@
 
     async fn look(&mut self, now: Instant) {
         self.gateway.listen(now);
+        self.gateway.rollouts().weigh();
         self.gateway.look_at_rollouts(now);
         let steps = self.gateway.rollouts().due(self.gateway.exposure(), now);
         self.due.retain(|service, _| steps.iter().any(|(due, _)| due == service));
--- a/src/gateway/rollout/tally.rs
+++ b/src/gateway/rollout/tally.rs
@@ -9,7 +9,7 @@
 /// Upper bound of the first bucket, in milliseconds. The last bucket begins at 5.8 s.
 const FIRST_BOUND_MS: f64 = 2.0;
 /// Requests after which those before them count for a third.
-const WINDOW: f64 = 20.0;
+const WINDOW: f64 = 30.0;
 /// Buckets that double a time.
 const DOUBLED: usize = 2;
 
--- a/src/gateway/rollout/verdict.rs
+++ b/src/gateway/rollout/verdict.rs
@@ -12,7 +12,7 @@
 use std::collections::HashMap;
 
 /// Score at which a version is bad.
-const THRESHOLD: f64 = 8.0;
+const THRESHOLD: f64 = 7.0;
 /// Score up to which nothing speaks against a version.
 const DOUBT: f64 = 0.75 * THRESHOLD;
 /// How much more often than the baseline's a bad version's requests fail, as a part of those that don't.
@@ -29,6 +29,8 @@
 const LEAST_ANSWERS: f64 = 15.0;
 /// Answers of the candidate without one of the baseline after which it is not known what is usual.
 const MOST_ALONE: u32 = 3;
+/// Answers that came since the last time count for no more than so many: they are late together.
+const MOST_AT_ONCE: f64 = 4.0;
 /// Requests that are assumed of the baseline besides those counted, one of which failed.
 const ASSUMED: f64 = 10.0;
 
@@ -142,7 +144,8 @@
             return 0.0;
         }
         let slow = news.slower(self.usual.slow(SLOWEST));
-        ratio(slow, news.answered(), SLOW_AT_MOST, SLOW_AT_LEAST)
+        let weight = (MOST_AT_ONCE / f64::from(news.answered().max(1))).min(1.0);
+        weight * ratio(slow, news.answered(), SLOW_AT_MOST, SLOW_AT_LEAST)
     }
 }
 
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -78,8 +78,13 @@
 pub struct Trial {
     stratum: Stratum,
     sent: Instant,
+    /// A time below which nobody would notice how long an answer takes.
+    least: Duration,
 }
 
+/// The same as a part of the route's aim.
+const UNNOTICED_PART: f64 = 0.05;
+
 impl Slot {
     /// The server.
     pub fn key(&self) -> ServerKey {
@@ -272,7 +277,7 @@
 
     /// Notes how a request went that counts in a roll-out.
     pub(crate) fn note_trial(&self, trial: Trial, failed: bool) {
-        let time = (!failed).then(|| time::since(trial.sent));
+        let time = (!failed).then(|| time::since(trial.sent).max(trial.least));
         self.rollouts().note(trial.stratum, time);
     }
 
@@ -352,7 +357,8 @@
         let notice = server.notice();
         let stratum =
             self.rollouts().stratum(&service.name, &call.route.name, &server.record.version);
-        let trial = stratum.map(|stratum| Trial { stratum, sent: now });
+        let least = call.route.aim.mul_f64(UNNOTICED_PART);
+        let trial = stratum.map(|stratum| Trial { stratum, sent: now, least });
         let (gateway, waiting) = (self.clone(), there.reading);
         Ok(Slot { gateway, place, notice, knowledge: None, waiting, trial })
     }
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -698,6 +698,7 @@
     assert_eq!(node.used(), BTreeSet::from(["1".to_string()]));
     assert!(node.gateway.is_fresh(now + Duration::from_secs(3)));
     assert!(node.mirror.statement(now).is_none(), "it can't tell others of a part");
+    assert!(node.gateway.knows_servers());
     assert!(!node.gateway.is_fresh(now + Duration::from_secs(4)));
     let later = now + Duration::from_secs(2);
     node.mirror.take_early(first, later, later);
