--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -42,7 +42,7 @@
         /// The copy.
         kept: KeptRun,
         /// The server that holds it.
-        slot: Slot,
+        slot: Box<Slot>,
     },
     /// The run was stopped, and only its own server holds its memory.
     SourceKeeps(KeptRun),
@@ -95,7 +95,7 @@
     match copier.copy(true).await {
         Ok(copied) => {
             copy.handle = None;
-            Moved::Stopped { kept: kept(copied.handle), slot }
+            Moved::Stopped { kept: kept(copied.handle), slot: Box::new(slot) }
         }
         Err(NotCopied::NoRoom(Some(handle))) => {
             copy.handle = None;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -340,7 +340,7 @@
             }
             Moved::Stopped { kept, slot } => {
                 self.drain_upstream().await?;
-                self.go_on(kept, Some(slot)).await
+                self.go_on(kept, Some(*slot)).await
             }
             Moved::SourceKeeps(kept) => {
                 self.drain_upstream().await?;
