--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -12,13 +12,14 @@
 //! ([`controller`]), so that any daemon may take the next step and only one does.
 
 pub mod controller;
+mod pick;
 pub mod tally;
 pub mod verdict;
 
 use crate::gateway::clock::{before, millis};
-use crate::gateway::server::Server;
 use crate::gateway::servers::ServerKey;
 use crate::gateway::tag::Tag;
+pub use pick::{Arm, Draw, Pick, Retired};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -102,15 +103,6 @@
     pub why: String,
 }
 
-/// The servers that a request goes to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Arm {
-    /// Those of the old versions.
-    Baseline,
-    /// Those of the new version.
-    Candidate,
-}
-
 /// Requests of one route at the servers of one arm of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Stratum {
@@ -152,53 +144,6 @@
     pub runs: u32,
 }
 
-/// The servers that a request may go to, of a service with a roll-out.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Pick {
-    version: Arc<str>,
-    /// Where the request goes.
-    pub arm: Arm,
-    /// Only these; any of the arm where there are none.
-    only: Vec<ServerKey>,
-}
-
-impl Pick {
-    /// Whether a server is among them.
-    pub fn admits(&self, key: ServerKey, server: &Server) -> bool {
-        let is_candidate = server.record.version == self.version;
-        is_candidate == (self.arm == Arm::Candidate) && self.has(key)
-    }
-
-    /// Whether a server of the right version is among them.
-    pub fn has(&self, key: ServerKey) -> bool {
-        self.only.is_empty() || self.only.contains(&key)
-    }
-
-    /// The baseline's servers instead.
-    pub fn baseline(self) -> Pick {
-        Pick { arm: Arm::Baseline, only: Vec::new(), ..self }
-    }
-}
-
-/// Servers of a service that are to get nothing more, and whose runs move away.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Retired {
-    /// Those of this version.
-    Version(Arc<str>),
-    /// Those of all others.
-    Others(Arc<str>),
-}
-
-impl Retired {
-    /// Whether a server of such a version is among them.
-    pub fn includes(&self, version: &str) -> bool {
-        match self {
-            Retired::Version(retired) => **retired == *version,
-            Retired::Others(kept) => **kept != *version,
-        }
-    }
-}
-
 /// A step that is due in a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Step {
@@ -441,24 +386,6 @@
     }
 }
 
-/// How the servers of a request are drawn.
-#[derive(Debug, Clone, Copy)]
-pub enum Draw {
-    /// A request that was not sent yet: its route, and a number from zero to one of its own.
-    First(Tag, f64),
-    /// One that was sent before, or a run that moves.
-    Again,
-}
-
-impl Draw {
-    /// The draw of a request by its route and id.
-    pub fn first(route: &str, id: &str) -> Draw {
-        let route = Tag::of(route);
-        let drawn = route.with(Tag::of(id)).value() as f64 / u64::MAX as f64;
-        Draw::First(route, drawn)
-    }
-}
-
 /// All roll-outs.
 #[derive(Debug, Default)]
 pub struct Rollouts {
