--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -37,6 +37,8 @@
 /// each, the users' whole one, and one of twice that size.
 const FLEETS: [(usize, usize, usize); 4] =
     [(4, 64, 72), (6, 300, 3_000), (6, 985, 10_002), (12, 1_970, 20_004)];
+/// Servers that a daemon draws of a hall, and of all others, where there are many.
+const DRAWN: usize = 64;
 /// Servers at which a daemon has something running.
 const OWN: usize = 12;
 
@@ -188,10 +190,13 @@
     let mut rng = rand::rng();
     micros(500, || {
         let now = Instant::now();
-        let candidates: Vec<Candidate<'_>> = servers
-            .open("model")
-            .map(|(key, server)| Candidate { key, server, load: server.load() })
-            .collect();
+        let drawn = match servers.count("model") > DRAWN {
+            true => servers.draw("model", "hall-0", DRAWN, &mut rng),
+            false => servers.open("model").collect(),
+        };
+        let drawn = drawn.into_iter().filter(|(_, server)| servers.is_open("model", server));
+        let candidates: Vec<Candidate<'_>> =
+            drawn.map(|(key, server)| Candidate { key, server, load: server.load() }).collect();
         black_box(Headroom.choose(&candidates, &need, now, &mut rng));
     })
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -101,8 +101,6 @@
     promises: Mutex<HashMap<Arc<str>, Promises>>,
     /// Whether loads in other halls are told late, in sums.
     pub(super) divided: AtomicBool,
-    /// Whether the copy of the store has ever been whole.
-    whole: AtomicBool,
     /// Share of all daemons that are of this hall and tell their loads late, in sums.
     pub(super) late: Mutex<f64>,
     /// When the process ends, once a planned stop has begun.
@@ -149,7 +147,6 @@
             exposure: Mutex::new(bounds.exposure),
             promises: Mutex::default(),
             divided: AtomicBool::new(false),
-            whole: AtomicBool::new(false),
             late: Mutex::new(0.0),
             ends: Mutex::default(),
             news: watch::Sender::new(0),
@@ -293,20 +290,6 @@
         Some(age)
     }
 
-    /// The copy of the store is whole.
-    pub(super) fn has_copy(&self) {
-        self.whole.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether servers of all services are known, as far as there are any.
-    pub fn knows_servers(&self) -> bool {
-        let declared = self.in_force.get();
-        let servers = self.servers();
-        let has_some = |service: &Arc<Service>| servers.count(&service.name) > 0;
-        let known = declared.is_some_and(|declared| declared.table.services().all(has_some));
-        known || self.whole.load(Ordering::Relaxed)
-    }
-
     /// Whether the configuration is known to be new enough for requests with a key.
     pub fn is_fresh(&self, now: Instant) -> bool {
         let Some(age) = self.in_force.age(now) else {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -34,8 +34,6 @@
 const MOST_STEPS: u32 = 8;
 /// Pause of a daemon that need not read, before it looks again.
 const LOOK: Duration = Duration::from_millis(50);
-/// Time for which a daemon that has read some keys only serves by them before it reads them again.
-const CONFIRMED: Duration = Duration::from_millis(2_000);
 /// All keys: one question then covers configuration, servers and daemons. Every call is priced.
 const EVERYTHING: &str = "";
 
@@ -119,13 +117,9 @@
 
     /// Reads everything; `None` where a peer gives it meanwhile.
     async fn read_pages(&self) -> PlatformResult<Option<Range>> {
-        let asked = time::now();
         let mut page = self.store.page(EVERYTHING, None).await?;
-        if page.more && self.mirror.position() == 0 {
-            self.mirror.take_early(page.entries.clone(), asked, time::now());
-            if self.is_given().await? {
-                return Ok(None);
-            }
+        if page.more && self.mirror.position() == 0 && self.is_given().await? {
+            return Ok(None);
         }
         // Pages are no snapshot: what changes after the first is asked for again.
         let mut range = Range { entries: Vec::new(), revision: page.revision };
@@ -145,14 +139,8 @@
         let mates = self.store.page(&self.mirror.daemons_of(self.cluster.hall()), None).await?;
         self.mirror.take_early(mates.entries, asked, time::now());
         let until = asked + self.cluster.start_wait();
-        let mut confirmed = asked;
         while self.mirror.position() == 0 && time::now() < until {
             sleep(LOOK).await;
-            if time::since(confirmed) >= CONFIRMED {
-                confirmed = time::now();
-                let page = self.store.page(EVERYTHING, None).await?;
-                self.mirror.take_early(page.entries, confirmed, time::now());
-            }
         }
         Ok(self.mirror.position() > 0)
     }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -398,18 +398,12 @@
         state.news.log();
     }
 
-    /// Takes in some keys, as the store stood at `seen`, before all have been read. With the configuration and some
-    /// servers a daemon serves callers while the rest of a large store is on its way.
+    /// Takes in some keys before all have been read.
     pub fn take_early(&self, entries: Vec<Entry>, seen: Instant, now: Instant) {
-        let declared = entries.iter().find(|entry| entry.key == self.schema.declaration());
-        let declared = declared.map(|entry| entry.revision);
         let news = entries.into_iter().map(|Entry { key, value, revision }| {
             News::from(Change { key, value: Some(value), revision })
         });
         self.take_ahead(news.collect(), seen, now);
-        if let Some(revision) = declared {
-            self.gateway.in_force.confirm(revision, seen);
-        }
     }
 
     /// The prefix of the keys of a hall's daemons.
@@ -439,7 +433,6 @@
 
     fn confirm(&self, state: &mut State, position: u64, seen: Instant, now: Instant) {
         state.position = state.position.max(position);
-        self.gateway.has_copy();
         let late = state.age(now);
         state.confirmed = state.confirmed.max(Some(seen));
         if state.age(now) <= LATE {
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -238,11 +238,6 @@
         self.services.get(name)
     }
 
-    /// All services.
-    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
-        self.services.values()
-    }
-
     /// Whether requests need a key at all.
     pub fn has_workspaces(&self) -> bool {
         !self.workspaces.is_empty()
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -685,27 +685,3 @@
     assert_eq!(hearer.mirror.urgent_position(), truth.revision());
     assert!(!hearer.servers().is_empty());
 }
-
-/// A large store is read in many pages, the configuration with the first of them.
-#[test]
-fn a_daemon_serves_by_the_first_page_until_it_has_all() {
-    let now = Instant::now();
-    let node = node(now);
-    let entry =
-        |key: &str, value: &str, revision| Entry { key: key.into(), value: value.into(), revision };
-    let first = vec![entry("config", "3", 5), entry("servers/1", "ready", 7)];
-    node.mirror.take_early(first.clone(), now, now);
-    assert_eq!(node.used(), BTreeSet::from(["1".to_string()]));
-    assert!(node.gateway.is_fresh(now + Duration::from_secs(3)));
-    assert!(node.mirror.statement(now).is_none(), "it can't tell others of a part");
-    assert!(node.gateway.knows_servers());
-    assert!(!node.gateway.is_fresh(now + Duration::from_secs(4)));
-    let later = now + Duration::from_secs(2);
-    node.mirror.take_early(first, later, later);
-    assert!(node.gateway.is_fresh(now + Duration::from_secs(4)));
-    // A server of the first page has gone by the time at which all have been read.
-    let all = vec![entry("config", "3", 5), entry("servers/2", "ready", 8)];
-    node.mirror.replace(all, 9, later, later);
-    assert_eq!(node.used(), BTreeSet::from(["2".to_string()]));
-    assert_eq!(node.mirror.position(), 9);
-}
