One way to divide, one list of daemons, one time for a roll-out's shift

Read over as a whole, the change had written again what it has: View::divide beside divide_listed, which only tests and a bench still called; Roster::others and rank beside the listing that is kept, the first a copy of each daemon's record; the time for a roll-out's shift worked out a second time where its step is due; entries of the store turned into news in two places. It did work for nothing: each request of any service was drawn for a roll-out (two hashes) before it was looked whether there is one; and the daemon that writes a roll-out's record noted it, in its line and its counter, a second time when it came with the copy of the store.

Decisions, bounds and tests' assertions are as before; the counter of states no longer counts the writer's twice.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -25,7 +25,7 @@
 use tidestair::gateway::place::{ALIKE, Candidate, Headroom, Need, Placing, UNSEEN_COST};
 use tidestair::gateway::quarantine::{Quarantine, Run};
 use tidestair::gateway::regions::Regions;
-use tidestair::gateway::roster::{Daemon, Roster};
+use tidestair::gateway::roster::{Daemon, Listing, Roster};
 use tidestair::gateway::servers::{Load, ServerRecord, Servers, Signs};
 use tidestair::gateway::table::Engine;
 use tidestair::gateway::tag::Tag;
@@ -175,7 +175,7 @@
     });
     note("take_change", changed);
     note("give_changes", micros(50, || drop(black_box(mirror.update_after(position + 48, now)))));
-    note("roster", micros(50, || drop(black_box((roster.others(), roster.rank())))));
+    note("roster", micros(50, || drop(black_box(roster.listing()))));
 }
 
 fn choice(servers: &Servers) -> f64 {
@@ -275,7 +275,11 @@
     let (own, others) = (all[0].clone(), all[1..].to_vec());
     let now = Instant::now();
     let mut view = View::new(own.clone(), Clock::new(7, now - Duration::from_secs(10)));
-    note("divide", micros(20, || view.divide(others.clone(), |_| None, Instant::now())));
+    let divide = || {
+        let listing = Listing::new(others.clone());
+        view.divide(&listing, |_| None, Instant::now());
+    };
+    note("divide", micros(20, divide));
     let near: Vec<&Daemon> =
         others.iter().filter(|d| view.layout().near.contains(&d.peers)).collect();
     let far = daemons - near.len() - 1;
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -242,7 +242,7 @@
         let stretch = Stretch::of(self.gateway.request_gap(now));
         let greeted = self.greeted.lock().expect("no holder panics").clone();
         let mut view = self.view();
-        view.divide_listed(&listing, |addr| greeted.get(&addr).copied(), now);
+        view.divide(&listing, |addr| greeted.get(&addr).copied(), now);
         view.set_stretch(stretch);
         self.gateway.metrics.peers.set(view.count(now) as i64);
         self.gateway.set_others(view.spent(count, now));
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -93,6 +93,13 @@
     }
 }
 
+impl From<Entry> for News {
+    fn from(entry: Entry) -> News {
+        let Entry { key, value, revision } = entry;
+        News::from(Change { key, value: Some(value), revision })
+    }
+}
+
 impl From<Cell> for News {
     fn from(cell: Cell) -> News {
         let Cell { key, revision, mattered, content } = cell;
@@ -228,10 +235,7 @@
 
     /// Takes in all keys, read at `position`, as the store stood at `seen`.
     pub fn replace(&self, entries: Vec<Entry>, position: u64, seen: Instant, now: Instant) {
-        let news = entries.into_iter().map(|Entry { key, value, revision }| {
-            News::from(Change { key, value: Some(value), revision })
-        });
-        self.replace_all(news.collect(), position, seen, now);
+        self.replace_all(entries.into_iter().map(News::from).collect(), position, seen, now);
     }
 
     fn replace_all(&self, news: Vec<News>, position: u64, seen: Instant, now: Instant) {
@@ -400,10 +404,7 @@
 
     /// Takes in some keys before all have been read.
     pub fn take_early(&self, entries: Vec<Entry>, seen: Instant, now: Instant) {
-        let news = entries.into_iter().map(|Entry { key, value, revision }| {
-            News::from(Change { key, value: Some(value), revision })
-        });
-        self.take_ahead(news.collect(), seen, now);
+        self.take_ahead(entries.into_iter().map(News::from).collect(), seen, now);
     }
 
     /// The prefix of the keys of a hall's daemons.
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -360,7 +360,7 @@
                 step(State::Completed, "no server has another version")
             }
             State::Trial => {
-                let shift = time.mul_f64(SHIFT_PART).clamp(SHORTEST_SHIFT, LONGEST_SHIFT);
+                let shift = self.shift();
                 if age + shift < time {
                     None
                 } else if self.is_sound(bound) {
@@ -411,13 +411,15 @@
         }
     }
 
-    /// Takes in what the store says of how far a roll-out has come.
-    pub fn record(&mut self, service: &str, revision: u64, record: Record, now: Instant) {
+    /// Takes in what the store says of how far a roll-out has come. Says whether that was not known before.
+    pub fn record(&mut self, service: &str, revision: u64, record: Record, now: Instant) -> bool {
         let known = self.records.get(service);
-        if known.is_none_or(|(known, _)| *known < revision) {
+        let is_news = known.is_none_or(|(known, _)| *known < revision);
+        if is_news {
             self.records.insert(service.into(), (revision, record));
             self.apply_record(service, now);
         }
+        is_news
     }
 
     fn apply_record(&mut self, service: &str, now: Instant) {
@@ -456,6 +458,11 @@
             .filter(|(_, rollout)| rollout.state.is_none_or(|(state, _)| !state.is_final()))
     }
 
+    /// Whether a service has a roll-out.
+    pub fn has(&self, service: &str) -> bool {
+        self.by_service.contains_key(service)
+    }
+
     /// Services with a roll-out, each with its new version.
     pub fn versions(&self) -> Vec<(Arc<str>, Arc<str>)> {
         let all = self.by_service.iter();
--- a/src/gateway/rollout/controller.rs
+++ b/src/gateway/rollout/controller.rs
@@ -54,16 +54,28 @@
     /// Takes in the store's record of a roll-out.
     pub(crate) fn take_record(&self, service: &str, revision: u64, record: Record, now: Instant) {
         let (state, why) = (record.state.name(), record.why.clone());
+        // The daemon that wrote it reads it once more with its copy of the store.
+        if !self.rollouts().record(service, revision, record, now) {
+            return;
+        }
         info!(service = service, state = state, why = why.as_str(); "roll-out");
         self.metrics.rollouts.with_label_values(&[state]).inc();
-        self.rollouts().record(service, revision, record, now);
         self.look_at_rollouts(now);
         self.rollout_news.notify_one();
     }
 
-    /// Where a request of `service` goes.
-    pub(crate) fn pick(&self, service: &str, draw: Draw, now: Instant) -> Option<Pick> {
-        self.rollouts().pick(service, draw, self.exposure(), now)
+    /// Where a request of `service` goes, which is drawn only if there is a roll-out.
+    pub(crate) fn pick(
+        &self,
+        service: &str,
+        draw: impl FnOnce() -> Draw,
+        now: Instant,
+    ) -> Option<Pick> {
+        let rollouts = self.rollouts();
+        rollouts
+            .has(service)
+            .then(draw)
+            .and_then(|draw| rollouts.pick(service, draw, self.exposure(), now))
     }
 
     /// Counts servers by version, and takes those out of use that get nothing more.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -89,16 +89,6 @@
         (listing.clone(), *rank)
     }
 
-    /// The other daemons.
-    pub fn others(&self) -> Vec<Daemon> {
-        self.listing().0.daemons.clone()
-    }
-
-    /// This daemon's place among all that are listed, by name.
-    pub fn rank(&self) -> Rank {
-        self.listing().1
-    }
-
     /// The halls of all that are listed, by where callers reach them.
     pub fn halls(&self) -> HashMap<SocketAddr, String> {
         let listed = self.listed();
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -241,7 +241,7 @@
             None => Bound::NONE,
         };
         let terms = Terms { standing, bound };
-        let draw = match tried {
+        let draw = || match tried {
             [] => Draw::first(&call.route.name, &call.id),
             _ => Draw::Again,
         };
@@ -302,7 +302,7 @@
         let (hall, far) = (source.hall.as_str(), FAR_COPY_COST);
         let need = Need { hall, far, alike: COPY_ALIKE, unseen: 0.0, load, engine };
         let terms = Terms { standing: Standing::Begun, bound: Bound::NONE };
-        let pick = self.pick(&service.name, Draw::Again, now);
+        let pick = self.pick(&service.name, || Draw::Again, now);
         let among = Among { except: refused, pick: pick.as_ref() };
         self.choose_slot(service, &need, call, terms, among, now).ok()
     }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -123,20 +123,10 @@
         &self.layout
     }
 
-    /// Divides the fleet anew: the daemons that the store lists, and those heard of lately. Those
-    /// that are neither are forgotten. `tried` tells since when a daemon is being greeted.
+    /// Divides the fleet into cells: the daemons that the store lists, and those heard of lately. Those that are
+    /// neither are forgotten. `tried` tells since when a daemon is being greeted. It is divided anew only where
+    /// something has changed.
     pub fn divide(
-        &mut self,
-        listed: Vec<Daemon>,
-        tried: impl Fn(SocketAddr) -> Option<Instant>,
-        now: Instant,
-    ) {
-        let listing = Listing::new(listed);
-        self.divide_listed(&listing, tried, now);
-    }
-
-    /// The same of a list that is known by its number: it is divided anew only where something has changed.
-    pub fn divide_listed(
         &mut self,
         listing: &Listing,
         tried: impl Fn(SocketAddr) -> Option<Instant>,
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -8,7 +8,7 @@
 use tidestair::gateway::clock::{Clock, Echo};
 use tidestair::gateway::heartbeat::{Heartbeat, Origin, Sum, Told};
 use tidestair::gateway::outcomes::Outcomes;
-use tidestair::gateway::roster::Daemon;
+use tidestair::gateway::roster::{Daemon, Listing};
 use tidestair::gateway::servers::{Load, Signs};
 use tidestair::gateway::start;
 use tidestair::gateway::tag::Tag;
@@ -201,7 +201,7 @@
     fn of(fleet: Vec<Daemon>) -> Watcher {
         let start = Instant::now();
         let mut view = View::new(fleet[0].clone(), Clock::new(BOOT, start));
-        view.divide(without(&fleet, &fleet[0]), |_| None, start);
+        view.divide(&Listing::new(without(&fleet, &fleet[0])), |_| None, start);
         Watcher { view, fleet, start }
     }
 
@@ -423,7 +423,7 @@
     let start = Instant::now();
     let mut watchers = [0, 1].map(|own| {
         let mut view = View::new(fleet[own].clone(), Clock::new(own as u64, start));
-        view.divide(without(&fleet, &fleet[own]), |_| None, start);
+        view.divide(&Listing::new(without(&fleet, &fleet[own])), |_| None, start);
         Watcher { view, fleet: fleet.clone(), start }
     });
     watchers[0].view.has_read(Some(start));
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -159,7 +159,7 @@
             }
             let partners = &node.partners;
             let tried = |addr| partners.get(&addr).map(|(at, ..): &(Instant, _, _)| *at);
-            node.view.divide_listed(&self.listing.1, tried, now);
+            node.view.divide(&self.listing.1, tried, now);
             let wanted = node.view.partners(now);
             node.partners.retain(|addr, _| wanted.contains(addr));
             for addr in wanted {
