--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -19,7 +19,7 @@
 use crate::gateway::roster::Roster;
 use crate::gateway::update::{Cell, Content, Lack, Statement, Update};
 use crate::platform::{Change, Entry};
-use log::info;
+use log::{info, warn};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -242,6 +242,9 @@
         let mut state = self.state();
         if position < state.position {
             // Older than what is known: a read that was overtaken.
+            let known = state.position;
+            warn!(read = position, known = known; "a read of the store is older than this copy and changes nothing");
+            self.gateway.metrics.store_reads.with_label_values(&["older"]).inc();
             return;
         }
         let listed: HashSet<&str> = news.iter().map(|news| news.key.as_str()).collect();
