--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -23,6 +23,7 @@
 use tidestair::gateway::mirror::Mirror;
 use tidestair::gateway::partner::{Pace, Relation};
 use tidestair::gateway::place::{ALIKE, Candidate, Headroom, Need, Placing, UNSEEN_COST};
+use tidestair::gateway::port::{Change, Entry};
 use tidestair::gateway::quarantine::{Quarantine, Run};
 use tidestair::gateway::regions::Regions;
 use tidestair::gateway::roster::{Daemon, Listing, Roster};
@@ -31,7 +32,7 @@
 use tidestair::gateway::tag::Tag;
 use tidestair::gateway::view::{Own, View};
 use tidestair::message;
-use tidestair::platform::{Change, Entry};
+use tidestair::platform::Position;
 
 /// Halls, daemons and servers of the fleets that are measured: the users' grown one, one of 300 VMs with ten servers
 /// each, the users' whole one, and one of twice that size.
@@ -150,7 +151,7 @@
     let entry = |key: String, value: Vec<u8>, revision: usize| Entry {
         key,
         value,
-        revision: revision as u64,
+        revision: Position::new(0, revision as u64),
     };
     let listed = (0..servers).map(|n| entry(format!("servers/{n}"), b"ready.1".to_vec(), n + 1));
     let others = (1..daemons).map(|n| {
@@ -158,23 +159,24 @@
         entry(format!("daemons/vm-{n}"), value, servers + n)
     });
     let all: Vec<Entry> = listed.chain(others).collect();
-    let position = (servers + daemons) as u64;
+    let position = Position::new(0, (servers + daemons) as u64);
+    let after = |n: u64| Position { revision: position.revision + n, ..position };
     let began = Instant::now();
     mirror.replace(all, position, now, now);
     note("start_copy", began.elapsed().as_secs_f64() * 1e6);
-    note("give_all", micros(5, || drop(black_box(mirror.all_after(0, now)))));
+    note("give_all", micros(5, || drop(black_box(mirror.all_after(Position::START, now)))));
     let change = |n: u64| Change {
         key: format!("servers/{}", n % 50),
         value: Some(if n.is_multiple_of(2) { b"leaving".to_vec() } else { b"ready".to_vec() }),
-        revision: position + n,
+        revision: after(n),
     };
     let mut n = 0;
     let changed = micros(50, || {
         n += 1;
-        mirror.advance(vec![change(n)], position + n, now, now);
+        mirror.advance(vec![change(n)], after(n), now, now);
     });
     note("take_change", changed);
-    note("give_changes", micros(50, || drop(black_box(mirror.update_after(position + 48, now)))));
+    note("give_changes", micros(50, || drop(black_box(mirror.update_after(after(48), now)))));
     note("roster", micros(50, || drop(black_box(roster.listing()))));
 }
 
--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -2,9 +2,9 @@
 
 use crate::gateway::listen::Phase;
 use crate::gateway::mirror::Mirror;
-use crate::gateway::port::{Schema, Store};
+use crate::gateway::port::{Lease, Schema, Store};
 use crate::gateway::roster::Roster;
-use crate::platform::{LeaseId, PlatformResult};
+use crate::platform::PlatformResult;
 use crate::time;
 use log::{info, warn};
 use rand::RngExt;
@@ -84,7 +84,7 @@
 /// still stands. It is then due when that start would have renewed its lease.
 async fn first_pause(roster: &Roster, mirror: &Mirror) -> Duration {
     let began = time::now();
-    while mirror.position() == 0 && time::since(began) < FIRST_READ {
+    while mirror.position().is_start() && time::since(began) < FIRST_READ {
         sleep(FIRST_LOOK).await;
     }
     if roster.lists_own() { drawn(RENEWAL) } else { Duration::ZERO }
@@ -100,8 +100,8 @@
     store: &dyn Store,
     key: &str,
     value: &[u8],
-    lease: Option<LeaseId>,
-) -> PlatformResult<LeaseId> {
+    lease: Option<Lease>,
+) -> PlatformResult<Lease> {
     if let Some(lease) = lease
         && store.renew(lease).await?
     {
--- a/src/gateway/cluster/answering.rs
+++ b/src/gateway/cluster/answering.rs
@@ -5,6 +5,7 @@
 use crate::gateway::update::Update;
 use crate::message;
 use crate::peer::{Handler, Held};
+use crate::platform::Position;
 use crate::time;
 use futures_util::future::BoxFuture;
 use log::warn;
@@ -15,7 +16,7 @@
 
 impl Answering {
     /// Small values that a copy at `position` lacks. A copy that lacks everything waits its turn.
-    async fn give_small(&self, position: u64, held: &mut Held) {
+    async fn give_small(&self, position: Position, held: &mut Held) {
         let now = time::now();
         match self.0.mirror.update_after(position, now).filter(|update| !update.whole) {
             Some(update) => send(Some(update), held).await,
@@ -24,7 +25,7 @@
     }
 
     /// All that a copy at `position` lacks; nothing while this daemon gives to others.
-    async fn give_all(&self, position: u64, held: &mut Held) {
+    async fn give_all(&self, position: Position, held: &mut Held) {
         let permit = self.0.giving.try_acquire();
         let update = match &permit {
             Ok(_) => self.0.mirror.all_after(position, time::now()),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,7 +7,7 @@
 use crate::gateway::cluster::Cluster;
 use crate::gateway::mirror::Mirror;
 use crate::gateway::port::{Changes, Store};
-use crate::platform::{PlatformError, PlatformResult, Range};
+use crate::platform::{PlatformError, PlatformResult, Position, Range};
 use crate::time;
 use futures_util::future::BoxFuture;
 use log::{debug, info, warn};
@@ -88,7 +88,7 @@
     /// Reads what has changed, or everything. Says whether it did, or a peer gave it.
     async fn read(&mut self, asked: Instant) -> PlatformResult<bool> {
         let after = self.mirror.position();
-        if after == 0 {
+        if after.is_start() {
             return self.read_whole(asked).await;
         }
         match self.overtake(self.store.changes(EVERYTHING, after, WAIT)).await? {
@@ -99,7 +99,7 @@
                 Ok(true)
             }
             None => {
-                info!(after = after; "the store's history is gone; reading everything again");
+                info!(after = after.revision, era = after.era; "the store's history is gone; reading everything again");
                 self.read_whole(asked).await
             }
         }
@@ -116,18 +116,23 @@
     }
 
     /// Reads everything; `None` where a peer gives it meanwhile.
-    async fn read_pages(&self) -> PlatformResult<Option<Range>> {
+    async fn read_pages(&self) -> PlatformResult<Option<Range<Position>>> {
         let mut page = self.store.page(EVERYTHING, None).await?;
-        if page.more && self.mirror.position() == 0 && self.is_given().await? {
+        if page.more && self.mirror.position().is_start() && self.is_given().await? {
             return Ok(None);
         }
         // Pages are no snapshot: what changes after the first is asked for again.
         let mut range = Range { entries: Vec::new(), revision: page.revision };
         loop {
             range.entries.append(&mut page.entries);
-            match range.entries.last().filter(|_| page.more) {
-                Some(last) => page = self.store.page(EVERYTHING, Some(&last.key)).await?,
-                None => return Ok(Some(range)),
+            let Some(last) = range.entries.last().filter(|_| page.more) else {
+                return Ok(Some(range));
+            };
+            page = self.store.page(EVERYTHING, Some(&last.key)).await?;
+            if page.revision.era != range.revision.era {
+                // What was read is of a history that the store has lost.
+                page = self.store.page(EVERYTHING, None).await?;
+                range = Range { entries: Vec::new(), revision: page.revision };
             }
         }
     }
@@ -139,10 +144,10 @@
         let mates = self.store.page(&self.mirror.daemons_of(self.cluster.hall()), None).await?;
         self.mirror.take_early(mates.entries, asked, time::now());
         let until = asked + self.cluster.start_wait();
-        while self.mirror.position() == 0 && time::now() < until {
+        while self.mirror.position().is_start() && time::now() < until {
             sleep(LOOK).await;
         }
-        Ok(self.mirror.position() > 0)
+        Ok(!self.mirror.position().is_start())
     }
 
     /// Waits for an answer, and follows the servers' entries apart while it takes long.
@@ -166,7 +171,7 @@
     async fn read_urgent(&self) -> bool {
         let after = self.mirror.urgent_position();
         let asked = time::now();
-        if after == 0 {
+        if after.is_start() {
             return false;
         }
         let [servers, halls, rollouts] = self.mirror.urgent();
@@ -176,7 +181,7 @@
         let rollouts = self.read_below(rollouts, after, Duration::ZERO);
         let (servers, halls, rollouts) = tokio::join!(servers, halls, rollouts);
         let (Some(mut read), Some(halls), Some(rollouts)) = (servers, halls, rollouts) else {
-            debug!(after = after; "servers' entries, closed halls and roll-outs not read apart");
+            debug!(after = after.revision; "servers' entries, closed halls and roll-outs not read apart");
             return false;
         };
         let revision = read.revision.min(halls.revision).min(rollouts.revision);
@@ -190,7 +195,7 @@
         true
     }
 
-    async fn read_below(&self, prefix: &str, after: u64, wait: Duration) -> Option<Changes> {
+    async fn read_below(&self, prefix: &str, after: Position, wait: Duration) -> Option<Changes> {
         let read = self.store.changes(prefix, after, wait).await;
         let outcome = if read.is_ok() { "servers" } else { "failed" };
         self.cluster.metrics().store_reads.with_label_values(&[outcome]).inc();
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -12,6 +12,7 @@
 use crate::gateway::servers::{Load, Signs};
 use crate::gateway::tag::Tag;
 use crate::gateway::update::Statement;
+use crate::platform::Position;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -104,9 +105,9 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Request {
     /// What a copy at this position lacks, large values left out.
-    After(u64),
+    After(Position),
     /// All that a copy at this position lacks.
-    AllAfter(u64),
+    AllAfter(Position),
     /// Room for one request at one of these servers, which are in need; the answer names that one.
     Room(Vec<Tag>),
 }
--- a/src/gateway/in_force.rs
+++ b/src/gateway/in_force.rs
@@ -1,10 +1,13 @@
 //! The configuration in force, and how long ago it was known to be the newest.
 //!
-//! A version is never replaced by an older one. Its age is the time since it was confirmed at
+//! A version is never replaced by an older one. The store may lose versions that it had acknowledged, and then has an
+//! older one until the operators write them again: across such a loss the versions' own numbers tell which is newer,
+//! not the store's order. Its age is the time since it was confirmed at
 //! the store, directly or by a peer that says how old its own confirmation is; all on this
 //! process's steady clock, so that a process that was paused wakes to an old confirmation.
 
 use crate::gateway::table::Table;
+use crate::platform::Position;
 use arc_swap::ArcSwapOption;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -12,12 +15,23 @@
 /// A version of the configuration and where it stands in the store's order.
 #[derive(Debug, Clone)]
 pub struct Declared {
-    /// The store's revision that wrote it.
-    pub revision: u64,
+    /// Where the store wrote it.
+    pub position: Position,
     /// The declaration.
     pub table: Arc<Table>,
 }
 
+impl Declared {
+    /// Whether it is to replace a version in force.
+    fn is_newer(&self, known: &Declared) -> bool {
+        let (era, known_era) = (self.position.era, known.position.era);
+        match era == known_era {
+            true => self.position > known.position,
+            false => era > known_era && self.table.version >= known.table.version,
+        }
+    }
+}
+
 /// See the module.
 #[derive(Default)]
 pub struct InForce {
@@ -32,16 +46,16 @@
         self.declared.load_full()
     }
 
-    /// The store's revision of the version in force; 0 before the first one.
-    pub fn revision(&self) -> u64 {
-        self.declared.load().as_ref().map_or(0, |d| d.revision)
+    /// Where the store wrote the version in force; the start before the first one.
+    pub fn position(&self) -> Position {
+        self.declared.load().as_ref().map_or(Position::START, |d| d.position)
     }
 
     /// Takes a version that was the newest at `seen`; an older one than that in force changes nothing.
     /// Says whether it came into force.
     pub fn take(&self, declared: Declared, seen: Instant) -> bool {
         let mut confirmed = self.confirmed.lock().expect("no holder panics");
-        let newer = declared.revision > self.revision();
+        let newer = self.get().is_none_or(|known| declared.is_newer(&known));
         if newer {
             *confirmed = Some(seen);
             self.declared.store(Some(Arc::new(declared)));
@@ -49,10 +63,10 @@
         newer
     }
 
-    /// Notes that `revision` was the newest at `seen`; it counts only for the version in force.
-    pub fn confirm(&self, revision: u64, seen: Instant) {
+    /// Notes that the version written there was the newest at `seen`; it counts only for the version in force.
+    pub fn confirm(&self, position: Position, seen: Instant) {
         let mut confirmed = self.confirmed.lock().expect("no holder panics");
-        if revision == self.revision() && revision > 0 {
+        if position == self.position() && !position.is_start() {
             *confirmed = Some(confirmed.map_or(seen, |at| at.max(seen)));
         }
     }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -1,9 +1,12 @@
 //! This daemon's copy of what the store holds for it, and since when it is known to be current.
 //!
-//! It is fed by the store and by peers alike. A copy at position `p` holds every change up to
-//! revision `p`; a statement "nothing that matters changed after revision `c`, up to `p`, and that
+//! It is fed by the store and by peers alike. A copy at [`Position`] `p` holds every change up to
+//! `p`; a statement "nothing that matters changed after `c`, up to `p`, and that
 //! was so `age` ago" makes any copy at `c` or later current up to `p`. Changes come with the store's
-//! revisions, and for one key a lower revision never replaces a higher one.
+//! positions, and for one key a lower position never replaces a higher one.
+//!
+//! The store may come back from an older copy of itself, in a new era. Its revisions then say nothing of those of
+//! before: all is read anew, and words of an earlier era confirm nothing.
 //!
 //! A copy that is behind is given small values first: that a server leaves is in force at once, however
 //! long a large configuration takes. Only with all of them the copy's position moves on. The servers'
@@ -15,10 +18,10 @@
 use crate::gateway::clock;
 use crate::gateway::core::Gateway;
 use crate::gateway::outage::Outages;
-use crate::gateway::port::Schema;
+use crate::gateway::port::{Change, Entry, Schema};
 use crate::gateway::roster::Roster;
 use crate::gateway::update::{Cell, Content, Lack, Statement, Update};
-use crate::platform::{Change, Entry};
+use crate::platform::Position;
 use log::{info, warn};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -41,33 +44,33 @@
 
 #[derive(Debug, Clone)]
 struct Held {
-    revision: u64,
-    /// The revision of its last change that matters: a server's signs of life since then are not given to
+    revision: Position,
+    /// Its last change that matters: a server's signs of life since then are not given to
     /// peers, which would get some hundred bytes a second for each server of the fleet.
-    mattered: u64,
+    mattered: Position,
     content: Content,
 }
 
 #[derive(Default)]
 struct State {
     held: HashMap<Arc<str>, Held>,
-    /// The keys by the revision of their last change that matters: what a peer lacks is found without a look at all.
-    order: BTreeSet<(u64, Arc<str>)>,
+    /// The keys by their last change that matters: what a peer lacks is found without a look at all.
+    order: BTreeSet<(Position, Arc<str>)>,
     /// How many of the keys are deleted ones.
     deleted: usize,
-    position: u64,
+    position: Position,
     /// The last change that matters among those up to the position.
-    changed: u64,
+    changed: Position,
     /// The last one beyond the position, of those that were given ahead of large values.
-    ahead: u64,
-    /// The revision up to which no small value is missing, where that is beyond the position.
-    small: u64,
+    ahead: Position,
+    /// The position up to which no small value is missing, where that is beyond the copy's.
+    small: Position,
     /// The same of servers' entries and closed halls, where that is beyond both.
-    servers: u64,
+    servers: Position,
     /// The last change that matters of those.
-    server_change: u64,
-    /// Deletions up to this revision are forgotten.
-    forgotten: u64,
+    server_change: Position,
+    /// Deletions up to this position are forgotten.
+    forgotten: Position,
     confirmed: Option<Instant>,
     outages: Outages,
     /// Servers whose entries lapsed while the store was away, and until when they are waited for.
@@ -79,10 +82,10 @@
 /// A change on its way into the copy.
 struct News {
     key: String,
-    revision: u64,
+    revision: Position,
     content: Content,
-    /// The revision of the last change of the key that matters, where a peer told it.
-    mattered: Option<u64>,
+    /// The last change of the key that matters, where a peer told it.
+    mattered: Option<Position>,
 }
 
 impl From<Change> for News {
@@ -150,7 +153,7 @@
             return;
         }
         let gone = self.held.values().filter(|held| held.content.is_deleted());
-        let mut gone: Vec<u64> = gone.map(|held| held.revision).collect();
+        let mut gone: Vec<Position> = gone.map(|held| held.revision).collect();
         gone.sort_unstable();
         let middle = gone[gone.len() / 2];
         let order = &mut self.order;
@@ -165,9 +168,9 @@
         self.forgotten = self.forgotten.max(middle);
     }
 
-    /// Keys whose last change that matters came after a revision.
-    fn changed_after(&self, after: u64) -> impl Iterator<Item = (&Arc<str>, &Held)> {
-        let newer = self.order.range((after + 1, Arc::from(""))..);
+    /// Keys whose last change that matters came after a position.
+    fn changed_after(&self, after: Position) -> impl Iterator<Item = (&Arc<str>, &Held)> {
+        let newer = self.order.range((after.next(), Arc::from(""))..);
         newer.map(|(_, key)| (key, &self.held[key]))
     }
 
@@ -178,21 +181,45 @@
 
     /// What this copy lacks against one of which a peer states so much.
     fn lack(&self, statement: &Statement) -> Lack {
-        let servers = statement.servers_changed > self.servers();
-        match statement.changed {
+        if statement.position.era < self.position.era {
+            return Lack::Nothing;
+        }
+        // In another era nothing is known to be as it was.
+        let begun = Position::new(statement.position.era, 0);
+        let servers = statement.servers_changed.max(begun) > self.servers();
+        match statement.changed.max(begun) {
             changed if changed <= self.position && !servers => Lack::Nothing,
             changed if changed <= self.position.max(self.small) && !servers => Lack::LargeValues,
             _ => Lack::Changes,
         }
     }
 
-    /// The revision up to which no server's entry is missing.
-    fn servers(&self) -> u64 {
+    /// The position up to which no server's entry is missing.
+    fn servers(&self) -> Position {
         self.servers.max(self.small).max(self.position)
     }
 
-    /// The last revision up to the position that may have changed something that matters.
-    fn last_change(&self) -> u64 {
+    /// The last era of the store of which anything is known.
+    fn era(&self) -> u64 {
+        self.servers().era
+    }
+
+    /// Notes that news of a later era come in. What the store lacks of the last moments is written again, as after an
+    /// absence.
+    fn enter_era(&mut self, position: Position, now: Instant) {
+        if position.era <= self.era() || self.position.is_start() {
+            return;
+        }
+        let (before, after) = (self.position, position);
+        info!(era = before.era, revision = before.revision, new_era = after.era, new_revision = after.revision; "the store came back from an older copy of itself");
+        self.outages.restored(now);
+        for until in self.missing.values_mut() {
+            *until = now + COME_BACK;
+        }
+    }
+
+    /// The last position up to the copy's that may have changed something that matters.
+    fn last_change(&self) -> Position {
         // Changes that were given ahead are not told apart: some may lie below the position by now.
         if self.ahead > self.position { self.position } else { self.changed.max(self.ahead) }
     }
@@ -212,8 +239,8 @@
         Mirror { gateway, roster, schema, state: Mutex::default() }
     }
 
-    /// The revision up to which nothing is missing; 0 for an empty copy.
-    pub fn position(&self) -> u64 {
+    /// The position up to which nothing is missing; the start for an empty copy.
+    pub fn position(&self) -> Position {
         self.state().position
     }
 
@@ -234,16 +261,17 @@
     }
 
     /// Takes in all keys, read at `position`, as the store stood at `seen`.
-    pub fn replace(&self, entries: Vec<Entry>, position: u64, seen: Instant, now: Instant) {
+    pub fn replace(&self, entries: Vec<Entry>, position: Position, seen: Instant, now: Instant) {
         self.replace_all(entries.into_iter().map(News::from).collect(), position, seen, now);
     }
 
-    fn replace_all(&self, news: Vec<News>, position: u64, seen: Instant, now: Instant) {
+    fn replace_all(&self, news: Vec<News>, position: Position, seen: Instant, now: Instant) {
         let mut state = self.state();
+        state.enter_era(position, now);
         if position < state.position {
             // Older than what is known: a read that was overtaken.
             let known = state.position;
-            warn!(read = position, known = known; "a read of the store is older than this copy and changes nothing");
+            warn!(era = position.era, revision = position.revision, known_era = known.era, known_revision = known.revision; "a read of the store is older than this copy and changes nothing");
             self.gateway.metrics.store_reads.with_label_values(&["older"]).inc();
             return;
         }
@@ -271,12 +299,13 @@
     }
 
     /// Takes in all changes up to `position`, as the store stood at `seen`.
-    pub fn advance(&self, changes: Vec<Change>, position: u64, seen: Instant, now: Instant) {
+    pub fn advance(&self, changes: Vec<Change>, position: Position, seen: Instant, now: Instant) {
         self.take_all(changes.into_iter().map(News::from).collect(), position, seen, now);
     }
 
-    fn take_all(&self, news: Vec<News>, position: u64, seen: Instant, now: Instant) {
+    fn take_all(&self, news: Vec<News>, position: Position, seen: Instant, now: Instant) {
         let mut state = self.state();
+        state.enter_era(position, now);
         self.confirm(&mut state, position, seen, now);
         for news in news {
             self.take(&mut state, news, seen, now);
@@ -287,6 +316,9 @@
     /// Hears a peer's statement that was true at `seen` or later. Says what this copy lacks.
     pub fn hear(&self, statement: Statement, seen: Instant, now: Instant) -> Lack {
         let mut state = self.state();
+        if statement.position.era != state.position.era {
+            return state.lack(&statement);
+        }
         if state.position < statement.since {
             // The peer can't tell what was deleted between the two; another one may.
             let untold = state.confirmed.is_none() || state.age(now) > UNTOLD;
@@ -328,17 +360,17 @@
     }
 
     /// What a copy at `after` lacks, large values left out.
-    pub fn update_after(&self, after: u64, now: Instant) -> Option<Update> {
+    pub fn update_after(&self, after: Position, now: Instant) -> Option<Update> {
         self.update(after, SMALL, now)
     }
 
     /// All that a copy at `after` lacks.
-    pub fn all_after(&self, after: u64, now: Instant) -> Option<Update> {
+    pub fn all_after(&self, after: Position, now: Instant) -> Option<Update> {
         self.update(after, usize::MAX, now)
     }
 
     /// What a copy at `after` lacks, of values with up to `most` bytes.
-    fn update(&self, after: u64, most: usize, now: Instant) -> Option<Update> {
+    fn update(&self, after: Position, most: usize, now: Instant) -> Option<Update> {
         let statement = self.statement(now)?;
         let state = self.state();
         let whole = after < state.forgotten;
@@ -361,6 +393,13 @@
     /// Takes in what a peer gave, true at `seen` or later.
     pub fn apply(&self, update: Update, seen: Instant, now: Instant) {
         let Statement { position, servers, .. } = update.statement;
+        {
+            let mut state = self.state();
+            if position.era < state.position.era {
+                return;
+            }
+            state.enter_era(position, now);
+        }
         if update.whole && update.complete {
             let live = update.cells.into_iter().filter(|cell| !cell.content.is_deleted());
             self.replace_all(live.map(News::from).collect(), position, seen, now);
@@ -381,14 +420,20 @@
 
     /// Takes in all changes of servers' entries and of closed halls up to `position`, as the store stood at
     /// `seen`, ahead of all else.
-    pub fn advance_urgent(&self, changes: Vec<Change>, position: u64, seen: Instant, now: Instant) {
+    pub fn advance_urgent(
+        &self,
+        changes: Vec<Change>,
+        position: Position,
+        seen: Instant,
+        now: Instant,
+    ) {
         self.take_ahead(changes.into_iter().map(News::from).collect(), seen, now);
         let mut state = self.state();
         state.servers = state.servers.max(position);
     }
 
-    /// The revision up to which no server's entry and no closed hall is missing.
-    pub fn urgent_position(&self) -> u64 {
+    /// The position up to which no server's entry and no closed hall is missing.
+    pub fn urgent_position(&self) -> Position {
         self.state().servers()
     }
 
@@ -435,7 +480,7 @@
         self.state.lock().expect("no holder panics")
     }
 
-    fn confirm(&self, state: &mut State, position: u64, seen: Instant, now: Instant) {
+    fn confirm(&self, state: &mut State, position: Position, seen: Instant, now: Instant) {
         state.position = state.position.max(position);
         let late = state.age(now);
         state.confirmed = state.confirmed.max(Some(seen));
@@ -446,7 +491,7 @@
                 info!(late_ms = late, unheard_ms = unheard; "copy of the store is current again");
             }
         }
-        self.gateway.in_force.confirm(self.gateway.in_force.revision(), seen);
+        self.gateway.in_force.confirm(self.gateway.in_force.position(), seen);
     }
 
     fn take(&self, state: &mut State, news: News, seen: Instant, now: Instant) {
@@ -474,7 +519,7 @@
             (Content::Value(_), Content::Value(_)) if is_server => false,
             (before, after) => before != after,
         });
-        let known = known.map_or(0, |held| held.mattered);
+        let known = known.map_or(Position::START, |held| held.mattered);
         let mattered = match mattered {
             Some(mattered) => mattered.max(known),
             None if is_new => revision,
--- a/src/gateway/mirror/enforce.rs
+++ b/src/gateway/mirror/enforce.rs
@@ -5,6 +5,7 @@
 use crate::gateway::in_force::Declared;
 use crate::gateway::port::Undecodable;
 use crate::gateway::servers::ServerRecord;
+use crate::platform::Position;
 use bytes::Bytes;
 use log::{info, warn};
 use std::sync::Arc;
@@ -15,7 +16,7 @@
     pub(super) fn put_in_force(
         &self,
         key: &str,
-        revision: u64,
+        revision: Position,
         value: Option<Bytes>,
         seen: Instant,
         now: Instant,
@@ -37,7 +38,7 @@
         }
     }
 
-    fn take_rollout(&self, service: &str, revision: u64, value: Option<&[u8]>, now: Instant) {
+    fn take_rollout(&self, service: &str, revision: Position, value: Option<&[u8]>, now: Instant) {
         match value.map(|value| self.schema.rollout(service, value)).transpose() {
             Ok(order) => self.gateway.take_order(service, revision, order, now),
             Err(e) => {
@@ -49,7 +50,7 @@
     fn take_rollout_record(
         &self,
         service: &str,
-        revision: u64,
+        revision: Position,
         value: Option<&[u8]>,
         now: Instant,
     ) {
@@ -62,11 +63,12 @@
         }
     }
 
-    fn take_declaration(&self, revision: u64, value: &[u8], seen: Instant) {
+    fn take_declaration(&self, position: Position, value: &[u8], seen: Instant) {
+        let revision = position.revision;
         match self.schema.table(value) {
             Ok(table) => {
                 let (version, table) = (table.version, Arc::new(table));
-                if self.gateway.in_force.take(Declared { revision, table }, seen) {
+                if self.gateway.in_force.take(Declared { position, table }, seen) {
                     self.gateway.metrics.config_revision.set(revision as i64);
                     info!(version = version, revision = revision; "configuration in force");
                 }
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -42,6 +42,11 @@
         self.failed = self.failed.max(Some(at));
     }
 
+    /// Notes that the store is back from an older copy of itself, which may lack what was written since.
+    pub fn restored(&mut self, now: Instant) {
+        self.returned = Some(now);
+    }
+
     /// Whether the store answers no daemon at present, as far as known.
     pub fn is_away(&self) -> bool {
         self.failed > self.answered
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -7,7 +7,7 @@
 use crate::gateway::servers::ServerRecord;
 use crate::gateway::table::Table;
 use crate::outcome::NotSent;
-use crate::platform::{Change, Entry, LeaseId, PlatformResult, Swap};
+use crate::platform::{self, LeaseId, PlatformResult, Position};
 use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode};
 use std::collections::HashMap;
@@ -168,13 +168,32 @@
     fn free<'a>(&'a self, source: SocketAddr, handle: &'a str) -> BoxFuture<'a, ()>;
 }
 
+/// A key of the store.
+pub type Entry = platform::Entry<Position>;
+
+/// A change of a key.
+pub type Change = platform::Change<Position>;
+
+/// Which way a conditional write went.
+pub type Swap = platform::Swap<Position>;
+
+/// A lease, which is known to the store in one era only: it may give the id to another lease after it came back from
+/// a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lease {
+    /// Its id.
+    pub id: LeaseId,
+    /// The era in which it was granted.
+    pub era: u64,
+}
+
 /// Changes that a waiting read gave.
 #[derive(Debug, Clone)]
 pub struct Changes {
     /// In the order of their revisions.
     pub changes: Vec<Change>,
-    /// The revision up to which nothing is missing.
-    pub revision: u64,
+    /// The position up to which nothing is missing.
+    pub revision: Position,
 }
 
 /// Some keys of the store. Pages of one read are no snapshot.
@@ -182,8 +201,8 @@
 pub struct Page {
     /// In the order of their keys.
     pub entries: Vec<Entry>,
-    /// The store's revision at the read.
-    pub revision: u64,
+    /// The store's position at the read.
+    pub revision: Position,
     /// Whether there are more.
     pub more: bool,
 }
@@ -196,34 +215,34 @@
         prefix: &'a str,
         after: Option<&'a str>,
     ) -> BoxFuture<'a, PlatformResult<Page>>;
-    /// Changes below `prefix` after a revision, at latest after `wait`; `None` where the store no
-    /// longer knows that far back.
+    /// Changes below `prefix` after a position, at latest after `wait`; `None` where the store no
+    /// longer knows that far back, or has come back from a copy since.
     fn changes<'a>(
         &'a self,
         prefix: &'a str,
-        after: u64,
+        after: Position,
         wait: Duration,
     ) -> BoxFuture<'a, PlatformResult<Option<Changes>>>;
     /// Opens a lease.
-    fn grant(&self, ttl: Duration) -> BoxFuture<'_, PlatformResult<LeaseId>>;
-    /// Renews a lease; `false` where it has lapsed.
-    fn renew(&self, lease: LeaseId) -> BoxFuture<'_, PlatformResult<bool>>;
-    /// Writes a key under a lease; `false` where the lease has lapsed.
+    fn grant(&self, ttl: Duration) -> BoxFuture<'_, PlatformResult<Lease>>;
+    /// Renews a lease; `false` where it has lapsed or is of an earlier era.
+    fn renew(&self, lease: Lease) -> BoxFuture<'_, PlatformResult<bool>>;
+    /// Writes a key under a lease; `false` where the lease has lapsed or is of an earlier era.
     fn put<'a>(
         &'a self,
         key: &'a str,
         value: Vec<u8>,
-        lease: LeaseId,
+        lease: Lease,
     ) -> BoxFuture<'a, PlatformResult<bool>>;
-    /// Writes keys if `key` was last changed at this revision; at zero, if it is not there.
+    /// Writes keys if `key` was last changed at this position; at the start, if it is not there.
     fn swap<'a>(
         &'a self,
         key: &'a str,
-        revision: u64,
+        at: Position,
         puts: Vec<(String, Vec<u8>)>,
     ) -> BoxFuture<'a, PlatformResult<Swap>>;
-    /// Ends a lease and its keys.
-    fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, PlatformResult<()>>;
+    /// Ends a lease and its keys; nothing where it is of an earlier era.
+    fn revoke(&self, lease: Lease) -> BoxFuture<'_, PlatformResult<()>>;
 }
 
 /// A value of the store that does not hold.
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -19,6 +19,7 @@
 use crate::gateway::clock::{before, millis};
 use crate::gateway::servers::ServerKey;
 use crate::gateway::tag::Tag;
+use crate::platform::Position;
 pub use pick::{Arm, Draw, Pick, Retired};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -97,6 +98,9 @@
 pub struct Record {
     /// The store's revision of the order.
     pub order: u64,
+    /// The era of that revision.
+    #[serde(default)]
+    pub era: u64,
     /// How far the roll-out has come.
     pub state: State,
     /// Why.
@@ -157,8 +161,8 @@
 #[derive(Debug)]
 pub struct Rollout {
     order: Order,
-    /// The store's revision of the order.
-    revision: u64,
+    /// Where the store wrote the order.
+    position: Position,
     /// Its name among daemons.
     tag: Tag,
     /// When the order was given, as far as known.
@@ -176,11 +180,13 @@
 }
 
 impl Rollout {
-    fn new(service: &str, revision: u64, order: Order, now: Instant) -> Rollout {
+    fn new(service: &str, position: Position, order: Order, now: Instant) -> Rollout {
         Rollout {
             order,
-            revision,
-            tag: Tag::of(service).with(Tag::number(revision)),
+            position,
+            tag: Tag::of(service)
+                .with(Tag::number(position.era))
+                .with(Tag::number(position.revision)),
             began: now,
             state: None,
             halted: None,
@@ -390,16 +396,16 @@
 #[derive(Debug, Default)]
 pub struct Rollouts {
     by_service: HashMap<Arc<str>, Rollout>,
-    /// The store's records, each with its revision.
-    records: HashMap<Arc<str>, (u64, Record)>,
+    /// The store's records, each with its position.
+    records: HashMap<Arc<str>, (Position, Record)>,
 }
 
 impl Rollouts {
     /// Takes in an order, or with `None` that it was withdrawn.
-    pub fn order(&mut self, service: &str, revision: u64, order: Option<Order>, now: Instant) {
+    pub fn order(&mut self, service: &str, position: Position, order: Option<Order>, now: Instant) {
         match order {
             Some(order) => {
-                let rollout = Rollout::new(service, revision, order, now);
+                let rollout = Rollout::new(service, position, order, now);
                 self.by_service.insert(service.into(), rollout);
                 self.apply_record(service, now);
             }
@@ -412,11 +418,17 @@
     }
 
     /// Takes in what the store says of how far a roll-out has come. Says whether that was not known before.
-    pub fn record(&mut self, service: &str, revision: u64, record: Record, now: Instant) -> bool {
+    pub fn record(
+        &mut self,
+        service: &str,
+        position: Position,
+        record: Record,
+        now: Instant,
+    ) -> bool {
         let known = self.records.get(service);
-        let is_news = known.is_none_or(|(known, _)| *known < revision);
+        let is_news = known.is_none_or(|(known, _)| *known < position);
         if is_news {
-            self.records.insert(service.into(), (revision, record));
+            self.records.insert(service.into(), (position, record));
             self.apply_record(service, now);
         }
         is_news
@@ -428,18 +440,19 @@
         else {
             return;
         };
-        if record.order == rollout.revision
+        if Position::new(record.era, record.order) == rollout.position
             && rollout.state.map(|(state, _)| state) != Some(record.state)
         {
             rollout.state = Some((record.state, now));
         }
     }
 
-    /// The record that a step leads to, and the revision of the one that it replaces; zero where there is none.
-    pub fn next_record(&self, service: &str, step: Step) -> Option<(u64, Record)> {
+    /// The record that a step leads to, and the position of the one that it replaces; the start where there is none.
+    pub fn next_record(&self, service: &str, step: Step) -> Option<(Position, Record)> {
         let rollout = self.by_service.get(service)?;
-        let replaced = self.records.get(service).map_or(0, |(revision, _)| *revision);
-        let record = Record { order: rollout.revision, state: step.to, why: step.why.into() };
+        let replaced = self.records.get(service).map_or(Position::START, |(position, _)| *position);
+        let Position { era, revision } = rollout.position;
+        let record = Record { order: revision, era, state: step.to, why: step.why.into() };
         Some((replaced, record))
     }
 
--- a/src/gateway/rollout/controller.rs
+++ b/src/gateway/rollout/controller.rs
@@ -3,11 +3,12 @@
 use crate::gateway::cluster::Cluster;
 use crate::gateway::core::Gateway;
 use crate::gateway::mirror::Mirror;
+use crate::gateway::port::Swap;
 use crate::gateway::port::{Schema, Store};
 use crate::gateway::rollout::{Census, Draw, Order, Pick, Record, Rollouts, Step};
 use crate::gateway::server::Server;
 use crate::gateway::servers::ServerKey;
-use crate::platform::{PlatformResult, Swap};
+use crate::platform::{PlatformResult, Position};
 use crate::time;
 use log::{info, warn};
 use std::collections::HashMap;
@@ -35,7 +36,7 @@
     pub(crate) fn take_order(
         &self,
         service: &str,
-        revision: u64,
+        revision: Position,
         order: Option<Order>,
         now: Instant,
     ) {
@@ -52,7 +53,13 @@
     }
 
     /// Takes in the store's record of a roll-out.
-    pub(crate) fn take_record(&self, service: &str, revision: u64, record: Record, now: Instant) {
+    pub(crate) fn take_record(
+        &self,
+        service: &str,
+        revision: Position,
+        record: Record,
+        now: Instant,
+    ) {
         let (state, why) = (record.state.name(), record.why.clone());
         // The daemon that wrote it reads it once more with its copy of the store.
         if !self.rollouts().record(service, revision, record, now) {
@@ -202,7 +209,12 @@
         }
     }
 
-    async fn write(&self, service: &str, replaced: u64, record: &Record) -> PlatformResult<Swap> {
+    async fn write(
+        &self,
+        service: &str,
+        replaced: Position,
+        record: &Record,
+    ) -> PlatformResult<Swap> {
         let key = format!("{}{service}", self.schema.rollout_records());
         let value = serde_json::to_vec(record).expect("a record is JSON");
         let version = self.gateway.rollouts().version(service).unwrap_or_default();
--- a/src/gateway/update.rs
+++ b/src/gateway/update.rs
@@ -1,23 +1,24 @@
 //! What daemons tell and give each other of their copies of the store.
 
 use crate::gateway::servers::ServerRecord;
+use crate::platform::Position;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 /// What a daemon says of its copy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Statement {
-    /// The revision up to which nothing is missing.
-    pub position: u64,
-    /// The last revision that changed something that matters.
-    pub changed: u64,
-    /// The revision up to which no server's entry is missing; the position or beyond it.
-    pub servers: u64,
-    /// The last revision up to there that changed a server's entry.
-    pub servers_changed: u64,
-    /// The revision from which on it knows every deletion: a copy that was read as a whole does not show
+    /// The position up to which nothing is missing.
+    pub position: Position,
+    /// The last change that matters.
+    pub changed: Position,
+    /// The position up to which no server's entry is missing; that of the copy or beyond it.
+    pub servers: Position,
+    /// The last change of a server's entry up to there.
+    pub servers_changed: Position,
+    /// The position from which on it knows every deletion: a copy that was read as a whole does not show
     /// what went before.
-    pub since: u64,
+    pub since: Position,
     /// How long ago the store was known to stand so, in milliseconds.
     pub age_ms: u32,
 }
@@ -27,11 +28,11 @@
 pub struct Cell {
     /// The key.
     pub key: String,
-    /// The revision of its last change.
-    pub revision: u64,
-    /// The revision of the last one that matters. A daemon that is given the key can't tell by itself: a
+    /// Its last change.
+    pub revision: Position,
+    /// The last one that matters. A daemon that is given the key can't tell by itself: a
     /// server that went and came back looks to it as it did before.
-    pub mattered: u64,
+    pub mattered: Position,
     /// What it holds.
     pub content: Content,
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -4,6 +4,7 @@
 //! compare-and-swap, leases and watches, nothing more.
 
 use futures_util::future::BoxFuture;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -38,24 +39,56 @@
 /// Result of a call of the platform's service.
 pub type PlatformResult<T> = Result<T, PlatformError>;
 
-/// A value and the revision that wrote it.
+/// A place in the order of a service's changes, where the service may come back from an older copy of itself. It then
+/// has lost what it acknowledged since the copy was made, and gives the same revisions out again.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// How often the service had come back from a copy; zero where it never says.
+    pub era: u64,
+    /// The service's revision in that era.
+    pub revision: u64,
+}
+
+impl Position {
+    /// Before the first change.
+    pub const START: Position = Position { era: 0, revision: 0 };
+
+    /// A revision of an era.
+    pub fn new(era: u64, revision: u64) -> Position {
+        Position { era, revision }
+    }
+
+    /// Whether it is before the first change.
+    pub fn is_start(self) -> bool {
+        self == Position::START
+    }
+
+    /// The least one after it.
+    pub fn next(self) -> Position {
+        Position { revision: self.revision + 1, ..self }
+    }
+}
+
+/// A value and the revision that wrote it. Where the service may go back, revisions are of type [`Position`].
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Entry {
+pub struct Entry<R = u64> {
     /// The key.
     pub key: String,
     /// The value, at most a megabyte.
     pub value: Vec<u8>,
     /// The service's revision at the last write of this key.
-    pub revision: u64,
+    pub revision: R,
 }
 
 /// Entries below a prefix, all read at one revision.
 #[derive(Debug, Clone)]
-pub struct Range {
+pub struct Range<R = u64> {
     /// In the order of their keys.
-    pub entries: Vec<Entry>,
+    pub entries: Vec<Entry<R>>,
     /// The service's revision at the read.
-    pub revision: u64,
+    pub revision: R,
 }
 
 /// What a compare-and-swap expects to find.
@@ -69,22 +102,22 @@
 
 /// Which way a compare-and-swap went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Swap {
+pub enum Swap<R = u64> {
     /// Done, at this revision.
-    Won(u64),
+    Won(R),
     /// Something else was found; nothing was written.
     Lost,
 }
 
 /// A change seen by a watch.
 #[derive(Debug, Clone)]
-pub struct Change {
+pub struct Change<R = u64> {
     /// The key.
     pub key: String,
     /// The new value; `None` where it was deleted.
     pub value: Option<Vec<u8>>,
     /// The service's revision of the change.
-    pub revision: u64,
+    pub revision: R,
 }
 
 /// The id of a lease.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,7 @@
     Homes, Limits, Route, RouteKind, Service, Table, Target, Workspace,
 };
 use tidestair::gateway::tag::Tag;
+use tidestair::platform::Position;
 
 const LIMITS: Limits = Limits {
     header_bytes: 1_000,
@@ -20,9 +21,18 @@
     idle_time: Duration::from_secs(1),
 };
 
+/// A position of a store that never went back.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 fn declared(revision: u64) -> Declared {
-    let table = Table::new(revision, LIMITS, Vec::new(), Vec::new(), Vec::new());
-    Declared { revision, table: Arc::new(table) }
+    version_at(revision, at(revision))
+}
+
+fn version_at(version: u64, position: Position) -> Declared {
+    let table = Table::new(version, LIMITS, Vec::new(), Vec::new(), Vec::new());
+    Declared { position, table: Arc::new(table) }
 }
 
 fn ms(n: u64) -> Duration {
@@ -35,22 +45,35 @@
     assert!(in_force.take(declared(5), now));
     assert!(!in_force.take(declared(5), now));
     assert!(!in_force.take(declared(4), now + ms(1)));
-    assert_eq!(in_force.revision(), 5);
+    assert_eq!(in_force.position(), at(5));
     assert!(in_force.take(declared(6), now));
 }
 
+/// Guards against a version that comes back with a store that lost the ones after it.
+#[test]
+fn a_store_that_goes_back_does_not_bring_an_older_version_back() {
+    let (in_force, now) = (InForce::default(), Instant::now());
+    assert!(in_force.take(version_at(25, Position::new(0, 40)), now));
+    assert!(!in_force.take(version_at(22, Position::new(1, 30)), now), "older, from the copy");
+    assert!(!in_force.take(version_at(24, Position::new(1, 41)), now), "written again in order");
+    assert!(in_force.take(version_at(25, Position::new(1, 42)), now), "written again");
+    assert!(!in_force.take(version_at(30, Position::new(0, 90)), now), "of an earlier era");
+    assert!(in_force.take(version_at(27, Position::new(1, 43)), now));
+    assert_eq!(in_force.position(), Position::new(1, 43));
+}
+
 #[test]
 fn only_the_version_in_force_is_confirmed() {
     let (in_force, start) = (InForce::default(), Instant::now());
     assert_eq!(in_force.age(start), None);
-    in_force.confirm(0, start);
+    in_force.confirm(at(0), start);
     assert_eq!(in_force.age(start), None, "nothing is in force");
     in_force.take(declared(5), start);
-    in_force.confirm(4, start + ms(500));
+    in_force.confirm(at(4), start + ms(500));
     assert_eq!(in_force.age(start + ms(700)), Some(ms(700)));
-    in_force.confirm(5, start + ms(500));
+    in_force.confirm(at(5), start + ms(500));
     assert_eq!(in_force.age(start + ms(700)), Some(ms(200)));
-    in_force.confirm(5, start + ms(100));
+    in_force.confirm(at(5), start + ms(100));
     assert_eq!(in_force.age(start + ms(700)), Some(ms(200)), "a later confirmation counts");
 }
 
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -14,11 +14,12 @@
 use tidestair::gateway::core::{Bounds, Gateway};
 use tidestair::gateway::mirror::Mirror;
 use tidestair::gateway::place::Headroom;
+use tidestair::gateway::port::{Change, Entry};
 use tidestair::gateway::regions::Regions;
 use tidestair::gateway::roster::{Daemon, Roster};
 use tidestair::gateway::update::{Lack, Statement, Update};
 use tidestair::message;
-use tidestair::platform::{Change, Entry};
+use tidestair::platform::Position;
 
 struct Node {
     gateway: Arc<Gateway>,
@@ -46,14 +47,14 @@
     fn hear(&self, truth: &Truth, age: Duration, now: Instant) {
         self.mirror.store_failed(now);
         self.mirror.store_answered(now - age, now);
-        let revision = truth.revision();
+        let position = truth.position();
         let age_ms = age.as_millis() as u32;
         let statement = Statement {
-            position: revision,
-            changed: revision,
-            servers: revision,
-            servers_changed: revision,
-            since: 0,
+            position,
+            changed: position,
+            servers: position,
+            servers_changed: position,
+            since: Position::START,
             age_ms,
         };
         self.mirror.hear(statement, now - age, now);
@@ -97,6 +98,11 @@
 /// Bytes of a large configuration's value: more than peers give first.
 const LARGE: usize = 5_000;
 
+/// A position of a store that never went back.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 /// The true store: every change so far.
 #[derive(Default)]
 struct Truth {
@@ -110,6 +116,10 @@
         self.changes.len() as u64
     }
 
+    fn position(&self) -> Position {
+        at(self.revision())
+    }
+
     /// Carries out what an act writes to the store, if anything.
     fn take(&mut self, act: &Act, now: Instant) {
         match act {
@@ -129,7 +139,7 @@
     }
 
     fn write(&mut self, key: &str, value: Option<String>, now: Instant) {
-        let revision = self.revision() + 1;
+        let revision = at(self.revision() + 1);
         let value = value.map(String::into_bytes);
         self.changes.push(Change { key: key.into(), value, revision });
         self.times.push(now);
@@ -147,9 +157,9 @@
     }
 
     /// Ids of the servers that were listed at a revision.
-    fn servers_at(&self, revision: u64) -> BTreeSet<String> {
+    fn servers_at(&self, position: Position) -> BTreeSet<String> {
         let mut listed = BTreeSet::new();
-        for change in self.changes.iter().filter(|c| c.revision <= revision) {
+        for change in self.changes.iter().filter(|c| c.revision <= position) {
             let Some(id) = change.key.strip_prefix("servers/") else {
                 continue;
             };
@@ -162,10 +172,10 @@
     }
 
     /// The last declaration written up to a moment.
-    fn declared_at(&self, at: Instant) -> u64 {
+    fn declared_at(&self, at: Instant) -> Position {
         let written = self.changes.iter().zip(&self.times).filter(|(_, time)| **time <= at);
         let declared = written.filter(|(c, _)| c.key == "config").map(|(c, _)| c.revision);
-        declared.max().unwrap_or(0)
+        declared.max().unwrap_or(Position::START)
     }
 }
 
@@ -173,23 +183,23 @@
 fn read(mirror: &Mirror, truth: &Truth, now: Instant) {
     mirror.store_answered(now, now);
     let after = mirror.position();
-    if after == 0 {
-        return mirror.replace(truth.entries(), truth.revision(), now, now);
+    if after.is_start() {
+        return mirror.replace(truth.entries(), truth.position(), now, now);
     }
     let newer = truth.changes.iter().filter(|c| c.revision > after).cloned();
-    mirror.advance(newer.collect(), truth.revision(), now, now);
+    mirror.advance(newer.collect(), truth.position(), now, now);
 }
 
 /// Reads the servers' entries apart, as a daemon does whose answer of the store is slow.
 fn read_servers(mirror: &Mirror, truth: &Truth, now: Instant) {
     let after = mirror.urgent_position();
-    if after == 0 {
+    if after.is_start() {
         return;
     }
     let newer = truth.changes.iter().filter(|c| c.revision > after);
     let urgent = |c: &&Change| mirror.urgent().iter().any(|prefix| c.key.starts_with(prefix));
     let newer = newer.filter(urgent).cloned();
-    mirror.advance_urgent(newer.collect(), truth.revision(), now, now);
+    mirror.advance_urgent(newer.collect(), truth.position(), now, now);
 }
 
 #[derive(Debug, Clone)]
@@ -346,14 +356,14 @@
         let mut truth = Truth::default();
         // Statements on the way: what was said, and the receiver's clock that it returned.
         let mut said: Vec<Vec<_>> = vec![Vec::new(); 3];
-        let mut highest = [0u64; 3];
+        let mut highest = [Position::START; 3];
         for act in acts {
             truth.take(&act, now);
             match act {
                 Act::Read(n, whole) => {
                     let mirror = &nodes[n].mirror;
                     match whole {
-                        true => mirror.replace(truth.entries(), truth.revision(), now, now),
+                        true => mirror.replace(truth.entries(), truth.position(), now, now),
                         false => read(mirror, &truth, now),
                     }
                 }
@@ -373,15 +383,15 @@
                 _ => {}
             }
             for (node, highest) in nodes.iter().zip(&mut highest) {
-                let revision = node.gateway.in_force.revision();
-                prop_assert!(revision >= *highest, "went back from {highest} to {revision}");
-                *highest = revision;
-                if revision > 0 && let Some(age) = node.gateway.in_force.age(now) {
+                let position = node.gateway.in_force.position();
+                prop_assert!(position >= *highest, "went back from {highest:?} to {position:?}");
+                *highest = position;
+                if !position.is_start() && let Some(age) = node.gateway.in_force.age(now) {
                     // Ages are told in whole milliseconds, cut off.
                     let confirmed = now - age - Duration::from_millis(2);
                     prop_assert!(
-                        truth.declared_at(confirmed) <= revision,
-                        "held {revision} for the newest {age:?} ago"
+                        truth.declared_at(confirmed) <= position,
+                        "held {position:?} for the newest {age:?} ago"
                     );
                 }
             }
@@ -397,7 +407,7 @@
         let nodes = [node(start), node(start), node(start)];
         let mut truth = Truth::default();
         // Up to where a node was given small values ahead.
-        let mut ahead = [0u64; 3];
+        let mut ahead = [Position::START; 3];
         for act in acts {
             truth.take(&act, now);
             match act {
@@ -405,7 +415,7 @@
                 Act::Read(n, _) => read(&nodes[n].mirror, &truth, now),
                 Act::ReadServers(n) => {
                     read_servers(&nodes[n].mirror, &truth, now);
-                    ahead[n] = truth.revision();
+                    ahead[n] = truth.position();
                 }
                 Act::Tell(from, to, _) => {
                     if let Some(statement) = nodes[from].mirror.statement(now) {
@@ -415,7 +425,7 @@
                 }
                 Act::Give(from, to, all) => {
                     nodes[from].give(&nodes[to], all, now);
-                    ahead[to] = truth.revision();
+                    ahead[to] = truth.position();
                 }
                 Act::Wait(ms) => now += Duration::from_millis(ms.into()),
                 _ => {}
@@ -426,7 +436,8 @@
             let position = node.mirror.position();
             let servers = node.mirror.urgent_position();
             let had = |id: &String| {
-                let mut had = (servers..=ahead.max(servers)).map(|r| truth.servers_at(r).contains(id));
+                let revisions = servers.revision..=ahead.max(servers).revision;
+                let mut had = revisions.map(|r| truth.servers_at(at(r)).contains(id));
                 let has = node.servers().contains(id);
                 had.any(|had| had == has)
             };
@@ -456,7 +467,7 @@
                 Way::Read(n) => read(&nodes[n].mirror, &truth, now),
                 Way::Apart(n) => read_servers(&nodes[n].mirror, &truth, now),
                 Way::Whole(n) => {
-                    nodes[n].mirror.replace(truth.entries(), truth.revision(), now, now);
+                    nodes[n].mirror.replace(truth.entries(), truth.position(), now, now);
                 }
                 Way::Given(n) => nodes[n].give(&nodes[1 - n], false, now),
             }
@@ -479,18 +490,18 @@
             truth.take(&act, now);
             match act {
                 Act::Give(_, _, all) => {
-                    nodes[0].mirror.replace(truth.entries(), truth.revision(), now, now);
+                    nodes[0].mirror.replace(truth.entries(), truth.position(), now, now);
                     nodes[0].give(&nodes[1], all, now);
                 }
                 Act::Wait(ms) => now += Duration::from_millis(ms.into()),
                 _ => {}
             }
         }
-        nodes[0].mirror.replace(truth.entries(), truth.revision(), now, now);
+        nodes[0].mirror.replace(truth.entries(), truth.position(), now, now);
         nodes[0].give(&nodes[1], true, now);
         for node in &nodes {
             node.mirror.tick(now + Duration::from_secs(5));
-            prop_assert_eq!(node.servers(), truth.servers_at(truth.revision()));
+            prop_assert_eq!(node.servers(), truth.servers_at(truth.position()));
         }
     }
 }
@@ -603,7 +614,11 @@
     read(&giver.mirror, &truth, now);
     giver.give(&taker, false, now);
     let ahead = taker.mirror.statement(now).expect("it has read");
-    assert_eq!((ahead.position, ahead.servers), (3, 5), "it vouches for no more than it holds");
+    assert_eq!(
+        (ahead.position, ahead.servers),
+        (at(3), at(5)),
+        "it vouches for no more than it holds"
+    );
     assert_eq!(other.mirror.hear(ahead, now, now), Lack::Changes, "a server's leaving is told on");
     giver.give(&taker, true, now);
     let whole = taker.mirror.statement(now).expect("it has read");
@@ -623,10 +638,10 @@
     assert_eq!(taker.mirror.hear(statement, now, now), Lack::Changes);
     giver.give(&taker, false, now);
     assert_eq!(taker.mirror.hear(statement, now, now), Lack::LargeValues);
-    assert_eq!(taker.gateway.in_force.revision(), 1, "the configuration is not in force yet");
+    assert_eq!(taker.gateway.in_force.position(), at(1), "the configuration is not in force yet");
     giver.give(&taker, true, now);
     assert_eq!(taker.mirror.hear(statement, now, now), Lack::Nothing);
-    assert_eq!(taker.gateway.in_force.revision(), 4);
+    assert_eq!(taker.gateway.in_force.position(), at(4));
 }
 
 #[test]
@@ -638,7 +653,11 @@
     read_servers(&reader.mirror, &truth, now);
     assert!(!reader.takes_work("1"));
     let statement = reader.mirror.statement(now).expect("it has read");
-    assert_eq!((statement.position, statement.changed), (3, 3), "the configuration is lacking");
+    assert_eq!(
+        (statement.position, statement.changed),
+        (at(3), at(3)),
+        "the configuration is lacking"
+    );
     assert_eq!(taker.mirror.hear(statement, now, now), Lack::Changes);
     reader.give(&taker, false, now);
     assert!(!taker.takes_work("1"));
@@ -682,6 +701,6 @@
     giver.give(&teller, true, now);
     read_servers(&teller.mirror, &truth, now);
     teller.give(&hearer, true, now);
-    assert_eq!(hearer.mirror.urgent_position(), truth.revision());
+    assert_eq!(hearer.mirror.urgent_position(), truth.position());
     assert!(!hearer.servers().is_empty());
 }
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -19,6 +19,7 @@
 };
 use tidestair::gateway::servers::{Load, ServerKey, ServerRecord, Servers};
 use tidestair::gateway::tag::Tag;
+use tidestair::platform::Position;
 
 /// What the users' sheet allows: a tenth of the requests, and so many besides.
 const SHARE: f64 = 0.1;
@@ -29,6 +30,11 @@
 const TIME: Duration = Duration::from_secs(14);
 const SERVICE: &str = "model";
 
+/// A position of a store that never went back.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -56,9 +62,9 @@
 /// A roll-out in its trial, as a daemon has it that was started at `now`.
 fn in_trial(now: Instant) -> Rollouts {
     let mut rollouts = Rollouts::default();
-    rollouts.order(SERVICE, 7, Some(order("v2")), now);
-    let record = Record { order: 7, state: State::Trial, why: "ordered".into() };
-    rollouts.record(SERVICE, 8, record, now);
+    rollouts.order(SERVICE, at(7), Some(order("v2")), now);
+    let record = Record { order: 7, era: 0, state: State::Trial, why: "ordered".into() };
+    rollouts.record(SERVICE, at(8), record, now);
     rollouts.count(SERVICE, census(56, 56));
     rollouts
 }
@@ -311,7 +317,7 @@
 fn take(rollouts: &mut Rollouts, revision: u64, now: Instant) -> Step {
     let (_, step) = rollouts.due(SHARE, now).remove(0);
     let (_, record) = rollouts.next_record(SERVICE, step).unwrap();
-    rollouts.record(SERVICE, revision, record, now);
+    rollouts.record(SERVICE, at(revision), record, now);
     step
 }
 
@@ -319,7 +325,7 @@
 fn a_sound_version_comes_into_force_in_time() {
     let start = Instant::now();
     let mut rollouts = Rollouts::default();
-    rollouts.order(SERVICE, 7, Some(order("v2")), start);
+    rollouts.order(SERVICE, at(7), Some(order("v2")), start);
     assert_eq!(take(&mut rollouts, 8, start).to, State::Trial);
     rollouts.count(SERVICE, census(56, 56));
     let mut rng = StdRng::seed_from_u64(1);
@@ -353,8 +359,8 @@
 fn a_version_that_turns_bad_as_all_goes_there_is_reverted() {
     let start = Instant::now();
     let mut rollouts = in_trial(start);
-    let record = Record { order: 7, state: State::Shift, why: "sound".into() };
-    rollouts.record(SERVICE, 9, record, start + ms(9_000));
+    let record = Record { order: 7, era: 0, state: State::Shift, why: "sound".into() };
+    rollouts.record(SERVICE, at(9), record, start + ms(9_000));
     let stratum = rollouts.stratum(SERVICE, "round", "v2").unwrap();
     (0..20).for_each(|_| rollouts.note(stratum, None));
     rollouts.weigh();
@@ -380,7 +386,7 @@
     ];
     for (case, census, now, wanted) in cases {
         let mut rollouts = Rollouts::default();
-        rollouts.order(SERVICE, 7, Some(order("v2")), start);
+        rollouts.order(SERVICE, at(7), Some(order("v2")), start);
         take(&mut rollouts, 8, start);
         rollouts.count(SERVICE, census);
         assert_eq!(due(&rollouts, now), wanted, "{case}");
@@ -408,17 +414,17 @@
 fn a_later_order_replaces_the_one_before_and_its_record() {
     let start = Instant::now();
     let mut rollouts = in_trial(start);
-    let record = Record { order: 7, state: State::Reverted, why: "bad".into() };
-    rollouts.record(SERVICE, 9, record, start);
-    rollouts.order(SERVICE, 12, Some(order("v3")), start + ms(100));
+    let record = Record { order: 7, era: 0, state: State::Reverted, why: "bad".into() };
+    rollouts.record(SERVICE, at(9), record, start);
+    rollouts.order(SERVICE, at(12), Some(order("v3")), start + ms(100));
     rollouts.count(SERVICE, census(56, 112));
     assert_eq!(rollouts.retired(SERVICE, start + ms(100)), None);
     let (_, step) = rollouts.due(SHARE, start + ms(200)).remove(0);
     let (replaced, record) = rollouts.next_record(SERVICE, step).unwrap();
-    assert_eq!((replaced, record.order, record.state), (9, 12, State::Trial));
+    assert_eq!((replaced, record.order, record.state), (at(9), 12, State::Trial));
     // The earlier order's record, read late, changes nothing.
-    let late = Record { order: 7, state: State::Completed, why: "late".into() };
-    rollouts.record(SERVICE, 11, late, start + ms(300));
+    let late = Record { order: 7, era: 0, state: State::Completed, why: "late".into() };
+    rollouts.record(SERVICE, at(11), late, start + ms(300));
     assert_eq!(due(&rollouts, start + ms(300)), Some(State::Trial));
 }
 
@@ -426,9 +432,9 @@
 fn a_verdict_is_never_taken_back_by_an_older_record() {
     let start = Instant::now();
     let mut rollouts = in_trial(start);
-    let record = |state| Record { order: 7, state, why: "read".into() };
-    rollouts.record(SERVICE, 12, record(State::Reverted), start);
-    rollouts.record(SERVICE, 10, record(State::Shift), start + ms(100));
+    let record = |state| Record { order: 7, era: 0, state, why: "read".into() };
+    rollouts.record(SERVICE, at(12), record(State::Reverted), start);
+    rollouts.record(SERVICE, at(10), record(State::Shift), start + ms(100));
     assert_eq!(rollouts.retired(SERVICE, start), Some(Retired::Version("v2".into())));
     assert_eq!(due(&rollouts, start + TIME), None);
 }
@@ -437,7 +443,7 @@
 fn an_order_that_is_withdrawn_is_reverted() {
     let start = Instant::now();
     let mut rollouts = in_trial(start);
-    rollouts.order(SERVICE, 20, None, start + ms(100));
+    rollouts.order(SERVICE, at(20), None, start + ms(100));
     assert_eq!(due(&rollouts, start + ms(200)), Some(State::Reverted));
 }
 
@@ -528,8 +534,8 @@
         rollouts.note(old, Some(usual(400.0, &mut rng)));
         rollouts.weigh();
     }
-    let record = Record { order: 7, state: State::Shift, why: "sound".into() };
-    rollouts.record(SERVICE, 9, record, start + ms(9_000));
+    let record = Record { order: 7, era: 0, state: State::Shift, why: "sound".into() };
+    rollouts.record(SERVICE, at(9), record, start + ms(9_000));
     for _ in 0..500 {
         rollouts.note(new, Some(usual(1_600.0, &mut rng)));
         rollouts.weigh();
