--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -4,7 +4,7 @@
 use crate::gateway::mirror::Mirror;
 use crate::gateway::port::{Lease, Schema, Store};
 use crate::gateway::roster::Roster;
-use crate::platform::PlatformResult;
+use crate::platform::{PlatformError, PlatformResult};
 use crate::time;
 use log::{info, warn};
 use rand::RngExt;
@@ -29,6 +29,8 @@
 const FIRST_LOOK: Duration = Duration::from_millis(10);
 /// Longest time for the first read of the store, which tells whether the key still stands.
 const FIRST_READ: Duration = Duration::from_secs(1);
+/// Longest pause before a key that the store has lost is written again: a fleet's daemons find that out together.
+const LOST: Duration = Duration::from_secs(2);
 /// Part of a pause that is drawn at random, so that daemons which started together don't call together.
 const DRAWN_PART: f64 = 0.3;
 
@@ -38,6 +40,7 @@
     schema: Arc<dyn Schema>,
     roster: Arc<Roster>,
     mirror: Arc<Mirror>,
+    mut eras: watch::Receiver<u64>,
     mut phase: watch::Receiver<Phase>,
 ) {
     let own = roster.own();
@@ -56,6 +59,11 @@
         };
         let kept = tokio::select! {
             kept = step => kept,
+            Ok(()) = eras.changed() => {
+                // The lease is not known to the store any more, or to be another daemon's.
+                pause = if mirror.lists(&key) { drawn(RENEWAL) } else { spread(LOST) };
+                continue;
+            }
             _ = phase.wait_for(|phase| *phase >= Phase::Leaving) => break,
         };
         pause = match kept {
@@ -90,6 +98,11 @@
     if roster.lists_own() { drawn(RENEWAL) } else { Duration::ZERO }
 }
 
+/// A pause of up to `most`.
+fn spread(most: Duration) -> Duration {
+    rand::rng().random_range(Duration::ZERO..most)
+}
+
 /// A pause with a part of it drawn at random.
 fn drawn(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(1.0 - DRAWN_PART..=1.0))
@@ -108,6 +121,8 @@
         return Ok(lease);
     }
     let lease = store.grant(LEASE).await?;
-    store.put(key, value.to_vec(), lease).await?;
-    Ok(lease)
+    match store.put(key, value.to_vec(), lease).await? {
+        true => Ok(lease),
+        false => Err(PlatformError::Unavailable { reason: "the lease of the key is over".into() }),
+    }
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -109,6 +109,8 @@
     news: watch::Sender<u64>,
     /// Counts changes of this daemon's copy of the store.
     copy_news: watch::Sender<u64>,
+    /// How often the store has come back from an older copy of itself, as far as known.
+    era: watch::Sender<u64>,
     /// Counts changes of what this daemon has running.
     load_news: watch::Sender<u64>,
     /// Tells that work went to a server.
@@ -151,6 +153,7 @@
             ends: Mutex::default(),
             news: watch::Sender::new(0),
             copy_news: watch::Sender::new(0),
+            era: watch::Sender::new(0),
             load_news: watch::Sender::new(0),
             work: Notify::new(),
             quarantine_news: Notify::new(),
@@ -235,6 +238,18 @@
         self.copy_news.send_modify(|count| *count += 1);
     }
 
+    /// The store has come back from an older copy of itself so often.
+    pub(super) fn set_era(&self, era: u64) {
+        self.metrics.store_era.set(era as i64);
+        self.metrics.store_returns.inc();
+        self.era.send_replace(era);
+    }
+
+    /// Tells when the store comes back from an older copy of itself.
+    pub fn era_news(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     /// Tells of changes of this daemon's copy of the store.
     pub fn copy_news(&self) -> watch::Receiver<u64> {
         self.copy_news.subscribe()
--- a/src/gateway/in_force.rs
+++ b/src/gateway/in_force.rs
@@ -9,6 +9,7 @@
 use crate::gateway::table::Table;
 use crate::platform::Position;
 use arc_swap::ArcSwapOption;
+use std::cmp::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -25,9 +26,12 @@
     /// Whether it is to replace a version in force.
     fn is_newer(&self, known: &Declared) -> bool {
         let (era, known_era) = (self.position.era, known.position.era);
-        match era == known_era {
-            true => self.position > known.position,
-            false => era > known_era && self.table.version >= known.table.version,
+        let (version, known_version) = (self.table.version, known.table.version);
+        match era.cmp(&known_era) {
+            Ordering::Equal => self.position > known.position,
+            Ordering::Greater => version >= known_version,
+            // Lost by the store, and kept by a peer.
+            Ordering::Less => version > known_version,
         }
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -49,6 +49,10 @@
     pub store_reads: IntCounterVec,
     /// The store's revision of the configuration in force.
     pub config_revision: IntGauge,
+    /// How often the store has come back from an older copy of itself.
+    pub store_era: IntGauge,
+    /// How often this daemon has seen that.
+    pub store_returns: IntCounter,
     /// Peers heard lately.
     pub peers: IntGauge,
     /// Messages and bytes between daemons.
@@ -153,6 +157,16 @@
                 "tidestair_gateway_config_revision",
                 "Store revision of the configuration in force",
             ),
+            store_era: gauge(
+                &r,
+                "tidestair_gateway_store_era",
+                "Era of the platform's store: how often it has come back from an older copy",
+            ),
+            store_returns: counter(
+                &r,
+                "tidestair_gateway_store_returns_total",
+                "Returns of the platform's store from an older copy that this daemon has seen",
+            ),
             peers: gauge(&r, "tidestair_gateway_peers", "Other daemons heard lately"),
             traffic: Traffic {
                 messages: counters(
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -14,217 +14,31 @@
 //! from a large answer that is still on its way.
 
 mod enforce;
+mod retained;
+mod state;
 
 use crate::gateway::clock;
 use crate::gateway::core::Gateway;
-use crate::gateway::outage::Outages;
 use crate::gateway::port::{Change, Entry, Schema};
 use crate::gateway::roster::Roster;
 use crate::gateway::update::{Cell, Content, Lack, Statement, Update};
 use crate::platform::Position;
 use log::{info, warn};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use retained::Kept;
+use state::{Held, News, State};
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// Time without confirmation after which it is logged that the copy is current again.
 const LATE: Duration = Duration::from_millis(1_500);
-/// After the store was away, entries that lapsed meanwhile have this long to come back. Servers that
-/// live write again within about two seconds.
-const COME_BACK: Duration = Duration::from_millis(1_900);
 /// Bytes up to which a value is small: servers' and daemons' entries have some hundred, a configuration
 /// of a few routes some thousand.
 const SMALL: usize = 4 << 10;
-/// Deleted keys that are remembered, so that peers can be told of each deletion.
-const MOST_DELETED: usize = 1_024;
-
 /// Time without confirmation after which a copy that is older than a peer's asks that peer for
 /// everything. Longer than two heartbeats: usually the daemon that reads for all tells sooner.
 const UNTOLD: Duration = Duration::from_millis(600);
 
-#[derive(Debug, Clone)]
-struct Held {
-    revision: Position,
-    /// Its last change that matters: a server's signs of life since then are not given to
-    /// peers, which would get some hundred bytes a second for each server of the fleet.
-    mattered: Position,
-    content: Content,
-}
-
-#[derive(Default)]
-struct State {
-    held: HashMap<Arc<str>, Held>,
-    /// The keys by their last change that matters: what a peer lacks is found without a look at all.
-    order: BTreeSet<(Position, Arc<str>)>,
-    /// How many of the keys are deleted ones.
-    deleted: usize,
-    position: Position,
-    /// The last change that matters among those up to the position.
-    changed: Position,
-    /// The last one beyond the position, of those that were given ahead of large values.
-    ahead: Position,
-    /// The position up to which no small value is missing, where that is beyond the copy's.
-    small: Position,
-    /// The same of servers' entries and closed halls, where that is beyond both.
-    servers: Position,
-    /// The last change that matters of those.
-    server_change: Position,
-    /// Deletions up to this position are forgotten.
-    forgotten: Position,
-    confirmed: Option<Instant>,
-    outages: Outages,
-    /// Servers whose entries lapsed while the store was away, and until when they are waited for.
-    missing: HashMap<String, Instant>,
-    /// What of servers' entries is not logged yet.
-    news: ServerNews,
-}
-
-/// A change on its way into the copy.
-struct News {
-    key: String,
-    revision: Position,
-    content: Content,
-    /// The last change of the key that matters, where a peer told it.
-    mattered: Option<Position>,
-}
-
-impl From<Change> for News {
-    fn from(change: Change) -> News {
-        let Change { key, value, revision } = change;
-        let content = value.map_or(Content::Deleted, |value| Content::Value(value.into()));
-        News { key, revision, content, mattered: None }
-    }
-}
-
-impl From<Entry> for News {
-    fn from(entry: Entry) -> News {
-        let Entry { key, value, revision } = entry;
-        News::from(Change { key, value: Some(value), revision })
-    }
-}
-
-impl From<Cell> for News {
-    fn from(cell: Cell) -> News {
-        let Cell { key, revision, mattered, content } = cell;
-        News { key, revision, content, mattered: Some(mattered) }
-    }
-}
-
-/// Changes of servers' entries that came together, for one log line: with a line for each, a daemon's
-/// lines would grow with the fleet.
-#[derive(Default)]
-struct ServerNews {
-    came: usize,
-    leaving: Vec<String>,
-    gone: Vec<String>,
-}
-
-impl ServerNews {
-    fn log(&mut self) {
-        let ServerNews { came, leaving, gone } = std::mem::take(self);
-        if came > 0 || !leaving.is_empty() || !gone.is_empty() {
-            let (leaving, gone) = (leaving.join(","), gone.join(","));
-            info!(came = came, leaving_ids = leaving.as_str(), gone_ids = gone.as_str(); "backend servers");
-        }
-    }
-}
-
-impl State {
-    /// Holds a key's latest change.
-    fn hold(&mut self, key: &str, held: Held) {
-        let shared = self.held.get_key_value(key).map(|(key, _)| key.clone());
-        let shared = shared.unwrap_or_else(|| key.into());
-        let (mattered, deleted) = (held.mattered, held.content.is_deleted());
-        let before = self.held.insert(shared.clone(), held);
-        self.deleted += usize::from(deleted);
-        if let Some(before) = before {
-            self.deleted -= usize::from(before.content.is_deleted());
-            if before.mattered == mattered {
-                return;
-            }
-            self.order.remove(&(before.mattered, shared.clone()));
-        }
-        self.order.insert((mattered, shared));
-    }
-
-    /// Forgets the older half of the deleted keys where there are too many.
-    fn forget_deleted(&mut self) {
-        if self.deleted <= MOST_DELETED {
-            return;
-        }
-        let gone = self.held.values().filter(|held| held.content.is_deleted());
-        let mut gone: Vec<Position> = gone.map(|held| held.revision).collect();
-        gone.sort_unstable();
-        let middle = gone[gone.len() / 2];
-        let order = &mut self.order;
-        self.held.retain(|key, held| {
-            let kept = !held.content.is_deleted() || held.revision > middle;
-            if !kept {
-                order.remove(&(held.mattered, key.clone()));
-            }
-            kept
-        });
-        self.deleted = self.held.values().filter(|held| held.content.is_deleted()).count();
-        self.forgotten = self.forgotten.max(middle);
-    }
-
-    /// Keys whose last change that matters came after a position.
-    fn changed_after(&self, after: Position) -> impl Iterator<Item = (&Arc<str>, &Held)> {
-        let newer = self.order.range((after.next(), Arc::from(""))..);
-        newer.map(|(_, key)| (key, &self.held[key]))
-    }
-
-    /// How long ago the copy was known to be current; nothing before the first time.
-    fn age(&self, now: Instant) -> Duration {
-        self.confirmed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
-    }
-
-    /// What this copy lacks against one of which a peer states so much.
-    fn lack(&self, statement: &Statement) -> Lack {
-        if statement.position.era < self.position.era {
-            return Lack::Nothing;
-        }
-        // In another era nothing is known to be as it was.
-        let begun = Position::new(statement.position.era, 0);
-        let servers = statement.servers_changed.max(begun) > self.servers();
-        match statement.changed.max(begun) {
-            changed if changed <= self.position && !servers => Lack::Nothing,
-            changed if changed <= self.position.max(self.small) && !servers => Lack::LargeValues,
-            _ => Lack::Changes,
-        }
-    }
-
-    /// The position up to which no server's entry is missing.
-    fn servers(&self) -> Position {
-        self.servers.max(self.small).max(self.position)
-    }
-
-    /// The last era of the store of which anything is known.
-    fn era(&self) -> u64 {
-        self.servers().era
-    }
-
-    /// Notes that news of a later era come in. What the store lacks of the last moments is written again, as after an
-    /// absence.
-    fn enter_era(&mut self, position: Position, now: Instant) {
-        if position.era <= self.era() || self.position.is_start() {
-            return;
-        }
-        let (before, after) = (self.position, position);
-        info!(era = before.era, revision = before.revision, new_era = after.era, new_revision = after.revision; "the store came back from an older copy of itself");
-        self.outages.restored(now);
-        for until in self.missing.values_mut() {
-            *until = now + COME_BACK;
-        }
-    }
-
-    /// The last position up to the copy's that may have changed something that matters.
-    fn last_change(&self) -> Position {
-        // Changes that were given ahead are not told apart: some may lie below the position by now.
-        if self.ahead > self.position { self.position } else { self.changed.max(self.ahead) }
-    }
-}
-
 /// See the module.
 pub struct Mirror {
     gateway: Arc<Gateway>,
@@ -257,17 +71,26 @@
             servers_changed: state.server_change.min(servers),
             since: state.forgotten,
             age_ms,
+            retained: state.kept_mark(),
         })
     }
 
     /// Takes in all keys, read at `position`, as the store stood at `seen`.
     pub fn replace(&self, entries: Vec<Entry>, position: Position, seen: Instant, now: Instant) {
-        self.replace_all(entries.into_iter().map(News::from).collect(), position, seen, now);
+        let news = entries.into_iter().map(News::from).collect();
+        self.replace_all(news, (position, position), seen, now);
     }
 
-    fn replace_all(&self, news: Vec<News>, position: Position, seen: Instant, now: Instant) {
+    /// Takes in all keys as of a position, where the first read of all in that era stood at `base`.
+    fn replace_all(
+        &self,
+        news: Vec<News>,
+        (position, base): (Position, Position),
+        seen: Instant,
+        now: Instant,
+    ) {
         let mut state = self.state();
-        state.enter_era(position, now);
+        self.enter_era(&mut state, position, base, now);
         if position < state.position {
             // Older than what is known: a read that was overtaken.
             let known = state.position;
@@ -305,7 +128,6 @@
 
     fn take_all(&self, news: Vec<News>, position: Position, seen: Instant, now: Instant) {
         let mut state = self.state();
-        state.enter_era(position, now);
         self.confirm(&mut state, position, seen, now);
         for news in news {
             self.take(&mut state, news, seen, now);
@@ -326,6 +148,11 @@
         }
         let lack = state.lack(&statement);
         if lack == Lack::Nothing {
+            // What stands at the peer may be newer than what is in force here.
+            let marks = [0, state.kept_mark()];
+            if !marks.contains(&statement.retained) && !state.asked.contains(&statement.retained) {
+                return Lack::Changes;
+            }
             state.servers = state.servers.max(statement.servers);
             if statement.position >= state.position {
                 self.confirm(&mut state, statement.position, seen, now);
@@ -387,7 +214,9 @@
             content: held.content.clone(),
         };
         let cells = given.into_iter().map(cell).collect();
-        Some(Update { statement, whole, complete: left.is_empty(), cells })
+        let (retained, all_retained) = state.kept_up_to(most, now);
+        let (base, complete) = (state.base, left.is_empty() && all_retained);
+        Some(Update { statement, whole, complete, base, cells, retained })
     }
 
     /// Takes in what a peer gave, true at `seen` or later.
@@ -398,11 +227,13 @@
             if position.era < state.position.era {
                 return;
             }
-            state.enter_era(position, now);
+            self.enter_era(&mut state, position, update.base, now);
+            state.asked.insert(update.statement.retained);
         }
         if update.whole && update.complete {
             let live = update.cells.into_iter().filter(|cell| !cell.content.is_deleted());
-            self.replace_all(live.map(News::from).collect(), position, seen, now);
+            self.replace_all(live.map(News::from).collect(), (position, update.base), seen, now);
+            self.adopt(&mut self.state(), update.retained, now);
             return;
         }
         let mut news: Vec<News> = update.cells.into_iter().map(News::from).collect();
@@ -411,8 +242,9 @@
             true => self.take_all(news, position, seen, now),
             false => self.take_ahead(news, seen, now),
         }
+        let mut state = self.state();
+        self.adopt(&mut state, update.retained, now);
         if !update.whole {
-            let mut state = self.state();
             state.small = state.small.max(position);
             state.servers = state.servers.max(servers);
         }
@@ -455,14 +287,20 @@
         self.take_ahead(entries.into_iter().map(News::from).collect(), seen, now);
     }
 
+    /// Whether the store holds a key, as far as known.
+    pub fn lists(&self, key: &str) -> bool {
+        self.state().held.get(key).is_some_and(|held| !held.content.is_deleted())
+    }
+
     /// The prefix of the keys of a hall's daemons.
     pub fn daemons_of(&self, hall: &str) -> String {
         format!("{}{hall}/", self.schema.daemons())
     }
 
-    /// Gives up servers whose entries did not come back in time.
+    /// Gives up servers whose entries did not come back in time, and values that were not written again.
     pub fn tick(&self, now: Instant) {
         let mut state = self.state();
+        self.end_kept(&mut state, now);
         let due: Vec<String> = state
             .missing
             .iter()
@@ -480,6 +318,13 @@
         self.state.lock().expect("no holder panics")
     }
 
+    /// Notes that news of another era come in.
+    fn enter_era(&self, state: &mut State, position: Position, base: Position, now: Instant) {
+        if state.enter_era(position, base, now) {
+            self.gateway.set_era(position.era);
+        }
+    }
+
     fn confirm(&self, state: &mut State, position: Position, seen: Instant, now: Instant) {
         state.position = state.position.max(position);
         let late = state.age(now);
@@ -505,32 +350,38 @@
         }
         let is_server = key.starts_with(self.schema.servers());
         // A server's entry is read once, where it comes from the store.
-        let (content, read) = match content {
+        let content = match content {
             Content::Value(value) if is_server => match self.schema.server(&key, &value) {
-                Ok(record) => (Content::Server(record.clone()), Some(Ok(record))),
-                Err(e) => (Content::Value(value), Some(Err(e))),
+                Ok(record) => Content::Server(record),
+                Err(_) => Content::Value(value),
             },
-            Content::Server(record) => (Content::Server(record.clone()), Some(Ok(record))),
-            content => (content, None),
+            content => content,
         };
+        let is_of_later_era = known.is_some_and(|known| known.revision.era < revision.era);
         // Between two deletions something was there, which a peer may still have.
         let is_new = known.is_none_or(|known| match (&known.content, &content) {
             (Content::Deleted, Content::Deleted) => true,
             (Content::Value(_), Content::Value(_)) if is_server => false,
             (before, after) => before != after,
         });
-        let known = known.map_or(Position::START, |held| held.mattered);
+        // The next record is written under the condition that this one stands where it does.
+        let is_record = key.starts_with(self.schema.rollout_records());
+        let is_new = is_new || (is_of_later_era && is_record);
+        let kept = state.kept.get(&*key);
+        let lost = self.lost(state, &key, known, revision, &content, now);
+        let last = known.map_or(Position::START, |held| held.mattered);
         let mattered = match mattered {
-            Some(mattered) => mattered.max(known),
-            None if is_new => revision,
-            None => known,
+            Some(mattered) => mattered.max(last),
+            None if is_new || (kept.is_some() && lost.is_none()) => revision,
+            None => last,
         };
-        let matters = is_new || mattered > known;
-        let value = match &content {
-            Content::Value(value) => Some(value.clone()),
-            Content::Deleted | Content::Server(_) => None,
-        };
-        state.hold(&key, Held { revision, mattered, content });
+        let matters = is_new || mattered > last;
+        state.hold(&key, Held { revision, mattered, content: content.clone() });
+        let stays = lost.is_some();
+        match lost {
+            Some(kept) => self.retain(state, &key, kept, now),
+            None => drop(state.kept.remove(&*key)),
+        }
         if !matters {
             return;
         }
@@ -541,15 +392,45 @@
             true => state.ahead = state.ahead.max(mattered),
             false => state.changed = state.changed.max(mattered),
         }
-        match read {
-            Some(read) => self.take_server(state, &key, read, now),
-            None if is_server => self.server_gone(state, &key, now),
-            None => self.put_in_force(&key, revision, value, seen, now),
+        if !stays {
+            self.enforce(state, &key, revision, &content, seen, now);
         }
         state.forget_deleted();
         self.gateway.tell_copy();
     }
 
+    /// What stands in place of a change that the store has, if it has lost a later one.
+    fn lost(
+        &self,
+        state: &State,
+        key: &str,
+        known: Option<&Held>,
+        revision: Position,
+        content: &Content,
+        now: Instant,
+    ) -> Option<Kept> {
+        let kept = state.kept.get(key);
+        let is_of_later_era = known.is_some_and(|known| known.revision.era < revision.era);
+        // Versions that were lost may be written again one by one.
+        let is_read = revision <= state.base || key == self.schema.declaration();
+        if !is_read || !(is_of_later_era || kept.is_some()) {
+            return None;
+        }
+        let (stands, position) = match (kept, known) {
+            (Some(kept), _) => (&kept.content, kept.position),
+            (None, Some(known)) => (&known.content, known.revision),
+            (None, None) => return None,
+        };
+        let until = kept.map_or_else(|| self.kept_until(key, now), |kept| kept.until);
+        let content_kept = stands.clone();
+        self.is_lost(key, stands, content).then_some(Kept {
+            content: content_kept,
+            position,
+            over: revision,
+            until,
+        })
+    }
+
     fn is_wanted(&self, key: &str) -> bool {
         let schema = &self.schema;
         let prefixes =
--- a/src/gateway/mirror/enforce.rs
+++ b/src/gateway/mirror/enforce.rs
@@ -1,10 +1,11 @@
 //! What becomes of a value of the store that is newer than the one before it.
 
-use super::{COME_BACK, Mirror, State};
+use super::Mirror;
+use super::state::{COME_BACK, State};
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::in_force::Declared;
-use crate::gateway::port::Undecodable;
 use crate::gateway::servers::ServerRecord;
+use crate::gateway::update::Content;
 use crate::platform::Position;
 use bytes::Bytes;
 use log::{info, warn};
@@ -12,8 +13,30 @@
 use std::time::Instant;
 
 impl Mirror {
+    /// Puts into force what a key holds.
+    pub(super) fn enforce(
+        &self,
+        state: &mut State,
+        key: &str,
+        revision: Position,
+        content: &Content,
+        seen: Instant,
+        now: Instant,
+    ) {
+        let is_server = key.starts_with(self.schema.servers());
+        match content {
+            Content::Server(record) => self.take_server(state, key, record.clone(), now),
+            Content::Deleted if is_server => self.server_gone(state, key, now),
+            Content::Value(value) if is_server => self.hide_server(state, key, value),
+            Content::Deleted => self.put_in_force(key, revision, None, seen, now),
+            Content::Value(value) => {
+                self.put_in_force(key, revision, Some(value.clone()), seen, now);
+            }
+        }
+    }
+
     /// Puts into force what is no server's entry.
-    pub(super) fn put_in_force(
+    fn put_in_force(
         &self,
         key: &str,
         revision: Position,
@@ -77,30 +100,24 @@
         }
     }
 
-    pub(super) fn take_server(
-        &self,
-        state: &mut State,
-        key: &str,
-        read: Result<ServerRecord, Undecodable>,
-        now: Instant,
-    ) {
+    fn take_server(&self, state: &mut State, key: &str, record: ServerRecord, now: Instant) {
         state.missing.remove(key);
-        match read {
-            Ok(record) => {
-                match record.leaving {
-                    true => state.news.leaving.push(record.id.to_string()),
-                    false => state.news.came += 1,
-                }
-                self.gateway.servers().upsert(record, now);
-            }
-            Err(e) => {
-                warn!(key = key, why = e.0.as_str(); "backend server's entry not readable: it names no server to use");
-                self.gateway.servers().hide(self.id(key));
-            }
+        match record.leaving {
+            true => state.news.leaving.push(record.id.to_string()),
+            false => state.news.came += 1,
         }
+        self.gateway.servers().upsert(record, now);
+    }
+
+    /// A server's entry can't be read.
+    fn hide_server(&self, state: &mut State, key: &str, value: &[u8]) {
+        state.missing.remove(key);
+        let why = self.schema.server(key, value).err().map_or_else(String::new, |e| e.0);
+        warn!(key = key, why = why.as_str(); "backend server's entry not readable: it names no server to use");
+        self.gateway.servers().hide(self.id(key));
     }
 
-    pub(super) fn server_gone(&self, state: &mut State, key: &str, now: Instant) {
+    fn server_gone(&self, state: &mut State, key: &str, now: Instant) {
         let until = state.outages.returned().map(|returned| returned + COME_BACK);
         match until.filter(|until| now < *until) {
             Some(until) => {
--- /dev/null
+++ b/src/gateway/mirror/retained.rs
@@ -0,0 +1,183 @@
+//! Values that the store has lost and that still hold.
+//!
+//! A store that comes back from an older copy of itself lacks what was written since: that a hall is closed, that a
+//! server has gone, a version of the configuration. Their writers write them again. Until then the value of before
+//! stands in place of what the store has, and is given to daemons that start meanwhile.
+
+use super::Mirror;
+use super::state::State;
+use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::tag::Tag;
+use crate::gateway::update::{Content, Retained};
+use crate::platform::Position;
+use log::{info, warn};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time for which a value that the operators or a daemon wrote stands. They write again within seconds, unless it had
+/// been taken back before any daemon read of that.
+const WRITTEN_AGAIN: Duration = Duration::from_secs(30);
+
+/// A value that stands though the store has lost it.
+#[derive(Debug, Clone)]
+pub(super) struct Kept {
+    /// What stands.
+    pub(super) content: Content,
+    /// Where it was written, in an earlier era.
+    pub(super) position: Position,
+    /// The change in whose place it stands; a later one ends it.
+    pub(super) over: Position,
+    /// When it ends by itself.
+    pub(super) until: Option<Instant>,
+}
+
+impl State {
+    /// Tells sets of values that stand apart; zero where there are none.
+    pub(super) fn kept_mark(&self) -> u64 {
+        let mark = |(key, kept): (&Arc<str>, &Kept)| {
+            let at = Tag::of(key).with(Tag::number(kept.position.era));
+            at.with(Tag::number(kept.position.revision)).value()
+        };
+        self.kept.iter().map(mark).fold(0, |all, one| all ^ one)
+    }
+
+    /// The values that stand, for a peer, those with up to `most` bytes. Says whether these are all.
+    pub(super) fn kept_up_to(&self, most: usize, now: Instant) -> (Vec<Retained>, bool) {
+        let left = |until: Instant| until.saturating_duration_since(now).as_millis() as u32;
+        let given = self.kept.iter().filter(|(_, kept)| kept.content.bytes() <= most);
+        let given = given.map(|(key, kept)| Retained {
+            key: key.to_string(),
+            content: kept.content.clone(),
+            position: kept.position,
+            over: kept.over,
+            left_ms: kept.until.map(left),
+        });
+        let given: Vec<Retained> = given.collect();
+        let all = given.len() == self.kept.len();
+        (given, all)
+    }
+}
+
+impl Mirror {
+    /// Whether a value that the store has, of a later era, is older than what stands.
+    pub(super) fn is_lost(&self, key: &str, stands: &Content, content: &Content) -> bool {
+        if stands == content {
+            return false;
+        }
+        if key == self.schema.declaration() {
+            return self.is_outdated(content);
+        }
+        if !key.starts_with(self.schema.servers()) {
+            return true;
+        }
+        match (stands, content) {
+            (Content::Deleted, Content::Server(_)) => true,
+            (Content::Server(stands), Content::Server(other)) => other.born < stands.born,
+            // Servers that live write again soon, and are waited for so long.
+            _ => false,
+        }
+    }
+
+    /// Whether a declaration is older than the one in force.
+    fn is_outdated(&self, content: &Content) -> bool {
+        let Some(in_force) = self.gateway.in_force.get() else {
+            return false;
+        };
+        match content {
+            Content::Value(value) => {
+                let table = self.schema.table(value);
+                table.is_ok_and(|table| table.version < in_force.table.version)
+            }
+            _ => true,
+        }
+    }
+
+    /// Lets a value stand in place of a change of the store.
+    pub(super) fn retain(&self, state: &mut State, key: &str, kept: Kept, now: Instant) {
+        if let Some(service) = key.strip_prefix(self.schema.rollout_records()) {
+            self.lose_record(state, key, service, &kept.content, now);
+        }
+        if state.kept.contains_key(key) {
+            state.kept.insert(key.into(), kept);
+            return;
+        }
+        info!(key = key, over = kept.over.revision; "the store has lost a value that still holds");
+        let request = key.strip_prefix(self.schema.quarantine()).and_then(Fingerprint::parse);
+        if let Some(request) = request.filter(|_| !kept.content.is_deleted()) {
+            self.gateway.quarantine().is_lost(request, now);
+            self.gateway.quarantine_news.notify_one();
+        }
+        state.kept.insert(key.into(), kept);
+    }
+
+    /// The record of a roll-out is to be written again.
+    fn lose_record(
+        &self,
+        state: &State,
+        key: &str,
+        service: &str,
+        content: &Content,
+        now: Instant,
+    ) {
+        let held = state.held.get(key).filter(|held| !held.content.is_deleted());
+        let at = held.map_or(Position::START, |held| held.revision);
+        let Content::Value(value) = content else {
+            return;
+        };
+        match serde_json::from_slice(value) {
+            Ok(record) => {
+                self.gateway.rollouts().lose_record(service, record, at, now);
+                self.gateway.rollout_news.notify_one();
+            }
+            Err(e) => {
+                warn!(service = service, why = e.to_string().as_str(); "record of a roll-out not readable")
+            }
+        }
+    }
+
+    /// Until when a value stands that the store has lost, unless it is written before.
+    pub(super) fn kept_until(&self, key: &str, now: Instant) -> Option<Instant> {
+        let prefixes = [self.schema.closed_halls(), self.schema.rollouts(), self.schema.daemons()];
+        let ends = prefixes.iter().any(|prefix| key.starts_with(prefix));
+        ends.then(|| now + WRITTEN_AGAIN)
+    }
+
+    /// Takes over the values that stand at a peer.
+    pub(super) fn adopt(&self, state: &mut State, retained: Vec<Retained>, now: Instant) {
+        for value in retained {
+            let Retained { key, content, position, over, left_ms } = value;
+            let held = state.held.get(&*key);
+            let is_written = held.is_some_and(|held| held.revision > over);
+            let stands = state.kept.get(&*key).map(|kept| kept.position);
+            let is_same = held.is_some_and(|held| held.content == content);
+            if is_written || is_same || stands.is_some_and(|stands| stands >= position) {
+                continue;
+            }
+            let until = left_ms.map(|ms| now + Duration::from_millis(ms.into()));
+            let kept = Kept { content: content.clone(), position, over, until };
+            self.retain(state, &key, kept, now);
+            if key.starts_with(self.schema.rollout_records()) {
+                continue;
+            }
+            match content.is_deleted() && key.starts_with(self.schema.servers()) {
+                true => self.drop_server(state, &key),
+                false => self.enforce(state, &key, position, &content, now, now),
+            }
+        }
+    }
+
+    /// Ends values that have stood for as long as they may: what the store has comes into force.
+    pub(super) fn end_kept(&self, state: &mut State, now: Instant) {
+        let is_due = |kept: &Kept| kept.until.is_some_and(|until| now >= until);
+        let due = state.kept.iter().filter(|(_, kept)| is_due(kept));
+        let due: Vec<Arc<str>> = due.map(|(key, _)| key.clone()).collect();
+        for key in due {
+            state.kept.remove(&key);
+            info!(key = &*key; "a value that the store has lost was not written again");
+            let held = state.held.get(&key).cloned();
+            let (at, content) = held
+                .map_or((state.position, Content::Deleted), |held| (held.revision, held.content));
+            self.enforce(state, &key, at, &content, now, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mirror/state.rs
@@ -0,0 +1,213 @@
+//! What a copy consists of: the keys with their latest changes, and up to where it is complete.
+
+use super::retained::Kept;
+use crate::gateway::outage::Outages;
+use crate::gateway::port::{Change, Entry};
+use crate::gateway::update::{Cell, Content, Lack, Statement};
+use crate::platform::Position;
+use log::info;
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// After the store was away, entries that lapsed meanwhile have this long to come back. Servers that
+/// live write again within about two seconds.
+pub(super) const COME_BACK: Duration = Duration::from_millis(1_900);
+/// Deleted keys that are remembered, so that peers can be told of each deletion.
+const MOST_DELETED: usize = 1_024;
+
+#[derive(Debug, Clone)]
+pub(super) struct Held {
+    pub(super) revision: Position,
+    /// Its last change that matters: a server's signs of life since then are not given to
+    /// peers, which would get some hundred bytes a second for each server of the fleet.
+    pub(super) mattered: Position,
+    pub(super) content: Content,
+}
+
+#[derive(Default)]
+pub(super) struct State {
+    pub(super) held: HashMap<Arc<str>, Held>,
+    /// The keys by their last change that matters: what a peer lacks is found without a look at all.
+    pub(super) order: BTreeSet<(Position, Arc<str>)>,
+    /// How many of the keys are deleted ones.
+    pub(super) deleted: usize,
+    pub(super) position: Position,
+    /// The last change that matters among those up to the position.
+    pub(super) changed: Position,
+    /// The last one beyond the position, of those that were given ahead of large values.
+    pub(super) ahead: Position,
+    /// The position up to which no small value is missing, where that is beyond the copy's.
+    pub(super) small: Position,
+    /// The same of servers' entries and closed halls, where that is beyond both.
+    pub(super) servers: Position,
+    /// The last change that matters of those.
+    pub(super) server_change: Position,
+    /// Deletions up to this position are forgotten.
+    pub(super) forgotten: Position,
+    pub(super) confirmed: Option<Instant>,
+    pub(super) outages: Outages,
+    /// Where the first read of the whole store in this era stood.
+    pub(super) base: Position,
+    /// Values that stand though the store has lost them.
+    pub(super) kept: HashMap<Arc<str>, Kept>,
+    /// What peers told of such values that was asked for.
+    pub(super) asked: HashSet<u64>,
+    /// Servers whose entries lapsed while the store was away, and until when they are waited for.
+    pub(super) missing: HashMap<String, Instant>,
+    /// What of servers' entries is not logged yet.
+    pub(super) news: ServerNews,
+}
+
+/// A change on its way into the copy.
+pub(super) struct News {
+    pub(super) key: String,
+    pub(super) revision: Position,
+    pub(super) content: Content,
+    /// The last change of the key that matters, where a peer told it.
+    pub(super) mattered: Option<Position>,
+}
+
+impl From<Change> for News {
+    fn from(change: Change) -> News {
+        let Change { key, value, revision } = change;
+        let content = value.map_or(Content::Deleted, |value| Content::Value(value.into()));
+        News { key, revision, content, mattered: None }
+    }
+}
+
+impl From<Entry> for News {
+    fn from(entry: Entry) -> News {
+        let Entry { key, value, revision } = entry;
+        News::from(Change { key, value: Some(value), revision })
+    }
+}
+
+impl From<Cell> for News {
+    fn from(cell: Cell) -> News {
+        let Cell { key, revision, mattered, content } = cell;
+        News { key, revision, content, mattered: Some(mattered) }
+    }
+}
+
+/// Changes of servers' entries that came together, for one log line: with a line for each, a daemon's
+/// lines would grow with the fleet.
+#[derive(Default)]
+pub(super) struct ServerNews {
+    pub(super) came: usize,
+    pub(super) leaving: Vec<String>,
+    pub(super) gone: Vec<String>,
+}
+
+impl ServerNews {
+    pub(super) fn log(&mut self) {
+        let ServerNews { came, leaving, gone } = std::mem::take(self);
+        if came > 0 || !leaving.is_empty() || !gone.is_empty() {
+            let (leaving, gone) = (leaving.join(","), gone.join(","));
+            info!(came = came, leaving_ids = leaving.as_str(), gone_ids = gone.as_str(); "backend servers");
+        }
+    }
+}
+
+impl State {
+    /// Holds a key's latest change.
+    pub(super) fn hold(&mut self, key: &str, held: Held) {
+        let shared = self.held.get_key_value(key).map(|(key, _)| key.clone());
+        let shared = shared.unwrap_or_else(|| key.into());
+        let (mattered, deleted) = (held.mattered, held.content.is_deleted());
+        let before = self.held.insert(shared.clone(), held);
+        self.deleted += usize::from(deleted);
+        if let Some(before) = before {
+            self.deleted -= usize::from(before.content.is_deleted());
+            if before.mattered == mattered {
+                return;
+            }
+            self.order.remove(&(before.mattered, shared.clone()));
+        }
+        self.order.insert((mattered, shared));
+    }
+
+    /// Forgets the older half of the deleted keys where there are too many.
+    pub(super) fn forget_deleted(&mut self) {
+        if self.deleted <= MOST_DELETED {
+            return;
+        }
+        let gone = self.held.values().filter(|held| held.content.is_deleted());
+        let mut gone: Vec<Position> = gone.map(|held| held.revision).collect();
+        gone.sort_unstable();
+        let middle = gone[gone.len() / 2];
+        let order = &mut self.order;
+        self.held.retain(|key, held| {
+            let kept = !held.content.is_deleted() || held.revision > middle;
+            if !kept {
+                order.remove(&(held.mattered, key.clone()));
+            }
+            kept
+        });
+        self.deleted = self.held.values().filter(|held| held.content.is_deleted()).count();
+        self.forgotten = self.forgotten.max(middle);
+    }
+
+    /// Keys whose last change that matters came after a position.
+    pub(super) fn changed_after(
+        &self,
+        after: Position,
+    ) -> impl Iterator<Item = (&Arc<str>, &Held)> {
+        let newer = self.order.range((after.next(), Arc::from(""))..);
+        newer.map(|(_, key)| (key, &self.held[key]))
+    }
+
+    /// How long ago the copy was known to be current; nothing before the first time.
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        self.confirmed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
+    /// What this copy lacks against one of which a peer states so much.
+    pub(super) fn lack(&self, statement: &Statement) -> Lack {
+        // In another era nothing is known to be as it was.
+        let begun = Position::new(statement.position.era, 0);
+        let servers = statement.servers_changed.max(begun) > self.servers();
+        match statement.changed.max(begun) {
+            changed if changed <= self.position && !servers => Lack::Nothing,
+            changed if changed <= self.position.max(self.small) && !servers => Lack::LargeValues,
+            _ => Lack::Changes,
+        }
+    }
+
+    /// The position up to which no server's entry is missing.
+    pub(super) fn servers(&self) -> Position {
+        self.servers.max(self.small).max(self.position)
+    }
+
+    /// The last era of the store of which anything is known.
+    pub(super) fn era(&self) -> u64 {
+        self.servers().era
+    }
+
+    /// Notes that news of a later era come in, where the first read of all stood at `base`. What the store lacks of the
+    /// last moments is written again, as after an absence. Says whether the era is a later one.
+    pub(super) fn enter_era(&mut self, position: Position, base: Position, now: Instant) -> bool {
+        if self.position.is_start() {
+            self.base = base;
+            return false;
+        }
+        if position.era <= self.era() {
+            return false;
+        }
+        self.base = base;
+        self.asked.clear();
+        let (before, after) = (self.position, position);
+        info!(era = before.era, revision = before.revision, new_era = after.era, new_revision = after.revision; "the store came back from an older copy of itself");
+        self.outages.restored(now);
+        for until in self.missing.values_mut() {
+            *until = now + COME_BACK;
+        }
+        true
+    }
+
+    /// The last position up to the copy's that may have changed something that matters.
+    pub(super) fn last_change(&self) -> Position {
+        // Changes that were given ahead are not told apart: some may lie below the position by now.
+        if self.ahead > self.position { self.position } else { self.changed.max(self.ahead) }
+    }
+}
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -177,6 +177,8 @@
     released: HashMap<Fingerprint, Instant>,
     /// Proved requests of which this daemon saw a part and that are still to be written to the store.
     unsaved: Vec<Fingerprint>,
+    /// Those whose record the store has lost.
+    lost: Vec<Fingerprint>,
 }
 
 impl Quarantine {
@@ -296,6 +298,13 @@
         self.stored.entry(request).or_insert(now + MEMORY);
     }
 
+    /// The store has lost its record of a request, which is to be written again.
+    pub fn is_lost(&mut self, request: Fingerprint, now: Instant) {
+        let until = self.stored.remove(&request).unwrap_or(now + MEMORY);
+        self.held.entry(request).or_insert(until);
+        self.lost.push(request);
+    }
+
     /// The store's record of a request is gone: it has lapsed, or an operator took it away. Whatever is known
     /// of the request is forgotten.
     pub fn is_released(&mut self, request: Fingerprint, now: Instant) {
@@ -308,7 +317,10 @@
 
     /// Whether any is kept back, or is still to be written to the store.
     pub fn is_empty(&self) -> bool {
-        self.unsaved.is_empty() && self.held.is_empty() && self.stored.is_empty()
+        self.unsaved.is_empty()
+            && self.lost.is_empty()
+            && self.held.is_empty()
+            && self.stored.is_empty()
     }
 
     /// Requests that are still to be written to the store; each is given once.
@@ -316,6 +328,11 @@
         std::mem::take(&mut self.unsaved)
     }
 
+    /// Requests whose record is to be written again; each is given once.
+    pub fn take_lost(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.lost)
+    }
+
     /// Whether a request should still be written to the store.
     pub fn is_unsaved(&self, request: Fingerprint, now: Instant) -> bool {
         self.held.get(&request).is_some_and(|until| *until > now)
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -82,6 +82,12 @@
         self >= State::Completed
     }
 
+    /// Whether the store's record may lead from one state to another. What is over stays as it ended, but a version
+    /// that another daemon found bad goes out.
+    fn may_become(self, next: State) -> bool {
+        self != next && (!self.is_final() || next == State::Reverted)
+    }
+
     /// The name, for logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -101,12 +107,32 @@
     /// The era of that revision.
     #[serde(default)]
     pub era: u64,
+    /// The new version.
+    #[serde(default)]
+    pub version: String,
     /// How far the roll-out has come.
     pub state: State,
     /// Why.
     pub why: String,
 }
 
+impl Record {
+    /// Where the store wrote the order.
+    fn ordered(&self) -> Position {
+        Position::new(self.era, self.order)
+    }
+}
+
+/// The record of a roll-out, and what the store has of it.
+#[derive(Debug)]
+struct Recorded {
+    record: Record,
+    /// Where the store has its record; the start where it has none.
+    at: Position,
+    /// Whether that is this record, and not an older one or none.
+    stored: bool,
+}
+
 /// Requests of one route at the servers of one arm of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Stratum {
@@ -184,9 +210,7 @@
         Rollout {
             order,
             position,
-            tag: Tag::of(service)
-                .with(Tag::number(position.era))
-                .with(Tag::number(position.revision)),
+            tag: tag(service, position),
             began: now,
             state: None,
             halted: None,
@@ -198,6 +222,11 @@
         }
     }
 
+    /// Whether an order is this one, which the operators have written again since the store lost it.
+    fn is_written_again(&self, order: &Order, position: Position) -> bool {
+        self.position.era < position.era && self.order == *order
+    }
+
     /// How far it has come for this daemon's own requests.
     fn state(&self) -> State {
         match self.state {
@@ -392,12 +421,17 @@
     }
 }
 
+/// The name of a roll-out among daemons.
+fn tag(service: &str, ordered: Position) -> Tag {
+    let era = Tag::of(service).with(Tag::number(ordered.era));
+    era.with(Tag::number(ordered.revision))
+}
+
 /// All roll-outs.
 #[derive(Debug, Default)]
 pub struct Rollouts {
     by_service: HashMap<Arc<str>, Rollout>,
-    /// The store's records, each with its position.
-    records: HashMap<Arc<str>, (Position, Record)>,
+    records: HashMap<Arc<str>, Recorded>,
 }
 
 impl Rollouts {
@@ -405,6 +439,10 @@
     pub fn order(&mut self, service: &str, position: Position, order: Option<Order>, now: Instant) {
         match order {
             Some(order) => {
+                let known = self.by_service.get(service);
+                if known.is_some_and(|known| known.is_written_again(&order, position)) {
+                    return;
+                }
                 let rollout = Rollout::new(service, position, order, now);
                 self.by_service.insert(service.into(), rollout);
                 self.apply_record(service, now);
@@ -426,23 +464,43 @@
         now: Instant,
     ) -> bool {
         let known = self.records.get(service);
-        let is_news = known.is_none_or(|(known, _)| *known < position);
-        if is_news {
-            self.records.insert(service.into(), (position, record));
-            self.apply_record(service, now);
+        if known.is_some_and(|known| known.at >= position) {
+            return false;
         }
+        let is_news = known.is_none_or(|known| known.record != record);
+        let recorded = Recorded { record, at: position, stored: true };
+        self.records.insert(service.into(), recorded);
+        self.apply_record(service, now);
         is_news
     }
 
+    /// The store has lost the record of a roll-out, which is to be written again; it has an older one there, or none
+    /// where that is the start.
+    pub fn lose_record(&mut self, service: &str, record: Record, at: Position, now: Instant) {
+        self.records.insert(service.into(), Recorded { record, at, stored: false });
+        self.apply_record(service, now);
+    }
+
+    /// Records that the store has lost, each with the position of what it has there.
+    pub fn lost_records(&self) -> Vec<(Arc<str>, Position, Record)> {
+        let lost = self.records.iter().filter(|(_, recorded)| !recorded.stored);
+        lost.map(|(service, r)| (service.clone(), r.at, r.record.clone())).collect()
+    }
+
     fn apply_record(&mut self, service: &str, now: Instant) {
-        let (Some(rollout), Some((_, record))) =
+        let (Some(rollout), Some(Recorded { record, .. })) =
             (self.by_service.get_mut(service), self.records.get(service))
         else {
             return;
         };
-        if Position::new(record.era, record.order) == rollout.position
-            && rollout.state.map(|(state, _)| state) != Some(record.state)
-        {
+        let ordered = record.ordered();
+        // An order of an earlier era that the operators have written again, as a daemon that started since knows it.
+        if ordered.era < rollout.position.era && *record.version == *rollout.order.version {
+            rollout.position = ordered;
+            rollout.tag = tag(service, ordered);
+        }
+        let known = rollout.state.map(|(state, _)| state);
+        if ordered == rollout.position && known.is_none_or(|known| known.may_become(record.state)) {
             rollout.state = Some((record.state, now));
         }
     }
@@ -450,9 +508,10 @@
     /// The record that a step leads to, and the position of the one that it replaces; the start where there is none.
     pub fn next_record(&self, service: &str, step: Step) -> Option<(Position, Record)> {
         let rollout = self.by_service.get(service)?;
-        let replaced = self.records.get(service).map_or(Position::START, |(position, _)| *position);
+        let replaced = self.records.get(service).map_or(Position::START, |recorded| recorded.at);
         let Position { era, revision } = rollout.position;
-        let record = Record { order: revision, era, state: step.to, why: step.why.into() };
+        let version = rollout.order.version.to_string();
+        let record = Record { order: revision, era, version, state: step.to, why: step.why.into() };
         Some((replaced, record))
     }
 
@@ -462,7 +521,8 @@
             Some((State::Completed, since)) => now.saturating_duration_since(since) < STOPPING,
             _ => false,
         };
-        self.live().next().is_some() || self.by_service.values().any(stops)
+        let lost = self.records.values().any(|recorded| !recorded.stored);
+        lost || self.live().next().is_some() || self.by_service.values().any(stops)
     }
 
     fn live(&self) -> impl Iterator<Item = (&Arc<str>, &Rollout)> {
--- a/src/gateway/rollout/controller.rs
+++ b/src/gateway/rollout/controller.rs
@@ -145,6 +145,8 @@
     mirror: Arc<Mirror>,
     cluster: Arc<Cluster>,
     due: HashMap<Arc<str>, Due>,
+    /// Since when records are known to be lost.
+    lost: Option<Instant>,
 }
 
 impl Controller {
@@ -156,7 +158,7 @@
         mirror: Arc<Mirror>,
         cluster: Arc<Cluster>,
     ) -> Controller {
-        Controller { gateway, store, schema, mirror, cluster, due: HashMap::new() }
+        Controller { gateway, store, schema, mirror, cluster, due: HashMap::new(), lost: None }
     }
 
     /// Takes the steps that are due until the process ends.
@@ -174,6 +176,7 @@
         self.gateway.listen(now);
         self.gateway.rollouts().weigh();
         self.gateway.look_at_rollouts(now);
+        self.write_lost(now).await;
         let steps = self.gateway.rollouts().due(self.gateway.exposure(), now);
         self.due.retain(|service, _| steps.iter().any(|(due, _)| due == service));
         for (service, step) in steps {
@@ -181,29 +184,54 @@
             if due.step.to != step.to {
                 *due = Due { step, since: now };
             }
-            let before = u32::try_from(self.cluster.readers_before(now)).unwrap_or(u32::MAX);
-            let turn = TURN.saturating_mul(before).min(LONGEST_TURN);
-            let is_turn = now.saturating_duration_since(due.since) >= turn;
+            let is_turn = now.saturating_duration_since(due.since) >= self.cluster_turn(now);
             if is_turn && !self.mirror.store_is_away() {
                 self.take(&service, step).await;
             }
         }
     }
 
+    /// How long this daemon waits for those that read the store before it.
+    fn cluster_turn(&self, now: Instant) -> Duration {
+        let before = u32::try_from(self.cluster.readers_before(now)).unwrap_or(u32::MAX);
+        TURN.saturating_mul(before).min(LONGEST_TURN)
+    }
+
+    /// Writes records again that the store has lost. What was decided is not weighed anew.
+    async fn write_lost(&mut self, now: Instant) {
+        let lost = self.gateway.rollouts().lost_records();
+        if lost.is_empty() {
+            self.lost = None;
+            return;
+        }
+        let since = *self.lost.get_or_insert(now);
+        let is_turn = now.saturating_duration_since(since) >= self.cluster_turn(now);
+        if !is_turn || self.mirror.store_is_away() {
+            return;
+        }
+        for (service, at, record) in lost {
+            self.write_record(&service, at, record).await;
+        }
+    }
+
     /// Writes the record that a step leads to, unless another daemon has written one meanwhile.
     async fn take(&self, service: &Arc<str>, step: Step) {
         let Some((replaced, record)) = self.gateway.rollouts().next_record(service, step) else {
             return;
         };
+        self.write_record(service, replaced, record).await;
+    }
+
+    async fn write_record(&self, service: &Arc<str>, replaced: Position, record: Record) {
         match self.write(service, replaced, &record).await {
             Ok(Swap::Won(revision)) => {
-                info!(service = &**service, state = step.to.name(), why = step.why; "roll-out's step recorded");
+                info!(service = &**service, state = record.state.name(), why = record.why.as_str(); "roll-out's step recorded");
                 self.gateway.take_record(service, revision, record, time::now());
             }
             // Its record comes with the copy of the store.
             Ok(Swap::Lost) => info!(service = &**service; "another daemon records the roll-out"),
             Err(e) => {
-                warn!(service = &**service, state = step.to.name(), why = e.to_string().as_str(); "roll-out's step not recorded");
+                warn!(service = &**service, state = record.state.name(), why = e.to_string().as_str(); "roll-out's step not recorded");
                 sleep(AFTER_FAILURE).await;
             }
         }
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -8,7 +8,7 @@
 use crate::gateway::quarantine::{MEMORY, Run};
 use crate::gateway::request::Call;
 use crate::gateway::slot::Slot;
-use crate::platform::PlatformResult;
+use crate::platform::{PlatformError, PlatformResult};
 use crate::time;
 use log::{info, warn};
 use rand::RngExt;
@@ -25,6 +25,8 @@
 /// Longest pause before a record is written: each daemon that saw a server end would write it, and those
 /// that draw longer pauses may find it written. Short, since until then a loss of power forgets the request.
 const SPREAD: Duration = Duration::from_millis(300);
+/// The same before one that the store has lost, which all daemons know of.
+const LOST_SPREAD: Duration = Duration::from_secs(5);
 /// Pause after a record that was not written, unless the store is known to be away; every call is priced.
 const AFTER_FAILURE: Duration = Duration::from_millis(1_000);
 
@@ -64,14 +66,22 @@
             gateway.quarantine_news.notified().await;
         }
         sleep(LOOK).await;
-        let (proved, count) = {
+        let (proved, lost, count) = {
             let mut quarantine = gateway.quarantine();
-            (quarantine.take_unsaved(), quarantine.count(time::now()))
+            let (proved, lost) = (quarantine.take_unsaved(), quarantine.take_lost());
+            (proved, lost, quarantine.count(time::now()))
         };
         gateway.metrics.quarantined.set(count as i64);
-        for request in proved {
+        let proved = proved.into_iter().map(|request| (request, SPREAD));
+        let lost = lost.into_iter().map(|request| (request, LOST_SPREAD));
+        for (request, spread) in proved.chain(lost) {
             let key = format!("{}{request}", schema.quarantine());
-            tokio::spawn(record_one(gateway.clone(), store.clone(), mirror.clone(), request, key));
+            let (gateway, store, mirror) = (gateway.clone(), store.clone(), mirror.clone());
+            let pause = rand::rng().random_range(Duration::ZERO..spread);
+            tokio::spawn(async move {
+                sleep(pause).await;
+                record_one(gateway, store, mirror, request, key).await;
+            });
         }
     }
 }
@@ -84,8 +94,6 @@
     request: Fingerprint,
     key: String,
 ) {
-    let pause = rand::rng().random_range(Duration::ZERO..SPREAD);
-    sleep(pause).await;
     while gateway.quarantine().is_unsaved(request, time::now()) {
         if mirror.store_is_away() {
             sleep(LOOK).await;
@@ -107,6 +115,10 @@
 /// Writes a record that lapses by itself.
 async fn write(store: &dyn Store, key: &str) -> PlatformResult<()> {
     let lease = store.grant(MEMORY).await?;
-    store.put(key, b"{}".to_vec(), lease).await?;
-    Ok(())
+    match store.put(key, b"{}".to_vec(), lease).await? {
+        true => Ok(()),
+        false => {
+            Err(PlatformError::Unavailable { reason: "the lease of the record is over".into() })
+        }
+    }
 }
--- a/src/gateway/update.rs
+++ b/src/gateway/update.rs
@@ -21,6 +21,23 @@
     pub since: Position,
     /// How long ago the store was known to stand so, in milliseconds.
     pub age_ms: u32,
+    /// Tells apart which values stand at the sender though the store has lost them; zero where none does.
+    pub retained: u64,
+}
+
+/// A value that the store has lost and that still holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retained {
+    /// The key.
+    pub key: String,
+    /// What it holds.
+    pub content: Content,
+    /// Where it was written, in an earlier era.
+    pub position: Position,
+    /// The change in whose place it stands.
+    pub over: Position,
+    /// How long it still stands, in milliseconds; `None` where it does until the key is written.
+    pub left_ms: Option<u32>,
 }
 
 /// One key on its way between daemons.
@@ -73,8 +90,12 @@
     pub whole: bool,
     /// Whether the cells have every change; otherwise large values were left out.
     pub complete: bool,
+    /// Where the giver's first read of the whole store in this era stood: what is later was written in this era.
+    pub base: Position,
     /// Keys with their latest changes.
     pub cells: Vec<Cell>,
+    /// Values that stand though the store has lost them.
+    pub retained: Vec<Retained>,
 }
 
 /// What a copy lacks against a peer's.
--- a/tests/mirror/stand_ins.rs
+++ b/tests/mirror/stand_ins.rs
@@ -1,17 +1,29 @@
 //! A wire and a store's schema for tests of the mirror.
 
+#![allow(dead_code)]
+
 use futures_util::future::BoxFuture;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tidestair::gateway::budget::BudgetBounds;
+use tidestair::gateway::cold::ColdBounds;
 use tidestair::gateway::condition::Remarks;
+use tidestair::gateway::core::{Bounds, Gateway};
+use tidestair::gateway::mirror::Mirror;
+use tidestair::gateway::place::Headroom;
 use tidestair::gateway::port::{
     CopyAnswer, Destination, Health, Lost, NotCopied, Reply, Report, Schema, Sending, Undecodable,
     Wire,
 };
+use tidestair::gateway::regions::Regions;
 use tidestair::gateway::request::Call;
 use tidestair::gateway::rollout::{Order, State};
+use tidestair::gateway::roster::{Daemon, Roster};
 use tidestair::gateway::servers::ServerRecord;
 use tidestair::gateway::table::{Limits, Table};
+use tidestair::gateway::update::Update;
 use tidestair::outcome::NotSent;
 
 /// A wire that is never used.
@@ -141,3 +153,75 @@
         })
     }
 }
+
+/// A daemon's copy of the store, and what is in force by it.
+pub struct Node {
+    pub gateway: Arc<Gateway>,
+    pub mirror: Mirror,
+}
+
+impl Node {
+    /// Ids of the servers that it lists.
+    pub fn servers(&self) -> BTreeSet<String> {
+        self.gateway.servers().ids().map(|id| id.to_string()).collect()
+    }
+
+    /// Whether new work may go to a server.
+    pub fn takes_work(&self, id: &str) -> bool {
+        let servers = self.gateway.servers();
+        servers.find(id).and_then(|key| servers.get(key)).is_some_and(|server| server.open())
+    }
+
+    /// Whether new work may go to a server and its hall.
+    pub fn may_use(&self, id: &str) -> bool {
+        self.used().contains(id)
+    }
+
+    /// Ids of the servers that work may go to.
+    pub fn used(&self) -> BTreeSet<String> {
+        self.gateway.servers().open("app").map(|(_, s)| s.record.id.to_string()).collect()
+    }
+
+    /// The version of the configuration in force; zero before the first.
+    pub fn version(&self) -> u64 {
+        self.gateway.in_force.get().map_or(0, |declared| declared.table.version)
+    }
+
+    /// The start of a server that is listed.
+    pub fn born(&self, id: &str) -> Option<u64> {
+        let servers = self.gateway.servers();
+        servers.find(id).and_then(|key| servers.get(key)).and_then(|server| server.record.born)
+    }
+
+    /// Gives another node what it lacks, as of `age` ago; with `all`, large values too.
+    pub fn give(&self, to: &Node, all: bool, now: Instant) {
+        let taken = |update: Option<Update>| {
+            let update = update?;
+            let (age, complete) = (update.statement.age_ms, update.complete);
+            to.mirror.apply(update, now - Duration::from_millis(age.into()), now);
+            Some(complete)
+        };
+        let complete = taken(self.mirror.update_after(to.mirror.position(), now));
+        if all && complete == Some(false) {
+            taken(self.mirror.all_after(to.mirror.position(), now));
+        }
+    }
+}
+
+/// A node that knows nothing yet.
+pub fn node(now: Instant) -> Node {
+    let budget = BudgetBounds { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) };
+    let bounds = Bounds {
+        revoke: Some(Duration::from_secs(5)),
+        budget,
+        cold: ColdBounds::default(),
+        exposure: 0.1,
+    };
+    let gateway =
+        Gateway::new("hall", Regions::default(), bounds, Arc::new(NoWire), Box::new(Headroom), now);
+    let addr: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let (vm, hall) = ("vm".into(), "hall".into());
+    let own = Daemon { vm, hall, callers: addr, peers: addr, strength: 120 };
+    let mirror = Mirror::new(gateway.clone(), Arc::new(Roster::new(own)), Arc::new(Plain));
+    Node { gateway, mirror }
+}
