A server that has gone may be listed again without a sign of life that others hear of

Found by the model of a store that goes back (tests/eras.rs, its first saved case): a daemon that had seen a server go took a new start of it, given by a peer that had read the store after that start, for what the copy brought back. It waited for the server's next write; peers don't tell signs of life, so that it never came.

What has gone now stays so for 8 s at most: an entry that only the copy brought back lapses within three heartbeats, and one that is still listed then is alive.

--- a/src/gateway/mirror/retained.rs
+++ b/src/gateway/mirror/retained.rs
@@ -18,6 +18,10 @@
 /// been taken back before any daemon read of that.
 const WRITTEN_AGAIN: Duration = Duration::from_secs(30);
 
+/// Time for which a server that has gone stays so though the store lists it. Where the copy brought its entry back, it
+/// lapses within three heartbeats of servers; where it is still listed then, the server lives.
+const LAPSES: Duration = Duration::from_secs(8);
+
 /// A value that stands though the store has lost it.
 #[derive(Debug, Clone)]
 pub(super) struct Kept {
@@ -137,9 +141,13 @@
 
     /// Until when a value stands that the store has lost, unless it is written before.
     pub(super) fn kept_until(&self, key: &str, now: Instant) -> Option<Instant> {
-        let prefixes = [self.schema.closed_halls(), self.schema.rollouts(), self.schema.daemons()];
-        let ends = prefixes.iter().any(|prefix| key.starts_with(prefix));
-        ends.then(|| now + WRITTEN_AGAIN)
+        let schema = &self.schema;
+        let again = [schema.closed_halls(), schema.rollouts(), schema.daemons()];
+        match () {
+            () if key.starts_with(schema.servers()) => Some(now + LAPSES),
+            () if again.iter().any(|prefix| key.starts_with(prefix)) => Some(now + WRITTEN_AGAIN),
+            () => None,
+        }
     }
 
     /// Takes over the values that stand at a peer.
