A peer is given what differs after the store went back, not everything

Cause: a copy of a later era was given whole, since the giver's knowledge of deletions began with its read of all. At 985 daemons each would have asked for some 10,000 entries, and read the store's 20 pages itself where no peer had a turn to give them.

A copy that crosses into a new era remembers between which positions of the era before it knew everything; a peer's copy that stands there lacks what has mattered since then, the crossing's differences among it. One that knew more of the lost era is given everything. Daemons to which the store comes back together wait for a peer's copy in the order of a start, so that one of each hall reads all pages.

Before and after (tests/restored.rs): 100, 1,000 and 10,000 servers, ten of which leave at the return: what a peer is given grows with the servers before, and stays below 2,000 bytes at each size now.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -118,7 +118,7 @@
     /// Reads everything; `None` where a peer gives it meanwhile.
     async fn read_pages(&self) -> PlatformResult<Option<Range<Position>>> {
         let mut page = self.store.page(EVERYTHING, None).await?;
-        if page.more && self.mirror.position().is_start() && self.is_given().await? {
+        if page.more && self.lacks(page.revision.era) && self.is_given(page.revision.era).await? {
             return Ok(None);
         }
         // Pages are no snapshot: what changes after the first is asked for again.
@@ -137,17 +137,25 @@
         }
     }
 
-    /// Waits for a peer's copy where others are to read the store first: of daemons that start together few read all of
-    /// its pages. Says whether one was given.
-    async fn is_given(&self) -> PlatformResult<bool> {
+    /// Whether this copy has nothing of an era.
+    fn lacks(&self, era: u64) -> bool {
+        let position = self.mirror.position();
+        position.is_start() || position.era < era
+    }
+
+    /// Waits for a peer's copy where others are to read the store first: of daemons that start together, or to which it
+    /// comes back together, few read all of its pages. Says whether one was given.
+    async fn is_given(&self, era: u64) -> PlatformResult<bool> {
         let asked = time::now();
-        let mates = self.store.page(&self.mirror.daemons_of(self.cluster.hall()), None).await?;
-        self.mirror.take_early(mates.entries, asked, time::now());
+        if self.mirror.position().is_start() {
+            let mates = self.store.page(&self.mirror.daemons_of(self.cluster.hall()), None).await?;
+            self.mirror.take_early(mates.entries, asked, time::now());
+        }
         let until = asked + self.cluster.start_wait();
-        while self.mirror.position().is_start() && time::now() < until {
+        while self.lacks(era) && time::now() < until {
             sleep(LOOK).await;
         }
-        Ok(!self.mirror.position().is_start())
+        Ok(!self.lacks(era))
     }
 
     /// Waits for an answer, and follows the servers' entries apart while it takes long.
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -90,7 +90,7 @@
         now: Instant,
     ) {
         let mut state = self.state();
-        self.enter_era(&mut state, position, base, now);
+        let crosses = self.enter_era(&mut state, position, base, now);
         if position < state.position {
             // Older than what is known: a read that was overtaken.
             let known = state.position;
@@ -114,8 +114,8 @@
         }
         for news in news {
             // What was written since may have gone in between, however it looks: peers that saw it go must be
-            // told that it is back.
-            let mattered = (news.revision > before).then_some(news.revision);
+            // told that it is back. Those that saw more of the era before than this copy are given everything.
+            let mattered = (!crosses && news.revision > before).then_some(news.revision);
             self.take(&mut state, News { mattered, ..news }, seen, now);
         }
         state.news.log();
@@ -200,7 +200,7 @@
     fn update(&self, after: Position, most: usize, now: Instant) -> Option<Update> {
         let statement = self.statement(now)?;
         let state = self.state();
-        let whole = after < state.forgotten;
+        let whole = !state.spans(after);
         // Told apart before any value is copied: a large one may have a megabyte.
         let is_given = |(_, held): &(&Arc<str>, &Held)| held.content.bytes() <= most;
         let (given, left): (Vec<_>, Vec<_>) = match whole {
@@ -227,7 +227,10 @@
             if position.era < state.position.era {
                 return;
             }
-            self.enter_era(&mut state, position, update.base, now);
+            let crosses = self.enter_era(&mut state, position, update.base, now);
+            if crosses && !update.whole {
+                state.forgotten = update.statement.since;
+            }
             state.asked.insert(update.statement.retained);
         }
         if update.whole && update.complete {
@@ -238,11 +241,15 @@
         }
         let mut news: Vec<News> = update.cells.into_iter().map(News::from).collect();
         news.sort_by_key(|news| news.revision);
+        let is_crossed = self.state().position.era < position.era;
         match update.complete {
             true => self.take_all(news, position, seen, now),
             false => self.take_ahead(news, seen, now),
         }
         let mut state = self.state();
+        if is_crossed && update.complete {
+            state.restate(update.statement.since);
+        }
         self.adopt(&mut state, update.retained, now);
         if !update.whole {
             state.small = state.small.max(position);
@@ -318,11 +325,19 @@
         self.state.lock().expect("no holder panics")
     }
 
-    /// Notes that news of another era come in.
-    fn enter_era(&self, state: &mut State, position: Position, base: Position, now: Instant) {
-        if state.enter_era(position, base, now) {
+    /// Notes that news of another era come in. Says whether it is a later one.
+    fn enter_era(
+        &self,
+        state: &mut State,
+        position: Position,
+        base: Position,
+        now: Instant,
+    ) -> bool {
+        let crosses = state.enter_era(position, base, now);
+        if crosses {
             self.gateway.set_era(position.era);
         }
+        crosses
     }
 
     fn confirm(&self, state: &mut State, position: Position, seen: Instant, now: Instant) {
@@ -371,6 +386,8 @@
         let lost = self.lost(state, &key, known, revision, &content, now);
         let last = known.map_or(Position::START, |held| held.mattered);
         let mattered = match mattered {
+            // Told by a copy that came through a loss, with the change's place of before.
+            Some(mattered) if is_new && mattered <= last => revision,
             Some(mattered) => mattered.max(last),
             None if is_new || (kept.is_some() && lost.is_none()) => revision,
             None => last,
--- a/src/gateway/mirror/state.rs
+++ b/src/gateway/mirror/state.rs
@@ -6,7 +6,7 @@
 use crate::gateway::update::{Cell, Content, Lack, Statement};
 use crate::platform::Position;
 use log::info;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,8 @@
 pub(super) const COME_BACK: Duration = Duration::from_millis(1_900);
 /// Deleted keys that are remembered, so that peers can be told of each deletion.
 const MOST_DELETED: usize = 1_024;
+/// Eras of which it is remembered where this copy left them.
+const MOST_CROSSINGS: usize = 4;
 
 #[derive(Debug, Clone)]
 pub(super) struct Held {
@@ -43,8 +45,10 @@
     pub(super) servers: Position,
     /// The last change that matters of those.
     pub(super) server_change: Position,
-    /// Deletions up to this position are forgotten.
+    /// Deletions up to this position are forgotten, but for those that a crossing spans.
     pub(super) forgotten: Position,
+    /// The last eras that this copy came through without being made anew.
+    pub(super) crossings: VecDeque<Crossing>,
     pub(super) confirmed: Option<Instant>,
     pub(super) outages: Outages,
     /// Where the first read of the whole store in this era stood.
@@ -59,6 +63,14 @@
     pub(super) news: ServerNews,
 }
 
+/// What a copy knew of an era when it went over to a later one: a peer's copy that stands between the two positions
+/// lacks what has mattered since then, and nothing else.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Crossing {
+    from: Position,
+    to: Position,
+}
+
 /// A change on its way into the copy.
 pub(super) struct News {
     pub(super) key: String,
@@ -157,6 +169,20 @@
         newer.map(|(_, key)| (key, &self.held[key]))
     }
 
+    /// Whether a copy at such a position can be told all that it lacks by what has mattered since.
+    pub(super) fn spans(&self, after: Position) -> bool {
+        let crossed = |crossing: &Crossing| crossing.from <= after && after <= crossing.to;
+        after >= self.forgotten || self.crossings.iter().any(crossed)
+    }
+
+    /// Notes that all keys are as the store had them at a position of this era: those that were not told of are as
+    /// they were before.
+    pub(super) fn restate(&mut self, since: Position) {
+        for held in self.held.values_mut().filter(|held| held.revision.era < since.era) {
+            held.revision = since;
+        }
+    }
+
     /// How long ago the copy was known to be current; nothing before the first time.
     pub(super) fn age(&self, now: Instant) -> Duration {
         self.confirmed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
@@ -196,6 +222,8 @@
         }
         self.base = base;
         self.asked.clear();
+        self.crossings.push_back(Crossing { from: self.forgotten, to: self.position });
+        self.crossings.drain(..self.crossings.len().saturating_sub(MOST_CROSSINGS));
         let (before, after) = (self.position, position);
         info!(era = before.era, revision = before.revision, new_era = after.era, new_revision = after.revision; "the store came back from an older copy of itself");
         self.outages.restored(now);
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -10,6 +10,7 @@
 use tidestair::gateway::fingerprint::Fingerprint;
 use tidestair::gateway::port::{Change, Entry};
 use tidestair::gateway::update::Lack;
+use tidestair::message;
 use tidestair::platform::Position;
 
 /// A store that can come back from a copy.
@@ -320,3 +321,85 @@
     store.read(&node, now);
     assert!(node.gateway.quarantine().kept_back(request, now).is_none());
 }
+
+/// Guards against a fleet in which each daemon asks for everything when the store comes back: what a peer is given
+/// doesn't grow with the servers that stayed as they were.
+#[test]
+fn a_peer_is_given_what_differs_however_much_the_store_holds() {
+    let now = start();
+    let mut given = Vec::new();
+    for servers in [100, 1_000, 10_000] {
+        let mut store = Store::default();
+        store.put("config", "7");
+        for n in 0..servers {
+            store.put(&format!("servers/{n}"), "ready@1");
+        }
+        let (reader, peer) = (node(now), node(now));
+        store.read(&reader, now);
+        store.read(&peer, now);
+        let copy = store.clone();
+        store.put("servers/1", "leaving@1");
+        store.write("servers/2", None);
+        store.put("servers/new", "ready@1");
+        store.read(&reader, now);
+        store.read(&peer, now);
+        store.restore(&copy);
+        for n in 10..20 {
+            store.put(&format!("servers/{n}"), "leaving@1");
+        }
+        store.read(&reader, now);
+        let update = reader.mirror.update_after(peer.mirror.position(), now).expect("it has read");
+        assert!(!update.whole && update.complete);
+        given.push(message::encode(&update).len());
+        peer.mirror.apply(update, now, now);
+        assert_eq!(peer.mirror.position(), store.at);
+        assert_eq!(peer.used(), reader.used());
+    }
+    assert!(given.iter().all(|bytes| *bytes < 2_000), "{given:?} bytes");
+}
+
+/// A copy that knew more of the lost era than the peer that crossed is given everything, and loses nothing.
+#[test]
+fn a_copy_that_knew_more_of_the_lost_era_is_given_everything() {
+    let now = start();
+    let (mut store, reader) = store_and_node(now);
+    let peer = node(now);
+    let copy = store.clone();
+    store.put("closed/hall-1", "");
+    store.read(&peer, now);
+    store.restore(&copy);
+    store.read(&reader, now);
+    let update = reader.mirror.all_after(peer.mirror.position(), now).expect("it has read");
+    assert!(update.whole);
+    peer.mirror.apply(update, now, now);
+    assert_eq!(peer.mirror.position(), store.at);
+    assert!(!peer.may_use("1"), "it alone knows that the hall is closed");
+    peer.give(&reader, true, now);
+    assert!(!reader.may_use("1"), "and tells it on");
+}
+
+/// The store may go back twice before anybody hears of it.
+#[test]
+fn two_losses_are_crossed_by_what_differs() {
+    let now = start();
+    let (mut store, reader) = store_and_node(now);
+    let peer = node(now);
+    store.read(&peer, now);
+    for _ in 0..2 {
+        let copy = store.clone();
+        store.put("servers/3", "ready@1");
+        store.read(&reader, now);
+        store.restore(&copy);
+        store.read(&reader, now);
+    }
+    store.put("servers/1", "leaving@1");
+    store.read(&reader, now);
+    let update = reader.mirror.update_after(peer.mirror.position(), now).expect("it has read");
+    assert!(!update.whole);
+    peer.mirror.apply(update, now, now);
+    // The reader waits for a server that the peer never knew.
+    let later = now + secs(2);
+    [&reader, &peer].into_iter().for_each(|node| node.mirror.tick(later));
+    assert_eq!((peer.mirror.position(), peer.used()), (store.at, reader.used()));
+    assert_eq!(peer.used().into_iter().collect::<Vec<_>>(), ["2"]);
+}
