--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -78,19 +78,23 @@
     /// Takes in all keys, read at `position`, as the store stood at `seen`.
     pub fn replace(&self, entries: Vec<Entry>, position: Position, seen: Instant, now: Instant) {
         let news = entries.into_iter().map(News::from).collect();
-        self.replace_all(news, (position, position), seen, now);
+        let crosses = self.enter_era(&mut self.state(), position, position, now);
+        self.replace_all(news, position, crosses, seen, now);
+        if crosses {
+            self.state().log_era("store");
+        }
     }
 
-    /// Takes in all keys as of a position, where the first read of all in that era stood at `base`.
+    /// Takes in all keys as of a position, which `crosses` into a later era or doesn't.
     fn replace_all(
         &self,
         news: Vec<News>,
-        (position, base): (Position, Position),
+        position: Position,
+        crosses: bool,
         seen: Instant,
         now: Instant,
     ) {
         let mut state = self.state();
-        let crosses = self.enter_era(&mut state, position, base, now);
         if position < state.position {
             // Older than what is known: a read that was overtaken.
             let known = state.position;
@@ -221,23 +225,33 @@
 
     /// Takes in what a peer gave, true at `seen` or later.
     pub fn apply(&self, update: Update, seen: Instant, now: Instant) {
-        let Statement { position, servers, .. } = update.statement;
-        {
+        let position = update.statement.position;
+        let crosses = {
             let mut state = self.state();
             if position.era < state.position.era {
                 return;
             }
-            let crosses = self.enter_era(&mut state, position, update.base, now);
-            if crosses && !update.whole {
-                state.forgotten = update.statement.since;
-            }
             state.asked.insert(update.statement.retained);
+            self.enter_era(&mut state, position, update.base, now)
+        };
+        match update.whole && update.complete {
+            true => {
+                let live = update.cells.into_iter().filter(|cell| !cell.content.is_deleted());
+                self.replace_all(live.map(News::from).collect(), position, crosses, seen, now);
+                self.adopt(&mut self.state(), update.retained, now);
+            }
+            false => self.apply_changes(update, crosses, seen, now),
         }
-        if update.whole && update.complete {
-            let live = update.cells.into_iter().filter(|cell| !cell.content.is_deleted());
-            self.replace_all(live.map(News::from).collect(), (position, update.base), seen, now);
-            self.adopt(&mut self.state(), update.retained, now);
-            return;
+        if crosses {
+            self.state().log_era("peer");
+        }
+    }
+
+    /// Takes in some keys that a peer gave.
+    fn apply_changes(&self, update: Update, crosses: bool, seen: Instant, now: Instant) {
+        let Statement { position, servers, since, .. } = update.statement;
+        if crosses && !update.whole {
+            self.state().forgotten = since;
         }
         let mut news: Vec<News> = update.cells.into_iter().map(News::from).collect();
         news.sort_by_key(|news| news.revision);
@@ -248,7 +262,7 @@
         }
         let mut state = self.state();
         if is_crossed && update.complete {
-            state.restate(update.statement.since);
+            state.restate(since);
         }
         self.adopt(&mut state, update.retained, now);
         if !update.whole {
@@ -402,6 +416,7 @@
         if !matters {
             return;
         }
+        state.differing += 1;
         if self.is_urgent(&key) {
             state.server_change = state.server_change.max(mattered);
         }
--- a/src/gateway/mirror/state.rs
+++ b/src/gateway/mirror/state.rs
@@ -57,6 +57,8 @@
     pub(super) kept: HashMap<Arc<str>, Kept>,
     /// What peers told of such values that was asked for.
     pub(super) asked: HashSet<u64>,
+    /// Keys that mattered since the last era began, as far as they have been taken in.
+    pub(super) differing: usize,
     /// Servers whose entries lapsed while the store was away, and until when they are waited for.
     pub(super) missing: HashMap<String, Instant>,
     /// What of servers' entries is not logged yet.
@@ -224,8 +226,7 @@
         self.asked.clear();
         self.crossings.push_back(Crossing { from: self.forgotten, to: self.position });
         self.crossings.drain(..self.crossings.len().saturating_sub(MOST_CROSSINGS));
-        let (before, after) = (self.position, position);
-        info!(era = before.era, revision = before.revision, new_era = after.era, new_revision = after.revision; "the store came back from an older copy of itself");
+        self.differing = 0;
         self.outages.restored(now);
         for until in self.missing.values_mut() {
             *until = now + COME_BACK;
@@ -233,6 +234,13 @@
         true
     }
 
+    /// Logs that this copy has gone over to a later era, as the store or a peer told.
+    pub(super) fn log_era(&self, learned: &str) {
+        let before = self.crossings.back().map_or(Position::START, |crossing| crossing.to);
+        let (after, kept) = (self.servers(), self.kept.len());
+        info!(era = before.era, revision = before.revision, new_era = after.era, new_revision = after.revision, learned_from = learned, differing = self.differing, retained = kept; "the store came back from an older copy of itself");
+    }
+
     /// The last position up to the copy's that may have changed something that matters.
     pub(super) fn last_change(&self) -> Position {
         // Changes that were given ahead are not told apart: some may lie below the position by now.
