Names of what is retained, and a lease of an earlier era is not ended at a stop either

The gauge of the era is set by the first read too. A daemon that has learnt of the era from a peer forgets its lease at once: its own client of the store may not know of the era yet, and would renew or end what may be another daemon's.

--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -60,7 +60,8 @@
         let kept = tokio::select! {
             kept = step => kept,
             Ok(()) = eras.changed() => {
-                // The lease is not known to the store any more, or to be another daemon's.
+                // Its id may be another daemon's by now.
+                lease = None;
                 pause = if mirror.lists(&key) { drawn(RENEWAL) } else { spread(LOST) };
                 continue;
             }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -240,7 +240,6 @@
 
     /// The store has come back from an older copy of itself so often.
     pub(super) fn set_era(&self, era: u64) {
-        self.metrics.store_era.set(era as i64);
         self.metrics.store_returns.inc();
         self.era.send_replace(era);
     }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -6,7 +6,7 @@
 //! positions, and for one key a lower position never replaces a higher one.
 //!
 //! The store may come back from an older copy of itself, in a new era. Its revisions then say nothing of those of
-//! before: all is read anew, and words of an earlier era confirm nothing.
+//! before: all is read anew, and statements of an earlier era confirm nothing.
 //!
 //! A copy that is behind is given small values first: that a server leaves is in force at once, however
 //! long a large configuration takes. Only with all of them the copy's position moves on. The servers'
@@ -24,7 +24,7 @@
 use crate::gateway::update::{Cell, Content, Lack, Statement, Update};
 use crate::platform::Position;
 use log::{info, warn};
-use retained::Kept;
+use retained::Retention;
 use state::{Held, News, State};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -71,7 +71,7 @@
             servers_changed: state.server_change.min(servers),
             since: state.forgotten,
             age_ms,
-            retained: state.kept_mark(),
+            retained: state.retained_checksum(),
         })
     }
 
@@ -153,8 +153,8 @@
         let lack = state.lack(&statement);
         if lack == Lack::Nothing {
             // What stands at the peer may be newer than what is in force here.
-            let marks = [0, state.kept_mark()];
-            if !marks.contains(&statement.retained) && !state.asked.contains(&statement.retained) {
+            let known = [0, state.retained_checksum()];
+            if !known.contains(&statement.retained) && !state.asked.contains(&statement.retained) {
                 return Lack::Changes;
             }
             state.servers = state.servers.max(statement.servers);
@@ -218,7 +218,7 @@
             content: held.content.clone(),
         };
         let cells = given.into_iter().map(cell).collect();
-        let (retained, all_retained) = state.kept_up_to(most, now);
+        let (retained, all_retained) = state.retained_for_peer(most, now);
         let (base, complete) = (state.base, left.is_empty() && all_retained);
         Some(Update { statement, whole, complete, base, cells, retained })
     }
@@ -321,7 +321,7 @@
     /// Gives up servers whose entries did not come back in time, and values that were not written again.
     pub fn tick(&self, now: Instant) {
         let mut state = self.state();
-        self.end_kept(&mut state, now);
+        self.expire_retained(&mut state, now);
         let due: Vec<String> = state
             .missing
             .iter()
@@ -355,6 +355,7 @@
     }
 
     fn confirm(&self, state: &mut State, position: Position, seen: Instant, now: Instant) {
+        self.gateway.metrics.store_era.set(state.position.era.max(position.era) as i64);
         state.position = state.position.max(position);
         let late = state.age(now);
         state.confirmed = state.confirmed.max(Some(seen));
@@ -396,7 +397,7 @@
         // The next record is written under the condition that this one stands where it does.
         let is_record = key.starts_with(self.schema.rollout_records());
         let is_new = is_new || (is_of_later_era && is_record);
-        let kept = state.kept.get(&*key);
+        let kept = state.retained.get(&*key);
         let lost = self.lost(state, &key, known, revision, &content, now);
         let last = known.map_or(Position::START, |held| held.mattered);
         let mattered = match mattered {
@@ -411,7 +412,7 @@
         let stays = lost.is_some();
         match lost {
             Some(kept) => self.retain(state, &key, kept, now),
-            None => drop(state.kept.remove(&*key)),
+            None => drop(state.retained.remove(&*key)),
         }
         if !matters {
             return;
@@ -440,8 +441,8 @@
         revision: Position,
         content: &Content,
         now: Instant,
-    ) -> Option<Kept> {
-        let kept = state.kept.get(key);
+    ) -> Option<Retention> {
+        let kept = state.retained.get(key);
         let is_of_later_era = known.is_some_and(|known| known.revision.era < revision.era);
         // Versions that were lost may be written again one by one.
         let is_read = revision <= state.base || key == self.schema.declaration();
@@ -453,14 +454,9 @@
             (None, Some(known)) => (&known.content, known.revision),
             (None, None) => return None,
         };
-        let until = kept.map_or_else(|| self.kept_until(key, now), |kept| kept.until);
-        let content_kept = stands.clone();
-        self.is_lost(key, stands, content).then_some(Kept {
-            content: content_kept,
-            position,
-            over: revision,
-            until,
-        })
+        let until = kept.map_or_else(|| self.retained_until(key, now), |kept| kept.until);
+        let is_lost = self.is_lost(key, stands, content);
+        is_lost.then(|| Retention { content: stands.clone(), position, over: revision, until })
     }
 
     fn is_wanted(&self, key: &str) -> bool {
--- a/src/gateway/mirror/retained.rs
+++ b/src/gateway/mirror/retained.rs
@@ -20,11 +20,11 @@
 
 /// Time for which a server that has gone stays so though the store lists it. Where the copy brought its entry back, it
 /// lapses within three heartbeats of servers; where it is still listed then, the server lives.
-const LAPSES: Duration = Duration::from_secs(8);
+const ENTRY_LAPSE: Duration = Duration::from_secs(8);
 
-/// A value that stands though the store has lost it.
+/// A retained value.
 #[derive(Debug, Clone)]
-pub(super) struct Kept {
+pub(super) struct Retention {
     /// What stands.
     pub(super) content: Content,
     /// Where it was written, in an earlier era.
@@ -36,19 +36,19 @@
 }
 
 impl State {
-    /// Tells sets of values that stand apart; zero where there are none.
-    pub(super) fn kept_mark(&self) -> u64 {
-        let mark = |(key, kept): (&Arc<str>, &Kept)| {
+    /// A checksum of the retained values; zero where there are none.
+    pub(super) fn retained_checksum(&self) -> u64 {
+        let mark = |(key, kept): (&Arc<str>, &Retention)| {
             let at = Tag::of(key).with(Tag::number(kept.position.era));
             at.with(Tag::number(kept.position.revision)).value()
         };
-        self.kept.iter().map(mark).fold(0, |all, one| all ^ one)
+        self.retained.iter().map(mark).fold(0, |all, one| all ^ one)
     }
 
-    /// The values that stand, for a peer, those with up to `most` bytes. Says whether these are all.
-    pub(super) fn kept_up_to(&self, most: usize, now: Instant) -> (Vec<Retained>, bool) {
+    /// The retained values of up to `most` bytes, for a peer. Says whether these are all.
+    pub(super) fn retained_for_peer(&self, most: usize, now: Instant) -> (Vec<Retained>, bool) {
         let left = |until: Instant| until.saturating_duration_since(now).as_millis() as u32;
-        let given = self.kept.iter().filter(|(_, kept)| kept.content.bytes() <= most);
+        let given = self.retained.iter().filter(|(_, kept)| kept.content.bytes() <= most);
         let given = given.map(|(key, kept)| Retained {
             key: key.to_string(),
             content: kept.content.clone(),
@@ -57,7 +57,7 @@
             left_ms: kept.until.map(left),
         });
         let given: Vec<Retained> = given.collect();
-        let all = given.len() == self.kept.len();
+        let all = given.len() == self.retained.len();
         (given, all)
     }
 }
@@ -97,12 +97,12 @@
     }
 
     /// Lets a value stand in place of a change of the store.
-    pub(super) fn retain(&self, state: &mut State, key: &str, kept: Kept, now: Instant) {
+    pub(super) fn retain(&self, state: &mut State, key: &str, kept: Retention, now: Instant) {
         if let Some(service) = key.strip_prefix(self.schema.rollout_records()) {
             self.lose_record(state, key, service, &kept.content, now);
         }
-        if state.kept.contains_key(key) {
-            state.kept.insert(key.into(), kept);
+        if state.retained.contains_key(key) {
+            state.retained.insert(key.into(), kept);
             return;
         }
         info!(key = key, over = kept.over.revision; "the store has lost a value that still holds");
@@ -111,7 +111,7 @@
             self.gateway.quarantine().is_lost(request, now);
             self.gateway.quarantine_news.notify_one();
         }
-        state.kept.insert(key.into(), kept);
+        state.retained.insert(key.into(), kept);
     }
 
     /// The record of a roll-out is to be written again.
@@ -140,11 +140,11 @@
     }
 
     /// Until when a value stands that the store has lost, unless it is written before.
-    pub(super) fn kept_until(&self, key: &str, now: Instant) -> Option<Instant> {
+    pub(super) fn retained_until(&self, key: &str, now: Instant) -> Option<Instant> {
         let schema = &self.schema;
         let again = [schema.closed_halls(), schema.rollouts(), schema.daemons()];
         match () {
-            () if key.starts_with(schema.servers()) => Some(now + LAPSES),
+            () if key.starts_with(schema.servers()) => Some(now + ENTRY_LAPSE),
             () if again.iter().any(|prefix| key.starts_with(prefix)) => Some(now + WRITTEN_AGAIN),
             () => None,
         }
@@ -156,13 +156,13 @@
             let Retained { key, content, position, over, left_ms } = value;
             let held = state.held.get(&*key);
             let is_written = held.is_some_and(|held| held.revision > over);
-            let stands = state.kept.get(&*key).map(|kept| kept.position);
+            let stands = state.retained.get(&*key).map(|kept| kept.position);
             let is_same = held.is_some_and(|held| held.content == content);
             if is_written || is_same || stands.is_some_and(|stands| stands >= position) {
                 continue;
             }
             let until = left_ms.map(|ms| now + Duration::from_millis(ms.into()));
-            let kept = Kept { content: content.clone(), position, over, until };
+            let kept = Retention { content: content.clone(), position, over, until };
             self.retain(state, &key, kept, now);
             if key.starts_with(self.schema.rollout_records()) {
                 continue;
@@ -175,12 +175,12 @@
     }
 
     /// Ends values that have stood for as long as they may: what the store has comes into force.
-    pub(super) fn end_kept(&self, state: &mut State, now: Instant) {
-        let is_due = |kept: &Kept| kept.until.is_some_and(|until| now >= until);
-        let due = state.kept.iter().filter(|(_, kept)| is_due(kept));
+    pub(super) fn expire_retained(&self, state: &mut State, now: Instant) {
+        let is_due = |kept: &Retention| kept.until.is_some_and(|until| now >= until);
+        let due = state.retained.iter().filter(|(_, kept)| is_due(kept));
         let due: Vec<Arc<str>> = due.map(|(key, _)| key.clone()).collect();
         for key in due {
-            state.kept.remove(&key);
+            state.retained.remove(&key);
             info!(key = &*key; "a value that the store has lost was not written again");
             let held = state.held.get(&key).cloned();
             let (at, content) = held
--- a/src/gateway/mirror/state.rs
+++ b/src/gateway/mirror/state.rs
@@ -1,6 +1,6 @@
 //! What a copy consists of: the keys with their latest changes, and up to where it is complete.
 
-use super::retained::Kept;
+use super::retained::Retention;
 use crate::gateway::outage::Outages;
 use crate::gateway::port::{Change, Entry};
 use crate::gateway::update::{Cell, Content, Lack, Statement};
@@ -54,8 +54,8 @@
     /// Where the first read of the whole store in this era stood.
     pub(super) base: Position,
     /// Values that stand though the store has lost them.
-    pub(super) kept: HashMap<Arc<str>, Kept>,
-    /// What peers told of such values that was asked for.
+    pub(super) retained: HashMap<Arc<str>, Retention>,
+    /// Checksums of peers' retained values that were fetched.
     pub(super) asked: HashSet<u64>,
     /// Keys that mattered since the last era began, as far as they have been taken in.
     pub(super) differing: usize,
@@ -237,8 +237,8 @@
     /// Logs that this copy has gone over to a later era, as the store or a peer told.
     pub(super) fn log_era(&self, learned: &str) {
         let before = self.crossings.back().map_or(Position::START, |crossing| crossing.to);
-        let (after, kept) = (self.servers(), self.kept.len());
-        info!(era = before.era, revision = before.revision, new_era = after.era, new_revision = after.revision, learned_from = learned, differing = self.differing, retained = kept; "the store came back from an older copy of itself");
+        let (after, retained) = (self.servers(), self.retained.len());
+        info!(era = before.era, revision = before.revision, new_era = after.era, new_revision = after.revision, learned_from = learned, differing = self.differing, retained = retained; "the store came back from an older copy of itself");
     }
 
     /// The last position up to the copy's that may have changed something that matters.
--- a/src/gateway/rollout/controller.rs
+++ b/src/gateway/rollout/controller.rs
@@ -184,7 +184,7 @@
             if due.step.to != step.to {
                 *due = Due { step, since: now };
             }
-            let is_turn = now.saturating_duration_since(due.since) >= self.cluster_turn(now);
+            let is_turn = now.saturating_duration_since(due.since) >= self.turn(now);
             if is_turn && !self.mirror.store_is_away() {
                 self.take(&service, step).await;
             }
@@ -192,7 +192,7 @@
     }
 
     /// How long this daemon waits for those that read the store before it.
-    fn cluster_turn(&self, now: Instant) -> Duration {
+    fn turn(&self, now: Instant) -> Duration {
         let before = u32::try_from(self.cluster.readers_before(now)).unwrap_or(u32::MAX);
         TURN.saturating_mul(before).min(LONGEST_TURN)
     }
@@ -205,7 +205,7 @@
             return;
         }
         let since = *self.lost.get_or_insert(now);
-        let is_turn = now.saturating_duration_since(since) >= self.cluster_turn(now);
+        let is_turn = now.saturating_duration_since(since) >= self.turn(now);
         if !is_turn || self.mirror.store_is_away() {
             return;
         }
--- a/src/gateway/update.rs
+++ b/src/gateway/update.rs
@@ -21,7 +21,7 @@
     pub since: Position,
     /// How long ago the store was known to stand so, in milliseconds.
     pub age_ms: u32,
-    /// Tells apart which values stand at the sender though the store has lost them; zero where none does.
+    /// A checksum of the values that the sender retains though the store has lost them; zero where there are none.
     pub retained: u64,
 }
 
