--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -61,8 +61,9 @@
     }
     let mut figures = BTreeMap::new();
     for (halls, daemons, servers) in FLEETS {
-        let mut note = |name: &str, us: f64| {
-            figures.insert(format!("{name}_us_at_{daemons}_{servers}"), us);
+        let mut note = |name: &str, figure: f64| {
+            let unit = if name.ends_with("bytes") { "" } else { "_us" };
+            figures.insert(format!("{name}{unit}_at_{daemons}_{servers}"), figure);
         };
         let known = servers_of(servers, halls);
         note("choice", choice(&known));
@@ -158,6 +159,7 @@
         entry(format!("daemons/vm-{n}"), value, servers + n)
     });
     let all: Vec<Entry> = listed.chain(others).collect();
+    store_return(&all, note);
     let position = Position::new(0, (servers + daemons) as u64);
     let after = |n: u64| Position { revision: position.revision + n, ..position };
     let began = Instant::now();
@@ -179,6 +181,36 @@
     note("roster", micros(50, || drop(black_box(roster.listing()))));
 }
 
+/// The store comes back from a copy, and ten servers leave at its return: reading it anew, giving a peer what differs
+/// and taking that in, with its bytes.
+fn store_return(before: &[Entry], note: &mut impl FnMut(&str, f64)) {
+    let now = Instant::now();
+    let position = Position::new(0, before.len() as u64);
+    let (reader, peer) = (stand_ins::node(now).mirror, stand_ins::node(now).mirror);
+    for mirror in [&reader, &peer] {
+        mirror.replace(before.to_vec(), position, now, now);
+    }
+    let after = Position::new(1, position.revision + 10);
+    let mut entries = before.to_vec();
+    for (n, entry) in entries.iter_mut().enumerate() {
+        entry.revision.era = after.era;
+        if n < 10 {
+            entry.value = b"leaving".to_vec();
+            entry.revision = Position::new(after.era, position.revision + 1 + n as u64);
+        }
+    }
+    let began = Instant::now();
+    reader.replace(entries, after, now, now);
+    note("return_read", began.elapsed().as_secs_f64() * 1e6);
+    let began = Instant::now();
+    let update = reader.update_after(peer.position(), now).expect("it has read");
+    note("return_given", began.elapsed().as_secs_f64() * 1e6);
+    note("return_bytes", message::encode(&update).len() as f64);
+    let began = Instant::now();
+    peer.apply(update, now, now);
+    note("return_taken", began.elapsed().as_secs_f64() * 1e6);
+}
+
 fn choice(servers: &Servers) -> f64 {
     let need = Need {
         hall: "hall-0",
