--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -358,6 +358,26 @@
     assert!(given.iter().all(|bytes| *bytes < 2_000), "{given:?} bytes");
 }
 
+/// Guards against a daemon that never takes a new era in which nothing has changed, and so counts as unconfirmed.
+#[test]
+fn a_return_without_a_difference_is_crossed_too() {
+    let now = start();
+    let (mut store, reader) = store_and_node(now);
+    let peer = node(now);
+    store.read(&peer, now);
+    store.restore(&store.clone());
+    store.read(&reader, now);
+    let statement = reader.mirror.statement(now).expect("it has read");
+    assert_eq!(peer.mirror.hear(statement, now, now), Lack::Changes);
+    reader.give(&peer, true, now);
+    assert_eq!(peer.mirror.position(), store.at);
+    let later = now + secs(1);
+    store.read(&reader, later);
+    let statement = reader.mirror.statement(later).expect("it has read");
+    assert_eq!(peer.mirror.hear(statement, later, later), Lack::Nothing);
+    assert_eq!(peer.gateway.in_force.age(later), Some(Duration::ZERO), "confirmed");
+}
+
 /// A copy that knew more of the lost era than the peer that crossed is given everything, and loses nothing.
 #[test]
 fn a_copy_that_knew_more_of_the_lost_era_is_given_everything() {
