One way to write a key under a lease of its own; one question whether a change is of an earlier era

A daemon's own key and the record of a request that ends servers each opened a lease, wrote and read the refusal; the era of a held change was compared in three places. Behaviour as before.

--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -2,9 +2,9 @@
 
 use crate::gateway::listen::Phase;
 use crate::gateway::mirror::Mirror;
-use crate::gateway::port::{Lease, Schema, Store};
+use crate::gateway::port::{self, Lease, Schema, Store};
 use crate::gateway::roster::Roster;
-use crate::platform::{PlatformError, PlatformResult};
+use crate::platform::PlatformResult;
 use crate::time;
 use log::{info, warn};
 use rand::RngExt;
@@ -121,9 +121,5 @@
     {
         return Ok(lease);
     }
-    let lease = store.grant(LEASE).await?;
-    match store.put(key, value.to_vec(), lease).await? {
-        true => Ok(lease),
-        false => Err(PlatformError::Unavailable { reason: "the lease of the key is over".into() }),
-    }
+    port::put_leased(store, key, value.to_vec(), LEASE).await
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -387,7 +387,7 @@
             },
             content => content,
         };
-        let is_of_later_era = known.is_some_and(|known| known.revision.era < revision.era);
+        let is_of_later_era = known.is_some_and(|known| known.is_before(revision.era));
         // Between two deletions something was there, which a peer may still have.
         let is_new = known.is_none_or(|known| match (&known.content, &content) {
             (Content::Deleted, Content::Deleted) => true,
@@ -443,7 +443,7 @@
         now: Instant,
     ) -> Option<Retention> {
         let kept = state.retained.get(key);
-        let is_of_later_era = known.is_some_and(|known| known.revision.era < revision.era);
+        let is_of_later_era = known.is_some_and(|known| known.is_before(revision.era));
         // Versions that were lost may be written again one by one.
         let is_read = revision <= state.base || key == self.schema.declaration();
         if !is_read || !(is_of_later_era || kept.is_some()) {
--- a/src/gateway/mirror/state.rs
+++ b/src/gateway/mirror/state.rs
@@ -27,6 +27,13 @@
     pub(super) content: Content,
 }
 
+impl Held {
+    /// Whether its last change is of an earlier era.
+    pub(super) fn is_before(&self, era: u64) -> bool {
+        self.revision.era < era
+    }
+}
+
 #[derive(Default)]
 pub(super) struct State {
     pub(super) held: HashMap<Arc<str>, Held>,
@@ -180,7 +187,7 @@
     /// Notes that all keys are as the store had them at a position of this era: those that were not told of are as
     /// they were before.
     pub(super) fn restate(&mut self, since: Position) {
-        for held in self.held.values_mut().filter(|held| held.revision.era < since.era) {
+        for held in self.held.values_mut().filter(|held| held.is_before(since.era)) {
             held.revision = since;
         }
     }
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -7,7 +7,7 @@
 use crate::gateway::servers::ServerRecord;
 use crate::gateway::table::Table;
 use crate::outcome::NotSent;
-use crate::platform::{self, LeaseId, PlatformResult, Position};
+use crate::platform::{self, LeaseId, PlatformError, PlatformResult, Position};
 use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode};
 use std::collections::HashMap;
@@ -245,6 +245,20 @@
     fn revoke(&self, lease: Lease) -> BoxFuture<'_, PlatformResult<()>>;
 }
 
+/// Opens a lease and writes a key under it.
+pub async fn put_leased(
+    store: &dyn Store,
+    key: &str,
+    value: Vec<u8>,
+    ttl: Duration,
+) -> PlatformResult<Lease> {
+    let lease = store.grant(ttl).await?;
+    match store.put(key, value, lease).await? {
+        true => Ok(lease),
+        false => Err(PlatformError::Unavailable { reason: "the lease of the key is over".into() }),
+    }
+}
+
 /// A value of the store that does not hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Undecodable(pub String);
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -4,11 +4,11 @@
 use crate::gateway::core::Gateway;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::mirror::Mirror;
-use crate::gateway::port::{Schema, Store};
+use crate::gateway::port::{self, Schema, Store};
 use crate::gateway::quarantine::{MEMORY, Run};
 use crate::gateway::request::Call;
 use crate::gateway::slot::Slot;
-use crate::platform::{PlatformError, PlatformResult};
+use crate::platform::PlatformResult;
 use crate::time;
 use log::{info, warn};
 use rand::RngExt;
@@ -114,11 +114,5 @@
 
 /// Writes a record that lapses by itself.
 async fn write(store: &dyn Store, key: &str) -> PlatformResult<()> {
-    let lease = store.grant(MEMORY).await?;
-    match store.put(key, b"{}".to_vec(), lease).await? {
-        true => Ok(()),
-        false => {
-            Err(PlatformError::Unavailable { reason: "the lease of the record is over".into() })
-        }
-    }
+    port::put_leased(store, key, b"{}".to_vec(), MEMORY).await.map(|_| ())
 }
