--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,7 +11,7 @@
 //! - [`rollout`]: rollout of a new version of a service's servers
 //! - [`limit`], `limited`, [`promises`]: servers that limit how many requests they accept, and the quota
 //!   reserved there for refused callers, who were given a time to retry at
-//! - [`admission`]: which requests are admitted while engines are crowded
+//! - [`admission`], `crowded`: which requests are admitted while engines are crowded
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
@@ -40,6 +40,7 @@
 pub mod cold;
 pub mod condition;
 pub mod core;
+mod crowded;
 pub mod events;
 pub mod fingerprint;
 pub mod follow;
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -1,8 +1,9 @@
 //! Reserves a slot at a backend server for a request.
 
-use crate::gateway::admission::{self, AdmissionClass, Bound};
+use crate::gateway::admission::{AdmissionClass, Bound};
 use crate::gateway::budget::RetryKind;
 use crate::gateway::core::Gateway;
+use crate::gateway::crowded::Applicant;
 use crate::gateway::limited::has_quota;
 use crate::gateway::place::{
     COPY_COST_TOLERANCE, COST_TOLERANCE, Candidate, PlacementRequest, REMOTE_HALL_COPY_COST,
@@ -361,10 +362,15 @@
             return Err(self.after_backoff(no_slot, &servers, service, call, now));
         };
         let there = servers.get(key).map(Server::load).unwrap_or_default();
-        if !terms.bound.admits(there) {
-            let retry_after = admission::retry_after(there.unread_prompt, &mut rand::rng());
-            return Err(NoSlot { reason: "crowded", retry_after, due: None });
-        }
+        let applicant = Applicant {
+            service,
+            call,
+            admission_class: terms.admission_class,
+            bound: terms.bound,
+            load,
+            server_load: there,
+        };
+        self.admit(&servers, &applicant, now)?;
         if servers.get(key).is_some_and(|server| server.is_cold(service.warm_up, now)) {
             servers.note_cold_request(key, now);
         }
