--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -340,6 +340,15 @@
         self.in_force.get()?.table.service(name).cloned()
     }
 
+    /// Priority to send to an engine with a request; `None` if the routes of the service have the same one, so
+    /// that its engines need no order.
+    pub(super) fn engine_priority(&self, service: &Service, call: &Call) -> Option<u8> {
+        service.engine.as_ref()?;
+        let declared = self.in_force.get()?;
+        let priorities = declared.table.priorities(&service.name)?;
+        (priorities.start() < priorities.end()).then(|| call.priority())
+    }
+
     /// Addresses of daemons to return to a caller in `region` for a host.
     ///
     /// If the host's routes restrict regions, only daemons in an allowed region or in the caller's own
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -210,6 +210,7 @@
             time_left: left,
             resume_from: None,
             after,
+            priority: self.gateway.engine_priority(&self.service, self.call),
         };
         self.gateway.log_server_remarks(self.call, slot.key(), now);
         let reply = match self.gateway.wire.send(self.call, options, proof).await {
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -44,6 +44,8 @@
     pub resume_from: Option<RunCopy>,
     /// Id of the last event that the server must not send again.
     pub after: Option<u64>,
+    /// Priority by which an engine orders the request, 0 first; `None` if its service has no order.
+    pub priority: Option<u8>,
 }
 
 /// A backend server's response.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -405,6 +405,7 @@
             time_left: self.call.time_left(now),
             resume_from: Some(copy.clone()),
             after: self.last_event_id,
+            priority: self.gateway.engine_priority(&self.service, &self.call),
         };
         let elsewhere = slot.is_some();
         if !elsewhere {
@@ -468,6 +469,7 @@
             time_left: self.call.time_left(now),
             resume_from: None,
             after: self.last_event_id,
+            priority: self.gateway.engine_priority(&self.service, &self.call),
         };
         let request = self.call.fingerprint().to_string();
         info!(id = self.call.id.as_str(), request = request.as_str(), server = self.slot.id(), why = why.as_str(); "stream broke off");
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -54,6 +54,8 @@
     pub key: String,
     /// Regions that requests of the workspace must stay in.
     pub homes: RegionList,
+    /// Priority that overrides the route's, if the workspace declares one.
+    pub priority: Option<u8>,
 }
 
 /// A caller's request. Times are on this process's monotonic clock.
@@ -93,6 +95,13 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Priority; 0 is the most urgent. It was determined when the request arrived, so that a later change of
+    /// the configuration does not reorder requests that run.
+    pub fn priority(&self) -> u8 {
+        let workspace = self.credential.as_ref().and_then(|credential| credential.priority);
+        workspace.unwrap_or(self.route.priority)
+    }
+
     /// Identifies the same request across attempts and daemons.
     pub fn fingerprint(&self) -> Fingerprint {
         *self.cached_fingerprint.get_or_init(|| Fingerprint::of(self))
