--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -93,6 +93,11 @@
         Bound { waiting_tokens: waiting, memory: f64::from(engine.memory) * fraction }
     }
 
+    /// The bound for a caller's first attempt.
+    pub fn newcomer(slo: Duration, engine: &Engine) -> Bound {
+        Bound::of(slo, engine, AdmissionClass::Newcomer)
+    }
+
     /// Whether a server with this load admits another request. An idle server always does.
     pub fn admits(self, load: Load) -> bool {
         let fits = f64::from(load.unread_prompt) <= self.waiting_tokens
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -267,6 +267,7 @@
             servers.prune(now);
             (servers.count_limited(), servers.count_backing_off())
         };
+        self.gateway.refresh_shortages(now);
         let metrics = self.metrics();
         metrics.limited_servers.set(limited as i64);
         metrics.resting_servers.set(backing_off as i64);
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,6 +15,7 @@
 use crate::gateway::servers::{Load, PeerStats, Server, ServerKey, Servers};
 use crate::gateway::table::{RegionList, Service};
 use crate::gateway::tag::Tag;
+use crate::gateway::urgency::ShortageMonitor;
 use crate::time;
 use futures_util::future::BoxFuture;
 use std::collections::HashMap;
@@ -102,6 +103,8 @@
     exposure: Mutex<f64>,
     /// Quota at limited servers that was promised to callers who come back, by service.
     promises: Mutex<HashMap<Arc<str>, Promises>>,
+    /// Whether the engines of each service are short of capacity.
+    pub(super) shortages: Mutex<HashMap<Arc<str>, ShortageMonitor>>,
     /// Whether the fleet is divided into cells, so that loads in other halls arrive late and as sums.
     pub(super) divided: AtomicBool,
     /// Fraction of all daemons that are in other cells of this hall and whose loads arrive late and as
@@ -152,6 +155,7 @@
             rollout_changed: Notify::new(),
             exposure: Mutex::new(bounds.exposure),
             promises: Mutex::default(),
+            shortages: Mutex::default(),
             divided: AtomicBool::new(false),
             delayed_share: Mutex::new(0.0),
             shutdown_deadline: Mutex::default(),
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -31,10 +31,11 @@
     /// Decides whether the request is admitted, or why not. `servers` are all known servers.
     pub(super) fn admit(
         &self,
-        _servers: &Servers,
+        servers: &Servers,
         applicant: &Applicant<'_>,
-        _now: Instant,
+        now: Instant,
     ) -> Result<(), NoSlot> {
+        self.shortage(servers, applicant.service, now);
         if !applicant.bound.admits(applicant.server_load) {
             let waiting = applicant.server_load.unread_prompt;
             let retry_after = admission::retry_after(waiting, &mut rand::rng());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,8 @@
 //! - [`limit`], `limited`, [`promises`]: servers that limit how many requests they accept, and the quota
 //!   reserved there for refused callers, who were given a time to retry at
 //! - [`admission`], `crowded`: which requests are admitted while engines are crowded
+//! - [`urgency`]: whether a service's engines are short of capacity, and what less urgent requests then leave
+//!   to others
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
@@ -81,4 +83,5 @@
 pub mod tag;
 pub mod update;
 mod upstream;
+pub mod urgency;
 pub mod view;
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -161,6 +161,17 @@
         keys.into_iter().map(|key| (key, &self.arena[key])).collect()
     }
 
+    /// Draws `count` random servers of a service from all halls alike. A server may be drawn more than once.
+    pub fn sample_all(
+        &self,
+        service: &str,
+        count: usize,
+        rng: &mut impl rand::Rng,
+    ) -> Vec<(ServerKey, &Server)> {
+        let keys = self.index.sample_all(service, count, rng);
+        keys.into_iter().map(|key| (key, &self.arena[key])).collect()
+    }
+
     /// Adds a server that is not listed. If the same server process was listed before and still has runs of
     /// this daemon, its entry had only expired: it is listed again and keeps its state.
     fn add(&mut self, record: ServerRecord, now: Instant) {
--- a/src/gateway/servers/index.rs
+++ b/src/gateway/servers/index.rs
@@ -61,18 +61,41 @@
         let (own, others): (Vec<_>, Vec<_>) =
             self.halls(service).partition(|(name, _)| *name == hall);
         for rows in [own, others] {
-            let all: usize = rows.iter().map(|(_, keys)| keys.len()).sum();
-            for _ in 0..count.min(all) {
-                let mut at = rng.random_range(0..all);
-                for (_, keys) in &rows {
-                    if at < keys.len() {
-                        drawn.push(keys[at]);
-                        break;
-                    }
-                    at -= keys.len();
-                }
-            }
+            draw(&rows, count, rng, &mut drawn);
         }
         drawn
     }
+
+    /// Draws `count` random servers of a service from all halls alike, fewer where there are fewer. A server
+    /// may be drawn more than once.
+    pub(super) fn sample_all(
+        &self,
+        service: &str,
+        count: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<ServerKey> {
+        let mut drawn = Vec::with_capacity(count);
+        draw(&self.halls(service).collect::<Vec<_>>(), count, rng, &mut drawn);
+        drawn
+    }
+}
+
+/// Draws up to `count` random keys of the rows.
+fn draw(
+    rows: &[(&str, &[ServerKey])],
+    count: usize,
+    rng: &mut impl Rng,
+    drawn: &mut Vec<ServerKey>,
+) {
+    let all: usize = rows.iter().map(|(_, keys)| keys.len()).sum();
+    for _ in 0..count.min(all) {
+        let mut at = rng.random_range(0..all);
+        for (_, keys) in rows {
+            if at < keys.len() {
+                drawn.push(keys[at]);
+                break;
+            }
+            at -= keys.len();
+        }
+    }
 }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -410,7 +410,7 @@
 /// Number of servers of a service up to which all are examined for each request. Of more servers, a sample
 /// is examined: its least loaded server differs from the least loaded of all by too little for a request to
 /// notice.
-const MAX_EXAMINED: usize = 256;
+pub(super) const MAX_EXAMINED: usize = 256;
 /// Sample size from the preferred hall, and from all other halls together.
 const SAMPLE_SIZE: usize = 64;
 
--- /dev/null
+++ b/src/gateway/urgency.rs
@@ -0,0 +1,207 @@
+//! Shortage of a service's engines, and what less urgent requests leave to more urgent ones meanwhile.
+//!
+//! Each daemon determines from the loads that it knows whether a service is short of capacity. Nothing is
+//! agreed between daemons: they see almost the same loads, and a daemon that differs admits by the bounds
+//! that it would use without a shortage, or leaves some headroom too early.
+//!
+//! The state has hysteresis, since the bounds in force change the loads from which it is determined: engines
+//! at which less urgent requests leave headroom look free to more urgent ones.
+
+use crate::gateway::admission::Bound;
+use crate::gateway::core::Gateway;
+use crate::gateway::servers::{Load, Server, ServerKey, Servers};
+use crate::gateway::slot::MAX_EXAMINED;
+use crate::gateway::table::{Engine, Service};
+use log::info;
+use std::collections::HashMap;
+use std::sync::{Arc, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// Fraction of the open engines that refuse newcomers at which a shortage begins.
+const BEGIN_FRACTION: f64 = 0.5;
+/// Fraction of the open engines that refuse newcomers below which a shortage may end.
+const END_FRACTION: f64 = 0.25;
+/// How long fewer than [`END_FRACTION`] must have refused newcomers for the shortage to end.
+const CALM_TIME: Duration = Duration::from_millis(1_000);
+/// Interval at which a pool is examined: about the age of other daemons' loads.
+const EXAMINE_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of servers that are examined of a service with more than [`MAX_EXAMINED`]. The standard deviation
+/// of the fraction that refuses is then at most 0.04.
+const SAMPLE_SIZE: usize = 128;
+
+/// How many of a service's engines refuse newcomers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PoolSample {
+    /// Engines that take new work.
+    pub open: usize,
+    /// Those that refuse a newcomer, by the bound that holds without a shortage.
+    pub refusing: usize,
+}
+
+impl PoolSample {
+    /// Counts the engines with these loads by the bound for a newcomer.
+    pub fn of(loads: impl Iterator<Item = Load>, newcomer: Bound) -> PoolSample {
+        loads.fold(PoolSample::default(), |mut sample, load| {
+            sample.open += 1;
+            sample.refusing += usize::from(!newcomer.admits(load));
+            sample
+        })
+    }
+
+    fn refusing_fraction(self) -> f64 {
+        self.refusing as f64 / self.open.max(1) as f64
+    }
+}
+
+/// A shortage that is in progress.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shortage {
+    /// When it began.
+    pub since: Instant,
+    /// The pool when it was last examined.
+    pub pool: PoolSample,
+}
+
+/// The beginning or the end of a shortage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Transition {
+    /// It began.
+    Began(Shortage),
+    /// It ended.
+    Ended(Shortage),
+}
+
+/// Determines whether one service is short of capacity.
+#[derive(Debug, Default)]
+pub struct ShortageMonitor {
+    shortage: Option<Shortage>,
+    examined: Option<Instant>,
+    /// Since when few engines refuse newcomers.
+    calm_since: Option<Instant>,
+}
+
+impl ShortageMonitor {
+    /// The shortage in progress, as last determined.
+    pub fn current(&self) -> Option<Shortage> {
+        self.shortage
+    }
+
+    /// Whether the pool should be examined again.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.examined.is_none_or(|at| now.saturating_duration_since(at) >= EXAMINE_INTERVAL)
+    }
+
+    /// Updates the state by a new sample of the pool. A pool without open engines keeps its state: nothing
+    /// is admitted there, and it says nothing about the engines that will open.
+    pub fn update(&mut self, pool: PoolSample, now: Instant) -> Option<Transition> {
+        self.examined = Some(now);
+        if pool.open == 0 {
+            return None;
+        }
+        let fraction = pool.refusing_fraction();
+        self.calm_since = (fraction < END_FRACTION).then(|| self.calm_since.unwrap_or(now));
+        let Some(shortage) = &mut self.shortage else {
+            if fraction < BEGIN_FRACTION {
+                return None;
+            }
+            let shortage = Shortage { since: now, pool };
+            self.shortage = Some(shortage);
+            return Some(Transition::Began(shortage));
+        };
+        shortage.pool = pool;
+        let is_over = |since: Instant| now.saturating_duration_since(since) >= CALM_TIME;
+        match self.calm_since.is_some_and(is_over) {
+            true => self.shortage.take().map(Transition::Ended),
+            false => None,
+        }
+    }
+}
+
+impl Gateway {
+    /// The shortage of a service's engines, if there is one. Examines the pool if the last examination is
+    /// too old.
+    pub fn shortage(&self, servers: &Servers, service: &Service, now: Instant) -> Option<Shortage> {
+        let engine = service.engine.as_ref()?;
+        let slo = self.in_force.get()?.table.latency_slo(&service.name)?;
+        let mut monitors = self.shortages();
+        if !monitors.contains_key(&service.name) {
+            monitors.insert(service.name.clone(), ShortageMonitor::default());
+        }
+        let monitor = monitors.get_mut(&service.name)?;
+        if monitor.is_due(now) {
+            let pool = examine(servers, service, engine, slo, now);
+            if let Some(transition) = monitor.update(pool, now) {
+                self.report_transition(service, transition, now);
+            }
+        }
+        monitor.current()
+    }
+
+    /// Examines the pools that are short of capacity, so that a shortage also ends where no request arrives,
+    /// and forgets services that are no longer declared.
+    pub(super) fn refresh_shortages(&self, now: Instant) {
+        let names: Vec<Arc<str>> = {
+            let monitors = self.shortages();
+            let short = monitors.iter().filter(|(_, monitor)| monitor.current().is_some());
+            short.map(|(name, _)| name.clone()).collect()
+        };
+        if names.is_empty() {
+            return;
+        }
+        self.merge_peer_stats(now);
+        let declared = self.in_force.get();
+        for name in names {
+            let service = declared.as_ref().and_then(|declared| declared.table.service(&name));
+            match service.filter(|service| service.engine.is_some()) {
+                Some(service) => {
+                    self.shortage(&self.servers(), service, now);
+                }
+                None => {
+                    self.shortages().remove(&name);
+                    self.metrics.shortage.with_label_values(&[&name]).set(0);
+                }
+            }
+        }
+    }
+
+    fn shortages(&self) -> MutexGuard<'_, HashMap<Arc<str>, ShortageMonitor>> {
+        self.shortages.lock().expect("no holder panics")
+    }
+
+    fn report_transition(&self, service: &Service, transition: Transition, now: Instant) {
+        let (is_short, what, shortage) = match transition {
+            Transition::Began(shortage) => (true, "shortage begins", shortage),
+            Transition::Ended(shortage) => (false, "shortage ends", shortage),
+        };
+        self.metrics.shortage.with_label_values(&[&service.name]).set(is_short.into());
+        let PoolSample { open, refusing } = shortage.pool;
+        let ms = now.saturating_duration_since(shortage.since).as_millis() as u64;
+        info!(service = &*service.name, open = open, refusing = refusing, ms = ms; "{what}");
+    }
+}
+
+/// Counts the engines of a service that refuse newcomers; of many servers, those of a sample.
+fn examine(
+    servers: &Servers,
+    service: &Service,
+    engine: &Engine,
+    slo: Duration,
+    now: Instant,
+) -> PoolSample {
+    let newcomer = Bound::newcomer(slo, engine);
+    let takes_work = |(_, server): &(ServerKey, &Server)| {
+        let reachable = !server.is_skipped(now) && !server.is_backing_off(now);
+        reachable && servers.is_open(&service.name, server)
+    };
+    let count = |drawn: &mut dyn Iterator<Item = (ServerKey, &Server)>| {
+        let loads = drawn.filter(takes_work).map(|(_, server)| server.load());
+        PoolSample::of(loads, newcomer)
+    };
+    match servers.count(&service.name) > MAX_EXAMINED {
+        true => {
+            let drawn = servers.sample_all(&service.name, SAMPLE_SIZE, &mut rand::rng());
+            count(&mut drawn.into_iter())
+        }
+        false => count(&mut servers.listed(&service.name)),
+    }
+}
