--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -33,6 +33,9 @@
 const MEMORY_FRACTION: f64 = 0.85;
 /// The same for a caller that was refused before.
 const MEMORY_FRACTION_RETURNED: f64 = 1.0;
+/// Fraction of the ordinary bounds for new callers up to which a less urgent one is admitted during a
+/// shortage. The rest is headroom for more urgent requests.
+const LESS_URGENT_FRACTION: f64 = 0.75;
 /// Prompt tokens that a crowded engine reads per millisecond: 112 in a step of some 16 ms, beside its runs.
 const READ_PER_MS: f64 = 6.0;
 /// The same for the slowest engine with a full batch: its step takes twice as long, on a server that is 1.3
@@ -60,6 +63,15 @@
 }
 
 impl AdmissionClass {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            AdmissionClass::Newcomer => "newcomer",
+            AdmissionClass::Returned => "returned",
+            AdmissionClass::Begun => "begun",
+        }
+    }
+
     /// The class of a caller that has `left` of the `whole` timeout of its route.
     pub fn of(left: Duration, whole: Duration) -> AdmissionClass {
         match whole.saturating_sub(left) >= MIN_TIME_SPENT {
@@ -98,6 +110,21 @@
         Bound::of(slo, engine, AdmissionClass::Newcomer)
     }
 
+    /// The bound during a shortage for a request that is less urgent than others of its service. It is never
+    /// above that of any more urgent request. One that was refused before has the bound of more urgent
+    /// newcomers, so that less urgent requests still get some service in a long shortage.
+    pub fn less_urgent(slo: Duration, engine: &Engine, admission_class: AdmissionClass) -> Bound {
+        let newcomer = Bound::newcomer(slo, engine);
+        match admission_class {
+            AdmissionClass::Newcomer => Bound {
+                waiting_tokens: newcomer.waiting_tokens * LESS_URGENT_FRACTION,
+                memory: newcomer.memory * LESS_URGENT_FRACTION,
+            },
+            AdmissionClass::Returned => newcomer,
+            AdmissionClass::Begun => Bound::NONE,
+        }
+    }
+
     /// Whether a server with this load admits another request. An idle server always does.
     pub fn admits(self, load: Load) -> bool {
         let fits = f64::from(load.unread_prompt) <= self.waiting_tokens
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -9,8 +9,13 @@
 use crate::gateway::servers::{Load, Servers};
 use crate::gateway::slot::NoSlot;
 use crate::gateway::table::Service;
+use crate::gateway::urgency::{self, Shortage};
+use log::info;
 use std::time::Instant;
 
+/// Largest priority that counters distinguish; larger ones are counted with it.
+const MAX_PRIORITY: u8 = 9;
+
 /// A request that asks for admission at a chosen server.
 pub(super) struct Applicant<'a> {
     /// The service that handles the request.
@@ -35,12 +40,82 @@
         applicant: &Applicant<'_>,
         now: Instant,
     ) -> Result<(), NoSlot> {
-        self.shortage(servers, applicant.service, now);
-        if !applicant.bound.admits(applicant.server_load) {
-            let waiting = applicant.server_load.unread_prompt;
-            let retry_after = admission::retry_after(waiting, &mut rand::rng());
-            return Err(NoSlot { reason: "crowded", retry_after, due: None });
+        let shortage = self.shortage(servers, applicant.service, now);
+        let decision = self.within_bounds(applicant, shortage);
+        decision.inspect_err(|refusal| log_refusal(applicant, shortage, refusal, now))
+    }
+
+    /// Decides by the load at the server. During a shortage, less urgent requests have lower bounds.
+    fn within_bounds(
+        &self,
+        applicant: &Applicant<'_>,
+        shortage: Option<Shortage>,
+    ) -> Result<(), NoSlot> {
+        let Applicant { service, call, admission_class, bound, server_load, .. } = *applicant;
+        let yields = shortage.is_some() && self.is_less_urgent(service, call);
+        let engine = service.engine.as_ref().filter(|_| yields);
+        let less_urgent = engine.map(|engine| {
+            Bound::less_urgent(self.latency_slo(service, call), engine, admission_class)
+        });
+        urgency::check(server_load, bound, less_urgent).map_err(|reason| {
+            let retry_after = admission::retry_after(server_load.unread_prompt, &mut rand::rng());
+            NoSlot { reason, retry_after, due: None }
+        })
+    }
+
+    /// Counts the decision about a request to an engine. Sends after the first one are not counted, nor are
+    /// streams that continue.
+    pub(super) fn count_admission(
+        &self,
+        service: &Service,
+        call: &Call,
+        admission_class: AdmissionClass,
+        refused: Option<&'static str>,
+    ) {
+        if service.engine.is_none() || admission_class == AdmissionClass::Begun {
+            return;
+        }
+        let priority = call.priority().min(MAX_PRIORITY).to_string();
+        let labels = [&*service.name, priority.as_str()];
+        let returned = admission_class == AdmissionClass::Returned;
+        let metrics = &self.metrics;
+        match refused {
+            None => {
+                metrics.admitted.with_label_values(&labels).inc();
+                if returned {
+                    metrics.returned_admitted.with_label_values(&labels).inc();
+                }
+            }
+            Some(reason) => {
+                let labels = [labels[0], labels[1], reason];
+                metrics.refused.with_label_values(&labels).inc();
+                if returned {
+                    metrics.returned_refused.with_label_values(&labels).inc();
+                }
+            }
         }
-        Ok(())
     }
 }
+
+/// Logs a refusal with the figures that decided it.
+fn log_refusal(
+    applicant: &Applicant<'_>,
+    shortage: Option<Shortage>,
+    refusal: &NoSlot,
+    now: Instant,
+) {
+    let (call, there) = (applicant.call, applicant.server_load);
+    let (id, route, service) =
+        (call.id.as_str(), call.route.name.as_str(), &*applicant.service.name);
+    let class = applicant.admission_class.name();
+    let pool = shortage.map(|shortage| shortage.pool).unwrap_or_default();
+    let left_ms = call.time_left(now).as_millis() as u64;
+    let retry_ms = refusal.retry_after.as_millis() as u64;
+    info!(
+        id = id, route = route, service = service, priority = call.priority(), class = class,
+        why = refusal.reason, unread = there.unread_prompt, tokens = there.tokens, runs = there.runs,
+        prompt = applicant.load.unread_prompt, shortage = shortage.is_some(), open = pool.open,
+        refusing = pool.refusing, left_ms = left_ms, retry_ms = retry_ms;
+        "not admitted"
+    );
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,6 +43,14 @@
     pub limited_sendings: IntCounter,
     /// Number of servers that are backing off.
     pub resting_servers: IntGauge,
+    /// Requests that were admitted at engines, by service and priority.
+    pub admitted: IntCounterVec,
+    /// Requests that were refused, by service, priority and reason.
+    pub refused: IntCounterVec,
+    /// Those admitted that came back after a refusal.
+    pub returned_admitted: IntCounterVec,
+    /// Those refused that came back after a refusal.
+    pub returned_refused: IntCounterVec,
     /// Whether the engines of a service are short of capacity.
     pub shortage: IntGaugeVec,
     /// Requests sent to servers that had announced that they leave or back off, by announcement.
@@ -138,6 +146,30 @@
                 "tidestair_gateway_resting_servers",
                 "Backend servers that have asked this daemon for rest",
             ),
+            admitted: counters(
+                &r,
+                "tidestair_gateway_admitted_total",
+                "Requests admitted at engines, by service and priority",
+                &["service", "priority"],
+            ),
+            refused: counters(
+                &r,
+                "tidestair_gateway_refused_total",
+                "Requests to engines that were refused, by service, priority and reason",
+                &["service", "priority", "reason"],
+            ),
+            returned_admitted: counters(
+                &r,
+                "tidestair_gateway_returned_admitted_total",
+                "Requests admitted at engines that came back after a refusal",
+                &["service", "priority"],
+            ),
+            returned_refused: counters(
+                &r,
+                "tidestair_gateway_returned_refused_total",
+                "Requests to engines that came back after a refusal and were refused again",
+                &["service", "priority", "reason"],
+            ),
             shortage: gauges(
                 &r,
                 "tidestair_gateway_shortage",
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -261,14 +261,19 @@
         let pick = self.pick(&service.name, draw, now);
         let filter = ServerFilter { excluded: tried, pick: pick.as_ref() };
         let slot = self.choose_slot(service, &request, call, terms, filter, now);
-        match pick {
+        let slot = match pick {
             // The many old servers may have capacity where the few of the new version have none.
             Some(pick) if slot.is_err() && pick.arm == Arm::Candidate => {
                 let filter = ServerFilter { excluded: tried, pick: Some(&pick.baseline()) };
                 self.choose_slot(service, &request, call, terms, filter, now)
             }
             _ => slot,
+        };
+        if tried.is_empty() {
+            let refused = slot.as_ref().err().map(|why| why.reason);
+            self.count_admission(service, call, admission_class, refused);
         }
+        slot
     }
 
     /// Reserves a slot for a request that was sent before, if the shared budget allows a retry.
@@ -295,7 +300,7 @@
     }
 
     /// The strictest SLO of the routes to a service.
-    fn latency_slo(&self, service: &Service, call: &Call) -> Duration {
+    pub(super) fn latency_slo(&self, service: &Service, call: &Call) -> Duration {
         let declared = self.in_force.get();
         declared.and_then(|d| d.table.latency_slo(&service.name)).unwrap_or(call.route.latency_slo)
     }
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -9,6 +9,7 @@
 
 use crate::gateway::admission::Bound;
 use crate::gateway::core::Gateway;
+use crate::gateway::request::Call;
 use crate::gateway::servers::{Load, Server, ServerKey, Servers};
 use crate::gateway::slot::MAX_EXAMINED;
 use crate::gateway::table::{Engine, Service};
@@ -117,6 +118,18 @@
     }
 }
 
+/// Whether a server with this load admits a request, or the reason for which it does not. `less_urgent` is
+/// the bound for a request that yields to more urgent ones.
+pub fn check(load: Load, bound: Bound, less_urgent: Option<Bound>) -> Result<(), &'static str> {
+    if !bound.admits(load) {
+        return Err("crowded");
+    }
+    match less_urgent.is_none_or(|bound| bound.admits(load)) {
+        true => Ok(()),
+        false => Err("yields"),
+    }
+}
+
 impl Gateway {
     /// The shortage of a service's engines, if there is one. Examines the pool if the last examination is
     /// too old.
@@ -164,6 +177,14 @@
         }
     }
 
+    /// Whether a request leaves headroom to others during a shortage: some route of its service has a
+    /// smaller priority.
+    pub(super) fn is_less_urgent(&self, service: &Service, call: &Call) -> bool {
+        let declared = self.in_force.get();
+        let priorities = declared.as_ref().and_then(|d| d.table.priorities(&service.name));
+        priorities.is_some_and(|priorities| call.priority() > *priorities.start())
+    }
+
     fn shortages(&self) -> MutexGuard<'_, HashMap<Arc<str>, ShortageMonitor>> {
         self.shortages.lock().expect("no holder panics")
     }
--- a/tests/urgency.rs
+++ b/tests/urgency.rs
@@ -1,10 +1,10 @@
 //! Which requests are admitted while engines are short of capacity.
 
 use std::time::{Duration, Instant};
-use tidestair::gateway::admission::Bound;
+use tidestair::gateway::admission::{AdmissionClass, Bound};
 use tidestair::gateway::servers::Load;
 use tidestair::gateway::table::Engine;
-use tidestair::gateway::urgency::{PoolSample, ShortageMonitor, Transition};
+use tidestair::gateway::urgency::{PoolSample, ShortageMonitor, Transition, check};
 
 const ENGINE: Engine = Engine {
     slots: 24,
@@ -51,3 +51,53 @@
     assert_eq!(monitor.update(pool(0, 0), start + Duration::from_secs(9)), None);
     assert!(monitor.current().is_some());
 }
+
+/// Loads of a server, from idle to beyond every bound.
+fn loads() -> impl Iterator<Item = Load> {
+    let unread = (0..6_000).step_by(250);
+    unread.flat_map(|unread_prompt| {
+        let tokens = (0..=ENGINE.memory + 2_000).step_by(1_000);
+        tokens.map(move |tokens| Load { runs: 2, tokens, unread_prompt, ..Load::default() })
+    })
+}
+
+/// Fails if a server that refuses a more urgent request admits a less urgent one.
+#[test]
+fn no_less_urgent_request_is_admitted_where_a_more_urgent_one_is_refused() {
+    use AdmissionClass::{Newcomer, Returned};
+    for (urgent, other) in
+        [(Newcomer, Newcomer), (Newcomer, Returned), (Returned, Newcomer), (Returned, Returned)]
+    {
+        let ordinary = |class| Bound::of(SLO, &ENGINE, class);
+        for load in loads() {
+            let less_urgent = Bound::less_urgent(SLO, &ENGINE, other);
+            let admitted = check(load, ordinary(other), Some(less_urgent)).is_ok();
+            let urgent_admitted = check(load, ordinary(urgent), None).is_ok();
+            assert!(urgent_admitted || !admitted, "{urgent:?} {other:?} {load:?}");
+        }
+    }
+}
+
+/// Fails if less urgent requests leave no headroom, or if a refusal states the wrong reason.
+#[test]
+fn less_urgent_newcomers_leave_headroom_in_memory_and_in_unread_prompts() {
+    let bound = Bound::newcomer(SLO, &ENGINE);
+    let less_urgent = Bound::less_urgent(SLO, &ENGINE, AdmissionClass::Newcomer);
+    let decide = |tokens, unread_prompt| {
+        let load = Load { runs: 2, tokens, unread_prompt, ..Load::default() };
+        (check(load, bound, None), check(load, bound, Some(less_urgent)))
+    };
+    assert_eq!(decide(9_000, 1_000), (Ok(()), Ok(())));
+    assert_eq!(decide(9_000, 2_700), (Ok(()), Err("yields")));
+    assert_eq!(decide(21_000, 1_000), (Ok(()), Err("yields")));
+    assert_eq!(decide(9_000, 3_100), (Err("crowded"), Err("crowded")));
+    let idle = Load::default();
+    assert!(check(idle, bound, Some(less_urgent)).is_ok(), "an idle engine takes every request");
+}
+
+/// Fails if a run that has begun cannot continue at a crowded server.
+#[test]
+fn a_run_that_has_begun_yields_to_none() {
+    let bound = Bound::less_urgent(SLO, &ENGINE, AdmissionClass::Begun);
+    assert!(loads().all(|load| check(load, Bound::NONE, Some(bound)).is_ok()));
+}
