--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -394,7 +394,8 @@
         let rollouts = self.gateway.rollouts().for_peers(now);
         let (stats, observations) = {
             let servers = self.gateway.servers();
-            let (loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
+            let (mut loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
+            loads.extend(self.gateway.shares().own_loads());
             let tallies = rollouts.tallies.into_iter().collect();
             let orders = rollouts.order_ages_ms.into_iter().collect();
             (
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -13,6 +13,7 @@
 use crate::gateway::rollout::Rollouts;
 use crate::gateway::roster::Roster;
 use crate::gateway::servers::{Load, PeerStats, Server, ServerKey, Servers};
+use crate::gateway::shares::Shares;
 use crate::gateway::table::{RegionList, Service};
 use crate::gateway::tag::Tag;
 use crate::time;
@@ -102,6 +103,7 @@
     exposure: Mutex<f64>,
     /// Quota at limited servers that was promised to callers who come back, by service.
     promises: Mutex<HashMap<Arc<str>, Promises>>,
+    shares: Mutex<Shares>,
     /// Whether the fleet is divided into cells, so that loads in other halls arrive late and as sums.
     pub(super) divided: AtomicBool,
     /// Fraction of all daemons that are in other cells of this hall and whose loads arrive late and as
@@ -152,6 +154,7 @@
             rollout_changed: Notify::new(),
             exposure: Mutex::new(bounds.exposure),
             promises: Mutex::default(),
+            shares: Mutex::default(),
             divided: AtomicBool::new(false),
             delayed_share: Mutex::new(0.0),
             shutdown_deadline: Mutex::default(),
@@ -399,6 +402,11 @@
         self.promises.lock().expect("no holder panics")
     }
 
+    /// Locks the load by service and workspace.
+    pub(super) fn shares(&self) -> MutexGuard<'_, Shares> {
+        self.shares.lock().expect("no holder panics")
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &Arc<str>, now: Instant) {
         self.budget().record_request(service, now);
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -9,6 +9,7 @@
 use crate::gateway::servers::{Load, Servers};
 use crate::gateway::slot::NoSlot;
 use crate::gateway::table::Service;
+use log::info;
 use std::time::Instant;
 
 /// A request that asks for admission at a chosen server.
@@ -27,19 +28,59 @@
     pub server_load: Load,
 }
 
+impl Applicant<'_> {
+    /// The refusal of a request that may be retried when the server has read what waits there.
+    fn refused(&self, reason: &'static str) -> NoSlot {
+        let waiting = self.server_load.unread_prompt;
+        let retry_after = admission::retry_after(waiting, &mut rand::rng());
+        NoSlot { reason, retry_after, due: None }
+    }
+}
+
 impl Gateway {
     /// Decides whether the request is admitted, or why not. `servers` are all known servers.
     pub(super) fn admit(
         &self,
-        _servers: &Servers,
+        servers: &Servers,
         applicant: &Applicant<'_>,
         _now: Instant,
     ) -> Result<(), NoSlot> {
         if !applicant.bound.admits(applicant.server_load) {
-            let waiting = applicant.server_load.unread_prompt;
-            let retry_after = admission::retry_after(waiting, &mut rand::rng());
-            return Err(NoSlot { reason: "crowded", retry_after, due: None });
+            return Err(applicant.refused("crowded"));
         }
-        Ok(())
+        self.admit_by_share(servers, applicant, self.in_shortage(applicant.service))
+    }
+
+    /// Whether a service's pool is short of capacity. Always false until shortages are determined.
+    fn in_shortage(&self, _service: &Service) -> bool {
+        false
+    }
+
+    /// Refuses a newcomer whose workspace holds more than its share of a pool that is short of capacity.
+    fn admit_by_share(
+        &self,
+        servers: &Servers,
+        applicant: &Applicant<'_>,
+        in_shortage: bool,
+    ) -> Result<(), NoSlot> {
+        let Applicant { service, call, .. } = applicant;
+        let is_newcomer = applicant.admission_class == AdmissionClass::Newcomer;
+        let (Some(engine), true) = (&service.engine, in_shortage && is_newcomer) else {
+            return Ok(());
+        };
+        let memory = servers.open(&service.name).count() as u64 * u64::from(engine.memory);
+        let tag = call.share_tag(&service.name);
+        let Some(excess) = self.shares().excess(tag, applicant.load, memory) else {
+            return Ok(());
+        };
+        info!(
+            id = call.id.as_str(),
+            service = &*service.name,
+            workspace = call.credential.as_ref().map_or("", |credential| &*credential.workspace),
+            tokens = excess.held,
+            share = excess.share;
+            "refused, workspace over its share"
+        );
+        Err(applicant.refused("over_share"))
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! - [`limit`], `limited`, [`promises`]: servers that limit how many requests they accept, and the quota
 //!   reserved there for refused callers, who were given a time to retry at
 //! - [`admission`], `crowded`: which requests are admitted while engines are crowded
+//! - [`shares`]: fair shares of a pool's capacity between workspaces
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
@@ -72,6 +73,7 @@
 pub mod roster;
 mod server;
 pub mod servers;
+pub mod shares;
 pub mod slot;
 pub mod start;
 pub mod stop;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,7 +1,9 @@
 //! A caller's request as the gateway forwards it, and the response.
 
 use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::shares::share_tag;
 use crate::gateway::table::{RegionList, Route};
+use crate::gateway::tag::Tag;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -93,6 +95,11 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Tag under which the request's load counts for its workspace at a service.
+    pub(super) fn share_tag(&self, service: &str) -> Tag {
+        share_tag(service, self.credential.as_ref().map(|credential| &*credential.workspace))
+    }
+
     /// Identifies the same request across attempts and daemons.
     pub fn fingerprint(&self) -> Fingerprint {
         *self.cached_fingerprint.get_or_init(|| Fingerprint::of(self))
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -79,11 +79,17 @@
             incoming_copies: 0,
         }
     }
+
+    /// Whether a reported load is that of a server. Loads of anything else, such as workspaces, are reported
+    /// without a number of requests.
+    pub(super) fn is_of_server(self) -> bool {
+        self.runs > 0
+    }
 }
 
 impl AddAssign for Load {
     fn add_assign(&mut self, other: Load) {
-        self.runs += other.runs;
+        self.runs = self.runs.saturating_add(other.runs);
         self.tokens = self.tokens.saturating_add(other.tokens);
         self.unread_prompt = self.unread_prompt.saturating_add(other.unread_prompt);
         self.non_repeatable = self.non_repeatable.saturating_add(other.non_repeatable);
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -72,6 +72,8 @@
     pub store_age: Option<Duration>,
     /// Prompt tokens that waited to be read at the server before this request.
     pub waiting_tokens: u32,
+    /// Tag under which the load counts for the request's workspace; `None` for plain services.
+    share_tag: Option<Tag>,
     /// The rollout sample that this request's result counts for, if any.
     pub rollout_sample: Option<RolloutSample>,
 }
@@ -108,6 +110,9 @@
     pub fn record_prompt_read(&mut self) {
         let tokens = std::mem::take(&mut self.place.load.unread_prompt);
         self.gateway.servers().note_prompt_read(self.key(), tokens);
+        if let Some(tag) = self.share_tag {
+            self.gateway.shares().note_prompt_read(tag, tokens);
+        }
         self.gateway.signal_load_change(self.place.load);
     }
 
@@ -145,6 +150,9 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         self.gateway.servers().remove_load(self.key(), self.place.load);
+        if let Some(tag) = self.share_tag {
+            self.gateway.shares().remove(tag, self.place.load);
+        }
         self.gateway.signal_load_change(self.place.load);
         if *self.notice.borrow() {
             // Other daemons wait for their turn to move their own runs away from this server.
@@ -215,6 +223,7 @@
     pub(super) fn merge_peer_stats(&self, now: Instant) {
         if let Some(stats) = self.peer_source().and_then(|source| source.peer_stats(now)) {
             self.servers().set_peer_stats(&stats);
+            self.shares().set_peer_loads(&stats.loads);
             self.rollouts().set_peer_reports(&stats.rollouts, now);
             self.quarantine().set_peer_reports(&stats.evidence, now);
             if !stats.evidence.is_empty() {
@@ -382,6 +391,10 @@
         self.work_started.notify_one();
         self.signal_load_change(load);
         let server = servers.get(key).ok_or("no_server")?;
+        let share_tag = service.engine.as_ref().map(|_| call.share_tag(&service.name));
+        if let Some(tag) = share_tag {
+            self.shares().add(tag, load);
+        }
         let to = server.destination();
         let place = Placement {
             key,
@@ -402,6 +415,7 @@
             notice,
             store_age: None,
             waiting_tokens: waiting,
+            share_tag,
             rollout_sample: sample,
         })
     }
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -14,6 +14,7 @@
 use crate::gateway::quarantine::{Evidence, top_suspects};
 use crate::gateway::rollout;
 use crate::gateway::servers::Load;
+use crate::gateway::shares::largest_by_name;
 use crate::gateway::tag::Tag;
 use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
@@ -207,14 +208,17 @@
         self.entries.extend(sum.entries.first());
     }
 
-    /// Removes the loads of servers with fewer than `least` requests.
+    /// Removes the loads of servers with fewer than `min_runs` requests. Loads of workspaces are kept.
     pub(crate) fn drop_light_loads(&mut self, min_runs: u32) {
-        self.loads.retain(|_, load| load.runs >= min_runs);
+        self.loads.retain(|_, load| !load.is_of_server() || load.runs >= min_runs);
     }
 
     /// The sum, dated by the clock of this process.
     pub(crate) fn sum(mut self, origin: Origin, clock: &Clock, now: Instant) -> Sum {
         self.entries.truncate(MIN_ENTRIES);
+        let (mut loads, rest): (Vec<_>, Vec<_>) =
+            self.loads.into_iter().partition(|(_, load)| load.is_of_server());
+        loads.extend(largest_by_name(rest.into_iter()));
         Sum {
             origin,
             boot: clock.boot(),
@@ -224,7 +228,7 @@
             daemons: self.daemons,
             entries: self.entries,
             stats: DaemonStats {
-                loads: self.loads.into_iter().collect(),
+                loads,
                 spent: self.spent.into_iter().collect(),
                 outcomes: self.outcomes.into_iter().collect(),
                 evidence: top_suspects(self.evidence.into_iter().collect()),
