--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -32,6 +32,15 @@
     pub server_load: Load,
 }
 
+impl Applicant<'_> {
+    /// The refusal of a request that may be retried when the server has read what waits there.
+    fn refused(&self, reason: &'static str) -> NoSlot {
+        let waiting = self.server_load.unread_prompt;
+        let retry_after = admission::retry_after(waiting, &mut rand::rng());
+        NoSlot { reason, retry_after, due: None }
+    }
+}
+
 impl Gateway {
     /// Decides whether the request is admitted, or why not. `servers` are all known servers.
     pub(super) fn admit(
@@ -41,7 +50,9 @@
         now: Instant,
     ) -> Result<(), NoSlot> {
         let shortage = self.shortage(servers, applicant.service, now);
-        let decision = self.within_bounds(applicant, shortage);
+        let decision = self
+            .within_bounds(applicant, shortage)
+            .and_then(|()| self.admit_by_share(servers, applicant, shortage.is_some()));
         decision.inspect_err(|refusal| log_refusal(applicant, shortage, refusal, now))
     }
 
@@ -57,10 +68,7 @@
         let less_urgent = engine.map(|engine| {
             Bound::less_urgent(self.latency_slo(service, call), engine, admission_class)
         });
-        urgency::check(server_load, bound, less_urgent).map_err(|reason| {
-            let retry_after = admission::retry_after(server_load.unread_prompt, &mut rand::rng());
-            NoSlot { reason, retry_after, due: None }
-        })
+        urgency::check(server_load, bound, less_urgent).map_err(|reason| applicant.refused(reason))
     }
 
     /// Counts the decision about a request to an engine. Sends after the first one are not counted, nor are
@@ -95,6 +103,34 @@
             }
         }
     }
+
+    /// Refuses a newcomer whose workspace holds more than its share of a pool that is short of capacity.
+    fn admit_by_share(
+        &self,
+        servers: &Servers,
+        applicant: &Applicant<'_>,
+        in_shortage: bool,
+    ) -> Result<(), NoSlot> {
+        let Applicant { service, call, .. } = applicant;
+        let is_newcomer = applicant.admission_class == AdmissionClass::Newcomer;
+        let (Some(engine), true) = (&service.engine, in_shortage && is_newcomer) else {
+            return Ok(());
+        };
+        let memory = servers.open(&service.name).count() as u64 * u64::from(engine.memory);
+        let tag = call.share_tag(&service.name);
+        let Some(excess) = self.shares().excess(tag, applicant.load, memory) else {
+            return Ok(());
+        };
+        info!(
+            id = call.id.as_str(),
+            service = &*service.name,
+            workspace = call.credential.as_ref().map_or("", |credential| &*credential.workspace),
+            tokens = excess.held,
+            share = excess.share;
+            "refused, workspace over its share"
+        );
+        Err(applicant.refused("over_share"))
+    }
 }
 
 /// Logs a refusal with the figures that decided it.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 //! - [`admission`], `crowded`: which requests are admitted while engines are crowded
 //! - [`urgency`]: whether a service's engines are short of capacity, and what less urgent requests then leave
 //!   to others
+//! - [`shares`]: fair shares of a pool's capacity between workspaces
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
@@ -74,6 +75,7 @@
 pub mod roster;
 mod server;
 pub mod servers;
+pub mod shares;
 pub mod slot;
 pub mod start;
 pub mod stop;
