--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -16,6 +16,7 @@
 //! request's own prompt counted, long prompts would starve, and if each route had a bound by its own SLO,
 //! the route with the longest one would fill the queue and shut out the others.
 
+use crate::gateway::returns::Tokens;
 use crate::gateway::servers::Load;
 use crate::gateway::table::Engine;
 use rand::{Rng, RngExt};
@@ -99,6 +100,15 @@
             && f64::from(load.tokens) <= self.memory;
         fits || load.runs == 0
     }
+
+    /// Tokens of memory and of waiting prompt that may be added at a server with this load; negative where
+    /// it exceeds the bound.
+    pub fn room(self, load: Load) -> Tokens {
+        Tokens {
+            memory: self.memory - f64::from(load.tokens),
+            prompt: self.waiting_tokens - f64::from(load.unread_prompt),
+        }
+    }
 }
 
 /// Time after which a caller should come back that was refused at a server with this many prompt tokens
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -392,9 +392,11 @@
         let spent = self.gateway.spent(now);
         let evidence = self.gateway.quarantine().for_peers(now);
         let rollouts = self.gateway.rollouts().for_peers(now);
+        let reserved = self.gateway.reservations_for_peers(now);
         let (stats, observations) = {
             let servers = self.gateway.servers();
-            let (loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
+            let (mut loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
+            loads.extend(reserved);
             let tallies = rollouts.tallies.into_iter().collect();
             let orders = rollouts.order_ages_ms.into_iter().collect();
             (
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -10,6 +10,7 @@
 use crate::gateway::quarantine::Quarantine;
 use crate::gateway::regions::{AllowedRegions, Regions};
 use crate::gateway::request::Call;
+use crate::gateway::returns::Returns;
 use crate::gateway::rollout::Rollouts;
 use crate::gateway::roster::Roster;
 use crate::gateway::servers::{Load, PeerStats, Server, ServerKey, Servers};
@@ -102,6 +103,8 @@
     exposure: Mutex<f64>,
     /// Quota at limited servers that was promised to callers who come back, by service.
     promises: Mutex<HashMap<Arc<str>, Promises>>,
+    /// Capacity that is reserved for refused callers. Locked after `servers` where both are needed.
+    returns: Mutex<Returns>,
     /// Whether the fleet is divided into cells, so that loads in other halls arrive late and as sums.
     pub(super) divided: AtomicBool,
     /// Fraction of all daemons that are in other cells of this hall and whose loads arrive late and as
@@ -152,6 +155,7 @@
             rollout_changed: Notify::new(),
             exposure: Mutex::new(bounds.exposure),
             promises: Mutex::default(),
+            returns: Mutex::default(),
             divided: AtomicBool::new(false),
             delayed_share: Mutex::new(0.0),
             shutdown_deadline: Mutex::default(),
@@ -399,6 +403,11 @@
         self.promises.lock().expect("no holder panics")
     }
 
+    /// Locks the capacity that is reserved for refused callers.
+    pub(super) fn returns(&self) -> MutexGuard<'_, Returns> {
+        self.returns.lock().expect("no holder panics")
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &Arc<str>, now: Instant) {
         self.budget().record_request(service, now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -49,6 +49,8 @@
     gateway: &'a Arc<Gateway>,
     call: &'a Arc<Call>,
     service: Arc<Service>,
+    /// The request's admission class on its arrival.
+    admission_class: AdmissionClass,
     /// Servers that were tried, in order.
     tried: Vec<ServerKey>,
     /// How many of these were unreachable, so that the request never arrived there.
@@ -88,7 +90,9 @@
             return Err(refused(proof, "no_service".into()));
         };
         self.count_request(&service.name, time::now());
-        Attempts { gateway: self, call, service, tried: Vec::new(), unreached: 0, runs: 0 }
+        let admission_class = self.class_on_arrival(&service, call, time::now());
+        let (tried, unreached, runs) = (Vec::new(), 0, 0);
+        Attempts { gateway: self, call, service, admission_class, tried, unreached, runs }
             .run(proof)
             .await
     }
@@ -104,6 +108,9 @@
                 Ok(slot) => slot,
                 Err(why) => return self.give_up(proof, fallback, why),
             };
+            if self.tried.is_empty() {
+                self.count_returned("admitted");
+            }
             self.tried.push(slot.key());
             match self.send_with_timeout(slot, proof.take()).await {
                 SendOutcome::Answered(answer) => return Ok(answer),
@@ -159,7 +166,7 @@
         // A send counts as a retry only if an earlier one arrived at a server.
         match arrived {
             0 => {
-                let admission_class = self.admission_class();
+                let admission_class = self.admission_class;
                 self.gateway.slot(&self.service, self.call, admission_class, &self.tried, now)
             }
             _ => {
@@ -175,15 +182,6 @@
         }
     }
 
-    /// The request's admission class. A request that continues an interrupted stream counts as begun.
-    fn admission_class(&self) -> AdmissionClass {
-        let call = self.call;
-        match call.after {
-            Some(_) => AdmissionClass::Begun,
-            None => AdmissionClass::of(call.time_left(call.arrived), call.route.timeout),
-        }
-    }
-
     /// Sends the request. If it may run again, a silent server is given up in time to try another one.
     async fn send_with_timeout(&self, slot: Slot, proof: Option<NotSent>) -> SendOutcome {
         let (key, sample) = (slot.key(), slot.rollout_sample);
@@ -283,6 +281,14 @@
         })
     }
 
+    /// Counts what became of a caller that returned after a refusal.
+    fn count_returned(&self, outcome: &str) {
+        if self.admission_class == AdmissionClass::Returned && self.service.engine.is_some() {
+            let labels = [&*self.service.name, outcome];
+            self.gateway.metrics.returned_callers.with_label_values(&labels).inc();
+        }
+    }
+
     fn count_failed_send(&self, what: &str, why: &str) {
         self.gateway.metrics.failed_sendings.with_label_values(&[why]).inc();
         self.log(what, why);
@@ -303,6 +309,13 @@
         fallback: Option<Answer>,
         why: NoSlot,
     ) -> Result<Answer, Failure> {
+        if self.tried.is_empty() {
+            self.count_returned("refused");
+        }
+        let why = match &proof {
+            Some(_) => self.gateway.schedule_return(&self.service, self.call, why, time::now()),
+            None => why,
+        };
         self.log("ended without success", why.reason);
         match proof {
             Some(proof) => {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -40,6 +40,10 @@
     pub limited_servers: IntGauge,
     /// Requests sent to servers that limit them.
     pub limited_sendings: IntCounter,
+    /// Reservations for refused callers, by service and what became of them.
+    pub reservations: IntCounterVec,
+    /// Callers that returned after a refusal, by service and outcome.
+    pub returned_callers: IntCounterVec,
     /// Number of servers that are backing off.
     pub resting_servers: IntGauge,
     /// Requests sent to servers that had announced that they leave or back off, by announcement.
@@ -130,6 +134,18 @@
                 "tidestair_gateway_limited_sendings_total",
                 "Requests sent to backend servers that name how many they take",
             ),
+            reservations: counters(
+                &r,
+                "tidestair_gateway_reservations_total",
+                "Reservations of capacity for refused callers, by service and state",
+                &["service", "state"],
+            ),
+            returned_callers: counters(
+                &r,
+                "tidestair_gateway_returned_callers_total",
+                "Callers that returned after a refusal, by service and outcome",
+                &["service", "outcome"],
+            ),
             resting_servers: gauge(
                 &r,
                 "tidestair_gateway_resting_servers",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! - [`limit`], `limited`, [`promises`]: servers that limit how many requests they accept, and the quota
 //!   reserved there for refused callers, who were given a time to retry at
 //! - [`admission`], `crowded`: which requests are admitted while engines are crowded
+//! - [`returns`], `returning`: capacity reserved for callers that were refused during a shortage
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
@@ -68,6 +69,8 @@
 mod relay;
 mod remarks;
 pub mod request;
+mod returning;
+pub mod returns;
 pub mod rollout;
 pub mod roster;
 mod server;
--- /dev/null
+++ b/src/gateway/returning.rs
@@ -0,0 +1,179 @@
+//! Reservations of engine capacity for refused callers, as requests arrive, are admitted, refused and end.
+
+use crate::gateway::admission::{AdmissionClass, Bound};
+use crate::gateway::core::Gateway;
+use crate::gateway::crowded::{self, Applicant};
+use crate::gateway::request::Call;
+use crate::gateway::returns::{Arrival, Caller, Pool, Tokens};
+use crate::gateway::servers::{Load, ServerKey, Servers};
+use crate::gateway::slot::NoSlot;
+use crate::gateway::table::Service;
+use crate::gateway::tag::Tag;
+use log::{info, warn};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Reason of a refusal where there is no capacity within the time that the caller can wait.
+const NO_ROOM_IN_TIME: &str = "no_room_in_time";
+
+impl Gateway {
+    /// Whether the engines of a service are short of capacity. Nothing determines this yet, so there is never
+    /// a shortage.
+    pub(super) fn in_shortage(&self, _service: &Arc<str>) -> bool {
+        false
+    }
+
+    /// The admission class of an arriving request. A request that continues an interrupted stream counts as
+    /// begun. A caller that has a reservation here claims it, or loses it if it comes too early.
+    pub(super) fn class_on_arrival(
+        &self,
+        service: &Service,
+        call: &Call,
+        now: Instant,
+    ) -> AdmissionClass {
+        if call.after.is_some() {
+            return AdmissionClass::Begun;
+        }
+        let by_time = AdmissionClass::of(call.time_left(call.arrived), call.route.timeout);
+        if service.engine.is_none() || !self.returns().has_reservations(&service.name) {
+            return by_time;
+        }
+        self.remove_expired_reservations(now);
+        let key = call.fingerprint();
+        match self.returns().arrive(&service.name, key, call.deadline, now) {
+            Arrival::Unknown => by_time,
+            Arrival::Due => {
+                self.count_reservations(&service.name, "claimed", 1);
+                AdmissionClass::Returned
+            }
+            Arrival::Early => {
+                self.count_reservations(&service.name, "expired", 1);
+                AdmissionClass::Newcomer
+            }
+        }
+    }
+
+    /// Whether a request leaves free what is reserved for others. Only newcomers have to, and only during a
+    /// shortage.
+    pub(super) fn leaves_reserved(
+        &self,
+        servers: &Servers,
+        applicant: &Applicant<'_>,
+        now: Instant,
+    ) -> bool {
+        let Applicant { service, call, .. } = applicant;
+        if applicant.admission_class != AdmissionClass::Newcomer || !self.in_shortage(&service.name)
+        {
+            return true;
+        }
+        let Some(pool) = self.pool(servers, service, call, now) else {
+            return true;
+        };
+        self.remove_expired_reservations(now);
+        self.returns().newcomer_may_use(&service.name, applicant.load.into(), pool, now)
+    }
+
+    /// Completes a final refusal during a shortage: determines when the caller should come back, and reserves
+    /// capacity for it.
+    pub(super) fn schedule_return(
+        &self,
+        service: &Service,
+        call: &Call,
+        why: NoSlot,
+        now: Instant,
+    ) -> NoSlot {
+        let name = &service.name;
+        if !crowded::ends_with_capacity(why.reason) || !self.in_shortage(name) {
+            return why;
+        }
+        let Some(pool) = self.pool(&self.servers(), service, call, now) else {
+            return why;
+        };
+        self.remove_expired_reservations(now);
+        let declared = self.in_force.get();
+        let top = declared.and_then(|d| d.table.top_priority(name));
+        let caller = Caller {
+            key: call.fingerprint(),
+            need: Load::of(call.size, call.route.repeatable()).into(),
+            less_urgent: top.is_some_and(|top| call.route.priority > top),
+            deadline: call.deadline,
+        };
+        let advice = self.returns().schedule(name, caller, pool, rand::random(), now);
+        let (id, after_ms) = (call.id.as_str(), advice.after.as_millis() as u64);
+        if advice.due.is_some() {
+            self.count_reservations(name, "made", 1);
+            let peer_age_ms = advice.peer_age.map(|age| age.as_millis() as u64);
+            info!(
+                id = id, request = caller.key.to_string().as_str(), service = &**name, after_ms = after_ms,
+                memory = caller.need.memory, prompt = caller.need.prompt, less_urgent = caller.less_urgent,
+                free_memory = pool.free.memory, free_prompt = pool.free.prompt,
+                freed_memory = advice.freed.memory, freed_prompt = advice.freed.prompt,
+                own_memory = advice.own.memory, own_prompt = advice.own.prompt,
+                peer_memory = advice.peers.memory, peer_prompt = advice.peers.prompt,
+                peer_age_ms = peer_age_ms;
+                "capacity reserved for a refused caller"
+            );
+        } else if !advice.no_room {
+            self.count_reservations(name, "dropped", 1);
+            warn!(id = id, service = &**name, after_ms = after_ms; "reservation dropped: too many");
+        }
+        let reason = if advice.no_room { NO_ROOM_IN_TIME } else { why.reason };
+        NoSlot { reason, retry_after: advice.after, due: None }
+    }
+
+    /// Records capacity that a request of this daemon has freed at a server. Capacity of a server that takes
+    /// no new work doesn't count.
+    pub(super) fn record_freed(&self, key: ServerKey, tokens: Tokens, now: Instant) {
+        let service = {
+            let servers = self.servers();
+            let server = servers.get(key).filter(|s| servers.is_open(&s.record.service, s));
+            server.map(|server| server.record.service.clone())
+        };
+        let Some(service) = service else {
+            return;
+        };
+        let declared = self.in_force.get();
+        let has_engine = |s: &Arc<Service>| s.engine.is_some();
+        if declared.is_some_and(|d| d.table.service(&service).is_some_and(has_engine)) {
+            self.returns().record_freed(&service, tokens, now);
+        }
+    }
+
+    /// What to report to peers of the capacity that is freed and reserved.
+    pub(super) fn reservations_for_peers(&self, now: Instant) -> Vec<(Tag, Load)> {
+        self.remove_expired_reservations(now);
+        self.returns().for_peers(now)
+    }
+
+    /// Capacity of the engines that a request may go to; `None` for services without engines.
+    fn pool(
+        &self,
+        servers: &Servers,
+        service: &Service,
+        call: &Call,
+        now: Instant,
+    ) -> Option<Pool> {
+        let slo = self.latency_slo(service, call);
+        let bound = Bound::of(slo, service.engine.as_ref()?, AdmissionClass::Returned);
+        let mut free = Tokens::default();
+        let may_take = self.may_take(service, call, &[], now);
+        for (key, server) in servers.open(&service.name) {
+            if may_take(key, server) && !server.is_skipped(now) {
+                free += bound.room(server.load());
+            }
+        }
+        let fraction = self.budget().request_fraction(&service.name, now);
+        Some(Pool { free, fraction })
+    }
+
+    fn remove_expired_reservations(&self, now: Instant) {
+        let expired = self.returns().remove_expired(now);
+        for (service, count) in expired {
+            self.count_reservations(&service, "expired", count);
+        }
+    }
+
+    fn count_reservations(&self, service: &str, state: &str, count: usize) {
+        self.metrics.reservations.with_label_values(&[service, state]).inc_by(count as u64);
+    }
+}
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -11,6 +11,7 @@
 };
 use crate::gateway::port::Destination;
 use crate::gateway::request::Call;
+use crate::gateway::returns::Tokens;
 use crate::gateway::rollout::{Arm, Draw, Pick, Stratum};
 use crate::gateway::servers::{Load, Server, ServerKey, Servers};
 use crate::gateway::table::Service;
@@ -74,6 +75,8 @@
     pub waiting_tokens: u32,
     /// The rollout sample that this request's result counts for, if any.
     pub rollout_sample: Option<RolloutSample>,
+    /// Whether the server has read the prompt.
+    prompt_read: bool,
 }
 
 /// A request whose result counts in a rollout.
@@ -108,6 +111,9 @@
     pub fn record_prompt_read(&mut self) {
         let tokens = std::mem::take(&mut self.place.load.unread_prompt);
         self.gateway.servers().note_prompt_read(self.key(), tokens);
+        self.prompt_read = true;
+        let read = Tokens { memory: 0.0, prompt: tokens.into() };
+        self.gateway.record_freed(self.key(), read, time::now());
         self.gateway.signal_load_change(self.place.load);
     }
 
@@ -144,6 +150,9 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if self.prompt_read {
+            self.gateway.record_freed(self.key(), self.place.load.into(), time::now());
+        }
         self.gateway.servers().remove_load(self.key(), self.place.load);
         self.gateway.signal_load_change(self.place.load);
         if *self.notice.borrow() {
@@ -215,6 +224,7 @@
     pub(super) fn merge_peer_stats(&self, now: Instant) {
         if let Some(stats) = self.peer_source().and_then(|source| source.peer_stats(now)) {
             self.servers().set_peer_stats(&stats);
+            self.returns().set_peer_loads(stats.loads, now);
             self.rollouts().set_peer_reports(&stats.rollouts, now);
             self.quarantine().set_peer_reports(&stats.evidence, now);
             if !stats.evidence.is_empty() {
@@ -295,7 +305,7 @@
     }
 
     /// The strictest SLO of the routes to a service.
-    fn latency_slo(&self, service: &Service, call: &Call) -> Duration {
+    pub(super) fn latency_slo(&self, service: &Service, call: &Call) -> Duration {
         let declared = self.in_force.get();
         declared.and_then(|d| d.table.latency_slo(&service.name)).unwrap_or(call.route.latency_slo)
     }
@@ -348,6 +358,7 @@
         });
         let may_take = |key, server: &Server| may_take(key, server) && has_quota(server, may_use);
         let candidates = candidates(&servers, service, request.hall, may_take, now);
+        let candidates = self.admitting(candidates, service, terms.admission_class, terms.bound);
         // Unreported requests are spread over all servers, whether they are in the sample or not.
         let all = servers.count(&service.name);
         let drawn = if all > MAX_EXAMINED { candidates.len() as f64 / all as f64 } else { 1.0 };
@@ -403,6 +414,7 @@
             store_age: None,
             waiting_tokens: waiting,
             rollout_sample: sample,
+            prompt_read: false,
         })
     }
 }
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -181,6 +181,8 @@
     by_host: HashMap<String, Vec<Arc<Route>>>,
     /// The strictest SLO of the routes to each service.
     latency_slos: HashMap<Arc<str>, Duration>,
+    /// The most urgent priority of the routes to each service.
+    priorities: HashMap<Arc<str>, u8>,
     services: HashMap<Arc<str>, Arc<Service>>,
     workspaces: Vec<Workspace>,
     by_key: HashMap<String, usize>,
@@ -198,10 +200,13 @@
     ) -> Table {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut aims: HashMap<Arc<str>, Duration> = HashMap::new();
+        let mut priorities: HashMap<Arc<str>, u8> = HashMap::new();
         for route in routes {
             for target in &route.targets {
                 let slo = aims.entry(target.service.clone()).or_insert(route.latency_slo);
                 *slo = route.latency_slo.min(*slo);
+                let priority = priorities.entry(target.service.clone()).or_insert(route.priority);
+                *priority = route.priority.min(*priority);
             }
             by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
         }
@@ -213,7 +218,16 @@
         for (i, workspace) in workspaces.iter().enumerate() {
             by_key.extend(workspace.keys.iter().map(|key| (key.clone(), i)));
         }
-        Table { version, limits, by_host, latency_slos: aims, services, workspaces, by_key }
+        Table {
+            version,
+            limits,
+            by_host,
+            latency_slos: aims,
+            priorities,
+            services,
+            workspaces,
+            by_key,
+        }
     }
 
     /// The route of a request: the one with the longest matching path prefix among the host's routes.
@@ -238,6 +252,11 @@
         self.latency_slos.get(service).copied()
     }
 
+    /// The most urgent priority of the routes to a service.
+    pub fn top_priority(&self, service: &str) -> Option<u8> {
+        self.priorities.get(service).copied()
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
