--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -16,6 +16,7 @@
 //! request's own prompt counted, long prompts would starve, and if each route had a bound by its own SLO,
 //! the route with the longest one would fill the queue and shut out the others.
 
+use crate::gateway::returns::Tokens;
 use crate::gateway::servers::Load;
 use crate::gateway::table::Engine;
 use rand::{Rng, RngExt};
@@ -33,9 +34,9 @@
 const MEMORY_FRACTION: f64 = 0.85;
 /// The same for a caller that was refused before.
 const MEMORY_FRACTION_RETURNED: f64 = 1.0;
-/// Fraction of the ordinary bounds for new callers up to which a less urgent one is admitted during a
+/// Fraction of the ordinary bounds for new callers up to which a deferrable one is admitted during a
 /// shortage. The rest is headroom for more urgent requests.
-const LESS_URGENT_FRACTION: f64 = 0.75;
+const DEFERRED_FRACTION: f64 = 0.75;
 /// Prompt tokens that a crowded engine reads per millisecond: 112 in a step of some 16 ms, beside its runs.
 const READ_PER_MS: f64 = 6.0;
 /// The same for the slowest engine with a full batch: its step takes twice as long, on a server that is 1.3
@@ -43,7 +44,7 @@
 const MIN_READ_PER_MS: f64 = 2.5;
 /// Shortest time after which a refused caller comes back. A server with six runs of some seven seconds each
 /// completes one about this often, and then has capacity for another one.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Fraction by which the time to come back is randomly lengthened or shortened, so that callers refused
 /// together don't return together.
 const JITTER: f64 = 0.4;
@@ -110,15 +111,23 @@
         Bound::of(slo, engine, AdmissionClass::Newcomer)
     }
 
-    /// The bound during a shortage for a request that is less urgent than others of its service. It is never
-    /// above that of any more urgent request. One that was refused before has the bound of more urgent
+    /// The bound during a shortage for a request in whose favour others of its service are deferred: such
+    /// requests may use all memory, since the deferred ones leave headroom in it.
+    pub fn favoured(slo: Duration, engine: &Engine, admission_class: AdmissionClass) -> Bound {
+        let memory = f64::from(engine.memory) * MEMORY_FRACTION_RETURNED;
+        let bound = Bound::of(slo, engine, admission_class);
+        Bound { memory: bound.memory.max(memory), ..bound }
+    }
+
+    /// The bound during a shortage for a request that is deferred in favour of others of its service. It is
+    /// never above that of any of these. One that was refused before has the bound of more urgent
     /// newcomers, so that less urgent requests still get some service in a long shortage.
-    pub fn less_urgent(slo: Duration, engine: &Engine, admission_class: AdmissionClass) -> Bound {
+    pub fn deferred(slo: Duration, engine: &Engine, admission_class: AdmissionClass) -> Bound {
         let newcomer = Bound::newcomer(slo, engine);
         match admission_class {
             AdmissionClass::Newcomer => Bound {
-                waiting_tokens: newcomer.waiting_tokens * LESS_URGENT_FRACTION,
-                memory: newcomer.memory * LESS_URGENT_FRACTION,
+                waiting_tokens: newcomer.waiting_tokens * DEFERRED_FRACTION,
+                memory: newcomer.memory * DEFERRED_FRACTION,
             },
             AdmissionClass::Returned => newcomer,
             AdmissionClass::Begun => Bound::NONE,
@@ -131,6 +140,15 @@
             && f64::from(load.tokens) <= self.memory;
         fits || load.runs == 0
     }
+
+    /// Tokens of memory and of waiting prompt that may be added at a server with this load; negative where
+    /// it exceeds the bound.
+    pub fn room(self, load: Load) -> Tokens {
+        Tokens {
+            memory: self.memory - f64::from(load.tokens),
+            prompt: self.waiting_tokens - f64::from(load.unread_prompt),
+        }
+    }
 }
 
 /// Time after which a caller should come back that was refused at a server with this many prompt tokens
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -393,10 +393,12 @@
         let spent = self.gateway.spent(now);
         let evidence = self.gateway.quarantine().for_peers(now);
         let rollouts = self.gateway.rollouts().for_peers(now);
+        let reserved = self.gateway.reservations_for_peers(now);
         let (stats, observations) = {
             let servers = self.gateway.servers();
             let (mut loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
             loads.extend(self.gateway.shares().own_loads());
+            loads.extend(reserved);
             let tallies = rollouts.tallies.into_iter().collect();
             let orders = rollouts.order_ages_ms.into_iter().collect();
             (
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -5,11 +5,12 @@
 
 use crate::gateway::admission::{self, AdmissionClass, Bound};
 use crate::gateway::core::Gateway;
+use crate::gateway::place::Candidate;
 use crate::gateway::request::Call;
 use crate::gateway::servers::{Load, Servers};
 use crate::gateway::slot::NoSlot;
 use crate::gateway::table::Service;
-use crate::gateway::urgency::{self, Shortage};
+use crate::gateway::urgency::{self, Deferral, Shortage};
 use log::info;
 use std::time::Instant;
 
@@ -41,7 +42,41 @@
     }
 }
 
+/// Reason of a refusal where the chosen server is too crowded.
+pub(super) const CROWDED: &str = "crowded";
+/// Reason of a refusal where a deferrable request leaves headroom to more urgent ones.
+pub(super) const YIELDS: &str = "yields";
+/// Reason of a refusal where the request's workspace holds more than its share of the pool.
+const OVER_SHARE: &str = "over_share";
+/// Reason of a refusal where the capacity is reserved for callers that return.
+const PROMISED: &str = "promised";
+
+/// Whether a refusal for this reason ends once capacity is freed, so that the caller may be told when.
+pub(super) fn ends_with_capacity(reason: &str) -> bool {
+    matches!(reason, CROWDED | YIELDS | OVER_SHARE | PROMISED)
+}
+
 impl Gateway {
+    /// Restricts the candidates for a returning caller during a shortage to servers that admit it, if there
+    /// are any. It was told that there would be capacity, and the server that suits it best may lack the one
+    /// of memory and prompt that others have left.
+    pub(super) fn admitting<'a>(
+        &self,
+        candidates: Vec<Candidate<'a>>,
+        service: &Service,
+        admission_class: AdmissionClass,
+        bound: Bound,
+    ) -> Vec<Candidate<'a>> {
+        if admission_class != AdmissionClass::Returned || !self.in_shortage(&service.name) {
+            return candidates;
+        }
+        let admits = |candidate: &Candidate<'_>| bound.admits(candidate.load);
+        match candidates.iter().any(admits) {
+            true => candidates.into_iter().filter(admits).collect(),
+            false => candidates,
+        }
+    }
+
     /// Decides whether the request is admitted, or why not. `servers` are all known servers.
     pub(super) fn admit(
         &self,
@@ -52,23 +87,30 @@
         let shortage = self.shortage(servers, applicant.service, now);
         let decision = self
             .within_bounds(applicant, shortage)
-            .and_then(|()| self.admit_by_share(servers, applicant, shortage.is_some()));
+            .and_then(|()| self.admit_by_share(servers, applicant, shortage.is_some()))
+            .and_then(|()| self.admit_beside_reservations(servers, applicant, now));
         decision.inspect_err(|refusal| log_refusal(applicant, shortage, refusal, now))
     }
 
-    /// Decides by the load at the server. During a shortage, less urgent requests have lower bounds.
+    /// Decides by the load at the server. During a shortage, deferrable requests leave headroom to more urgent
+    /// ones.
     fn within_bounds(
         &self,
         applicant: &Applicant<'_>,
         shortage: Option<Shortage>,
     ) -> Result<(), NoSlot> {
         let Applicant { service, call, admission_class, bound, server_load, .. } = *applicant;
-        let yields = shortage.is_some() && self.is_less_urgent(service, call);
-        let engine = service.engine.as_ref().filter(|_| yields);
-        let less_urgent = engine.map(|engine| {
-            Bound::less_urgent(self.latency_slo(service, call), engine, admission_class)
-        });
-        urgency::check(server_load, bound, less_urgent).map_err(|reason| applicant.refused(reason))
+        let (Some(engine), Some(_)) = (&service.engine, shortage) else {
+            return urgency::check(server_load, bound, None)
+                .map_err(|reason| applicant.refused(reason));
+        };
+        let slo = self.latency_slo(service, call);
+        let (bound, deferred) = match self.deferral(service, call) {
+            Deferral::None => (bound, None),
+            Deferral::Favoured => (Bound::favoured(slo, engine, admission_class), None),
+            Deferral::Deferred => (bound, Some(Bound::deferred(slo, engine, admission_class))),
+        };
+        urgency::check(server_load, bound, deferred).map_err(|reason| applicant.refused(reason))
     }
 
     /// Counts the decision about a request to an engine. Sends after the first one are not counted, nor are
@@ -129,7 +171,20 @@
             share = excess.share;
             "refused, workspace over its share"
         );
-        Err(applicant.refused("over_share"))
+        Err(applicant.refused(OVER_SHARE))
+    }
+
+    /// Refuses a newcomer that would use capacity reserved for callers that return.
+    fn admit_beside_reservations(
+        &self,
+        servers: &Servers,
+        applicant: &Applicant<'_>,
+        now: Instant,
+    ) -> Result<(), NoSlot> {
+        match self.leaves_reserved(servers, applicant, now) {
+            true => Ok(()),
+            false => Err(applicant.refused(PROMISED)),
+        }
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! - [`urgency`]: whether a service's engines are short of capacity, and what less urgent requests then leave
 //!   to others
 //! - [`shares`]: fair shares of a pool's capacity between workspaces
+//! - [`returns`], `returning`: capacity reserved for callers that were refused during a shortage
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
@@ -71,6 +72,8 @@
 mod relay;
 mod remarks;
 pub mod request;
+mod returning;
+pub mod returns;
 pub mod rollout;
 pub mod roster;
 mod server;
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -11,6 +11,7 @@
 };
 use crate::gateway::port::Destination;
 use crate::gateway::request::Call;
+use crate::gateway::returns::Tokens;
 use crate::gateway::rollout::{Arm, Draw, Pick, Stratum};
 use crate::gateway::servers::{Load, Server, ServerKey, Servers};
 use crate::gateway::table::Service;
@@ -76,6 +77,8 @@
     share_tag: Option<Tag>,
     /// The rollout sample that this request's result counts for, if any.
     pub rollout_sample: Option<RolloutSample>,
+    /// Whether the server has read the prompt.
+    prompt_read: bool,
 }
 
 /// A request whose result counts in a rollout.
@@ -113,6 +116,9 @@
         if let Some(tag) = self.share_tag {
             self.gateway.shares().note_prompt_read(tag, tokens);
         }
+        self.prompt_read = true;
+        let read = Tokens { memory: 0.0, prompt: tokens.into() };
+        self.gateway.record_freed(self.key(), read, time::now());
         self.gateway.signal_load_change(self.place.load);
     }
 
@@ -149,6 +155,9 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if self.prompt_read {
+            self.gateway.record_freed(self.key(), self.place.load.into(), time::now());
+        }
         self.gateway.servers().remove_load(self.key(), self.place.load);
         if let Some(tag) = self.share_tag {
             self.gateway.shares().remove(tag, self.place.load);
@@ -224,6 +233,7 @@
         if let Some(stats) = self.peer_source().and_then(|source| source.peer_stats(now)) {
             self.servers().set_peer_stats(&stats);
             self.shares().set_peer_loads(&stats.loads);
+            self.returns().set_peer_loads(stats.loads, now);
             self.rollouts().set_peer_reports(&stats.rollouts, now);
             self.quarantine().set_peer_reports(&stats.evidence, now);
             if !stats.evidence.is_empty() {
@@ -362,6 +372,7 @@
         });
         let may_take = |key, server: &Server| may_take(key, server) && has_quota(server, may_use);
         let candidates = candidates(&servers, service, request.hall, may_take, now);
+        let candidates = self.admitting(candidates, service, terms.admission_class, terms.bound);
         // Unreported requests are spread over all servers, whether they are in the sample or not.
         let all = servers.count(&service.name);
         let drawn = if all > MAX_EXAMINED { candidates.len() as f64 / all as f64 } else { 1.0 };
@@ -422,6 +433,7 @@
             waiting_tokens: waiting,
             share_tag,
             rollout_sample: sample,
+            prompt_read: false,
         })
     }
 }
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -1,8 +1,9 @@
 //! The declared configuration: routes, services, workspaces with their keys, and limits.
 
+use crate::gateway::admission::MIN_RETRY_AFTER;
 use crate::gateway::cold::WarmUp;
 use rand::RngExt;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
@@ -184,6 +185,8 @@
     latency_slos: HashMap<Arc<str>, Duration>,
     /// The smallest and the largest priority of the routes to each service.
     priorities: HashMap<Arc<str>, RangeInclusive<u8>>,
+    /// Services that have deferrable routes.
+    deferrable: HashSet<Arc<str>>,
     services: HashMap<Arc<str>, Arc<Service>>,
     workspaces: Vec<Workspace>,
     by_key: HashMap<String, usize>,
@@ -220,16 +223,28 @@
         for (i, workspace) in workspaces.iter().enumerate() {
             by_key.extend(workspace.keys.iter().map(|key| (key.clone(), i)));
         }
-        Table {
+        let mut table = Table {
             version,
             limits,
             by_host,
             latency_slos: aims,
             priorities,
+            deferrable: HashSet::new(),
             services,
             workspaces,
             by_key,
-        }
+        };
+        table.deferrable = table.services_with_deferrable_routes();
+        table
+    }
+
+    fn services_with_deferrable_routes(&self) -> HashSet<Arc<str>> {
+        let routes = self.by_host.values().flatten();
+        let served = routes.flat_map(|route| {
+            let names = route.targets.iter().map(|target| &target.service);
+            names.filter(|name| self.is_deferrable(name, route, route.priority)).cloned()
+        });
+        served.collect()
     }
 
     /// The route of a request: the one with the longest matching path prefix among the host's routes.
@@ -259,6 +274,20 @@
         self.priorities.get(service)
     }
 
+    /// Whether a request of this route and priority may be deferred in favour of others of the service: some
+    /// route is more urgent, and its own SLO is longer than the strictest one by the time of a retry, so that
+    /// it can still be met after a refusal.
+    pub fn is_deferrable(&self, service: &str, route: &Route, priority: u8) -> bool {
+        let more_urgent = self.priorities(service).is_some_and(|all| *all.start() < priority);
+        let strictest = self.latency_slo(service).unwrap_or(route.latency_slo);
+        more_urgent && route.latency_slo >= strictest + MIN_RETRY_AFTER
+    }
+
+    /// Whether any route to a service is deferrable by its own priority.
+    pub fn has_deferrable_routes(&self, service: &str) -> bool {
+        self.deferrable.contains(service)
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -9,6 +9,7 @@
 
 use crate::gateway::admission::Bound;
 use crate::gateway::core::Gateway;
+use crate::gateway::crowded::{CROWDED, YIELDS};
 use crate::gateway::request::Call;
 use crate::gateway::servers::{Load, Server, ServerKey, Servers};
 use crate::gateway::slot::MAX_EXAMINED;
@@ -118,15 +119,26 @@
     }
 }
 
-/// Whether a server with this load admits a request, or the reason for which it does not. `less_urgent` is
-/// the bound for a request that yields to more urgent ones.
-pub fn check(load: Load, bound: Bound, less_urgent: Option<Bound>) -> Result<(), &'static str> {
+/// How a request is treated during a shortage, compared with others of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Deferral {
+    /// No route to the service is deferrable.
+    None,
+    /// Others are deferred in its favour.
+    Favoured,
+    /// It is deferred in favour of others.
+    Deferred,
+}
+
+/// Whether a server with this load admits a request, or the reason for which it does not. `deferred` is
+/// the bound for a request that is deferred in favour of more urgent ones.
+pub fn check(load: Load, bound: Bound, deferred: Option<Bound>) -> Result<(), &'static str> {
     if !bound.admits(load) {
-        return Err("crowded");
+        return Err(CROWDED);
     }
-    match less_urgent.is_none_or(|bound| bound.admits(load)) {
+    match deferred.is_none_or(|bound| bound.admits(load)) {
         true => Ok(()),
-        false => Err("yields"),
+        false => Err(YIELDS),
     }
 }
 
@@ -177,12 +189,24 @@
         }
     }
 
-    /// Whether a request leaves headroom to others during a shortage: some route of its service has a
-    /// smaller priority.
-    pub(super) fn is_less_urgent(&self, service: &Service, call: &Call) -> bool {
-        let declared = self.in_force.get();
-        let priorities = declared.as_ref().and_then(|d| d.table.priorities(&service.name));
-        priorities.is_some_and(|priorities| call.priority() > *priorities.start())
+    /// Whether a shortage of a service's engines is in progress, as last determined.
+    pub(super) fn in_shortage(&self, service: &str) -> bool {
+        self.shortages().get(service).is_some_and(|monitor| monitor.current().is_some())
+    }
+
+    /// Whether a request leaves headroom to others during a shortage, or others leave it headroom.
+    pub(super) fn deferral(&self, service: &Service, call: &Call) -> Deferral {
+        let Some(declared) = self.in_force.get() else {
+            return Deferral::None;
+        };
+        let table = &declared.table;
+        if table.is_deferrable(&service.name, &call.route, call.priority()) {
+            Deferral::Deferred
+        } else if table.has_deferrable_routes(&service.name) {
+            Deferral::Favoured
+        } else {
+            Deferral::None
+        }
     }
 
     fn shortages(&self) -> MutexGuard<'_, HashMap<Arc<str>, ShortageMonitor>> {
--- a/tests/urgency.rs
+++ b/tests/urgency.rs
@@ -70,7 +70,7 @@
     {
         let ordinary = |class| Bound::of(SLO, &ENGINE, class);
         for load in loads() {
-            let less_urgent = Bound::less_urgent(SLO, &ENGINE, other);
+            let less_urgent = Bound::deferred(SLO, &ENGINE, other);
             let admitted = check(load, ordinary(other), Some(less_urgent)).is_ok();
             let urgent_admitted = check(load, ordinary(urgent), None).is_ok();
             assert!(urgent_admitted || !admitted, "{urgent:?} {other:?} {load:?}");
@@ -82,7 +82,7 @@
 #[test]
 fn less_urgent_newcomers_leave_headroom_in_memory_and_in_unread_prompts() {
     let bound = Bound::newcomer(SLO, &ENGINE);
-    let less_urgent = Bound::less_urgent(SLO, &ENGINE, AdmissionClass::Newcomer);
+    let less_urgent = Bound::deferred(SLO, &ENGINE, AdmissionClass::Newcomer);
     let decide = |tokens, unread_prompt| {
         let load = Load { runs: 2, tokens, unread_prompt, ..Load::default() };
         (check(load, bound, None), check(load, bound, Some(less_urgent)))
@@ -98,6 +98,6 @@
 /// Fails if a run that has begun cannot continue at a crowded server.
 #[test]
 fn a_run_that_has_begun_yields_to_none() {
-    let bound = Bound::less_urgent(SLO, &ENGINE, AdmissionClass::Begun);
+    let bound = Bound::deferred(SLO, &ENGINE, AdmissionClass::Begun);
     assert!(loads().all(|load| check(load, Bound::NONE, Some(bound)).is_ok()));
 }
