--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,7 +11,8 @@
 //! - [`rollout`]: rollout of a new version of a service's servers
 //! - [`limit`], `limited`, [`promises`]: servers that limit how many requests they accept, and the quota
 //!   reserved there for refused callers, who were given a time to retry at
-//! - [`admission`], `crowded`: which requests are admitted while engines are crowded
+//! - [`hopeless`], [`admission`], `crowded`: which requests are refused because they can't meet their deadline,
+//!   and which are admitted while engines are crowded
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
@@ -48,6 +49,7 @@
 mod halls;
 pub mod health_check;
 pub mod heartbeat;
+pub mod hopeless;
 pub mod in_force;
 pub mod limit;
 mod limited;
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -4,6 +4,7 @@
 use crate::gateway::budget::RetryKind;
 use crate::gateway::core::Gateway;
 use crate::gateway::crowded::Applicant;
+use crate::gateway::hopeless::Prospect;
 use crate::gateway::limited::has_quota;
 use crate::gateway::place::{
     COPY_COST_TOLERANCE, COST_TOLERANCE, Candidate, PlacementRequest, REMOTE_HALL_COPY_COST,
@@ -350,7 +351,21 @@
         let candidates = candidates(&servers, service, request.hall, may_take, now);
         // Unreported requests are spread over all servers, whether they are in the sample or not.
         let all = servers.count(&service.name);
-        let drawn = if all > MAX_EXAMINED { candidates.len() as f64 / all as f64 } else { 1.0 };
+        let sampled = all > MAX_EXAMINED;
+        let drawn = if sampled { candidates.len() as f64 / all as f64 } else { 1.0 };
+        if service.engine.is_some() && !candidates.is_empty() {
+            let prospect = Prospect {
+                size: call.size,
+                deadline: call.deadline,
+                admission_class: terms.admission_class,
+            };
+            // A server that is not in the sample may have nothing to read.
+            let unread = candidates.iter().map(|candidate| candidate.load.unread_prompt);
+            let least_unread = if sampled { 0 } else { unread.min().unwrap_or(0) };
+            if prospect.is_hopeless(least_unread, now) {
+                return Err("hopeless".into());
+            }
+        }
         let request = &PlacementRequest {
             unreported_requests: request.unreported_requests * drawn,
             ..*request
