--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,7 +11,8 @@
 //! - [`rollout`]: rollout of a new version of a service's servers
 //! - [`limit`], `limited`, [`promises`]: servers that limit how many requests they accept, and the quota
 //!   reserved there for refused callers, who were given a time to retry at
-//! - [`admission`], `crowded`: which requests are admitted while engines are crowded
+//! - [`hopeless`], [`admission`], `crowded`: which requests are refused because they can't meet their deadline,
+//!   and which are admitted while engines are crowded
 //! - [`urgency`]: whether a service's engines are short of capacity, and what less urgent requests then leave
 //!   to others
 //! - [`shares`]: fair shares of a pool's capacity between workspaces
@@ -52,6 +53,7 @@
 mod halls;
 pub mod health_check;
 pub mod heartbeat;
+pub mod hopeless;
 pub mod in_force;
 pub mod limit;
 mod limited;
