--- a/tests/urgency.rs
+++ b/tests/urgency.rs
@@ -344,7 +344,7 @@
                     _ => SLO,
                 };
                 let yields = variant == Variant::ByUrgency && short && route.priority > 0;
-                let less_urgent = yields.then(|| Bound::less_urgent(SLO, &ENGINE, class));
+                let less_urgent = yields.then(|| Bound::deferred(SLO, &ENGINE, class));
                 if check(load, Bound::of(slo, &ENGINE, class), less_urgent).is_err() {
                     if class == AdmissionClass::Newcomer {
                         let wait = retry_after(load.unread_prompt, &mut retries).as_millis() as u64;
