--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tidestair::gateway::budget::BudgetBounds;
+use tidestair::gateway::buffers::BufferLimits;
 use tidestair::gateway::cell::CellId;
 use tidestair::gateway::clock::{Clock, Echo};
 use tidestair::gateway::cold::ColdBounds;
@@ -151,8 +152,13 @@
 fn copy(halls: usize, daemons: usize, servers: usize, note: &mut impl FnMut(&str, f64)) {
     let now = Instant::now();
     let budget = BudgetBounds { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) };
-    let bounds =
-        Bounds { revocation_delay: None, budget, cold: ColdBounds::default(), exposure: 0.1 };
+    let bounds = Bounds {
+        revocation_delay: None,
+        budget,
+        cold: ColdBounds::default(),
+        exposure: 0.1,
+        buffers: BufferLimits::of_memory(64 << 20),
+    };
     let (wire, placing) = (Arc::new(NoWire), Box::new(Headroom));
     let gateway = Gateway::new("hall-0", Regions::default(), bounds, wire, placing, now);
     let roster = Arc::new(Roster::new(daemon(halls, 0)));
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests that one daemon handles.
 
 use crate::gateway::budget::{BudgetBounds, Others, RetryKind, SharedRetryBudget, Spent};
+use crate::gateway::buffers::{BufferLimits, Buffers};
 use crate::gateway::cold::{ColdBounds, Rank};
 use crate::gateway::in_force::InForce;
 use crate::gateway::metrics::GatewayMetrics;
@@ -36,6 +37,8 @@
     /// Fraction of a service's requests that servers of a new version may get until the version is known to
     /// be sound.
     pub exposure: f64,
+    /// Most bytes that are buffered for callers and servers. Changes take effect after a restart.
+    pub buffers: BufferLimits,
 }
 
 /// Fraction of the revocation delay up to which the copy of the store counts as fresh. The rest covers the
@@ -84,6 +87,8 @@
     pub wire: Arc<dyn BackendTransport>,
     /// Metrics of this daemon's gateway.
     pub metrics: GatewayMetrics,
+    /// Bytes that are buffered for callers and servers.
+    pub buffers: Arc<Buffers>,
     /// Hall of this daemon.
     pub hall: String,
     /// Region of each hall.
@@ -135,10 +140,13 @@
         placement_policy: Box<dyn PlacementPolicy>,
         now: Instant,
     ) -> Arc<Gateway> {
+        let metrics = GatewayMetrics::default();
+        let buffers = Buffers::new(bounds.buffers, &metrics);
         Arc::new(Gateway {
             in_force: InForce::default(),
             wire,
-            metrics: GatewayMetrics::default(),
+            metrics,
+            buffers,
             hall: hall.into(),
             regions,
             revocation_delay: Mutex::new(bounds.revocation_delay),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a request: picks a server, sends, retries where that is allowed, and answers the caller.
 
 use crate::gateway::admission::{self, AdmissionClass};
+use crate::gateway::buffers::{BufferKind, Buffers, Reservation};
 use crate::gateway::core::Gateway;
 use crate::gateway::limited::SERVERS_IN_NEED;
 use crate::gateway::port::{Reply, SendError, SendOptions};
@@ -233,7 +234,7 @@
         }
         let failed = reply.status.is_server_error();
         let status = reply.status.as_u16();
-        let answer = read_answer(reply).await;
+        let answer = read_answer(reply, &self.gateway.buffers).await;
         slot.record_result(failed || answer.is_err());
         let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
         let (server, whole) = (slot.id(), answer.is_ok());
@@ -326,19 +327,38 @@
     Failure::not_run(proof, reason.retry_after(why.retry_after.as_millis() as u64))
 }
 
-/// Reads a plain response until it is complete; one that exceeds [`MAX_BUFFERED`] is streamed to the caller.
-async fn read_answer(reply: Reply) -> Result<Answer, IncompleteBody> {
+/// Reads a plain response until it is complete. One that exceeds [`MAX_BUFFERED`], or for which the memory for
+/// responses is used up, is streamed to the caller.
+async fn read_answer(reply: Reply, buffers: &Buffers) -> Result<Answer, IncompleteBody> {
     let Reply { status, headers, mut body, .. } = reply;
     let mut buffered = BytesMut::new();
+    let mut held: Option<Reservation> = None;
     while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            buffered.extend_from_slice(&data);
-        }
-        if buffered.len() > MAX_BUFFERED {
-            return Ok(Answer { status, headers, body: with_first_part(buffered.freeze(), body) });
+        let Ok(data) = frame?.into_data() else { continue };
+        buffered.extend_from_slice(&data);
+        let reserved = buffers.try_reserve(BufferKind::Responses, data.len());
+        let has_room = reserved.is_some();
+        held = match (held, reserved) {
+            (Some(mut held), Some(reserved)) => {
+                held.merge(reserved);
+                Some(held)
+            }
+            (held, reserved) => held.or(reserved),
+        };
+        if !has_room || buffered.len() > MAX_BUFFERED {
+            let first = attach(buffered.freeze(), held);
+            return Ok(Answer { status, headers, body: with_first_part(first, body) });
         }
     }
-    Ok(Answer { status, headers, body: full_body(buffered.freeze()) })
+    Ok(Answer { status, headers, body: full_body(attach(buffered.freeze(), held)) })
+}
+
+/// Keeps the reservation of buffered bytes, if there is one, until they have been passed on.
+fn attach(bytes: Bytes, held: Option<Reservation>) -> Bytes {
+    match held {
+        Some(held) => held.attach(bytes),
+        None => bytes,
+    }
 }
 
 /// Puts the part that has been read back in front of a body.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,10 +1,11 @@
 //! Counters and latency histograms of the gateway, in the Prometheus text format. The fields are named
 //! after their metrics.
 
-use crate::metrics::{counter, counters, gauge, register, text};
+use crate::metrics::{counter, counters, gauge, gauges, register, text};
 use crate::peer::Traffic;
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Registry,
 };
 
 /// Bucket bounds for latencies, in seconds: from the fast answer of a plain service to a long generation.
@@ -56,6 +57,10 @@
     pub store_returns: IntCounter,
     /// Peers from which a heartbeat arrived lately.
     pub peers: IntGauge,
+    /// Bytes buffered for callers and servers, by kind.
+    pub buffered_bytes: IntGaugeVec,
+    /// Times that memory for buffers was used up, by kind and by what was done then.
+    pub buffer_shortages: IntCounterVec,
     /// Messages and bytes sent between daemons.
     pub traffic: Traffic,
 }
@@ -169,6 +174,18 @@
                 "Returns of the platform's store from an older copy that this daemon has seen",
             ),
             peers: gauge(&r, "tidestair_gateway_peers", "Other daemons heard lately"),
+            buffered_bytes: gauges(
+                &r,
+                "tidestair_gateway_buffered_bytes",
+                "Bytes buffered for callers and servers, by kind",
+                &["kind"],
+            ),
+            buffer_shortages: counters(
+                &r,
+                "tidestair_gateway_buffer_shortages_total",
+                "Waits and refusals because buffers were full, by kind",
+                &["kind", "outcome"],
+            ),
             traffic: Traffic {
                 messages: counters(
                     &r,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
+//! - [`buffers`]: bytes that are buffered for callers and servers
 //! - [`budget`]: the daemon's share of the retry budget
 //! - [`quarantine`], [`suspicion`]: requests that crash the servers that run them
 //! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read from the store or received
@@ -35,6 +36,7 @@
 pub mod admission;
 pub mod announce;
 pub mod budget;
+pub mod buffers;
 pub mod cell;
 pub mod clock;
 pub mod cluster;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,9 +1,11 @@
 //! Relays a stream of events to its caller, across all servers that run the request.
 //!
-//! Only complete events are relayed, in the order of their ids, each once. If the server is about to leave,
+//! Only complete events are relayed, in the order of their ids, each once. While a caller has not taken earlier
+//! events, nothing is read from the server, which slows down through its flow-control window. If the server is about to leave,
 //! the run is moved to another one while its events continue.
 
 use crate::gateway::admission::AdmissionClass;
+use crate::gateway::buffers::EventQueue;
 use crate::gateway::core::Gateway;
 use crate::gateway::events::Event;
 use crate::gateway::forward::SendOutcome;
@@ -26,8 +28,9 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-/// Events that are queued for a slow caller before backpressure reaches the server.
-const EVENT_QUEUE: usize = 16;
+/// Capacity of the channel to a caller's connection. [`EventQueue`] admits no more events, and an error may
+/// follow them.
+const EVENT_CHANNEL: usize = 17;
 /// Maximum number of attempts to move one run away from one server.
 const MAX_MOVES: u32 = 4;
 /// Delay before another attempt to move a run: about the time of one copy, after which another server may
@@ -76,7 +79,7 @@
     let ms = time::since(call.arrived).as_millis() as u64;
     let store_age_ms = slot.store_age_ms();
     info!(id = id, route = route, server = slot.id(), ms = ms, tokens = call.size.peak_tokens(), knowledge_ms = store_age_ms; "stream begun");
-    let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
+    let (event_sender, events) = mpsc::channel(EVENT_CHANNEL);
     let relay = Relay {
         gateway: gateway.clone(),
         call: call.clone(),
@@ -85,8 +88,10 @@
         upstream,
         last_event_id: call.after,
         last_forwarded_at: time::now(),
+        reading_since: time::now(),
         first_event_at: None,
         survived: false,
+        queue: EventQueue::new(gateway.buffers.clone()),
         event_sender,
         runs: 1,
         move_attempts: 0,
@@ -121,6 +126,10 @@
     last_event_id: Option<u64>,
     /// When an event was last sent to the caller; initially, when the relay began.
     last_forwarded_at: Instant,
+    /// Since when events are read from the server, after a wait for the caller; initially, when the relay began.
+    reading_since: Instant,
+    /// Counts the events that the caller has not taken.
+    queue: Arc<EventQueue>,
     event_sender: EventSender,
     /// Number of runs started for this response.
     runs: u32,
@@ -163,6 +172,8 @@
     Silence,
     /// The move in progress has ended.
     Moved(Box<MoveOutcome>),
+    /// The caller has taken events, so that the server's stream can be read again.
+    Room,
     /// The server's stream has delivered an item.
     Item(StreamItem),
 }
@@ -192,8 +203,10 @@
                 let leaving = *self.slot.notice.borrow();
                 let request = self.call.fingerprint().to_string();
                 warn!(id = id, request = request.as_str(), server = server, leaving = leaving, last = self.last_event_id, why = reason.as_str(); "stream cut");
+                // The server's connection and its slot are not kept for a caller that reads slowly.
+                drop(self);
                 // Fails only if the caller has closed the connection.
-                let _ = self.event_sender.send(Err(IncompleteBody { reason })).await;
+                let _ = caller.send(Err(IncompleteBody { reason })).await;
             }
         }
     }
@@ -215,14 +228,16 @@
             // No timer is needed for the end of `MOVE_RETRY_PAUSE`: each event comes back here, and events
             // arrive more often than that.
             let may_move_now = moving.is_none() && self.may_move_now(time::now());
-            let may_probe = moving.is_none() && self.can_move();
+            let may_read = self.queue.has_room();
+            let may_probe = moving.is_none() && may_read && self.can_move();
             let probe_timer = time::sleep_until(self.next_probe());
             let wakeup = tokio::select! {
                 biased;
                 () = &mut deadline => Wakeup::OutOfTime,
                 moved = wait_for_move(&mut moving) => Wakeup::Moved(Box::new(moved)),
                 () = wait_for_notice(&mut self.slot), if may_move_now => Wakeup::Notice,
-                item = self.upstream.next() => Wakeup::Item(item),
+                () = self.queue.wait_for_room(), if !may_read => Wakeup::Room,
+                item = self.upstream.next(), if may_read => Wakeup::Item(item),
                 () = probe_timer, if may_probe => Wakeup::Silence,
             };
             let result = match wakeup {
@@ -237,6 +252,10 @@
                     }
                     continue;
                 }
+                Wakeup::Room => {
+                    self.reading_since = time::now();
+                    continue;
+                }
                 Wakeup::Moved(moved) => {
                     moving = None;
                     self.handle_move(*moved).await
@@ -263,7 +282,8 @@
         }
     }
 
-    /// Sends an event to the caller, unless the caller already has it.
+    /// Sends an event to the caller, unless the caller already has it. The event was taken from the server while
+    /// the queue had room.
     async fn forward_event(&mut self, event: Event) -> Result<(), RelayEnd> {
         let now = time::now();
         self.first_event_at.get_or_insert(now);
@@ -280,7 +300,8 @@
         self.last_probe = None;
         let kind = self.call.route.kind.name();
         self.gateway.metrics.pause_seconds.with_label_values(&[kind]).observe(pause.as_secs_f64());
-        let sent = self.event_sender.send(Ok(Frame::data(event.bytes))).await;
+        let bytes = self.queue.push(event.bytes);
+        let sent = self.event_sender.send(Ok(Frame::data(bytes))).await;
         sent.map_err(|_| RelayEnd::CallerLeft)
     }
 
@@ -301,9 +322,9 @@
 
     /// When to probe the server about a silent stream.
     fn next_probe(&self) -> Instant {
-        self.last_probe.map_or(self.last_forwarded_at + SILENCE_BEFORE_PROBE, |probe| {
-            probe.at + PROBE_INTERVAL
-        })
+        let quiet_since = self.last_forwarded_at.max(self.reading_since);
+        self.last_probe
+            .map_or(quiet_since + SILENCE_BEFORE_PROBE, |probe| probe.at + PROBE_INTERVAL)
     }
 
     /// Whether a run whose stream is silent has produced events at its server since the last probe. If so,
@@ -383,7 +404,7 @@
     async fn drain_upstream(&mut self) -> Result<(), RelayEnd> {
         let until = time::now() + DRAIN_TIMEOUT;
         while let Some(StreamItem::Event(event)) =
-            time::timeout_at(until, self.upstream.next()).await
+            time::timeout_at(until, next_item(&self.queue, &mut self.upstream)).await
         {
             self.forward_event(event).await?;
         }
@@ -482,6 +503,12 @@
     }
 }
 
+/// Reads the next item once the queue has room.
+async fn next_item(queue: &EventQueue, upstream: &mut Upstream) -> StreamItem {
+    queue.wait_for_room().await;
+    upstream.next().await
+}
+
 /// Whether a move is in progress and its run was told to stop.
 fn is_stopping(moving: &Option<Moving>) -> bool {
     moving.as_ref().is_some_and(|m| m.stopping.load(Ordering::Relaxed))
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request as the gateway forwards it, and the response.
 
+use crate::gateway::buffers::Reservation;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::table::{RegionList, Route};
 use bytes::Bytes;
@@ -9,7 +10,6 @@
 use snafu::Snafu;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
-use tokio::sync::OwnedSemaphorePermit;
 
 /// Expected size of a generation; all 0 for plain services.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -70,7 +70,7 @@
     /// The complete request body.
     pub body: Bytes,
     /// Reserves the body's share of the memory for request bodies, until the request is dropped.
-    pub body_permit: Option<Arc<OwnedSemaphorePermit>>,
+    pub body_permit: Option<Arc<Reservation>>,
     /// The route that was in effect when the request arrived.
     pub route: Arc<Route>,
     /// Present if the route requires an API key.
--- a/tests/common/wire.rs
+++ b/tests/common/wire.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 use tidestair::gateway::budget::BudgetBounds;
+use tidestair::gateway::buffers::BufferLimits;
 use tidestair::gateway::cold::{ColdBounds, WarmUp};
 use tidestair::gateway::condition::Remarks;
 use tidestair::gateway::core::{Bounds, Gateway};
@@ -142,11 +143,22 @@
 
 /// A gateway before servers with these loads.
 pub fn gateway(wire: Arc<Wire>, route: &Arc<Route>, loads: &[Load]) -> Arc<Gateway> {
+    gateway_with(wire, route, loads, BufferLimits::of_memory(64 << 20))
+}
+
+/// A gateway with these limits for its buffers.
+pub fn gateway_with(
+    wire: Arc<Wire>,
+    route: &Arc<Route>,
+    loads: &[Load],
+    limits: BufferLimits,
+) -> Arc<Gateway> {
     let bounds = Bounds {
         revocation_delay: None,
         budget: BudgetBounds { ratio: 1.0, slack: 100.0, window: Duration::from_secs(10) },
         cold: ColdBounds::default(),
         exposure: 1.0,
+        buffers: limits,
     };
     let now = tidestair::time::now();
     let regions = Regions::new(Default::default());
--- a/tests/mirror/stand_ins.rs
+++ b/tests/mirror/stand_ins.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tidestair::gateway::budget::BudgetBounds;
+use tidestair::gateway::buffers::BufferLimits;
 use tidestair::gateway::cold::ColdBounds;
 use tidestair::gateway::condition::Remarks;
 use tidestair::gateway::core::{Bounds, Gateway};
@@ -219,6 +220,7 @@
         budget,
         cold: ColdBounds::default(),
         exposure: 0.1,
+        buffers: BufferLimits::of_memory(64 << 20),
     };
     let gateway =
         Gateway::new("hall", Regions::default(), bounds, Arc::new(NoWire), Box::new(Headroom), now);
