--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -71,6 +71,10 @@
     pub store_returns: IntCounter,
     /// Peers from which a heartbeat arrived lately.
     pub peers: IntGauge,
+    /// Bytes buffered for callers and servers, by kind.
+    pub buffered_bytes: IntGaugeVec,
+    /// Times that memory for buffers was used up, by kind and by what was done then.
+    pub buffer_shortages: IntCounterVec,
     /// Messages and bytes sent between daemons.
     pub traffic: Traffic,
 }
@@ -226,6 +230,18 @@
                 "Returns of the platform's store from an older copy that this daemon has seen",
             ),
             peers: gauge(&r, "tidestair_gateway_peers", "Other daemons heard lately"),
+            buffered_bytes: gauges(
+                &r,
+                "tidestair_gateway_buffered_bytes",
+                "Bytes buffered for callers and servers, by kind",
+                &["kind"],
+            ),
+            buffer_shortages: counters(
+                &r,
+                "tidestair_gateway_buffer_shortages_total",
+                "Waits and refusals because buffers were full, by kind",
+                &["kind", "outcome"],
+            ),
             traffic: Traffic {
                 messages: counters(
                     &r,
