--- a/tests/urgency.rs
+++ b/tests/urgency.rs
@@ -1,14 +1,25 @@
 //! Which requests are admitted while engines are short of capacity: the state of a pool, the bounds, and a
 //! load played in simulated time, in which an urgent route has a burst while a sixth of the engines is gone.
 
+#[path = "common/servers.rs"]
+mod servers;
+#[path = "mirror/stand_ins.rs"]
+mod stand_ins;
+
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tidestair::gateway::admission::{AdmissionClass, Bound, retry_after};
-use tidestair::gateway::servers::Load;
-use tidestair::gateway::table::Engine;
+use tidestair::gateway::cold::WarmUp;
+use tidestair::gateway::in_force::DeclaredConfig;
+use tidestair::gateway::servers::{Load, ServerKey};
+use tidestair::gateway::table::{
+    Engine, Limits, RegionList, Route as DeclaredRoute, RouteKind, Service, Table, Target,
+};
 use tidestair::gateway::urgency::{PoolSample, ShortageMonitor, Transition, check};
+use tidestair::platform::Position;
 
 const ENGINE: Engine = Engine {
     slots: 24,
@@ -56,6 +67,76 @@
     assert!(monitor.current().is_some());
 }
 
+/// A route to the service `model`.
+fn route(priority: u8) -> DeclaredRoute {
+    DeclaredRoute {
+        name: format!("route-{priority}"),
+        host: "a.example".into(),
+        prefix: format!("/{priority}/"),
+        kind: RouteKind::Streaming,
+        resumable: false,
+        timeout: Duration::from_secs(6),
+        latency_slo: SLO,
+        gap_slo: None,
+        priority,
+        max_attempts: 1,
+        anonymous: true,
+        targets: vec![Target { service: "model".into(), weight: 1 }],
+        allowed_regions: RegionList::default(),
+    }
+}
+
+/// A service of engines, and the configuration that declares it.
+fn service() -> (Service, DeclaredConfig) {
+    let service = Service {
+        name: "model".into(),
+        connections: 100,
+        health_path: None,
+        warm_up: WarmUp::default(),
+        engine: Some(ENGINE),
+    };
+    let limits = Limits {
+        header_bytes: 1,
+        body_bytes: 1,
+        header_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    let table = Table::new(1, limits, vec![route(0), route(2)], vec![service.clone()], Vec::new());
+    (service, DeclaredConfig { position: Position::new(0, 1), table: Arc::new(table) })
+}
+
+/// Fails if the state of a large pool is that of its smallest hall, or if it does not follow the pool.
+#[test]
+fn the_state_of_a_large_pool_is_that_of_all_its_halls() {
+    const FULL: Load = Load {
+        runs: 9,
+        tokens: 26_000,
+        unread_prompt: 9_000,
+        non_repeatable: 0,
+        incoming_copies: 0,
+    };
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let gateway = stand_ins::node(start).gateway;
+    let (service, declared) = service();
+    gateway.in_force.set_if_newer(declared, start);
+    let shortage = |ms| gateway.shortage(&gateway.servers(), &service, at(ms));
+    let add = |i, hall, load| servers::add_server(&mut gateway.servers(), i, hall, load);
+    for i in 0..1_000 {
+        add(i, "hall", FULL);
+    }
+    let others: Vec<ServerKey> =
+        (1_000..10_000).map(|i| add(i, "other", Load::default())).collect();
+    assert_eq!(shortage(0), None);
+    let busy = &others[..6_000];
+    busy.iter().for_each(|key| gateway.servers().add_load(*key, FULL));
+    assert_eq!(shortage(50), None, "examined less than 100 ms ago");
+    assert!(shortage(100).is_some_and(|shortage| shortage.since == at(100)));
+    busy.iter().for_each(|key| gateway.servers().remove_load(*key, FULL));
+    assert!(shortage(200).is_some());
+    assert_eq!(shortage(1_200), None);
+}
+
 /// Loads of a server, from idle to beyond every bound.
 fn loads() -> impl Iterator<Item = Load> {
     let unread = (0..6_000).step_by(250);
