--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -96,6 +96,7 @@
             key: call.fingerprint(),
             need: Load::of(call.size, call.route.repeatable()).into(),
             less_urgent: top.is_some_and(|top| call.route.priority > top),
+            slo_end: call.arrived + call.route.latency_slo,
             deadline: call.deadline,
         };
         let advice = self.returns().schedule(name, caller, pool, rand::random(), now);
@@ -105,11 +106,11 @@
             let peer_age_ms = advice.peer_age.map(|age| age.as_millis() as u64);
             info!(
                 id = id, request = caller.key.to_string().as_str(), service = &**name, after_ms = after_ms,
-                memory = caller.need.memory, prompt = caller.need.prompt, less_urgent = caller.less_urgent,
-                free_memory = pool.free.memory, free_prompt = pool.free.prompt,
-                freed_memory = advice.freed.memory, freed_prompt = advice.freed.prompt,
-                own_memory = advice.own.memory, own_prompt = advice.own.prompt,
-                peer_memory = advice.peers.memory, peer_prompt = advice.peers.prompt,
+                memory = caller.need.memory as i64, prompt = caller.need.prompt as i64, less_urgent = caller.less_urgent,
+                free_memory = pool.free.memory as i64, free_prompt = pool.free.prompt as i64,
+                freed_memory = advice.freed.memory as i64, freed_prompt = advice.freed.prompt as i64,
+                own_memory = advice.own.memory as i64, own_prompt = advice.own.prompt as i64,
+                peer_memory = advice.peers.memory as i64, peer_prompt = advice.peers.prompt as i64,
                 peer_age_ms = peer_age_ms;
                 "capacity reserved for a refused caller"
             );
--- a/src/gateway/returns.rs
+++ b/src/gateway/returns.rs
@@ -38,13 +38,17 @@
 /// Fraction of the capacity that callers of less urgent routes may reserve. The rest remains for more urgent
 /// ones that are refused later, so that these find earlier times.
 const LESS_URGENT_FRACTION: f64 = 0.7;
+/// The same for callers whose SLO is over by the time that they could return. The rest remains for those that
+/// can still be served in time: with all of it for late ones, 5,911 of 7,641 simulated requests began within
+/// their SLO, with 0.3 of it 6,122, and as many were served (`docs/design/returns.md`).
+const LATE_FRACTION: f64 = 0.3;
 /// Half-life of what has been freed and reserved, for the rates of both.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Maximum age of peers' figures.
 const PEER_LIFETIME: Duration = Duration::from_millis(2_500);
 /// Average time from a reservation until other daemons of its cell know of it.
 const REPORT_DELAY: Duration = Duration::from_millis(100);
-/// Maximum number of a daemon's reservations: 0.4 MB.
+/// Maximum number of reservations of a daemon, of 56 bytes each.
 const MAX_RESERVATIONS: usize = 4_000;
 /// Ends of the intervals, in seconds from the report, by which daemons add up their reservations for reports.
 /// A third of the longest timeouts lies within the last one.
@@ -104,6 +108,8 @@
     pub need: Tokens,
     /// Whether the service has more urgent routes than that of the request.
     pub less_urgent: bool,
+    /// When its SLO, counted from its arrival, is over.
+    pub slo_end: Instant,
     /// When its final response is due.
     pub deadline: Instant,
 }
@@ -353,6 +359,11 @@
             true => forecast.reduced_to(LESS_URGENT_FRACTION),
             false => forecast,
         };
+        let on_time = caller.slo_end.saturating_duration_since(now).as_secs_f64();
+        let forecast = match forecast.earliest(caller.need) {
+            Some(after) if after <= on_time => forecast,
+            _ => forecast.reduced_to(LATE_FRACTION),
+        };
         let longest = caller.deadline.saturating_duration_since(now).mul_f64(MAX_WAIT_FRACTION);
         let earliest = forecast.earliest(caller.need).map(Duration::from_secs_f64);
         let shortest = MIN_RETRY_AFTER.min(longest);
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -50,7 +50,13 @@
 }
 
 fn caller(number: u64, left: Duration, now: Instant) -> Caller {
-    Caller { key: key(number), need: tokens(NEED), less_urgent: false, deadline: now + left }
+    Caller {
+        key: key(number),
+        need: tokens(NEED),
+        less_urgent: false,
+        slo_end: now + left,
+        deadline: now + left,
+    }
 }
 
 fn refuse(returns: &mut Returns, caller: Caller, now: Instant) -> Advice {
@@ -82,6 +88,22 @@
     assert!(hasty.no_room && hasty.after <= ms(200) && hasty.after > Duration::ZERO, "{hasty:?}");
 }
 
+/// Guards against late callers that take the capacity of those that can still be served in time.
+#[test]
+fn a_time_within_the_slo_is_found_where_there_is_capacity_by_then() {
+    let now = Instant::now();
+    let mut returns = returns(now);
+    let mut told = |number, slo| {
+        let caller = Caller { slo_end: now + slo, ..caller(number, ms(39_000), now) };
+        refuse(&mut returns, caller, now).after
+    };
+    let in_time: Vec<Duration> = (0..9).map(|i| told(i, ms(1_000))).collect();
+    assert!(in_time.iter().all(|after| *after <= ms(1_000)), "{in_time:?}");
+    // There is no capacity left in time. Late ones get less than half of what is freed later.
+    assert!(told(20, ms(1_000)) > ms(3_000));
+    assert!(told(21, ms(2_000)) < ms(2_000));
+}
+
 /// Guards against a less urgent caller that takes the earlier capacity.
 #[test]
 fn the_more_urgent_of_two_callers_gets_the_earlier_time() {
@@ -353,19 +375,17 @@
     PowerLoss,
 }
 
-/// Callers that returned when told: all of them and those with a reservation, with how many were admitted.
+/// What became of the requests. Of callers that returned: all, and those that were admitted.
 #[derive(Debug, Default)]
 struct Day {
     asked: u32,
     served: u32,
     /// Served, with the first event within the SLO counted from the first attempt.
     in_slo: u32,
-    told: u32,
-    told_admitted: u32,
-    reserved: u32,
-    reserved_admitted: u32,
-    hasty: u32,
-    hasty_admitted: u32,
+    told: [u32; 2],
+    /// Those told with a reservation.
+    reserved: [u32; 2],
+    hasty: [u32; 2],
 }
 
 struct Simulation {
@@ -476,17 +496,19 @@
         let day = &mut self.day;
         day.asked += u32::from(request.retry.is_none());
         day.served += u32::from(admitted);
-        if let Some(reserved) = request.retry {
-            let (all, those_admitted) = match request.hasty {
-                true => (&mut day.hasty, &mut day.hasty_admitted),
-                false => (&mut day.told, &mut day.told_admitted),
-            };
-            *all += 1;
-            *those_admitted += u32::from(admitted);
-            if reserved && !request.hasty {
-                day.reserved += 1;
-                day.reserved_admitted += u32::from(admitted);
+        let count = |counts: &mut [u32; 2]| {
+            counts[0] += 1;
+            counts[1] += u32::from(admitted);
+        };
+        match request.retry {
+            Some(_) if request.hasty => count(&mut day.hasty),
+            Some(reserved) => {
+                count(&mut day.told);
+                if reserved {
+                    count(&mut day.reserved);
+                }
             }
+            None => {}
         }
         if admitted {
             self.count += 1;
@@ -502,6 +524,7 @@
                     key: key(request.number),
                     need: load.into(),
                     less_urgent: kind.less_urgent,
+                    slo_end: self.start + ms(request.arrived + kind.slo),
                     deadline,
                 };
                 let random = self.rng.random();
@@ -591,8 +614,8 @@
     }
 }
 
-/// Plays a day with engines that leave by sixths and bursts of each route in turn.
-fn day(way: Way, strain: Strain, fault: Fault, seed: u64) -> Day {
+/// Adds a day with engines that leave by sixths and bursts of each route in turn.
+fn play(way: Way, strain: Strain, fault: Fault, seed: u64, day: Day) -> Day {
     let mut s = Simulation {
         way,
         strain,
@@ -606,7 +629,7 @@
         daemons: (0..DAEMONS).map(|_| Returns::default()).collect(),
         reports: vec![HashMap::new(); DAEMONS],
         shortage_until: 0,
-        day: Day::default(),
+        day,
     };
     for now in 0..DAY_MS {
         for (i, kind) in KINDS.into_iter().enumerate() {
@@ -644,23 +667,15 @@
 }
 
 fn days(way: Way, strain: Strain, fault: Fault) -> Day {
-    let mut sum = Day::default();
-    for seed in 1..6 {
-        let day = day(way, strain, fault, seed);
-        sum.asked += day.asked;
-        sum.served += day.served;
-        sum.in_slo += day.in_slo;
-        sum.told += day.told;
-        sum.told_admitted += day.told_admitted;
-        sum.reserved += day.reserved;
-        sum.reserved_admitted += day.reserved_admitted;
-        sum.hasty += day.hasty;
-        sum.hasty_admitted += day.hasty_admitted;
-    }
+    let sum = (1..6).fold(Day::default(), |sum, seed| play(way, strain, fault, seed, sum));
     println!("{way:?} {strain:?} {fault:?}: {sum:?}");
     sum
 }
 
+fn share([all, admitted]: [u32; 2]) -> f64 {
+    f64::from(admitted) / f64::from(all)
+}
+
 /// Guards against callers that are told to return and refused again. The bounds are those of the design: 49
 /// of 50 of the callers that return when told are admitted.
 #[test]
@@ -668,23 +683,39 @@
     let random = days(Way::Random, HEAVY, Fault::None);
     let admitting = days(Way::RandomAdmitting, HEAVY, Fault::None);
     let reserved = days(Way::Reserved, HEAVY, Fault::None);
-    assert!(reserved.told_admitted * 50 >= reserved.told * 49, "{reserved:?}");
-    assert!(reserved.reserved_admitted * 50 >= reserved.reserved * 49, "{reserved:?}");
-    for other in [random, admitting] {
-        let share = |day: &Day| f64::from(day.told_admitted) / f64::from(day.told);
-        assert!(share(&other) < share(&reserved), "{other:?}");
+    assert!(share(reserved.told) >= 0.98 && share(reserved.reserved) >= 0.98, "{reserved:?}");
+    for other in [&random, &admitting] {
+        assert!(share(other.told) < share(reserved.told), "{other:?}");
         assert!(other.served < reserved.served, "{other:?} {reserved:?}");
     }
+    // Returning callers come later than at random times, and no more than a few are late for it.
+    assert!(f64::from(reserved.in_slo) > 0.97 * f64::from(random.in_slo), "{reserved:?}");
     // Those that retry at once gain nothing by it.
-    assert!(reserved.hasty_admitted * 4 < reserved.hasty, "{reserved:?}");
+    assert!(share(reserved.hasty) < 0.25, "{reserved:?}");
 }
 
+/// Guards against reservations that make matters worse where far more arrives than fits. 49 of 50 are not
+/// reached there.
 #[test]
-fn print_days() {
-    for way in [Way::Random, Way::RandomAdmitting, Way::Reserved] {
-        days(way, OVERLOAD, Fault::None);
-    }
-    days(Way::Reserved, HEAVY, Fault::Killed);
-    days(Way::Reserved, HEAVY, Fault::PowerLoss);
-    days(Way::Random, HEAVY, Fault::PowerLoss);
+fn more_is_served_in_an_overload() {
+    let random = days(Way::Random, OVERLOAD, Fault::None);
+    let reserved = days(Way::Reserved, OVERLOAD, Fault::None);
+    assert!(reserved.served > random.served, "{reserved:?}");
+    assert!(share(reserved.told) > share(random.told) + 0.1, "{reserved:?}");
+}
+
+/// Guards against callers that are refused because the daemon that told them a time is gone.
+#[test]
+fn callers_of_a_killed_daemon_are_admitted() {
+    let killed = days(Way::Reserved, HEAVY, Fault::Killed);
+    assert!(share(killed.told) >= 0.98, "{killed:?}");
+}
+
+/// Guards against a pool that is filled by callers that all return at once, and stays full for newcomers.
+#[test]
+fn the_pool_recovers_when_all_callers_return_at_once() {
+    let random = days(Way::Random, HEAVY, Fault::PowerLoss);
+    let reserved = days(Way::Reserved, HEAVY, Fault::PowerLoss);
+    assert!(share(reserved.told) > share(random.told), "{reserved:?}");
+    assert!(reserved.served > random.served, "{reserved:?}");
 }
