--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -262,14 +262,19 @@
         drop(view);
         // Loads that were not reported again in time have expired, so the sums may have changed.
         self.stats_changed.store(true, Ordering::Release);
-        let (limited, backing_off) = {
+        let (limited, backing_off, slow) = {
             let mut servers = self.gateway.servers();
+            servers.refresh_paces(now);
             servers.prune(now);
-            (servers.count_limited(), servers.count_backing_off())
+            (servers.count_limited(), servers.count_backing_off(), servers.count_slow())
         };
         let metrics = self.metrics();
         metrics.limited_servers.set(limited as i64);
         metrics.resting_servers.set(backing_off as i64);
+        metrics.slow_servers.reset();
+        for (service, count) in slow {
+            metrics.slow_servers.with_label_values(&[&*service]).set(count);
+        }
     }
 
     /// Addresses of the daemons that this one sends heartbeats to.
@@ -394,7 +399,8 @@
         let rollouts = self.gateway.rollouts().for_peers(now);
         let (stats, observations) = {
             let servers = self.gateway.servers();
-            let (loads, outcomes) = (servers.own_loads(), servers.own_outcomes(now));
+            let (loads, mut outcomes) = (servers.own_loads(), servers.own_outcomes(now));
+            outcomes.extend(servers.own_paces(now));
             let tallies = rollouts.tallies.into_iter().collect();
             let orders = rollouts.order_ages_ms.into_iter().collect();
             (
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -231,10 +231,15 @@
         if self.call.route.kind == RouteKind::Streaming && reply.status.is_success() {
             return relay::begin(self.gateway, self.call, &self.service, slot, reply).await;
         }
-        let failed = reply.status.is_server_error();
+        let (failed, succeeded) = (reply.status.is_server_error(), reply.status.is_success());
         let status = reply.status.as_u16();
         let answer = read_answer(reply).await;
         slot.record_result(failed || answer.is_err());
+        if succeeded && answer.is_ok() && self.service.engine.is_none() {
+            let (done, slo) = (time::now(), self.call.route.latency_slo);
+            let taken = done.saturating_duration_since(now);
+            self.gateway.servers().record_response(slot.key(), taken, slo, done);
+        }
         let (id, route) = (self.call.id.as_str(), self.call.route.name.as_str());
         let (server, whole) = (slot.id(), answer.is_ok());
         let ms = time::since(self.call.arrived).as_millis() as u64;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,10 +1,11 @@
 //! Counters and latency histograms of the gateway, in the Prometheus text format. The fields are named
 //! after their metrics.
 
-use crate::metrics::{counter, counters, gauge, register, text};
+use crate::metrics::{counter, counters, gauge, gauges, register, text};
 use crate::peer::Traffic;
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Registry,
 };
 
 /// Bucket bounds for latencies, in seconds: from the fast answer of a plain service to a long generation.
@@ -42,6 +43,8 @@
     pub limited_sendings: IntCounter,
     /// Number of servers that are backing off.
     pub resting_servers: IntGauge,
+    /// Number of servers that are slower than the median of their service, by service.
+    pub slow_servers: IntGaugeVec,
     /// Requests sent to servers that had announced that they leave or back off, by announcement.
     pub unheeded_sendings: IntCounterVec,
     /// Rollout states that came into force, by state.
@@ -135,6 +138,12 @@
                 "tidestair_gateway_resting_servers",
                 "Backend servers that have asked this daemon for rest",
             ),
+            slow_servers: gauges(
+                &r,
+                "tidestair_gateway_slow_servers",
+                "Backend servers that are slower than the median of their service, by service",
+                &["service"],
+            ),
             unheeded_sendings: counters(
                 &r,
                 "tidestair_gateway_unheeded_sendings_total",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! - [`table`], [`in_force`]: the declared configuration, and how recently it was confirmed
 //! - `server`, [`servers`], `reach`, [`outcomes`], [`place`], [`policies`]: backend servers, whether they are
 //!   reachable, the results of requests to them, and the choice among them
+//! - [`pace`]: the relative latency of servers
 //! - `halls`, [`cold`], [`regions`]: closed halls, servers that are still warming up, and the regions that
 //!   requests must stay in
 //! - [`condition`], `remarks`: what servers say about themselves in their responses
@@ -57,6 +58,7 @@
 mod moving;
 pub mod outage;
 pub mod outcomes;
+pub mod pace;
 pub mod partner;
 pub mod place;
 pub mod policies;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -102,7 +102,7 @@
         rng: &mut dyn Rng,
     ) -> Option<ServerKey> {
         let unreported = request.unreported_requests
-            * request.engine.map_or(0.0, |engine| utilization(request.load, engine));
+            * request.engine.map_or(0.0, |engine| utilization(request.load, engine, 1.0));
         if unreported > request.cost_tolerance {
             return draw_weighted(candidates, |c| cost(c, request, now), unreported, rng);
         }
@@ -168,22 +168,35 @@
     Some(cheapest[rng.random_range(0..cheapest.len())])
 }
 
-/// Fraction of an engine's capacity that a load uses.
-fn utilization(load: Load, engine: &Engine) -> f64 {
+/// Fraction of an engine's capacity that a load uses. The batch and the unread prompt take longer at a slow
+/// server; memory doesn't.
+fn utilization(load: Load, engine: &Engine, relative_latency: f64) -> f64 {
     f64::from(load.tokens) / f64::from(engine.memory.max(1))
-        + f64::from(load.runs) / BATCH_SCALE
-        + f64::from(load.unread_prompt) / READ_SCALE
+        + f64::from(load.runs) / BATCH_SCALE * relative_latency
+        + f64::from(load.unread_prompt) / READ_SCALE * relative_latency
+}
+
+/// What the request's own prompt and run cost more at a server than at one of median speed; without it, an
+/// idle slow server would cost as much as an idle fast one. Zero between equal servers.
+fn own_delay(load: Load, relative_latency: f64) -> f64 {
+    (relative_latency - 1.0)
+        * (f64::from(load.runs) / BATCH_SCALE + f64::from(load.unread_prompt) / READ_SCALE)
 }
 
 /// Cost of placing the request at a server, as a fraction of a full server.
 fn cost(candidate: &Candidate<'_>, request: &PlacementRequest<'_>, now: Instant) -> f64 {
     let (server, load) = (candidate.server, candidate.load);
+    let relative = server.relative_latency();
     let used = match request.engine {
         Some(engine) => {
-            utilization(load, engine)
+            utilization(load, engine, relative)
                 + f64::from(request.load.tokens) / f64::from(engine.memory.max(1))
+                + own_delay(request.load, relative)
+        }
+        None => {
+            let slots = f64::from(server.record.slots.max(1));
+            f64::from(load.runs) / slots * relative + (relative - 1.0) / slots
         }
-        None => f64::from(load.runs) / f64::from(server.record.slots.max(1)),
     };
     let used = if request.is_copy() {
         used.max(COPY_COST_FLOOR) + f64::from(load.incoming_copies) / ARRIVING_SCALE
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,9 +8,11 @@
 use crate::gateway::events::Event;
 use crate::gateway::forward::SendOutcome;
 use crate::gateway::moving::{self, MoveOutcome};
+use crate::gateway::pace::{EventTimer, Step};
 use crate::gateway::port::{Reply, RunCopy, SendOptions};
 use crate::gateway::quarantine::RunProgress;
 use crate::gateway::request::{Answer, Call, IncompleteBody};
+use crate::gateway::servers::Load;
 use crate::gateway::slot::Slot;
 use crate::gateway::table::Service;
 use crate::gateway::upstream::{StreamItem, Upstream, reopen};
@@ -92,6 +94,8 @@
         move_attempts: 0,
         move_failed_at: None,
         last_probe: None,
+        timer: EventTimer::default(),
+        window_load: Load::default(),
     };
     tokio::spawn(relay.run(first));
     let events = futures_util::stream::unfold(events, |mut events| async {
@@ -134,6 +138,10 @@
     move_failed_at: Option<Instant>,
     /// The last probe of a silent stream; reset by each event.
     last_probe: Option<Probe>,
+    /// Measures the time between events.
+    timer: EventTimer,
+    /// Load of the server when the current window of events began.
+    window_load: Load,
 }
 
 /// A server's answer when probed about a silent run.
@@ -280,10 +288,31 @@
         self.last_probe = None;
         let kind = self.call.route.kind.name();
         self.gateway.metrics.pause_seconds.with_label_values(&[kind]).observe(pause.as_secs_f64());
+        self.measure(now);
+        if self.event_sender.capacity() == 0 {
+            self.timer.stop();
+        }
         let sent = self.event_sender.send(Ok(Frame::data(event.bytes))).await;
         sent.map_err(|_| RelayEnd::CallerLeft)
     }
 
+    /// Notes an event of the stream for the pace of its server.
+    fn measure(&mut self, now: Instant) {
+        let (Some(engine), step) = (&self.service.engine, self.timer.event(now)) else {
+            return;
+        };
+        let key = self.slot.key();
+        match step {
+            Step::None => {}
+            Step::Begun => self.window_load = self.gateway.servers().load(key),
+            Step::Ended(actual) => {
+                let mut servers = self.gateway.servers();
+                servers.record_gaps(key, actual, engine, self.window_load, now);
+                self.window_load = servers.load(key);
+            }
+        }
+    }
+
     /// Whether to move the run if its server gives notice. A request that may run again is not moved.
     fn may_move_now(&self, now: Instant) -> bool {
         let repeatable = self.call.route.repeatable();
@@ -420,6 +449,7 @@
         let why = match reopened {
             Ok(upstream) => {
                 self.upstream = upstream;
+                self.timer.resume();
                 if let Some(slot) = slot {
                     (self.first_event_at, self.survived) = (None, false);
                     self.count_move_outcome("moved");
@@ -476,6 +506,7 @@
             reopen(&self.gateway, &self.call, key, options).await.map_err(RelayEnd::Broken)?;
         info!(id = self.call.id.as_str(), from = self.slot.id(), to = slot.id(), why = why.as_str(), last = self.last_event_id; "run restarted at another server");
         self.slot = slot;
+        self.timer.resume();
         (self.first_event_at, self.survived) = (None, false);
         self.move_attempts = 0;
         Ok(())
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -4,6 +4,7 @@
 use crate::gateway::condition::Condition;
 use crate::gateway::limit::Limit;
 use crate::gateway::outcomes::{DecayingOutcomes, Outcomes};
+use crate::gateway::pace::{DecayingPace, PaceSums};
 use crate::gateway::port::Destination;
 use crate::gateway::reach::Reachability;
 use crate::gateway::request::Size;
@@ -14,8 +15,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-/// Decayed count of exchanges below which a server's outcomes are not worth reporting.
-const MIN_REPORTED_ATTEMPTS: f32 = 0.01;
+/// Decayed count of exchanges or samples below which they are not worth reporting.
+pub(super) const MIN_REPORTED: f32 = 0.01;
 
 /// What the store says of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -124,6 +125,14 @@
     pub(super) outcomes: DecayingOutcomes,
     /// Outcomes that the other daemons reported.
     pub(super) peer_outcomes: Outcomes,
+    /// The tag under which its pace is reported.
+    pub(super) pace_tag: Tag,
+    /// This daemon's samples of its pace.
+    pub(super) pace: DecayingPace,
+    /// The sums of samples that the other daemons reported.
+    pub(super) peer_pace: PaceSums,
+    /// Its relative latency when it was last computed.
+    pub(super) relative_latency: f64,
     pub(super) reach: Reachability,
     /// Since when it is treated as leaving only because its health check failed.
     pub(super) suspected: Option<Instant>,
@@ -157,6 +166,10 @@
             leaving,
             outcomes: DecayingOutcomes::new(now),
             peer_outcomes: Outcomes::default(),
+            pace_tag: tag.combined_with(Tag::of("pace")),
+            pace: DecayingPace::new(now),
+            peer_pace: PaceSums::default(),
+            relative_latency: 1.0,
             reach: Reachability::default(),
             suspected: None,
             cleared: None,
@@ -219,6 +232,19 @@
         all.failure_rate()
     }
 
+    /// How much longer it takes than the median of its service under the same load; 1 if that is unknown or
+    /// the difference is small.
+    pub fn relative_latency(&self) -> f64 {
+        self.relative_latency
+    }
+
+    /// Actual by expected time of all daemons' samples; `None` if there are too few.
+    pub(super) fn pace_ratio(&self, now: Instant) -> Option<f64> {
+        let mut all = self.pace.decayed(now);
+        all += self.peer_pace;
+        all.ratio()
+    }
+
     /// Whether it is skipped because it could not be reached lately.
     pub fn is_skipped(&self, now: Instant) -> bool {
         self.reach.is_skipped(now)
@@ -247,8 +273,11 @@
     /// Whether this daemon has anything to report about it to peers.
     pub(super) fn has_unreported(&self, now: Instant) -> bool {
         self.own_load.runs > 0
-            || self.outcomes.decayed(now).tried >= MIN_REPORTED_ATTEMPTS
+            || self.outcomes.decayed(now).tried >= MIN_REPORTED
             || self.peer_outcomes.is_reportable()
+            || self.pace.decayed(now).expected >= MIN_REPORTED
+            || self.peer_pace != PaceSums::default()
+            || self.relative_latency != 1.0
             || self.leaving_not_in_store()
             || self.reach.for_peers(now).is_some()
             || self.condition.limit.for_peers(now).is_some()
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -3,6 +3,7 @@
 
 mod index;
 mod limits;
+mod paces;
 mod past;
 mod remarks;
 
@@ -74,6 +75,7 @@
     arena: slotmap::SlotMap<ServerKey, Server>,
     by_id: HashMap<Arc<str>, ServerKey>,
     by_tag: HashMap<Tag, ServerKey>,
+    by_pace_tag: HashMap<Tag, ServerKey>,
     /// Listed servers by service and hall.
     index: Index,
     /// Servers about which this daemon may have something to report. The cost of a report thus grows with the
@@ -87,6 +89,8 @@
     limited: HashSet<ServerKey>,
     /// Servers that asked this daemon to back off.
     backing_off: HashSet<ServerKey>,
+    /// Services in which the relative latency of some server differs from 1.
+    uneven: HashSet<Arc<str>>,
     past: Past,
     halls: ClosedHalls,
     /// Versions of each service that a rollout has retired.
@@ -199,15 +203,17 @@
     }
 
     fn insert(&mut self, server: Server) -> ServerKey {
-        let tag = server.tag;
+        let (tag, pace_tag) = (server.tag, server.pace_tag);
         let key = self.arena.insert(server);
         self.by_tag.insert(tag, key);
+        self.by_pace_tag.insert(pace_tag, key);
         key
     }
 
     fn forget(&mut self, key: ServerKey) {
         if let Some(server) = self.arena.remove(key) {
             self.by_tag.remove(&server.tag);
+            self.by_pace_tag.remove(&server.pace_tag);
             self.reportable.remove(&key);
             self.limited.remove(&key);
             self.past.keep(server.tag, server.condition);
@@ -489,14 +495,15 @@
         matter.map(|(s, own)| (s.tag, own)).collect()
     }
 
-    /// Replaces the load and outcomes that the other daemons reported for each server. Servers that are not
-    /// named are reset to none.
+    /// Replaces the load, outcomes and pace that the other daemons reported for each server. Servers that are
+    /// not named are reset to none.
     pub fn set_peer_stats(&mut self, stats: &PeerStats) {
         for key in std::mem::take(&mut self.reported) {
             if let Some(server) = self.arena.get_mut(key) {
-                (server.peer_load, server.peer_outcomes) = Default::default();
+                (server.peer_load, server.peer_outcomes, server.peer_pace) = Default::default();
             }
         }
+        self.set_peer_paces(stats);
         for (tag, load) in &stats.loads {
             if let Some((key, server)) = get_by_tag_mut(&self.by_tag, &mut self.arena, *tag) {
                 server.peer_load = *load;
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -214,7 +214,11 @@
     /// Merges what other daemons have reported since the last call.
     pub(super) fn merge_peer_stats(&self, now: Instant) {
         if let Some(stats) = self.peer_source().and_then(|source| source.peer_stats(now)) {
-            self.servers().set_peer_stats(&stats);
+            {
+                let mut servers = self.servers();
+                servers.set_peer_stats(&stats);
+                servers.refresh_paces(now);
+            }
             self.rollouts().set_peer_reports(&stats.rollouts, now);
             self.quarantine().set_peer_reports(&stats.evidence, now);
             if !stats.evidence.is_empty() {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -196,7 +196,7 @@
     register(r, IntGauge::new(name, help).expect("a valid name"))
 }
 
-fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+pub(crate) fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     register(r, IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name"))
 }
 
