--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -57,6 +57,8 @@
     pub returned_refused: IntCounterVec,
     /// Whether the engines of a service are short of capacity.
     pub shortage: IntGaugeVec,
+    /// Number of servers that are slower than the median of their service, by service.
+    pub slow_servers: IntGaugeVec,
     /// Requests sent to servers that had announced that they leave or back off, by announcement.
     pub unheeded_sendings: IntCounterVec,
     /// Rollout states that came into force, by state.
@@ -196,6 +198,12 @@
                 "1 while the engines of a service are short of capacity",
                 &["service"],
             ),
+            slow_servers: gauges(
+                &r,
+                "tidestair_gateway_slow_servers",
+                "Backend servers that are slower than the median of their service, by service",
+                &["service"],
+            ),
             unheeded_sendings: counters(
                 &r,
                 "tidestair_gateway_unheeded_sendings_total",
