--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -14,7 +14,8 @@
 //! learns what others have sent about 0.1 s late, and of many servers, the one that seems emptiest is the
 //! one about which it knows least. The bound is the same for all sizes and routes of a service: if the
 //! request's own prompt counted, long prompts would starve, and if each route had a bound by its own SLO,
-//! the route with the longest one would fill the queue and shut out the others.
+//! the route with the longest one would fill the queue and shut out the others. Only while the service is
+//! short of capacity do less urgent requests have a lower bound.
 
 use crate::gateway::servers::Load;
 use crate::gateway::table::Engine;
@@ -34,7 +35,8 @@
 /// The same for a caller that was refused before.
 const MEMORY_FRACTION_RETURNED: f64 = 1.0;
 /// Fraction of the ordinary bounds for new callers up to which a less urgent one is admitted during a
-/// shortage. The rest is headroom for more urgent requests.
+/// shortage. The rest is headroom for more urgent requests. In trials the value mattered little, as one prompt
+/// is about as large as the whole bound (`docs/design/shortage.md`).
 const LESS_URGENT_FRACTION: f64 = 0.75;
 /// Prompt tokens that a crowded engine reads per millisecond: 112 in a step of some 16 ms, beside its runs.
 const READ_PER_MS: f64 = 6.0;
