--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -14,7 +14,8 @@
 //! learns what others have sent about 0.1 s late, and of many servers, the one that seems emptiest is the
 //! one about which it knows least. The bound is the same for all sizes and routes of a service: if the
 //! request's own prompt counted, long prompts would starve, and if each route had a bound by its own SLO,
-//! the route with the longest one would fill the queue and shut out the others.
+//! the route with the longest one would fill the queue and shut out the others. Only while the service is
+//! short of capacity do deferrable requests have a lower bound.
 
 use crate::gateway::returns::Tokens;
 use crate::gateway::servers::Load;
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -402,8 +402,10 @@
         let (stats, observations) = {
             let servers = self.gateway.servers();
             let (mut loads, mut outcomes) = (servers.own_loads(), servers.own_outcomes(now));
-            loads.extend(self.gateway.shares().own_loads());
-            loads.extend(reserved);
+            if self.gateway.has_shortage() {
+                loads.extend(self.gateway.shares().own_loads());
+                loads.extend(reserved);
+            }
             outcomes.extend(servers.own_paces(now));
             let tallies = rollouts.tallies.into_iter().collect();
             let orders = rollouts.order_ages_ms.into_iter().collect();
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -8,8 +8,9 @@
 use crate::gateway::place::Candidate;
 use crate::gateway::request::Call;
 use crate::gateway::servers::{Load, Servers};
+use crate::gateway::shares::Excess;
 use crate::gateway::slot::NoSlot;
-use crate::gateway::table::Service;
+use crate::gateway::table::{Engine, Service};
 use crate::gateway::urgency::{self, Deferral, Shortage};
 use log::info;
 use std::time::Instant;
@@ -85,32 +86,70 @@
         now: Instant,
     ) -> Result<(), NoSlot> {
         let shortage = self.shortage(servers, applicant.service, now);
-        let decision = self
-            .within_bounds(applicant, shortage)
-            .and_then(|()| self.admit_by_share(servers, applicant, shortage.is_some()))
-            .and_then(|()| self.admit_beside_reservations(servers, applicant, now));
+        let decision = match (&applicant.service.engine, shortage) {
+            (Some(engine), Some(_)) => self.admit_in_shortage(servers, engine, applicant, now),
+            _ => urgency::check(applicant.server_load, applicant.bound, None)
+                .map_err(|reason| applicant.refused(reason)),
+        };
         decision.inspect_err(|refusal| log_refusal(applicant, shortage, refusal, now))
     }
 
-    /// Decides by the load at the server. During a shortage, deferrable requests leave headroom to more urgent
-    /// ones.
-    fn within_bounds(
+    fn admit_in_shortage(
         &self,
+        servers: &Servers,
+        engine: &Engine,
         applicant: &Applicant<'_>,
-        shortage: Option<Shortage>,
+        now: Instant,
     ) -> Result<(), NoSlot> {
-        let Applicant { service, call, admission_class, bound, server_load, .. } = *applicant;
-        let (Some(engine), Some(_)) = (&service.engine, shortage) else {
-            return urgency::check(server_load, bound, None)
-                .map_err(|reason| applicant.refused(reason));
+        let excess = self.share_excess(servers, engine, applicant);
+        // Otherwise a workspace that retries would keep more than its share by its returning callers.
+        let class = match applicant.admission_class {
+            AdmissionClass::Returned if excess.is_some() => AdmissionClass::Newcomer,
+            class => class,
         };
+        self.within_bounds(engine, applicant, class)?;
+        if let Some(excess) = excess.filter(|_| class == AdmissionClass::Newcomer) {
+            log_excess(applicant, excess);
+            if applicant.admission_class == AdmissionClass::Newcomer {
+                return Err(applicant.refused(OVER_SHARE));
+            }
+        }
+        match self.leaves_reserved(servers, applicant, now) {
+            true => Ok(()),
+            false => Err(applicant.refused(PROMISED)),
+        }
+    }
+
+    /// Decides by the load at the server. Deferrable requests leave headroom to more urgent ones.
+    fn within_bounds(
+        &self,
+        engine: &Engine,
+        applicant: &Applicant<'_>,
+        class: AdmissionClass,
+    ) -> Result<(), NoSlot> {
+        let (service, call) = (applicant.service, applicant.call);
         let slo = self.latency_slo(service, call);
+        let ordinary = Bound::of(slo, engine, class);
         let (bound, deferred) = match self.deferral(service, call) {
-            Deferral::None => (bound, None),
-            Deferral::Favoured => (Bound::favoured(slo, engine, admission_class), None),
-            Deferral::Deferred => (bound, Some(Bound::deferred(slo, engine, admission_class))),
+            Deferral::None => (ordinary, None),
+            Deferral::Favoured => (Bound::favoured(slo, engine, class), None),
+            Deferral::Deferred => (ordinary, Some(Bound::deferred(slo, engine, class))),
         };
-        urgency::check(server_load, bound, deferred).map_err(|reason| applicant.refused(reason))
+        urgency::check(applicant.server_load, bound, deferred)
+            .map_err(|reason| applicant.refused(reason))
+    }
+
+    /// By how much the request's workspace holds more than its share of the pool, if it does.
+    fn share_excess(
+        &self,
+        servers: &Servers,
+        engine: &Engine,
+        applicant: &Applicant<'_>,
+    ) -> Option<Excess> {
+        let name = &applicant.service.name;
+        let memory = servers.open(name).count() as u64 * u64::from(engine.memory);
+        let tag = applicant.call.share_tag(name);
+        self.shares().excess(tag, applicant.load, memory)
     }
 
     /// Counts the decision about a request to an engine. Sends after the first one are not counted, nor are
@@ -145,47 +184,17 @@
             }
         }
     }
+}
 
-    /// Refuses a newcomer whose workspace holds more than its share of a pool that is short of capacity.
-    fn admit_by_share(
-        &self,
-        servers: &Servers,
-        applicant: &Applicant<'_>,
-        in_shortage: bool,
-    ) -> Result<(), NoSlot> {
-        let Applicant { service, call, .. } = applicant;
-        let is_newcomer = applicant.admission_class == AdmissionClass::Newcomer;
-        let (Some(engine), true) = (&service.engine, in_shortage && is_newcomer) else {
-            return Ok(());
-        };
-        let memory = servers.open(&service.name).count() as u64 * u64::from(engine.memory);
-        let tag = call.share_tag(&service.name);
-        let Some(excess) = self.shares().excess(tag, applicant.load, memory) else {
-            return Ok(());
-        };
-        info!(
-            id = call.id.as_str(),
-            service = &*service.name,
-            workspace = call.credential.as_ref().map_or("", |credential| &*credential.workspace),
-            tokens = excess.held,
-            share = excess.share;
-            "refused, workspace over its share"
-        );
-        Err(applicant.refused(OVER_SHARE))
-    }
-
-    /// Refuses a newcomer that would use capacity reserved for callers that return.
-    fn admit_beside_reservations(
-        &self,
-        servers: &Servers,
-        applicant: &Applicant<'_>,
-        now: Instant,
-    ) -> Result<(), NoSlot> {
-        match self.leaves_reserved(servers, applicant, now) {
-            true => Ok(()),
-            false => Err(applicant.refused(PROMISED)),
-        }
-    }
+/// Logs that the workspace of a request holds more than its share.
+fn log_excess(applicant: &Applicant<'_>, excess: Excess) {
+    let call = applicant.call;
+    let workspace = call.credential.as_ref().map_or("", |credential| &*credential.workspace);
+    info!(
+        id = call.id.as_str(), service = &*applicant.service.name, workspace = workspace,
+        tokens = excess.held, share = excess.share;
+        "workspace over its share"
+    );
 }
 
 /// Logs a refusal with the figures that decided it.
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -194,6 +194,11 @@
         self.shortages().get(service).is_some_and(|monitor| monitor.current().is_some())
     }
 
+    /// Whether a shortage of any service's engines is in progress.
+    pub(super) fn has_shortage(&self) -> bool {
+        self.shortages().values().any(|monitor| monitor.current().is_some())
+    }
+
     /// Whether a request leaves headroom to others during a shortage, or others leave it headroom.
     pub(super) fn deferral(&self, service: &Service, call: &Call) -> Deferral {
         let Some(declared) = self.in_force.get() else {
