--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -9,6 +9,7 @@
 use crate::gateway::port::BackendTransport;
 use crate::gateway::promises::Promises;
 use crate::gateway::quarantine::Quarantine;
+use crate::gateway::refusals::Refusals;
 use crate::gateway::regions::{AllowedRegions, Regions};
 use crate::gateway::request::Call;
 use crate::gateway::returns::Returns;
@@ -115,6 +116,8 @@
     shares: Mutex<Shares>,
     /// Capacity that is reserved for refused callers. Locked after `servers` where both are needed.
     returns: Mutex<Returns>,
+    /// Callers that this daemon has refused lately.
+    refusals: Mutex<Refusals>,
     /// Whether the fleet is divided into cells, so that loads in other halls arrive late and as sums.
     pub(super) divided: AtomicBool,
     /// Fraction of all daemons that are in other cells of this hall and whose loads arrive late and as
@@ -171,6 +174,7 @@
             shortages: Mutex::default(),
             shares: Mutex::default(),
             returns: Mutex::default(),
+            refusals: Mutex::new(Refusals::new(now)),
             divided: AtomicBool::new(false),
             delayed_share: Mutex::new(0.0),
             shutdown_deadline: Mutex::default(),
@@ -432,6 +436,11 @@
         self.shares.lock().expect("no holder panics")
     }
 
+    /// Locks the callers that this daemon has refused lately.
+    pub(super) fn refusals(&self) -> MutexGuard<'_, Refusals> {
+        self.refusals.lock().expect("no holder panics")
+    }
+
     /// Locks the capacity that is reserved for refused callers.
     pub(super) fn returns(&self) -> MutexGuard<'_, Returns> {
         self.returns.lock().expect("no holder panics")
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -65,13 +65,17 @@
         &self,
         candidates: Vec<Candidate<'a>>,
         service: &Service,
-        admission_class: AdmissionClass,
-        bound: Bound,
+        call: &Call,
+        class: AdmissionClass,
     ) -> Vec<Candidate<'a>> {
-        if admission_class != AdmissionClass::Returned || !self.in_shortage(&service.name) {
+        let (Some(engine), true) = (&service.engine, class == AdmissionClass::Returned) else {
+            return candidates;
+        };
+        if !self.in_shortage(&service.name) {
             return candidates;
         }
-        let admits = |candidate: &Candidate<'_>| bound.admits(candidate.load);
+        let (bound, deferred) = self.bounds_in_shortage(service, engine, call, class);
+        let admits = |c: &Candidate<'_>| urgency::check(c.load, bound, deferred).is_ok();
         match candidates.iter().any(admits) {
             true => candidates.into_iter().filter(admits).collect(),
             false => candidates,
@@ -127,16 +131,26 @@
         applicant: &Applicant<'_>,
         class: AdmissionClass,
     ) -> Result<(), NoSlot> {
-        let (service, call) = (applicant.service, applicant.call);
+        let Applicant { service, call, server_load, .. } = *applicant;
+        let (bound, deferred) = self.bounds_in_shortage(service, engine, call, class);
+        urgency::check(server_load, bound, deferred).map_err(|reason| applicant.refused(reason))
+    }
+
+    /// The bound on the load at a server during a shortage, and the lower one of a deferred request.
+    fn bounds_in_shortage(
+        &self,
+        service: &Service,
+        engine: &Engine,
+        call: &Call,
+        class: AdmissionClass,
+    ) -> (Bound, Option<Bound>) {
         let slo = self.latency_slo(service, call);
         let ordinary = Bound::of(slo, engine, class);
-        let (bound, deferred) = match self.deferral(service, call) {
+        match self.deferral(service, call) {
             Deferral::None => (ordinary, None),
             Deferral::Favoured => (Bound::favoured(slo, engine, class), None),
             Deferral::Deferred => (ordinary, Some(Bound::deferred(slo, engine, class))),
-        };
-        urgency::check(applicant.server_load, bound, deferred)
-            .map_err(|reason| applicant.refused(reason))
+        }
     }
 
     /// By how much the request's workspace holds more than its share of the pool, if it does.
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -35,6 +35,11 @@
         Fingerprint(u64::from_be_bytes(half))
     }
 
+    /// The fingerprint as a number.
+    pub fn value(self) -> u64 {
+        self.0
+    }
+
     /// Parses a fingerprint in its display format.
     pub fn parse(text: &str) -> Option<Fingerprint> {
         let is_hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,7 +17,8 @@
 //! - [`urgency`]: whether a service's engines are short of capacity, and what less urgent requests then leave
 //!   to others
 //! - [`shares`]: fair shares of a pool's capacity between workspaces
-//! - [`returns`], `returning`: capacity reserved for callers that were refused during a shortage
+//! - [`returns`], [`refusals`], `returning`: capacity reserved for callers that were refused during a shortage,
+//!   and recognizing them when they return
 //! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
@@ -74,6 +75,7 @@
 pub mod promises;
 pub mod quarantine;
 mod reach;
+pub mod refusals;
 pub mod regions;
 mod relay;
 mod remarks;
--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -3,6 +3,7 @@
 use crate::gateway::admission::{AdmissionClass, Bound};
 use crate::gateway::core::Gateway;
 use crate::gateway::crowded::{self, Applicant};
+use crate::gateway::refusals::refusal_tag;
 use crate::gateway::request::Call;
 use crate::gateway::returns::{Arrival, Caller, Pool, Tokens};
 use crate::gateway::servers::{Load, ServerKey, Servers};
@@ -30,13 +31,15 @@
             return AdmissionClass::Begun;
         }
         let by_time = AdmissionClass::of(call.time_left(call.arrived), call.route.timeout);
-        if service.engine.is_none() || !self.returns().has_reservations(&service.name) {
+        if service.engine.is_none() || !self.in_shortage(&service.name) {
             return by_time;
         }
         self.remove_expired_reservations(now);
         let key = call.fingerprint();
-        match self.returns().arrive(&service.name, key, call.deadline, now) {
-            Arrival::Unknown => by_time,
+        let arrival = self.returns().arrive(&service.name, key, call.deadline, now);
+        match arrival {
+            Arrival::Unknown if self.was_refused(service, call, now) => AdmissionClass::Returned,
+            Arrival::Unknown => AdmissionClass::Newcomer,
             Arrival::Due => {
                 self.count_reservations(&service.name, "claimed", 1);
                 AdmissionClass::Returned
@@ -48,6 +51,20 @@
         }
     }
 
+    /// Whether a caller was refused before, by this daemon or, as far as is known, by another one. The time
+    /// that it has used up decides only where this daemon may lack the reports, after a start: callers choose
+    /// their deadlines, so that a first attempt may have less time than its route allows.
+    fn was_refused(&self, service: &Service, call: &Call, now: Instant) -> bool {
+        let tag = refusal_tag(&service.name, call.fingerprint());
+        let left = call.time_left(call.arrived);
+        let spent = call.route.timeout.saturating_sub(left);
+        let by_time = AdmissionClass::of(left, call.route.timeout) == AdmissionClass::Returned;
+        let refusals = self.refusals();
+        let known = refusals.contains(tag, now) || (by_time && refusals.may_lack(spent, now));
+        drop(refusals);
+        known || self.returns().is_reported(tag)
+    }
+
     /// Whether a request leaves free what is reserved for others. Only newcomers have to, and only during a
     /// shortage.
     pub(super) fn leaves_reserved(
@@ -111,6 +128,8 @@
             self.count_reservations(name, "dropped", 1);
             warn!(id = id, service = &**name, after_ms = after_ms; "reservation dropped: too many");
         }
+        let tag = refusal_tag(name, caller.key);
+        self.refusals().record(tag, now + advice.after, now);
         let reason = if advice.no_room { NO_ROOM_IN_TIME } else { why.reason };
         NoSlot { reason, retry_after: advice.after, due: None }
     }
@@ -136,7 +155,9 @@
     /// What to report to peers of the capacity that is freed and reserved.
     pub(super) fn reservations_for_peers(&self, now: Instant) -> Vec<(Tag, Load)> {
         self.remove_expired_reservations(now);
-        self.returns().for_peers(now)
+        let mut reported = self.returns().for_peers(now);
+        reported.extend(self.refusals().for_peers(now));
+        reported
     }
 
     /// Capacity of the engines that a request may go to; `None` for services without engines.
--- a/src/gateway/returns.rs
+++ b/src/gateway/returns.rs
@@ -303,6 +303,11 @@
         (self.peer_loads, self.peers_at) = (loads, Some(now));
     }
 
+    /// Whether another daemon reports anything under this tag.
+    pub fn is_reported(&self, tag: Tag) -> bool {
+        self.peer_loads.contains_key(&tag)
+    }
+
     /// Whether a newcomer that needs `need` leaves free what is reserved for others.
     pub fn newcomer_may_use(
         &mut self,
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -377,7 +377,7 @@
         });
         let may_take = |key, server: &Server| may_take(key, server) && has_quota(server, may_use);
         let candidates = candidates(&servers, service, request.hall, may_take, now);
-        let candidates = self.admitting(candidates, service, terms.admission_class, terms.bound);
+        let candidates = self.admitting(candidates, service, call, terms.admission_class);
         // Unreported requests are spread over all servers, whether they are in the sample or not.
         let all = servers.count(&service.name);
         let sampled = all > MAX_EXAMINED;
