--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -60,8 +60,6 @@
     pub gaps_in_time: f64,
     /// Work of the busiest server, times its relative latency, by the mean of all.
     pub busiest: f64,
-    /// Most requests at a server by the mean.
-    pub most_requests: f64,
     /// Part of the time in which daemons took a server for faster or slower than it was by more than a
     /// quarter, from 3 s after its start on.
     pub misjudged: f64,
@@ -91,7 +89,6 @@
     waiting: VecDeque<Run>,
     running: Vec<Run>,
     work: f64,
-    requests: f64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -208,7 +205,6 @@
         if self.now >= JUDGED_US {
             let work = f64::from(prompt) / 14.0 + f64::from(tokens - prompt) * 1.5;
             self.machines[i].work += work;
-            self.machines[i].requests += 1.0;
         }
     }
 
@@ -402,7 +398,6 @@
             mean_first_ms: sum as f64 / self.firsts.len() as f64 / 1_000.0,
             gaps_in_time: share(self.gaps),
             busiest: most(&|machine| machine.work * machine.speed),
-            most_requests: most(&|machine| machine.requests),
             misjudged: 1.0 - share(self.judged),
         }
     }
