--- a/src/gateway/returns.rs
+++ b/src/gateway/returns.rs
@@ -412,6 +412,11 @@
         expired
     }
 
+    /// Removes the state of services that are no longer `declared`, once their reservations have expired.
+    pub fn retain_services(&mut self, declared: impl Fn(&str) -> bool) {
+        self.ledgers.retain(|service, ledger| declared(service) || !ledger.reservations.is_empty());
+    }
+
     /// What to report to peers: the rate at which capacity is freed, and the reserved capacity by horizon.
     pub fn for_peers(&mut self, now: Instant) -> Vec<(Tag, Load)> {
         let mut reported = Vec::new();
@@ -428,7 +433,9 @@
                 .map(|(at, (runs, tokens))| (reserved_tag(service, at), to_load(runs, tokens)));
             let freed = (freed_tag(service), to_load(1, ledger.freed.rate(now)));
             reported.extend(
-                reserved.chain([freed]).filter(|(_, load)| load.tokens + load.unread_prompt > 0),
+                reserved
+                    .chain([freed])
+                    .filter(|(_, load)| load.tokens > 0 || load.unread_prompt > 0),
             );
         }
         reported
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -163,8 +163,9 @@
     }
 
     /// Examines the pools that are short of capacity, so that a shortage also ends where no request arrives,
-    /// and forgets services that are no longer declared.
+    /// and removes the state of services that are no longer declared.
     pub(super) fn refresh_shortages(&self, now: Instant) {
+        self.remove_undeclared();
         let names: Vec<Arc<str>> = {
             let monitors = self.shortages();
             let short = monitors.iter().filter(|(_, monitor)| monitor.current().is_some());
@@ -174,21 +175,32 @@
             return;
         }
         self.merge_peer_stats(now);
-        let declared = self.in_force.get();
         for name in names {
-            let service = declared.as_ref().and_then(|declared| declared.table.service(&name));
-            match service.filter(|service| service.engine.is_some()) {
-                Some(service) => {
-                    self.shortage(&self.servers(), service, now);
-                }
-                None => {
-                    self.shortages().remove(&name);
-                    self.metrics.shortage.with_label_values(&[&name]).set(0);
-                }
+            let declared = self.in_force.get();
+            if let Some(service) = declared.as_ref().and_then(|d| d.table.service(&name)) {
+                self.shortage(&self.servers(), service, now);
             }
         }
     }
 
+    /// Removes the state of services that no longer have engines, and of shortages to which no route leads.
+    fn remove_undeclared(&self) {
+        let Some(declared) = self.in_force.get() else {
+            return;
+        };
+        let table = &declared.table;
+        let has_engines =
+            |name: &str| table.service(name).is_some_and(|service| service.engine.is_some());
+        self.shortages().retain(|name, monitor| {
+            let kept = has_engines(name) && table.latency_slo(name).is_some();
+            if !kept && monitor.current().is_some() {
+                self.metrics.shortage.with_label_values(&[name]).set(0);
+            }
+            kept
+        });
+        self.returns().retain_services(has_engines);
+    }
+
     /// Whether a shortage of a service's engines is in progress, as last determined.
     pub(super) fn in_shortage(&self, service: &str) -> bool {
         self.shortages().get(service).is_some_and(|monitor| monitor.current().is_some())
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -185,6 +185,31 @@
     assert_eq!((dropped.due, dropped.no_room, returns.count()), (None, false, 4_000));
 }
 
+/// Guards against memory that grows with services that come and go.
+#[test]
+fn the_state_of_a_service_is_removed_with_it_once_its_reservations_expire() {
+    let now = Instant::now();
+    let mut returns = returns(now);
+    let due = refuse(&mut returns, caller(0, ms(39_000), now), now).due.unwrap();
+    returns.retain_services(|_| false);
+    assert_eq!(returns.count(), 1);
+    let over = due + ms(301);
+    assert_eq!(returns.remove_expired(over), [(service(), 1)]);
+    returns.retain_services(|name| name == "model");
+    assert!(!returns.for_peers(over).is_empty(), "it is still declared");
+    returns.retain_services(|_| false);
+    assert!(returns.for_peers(over).is_empty());
+}
+
+/// Fails if the sum of a report's figures overflows.
+#[test]
+fn figures_of_the_largest_requests_can_be_reported() {
+    let (now, mut returns) = (Instant::now(), Returns::default());
+    returns.record_freed(&service(), tokens(1e11), now);
+    let reported = returns.for_peers(now);
+    assert!(reported.iter().any(|(_, load)| load.tokens == u32::MAX));
+}
+
 /// Sends the reports of `from` to `to`.
 fn report(from: &mut Returns, to: &mut Returns, made: Instant, received: Instant) {
     to.set_peer_loads(from.for_peers(made).into_iter().collect(), received);
