--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -4,6 +4,7 @@
 //! refuses determines the reason and the time after which the caller should retry.
 
 use crate::gateway::admission::{self, AdmissionClass, Bound};
+use crate::gateway::candidates::OpenServers;
 use crate::gateway::core::Gateway;
 use crate::gateway::place::Candidate;
 use crate::gateway::request::Call;
@@ -65,13 +66,18 @@
         &self,
         candidates: Vec<Candidate<'a>>,
         service: &Service,
+        call: &Call,
         admission_class: AdmissionClass,
-        bound: Bound,
     ) -> Vec<Candidate<'a>> {
+        let Some(engine) = &service.engine else {
+            return candidates;
+        };
         if admission_class != AdmissionClass::Returned || !self.in_shortage(&service.name) {
             return candidates;
         }
-        let admits = |candidate: &Candidate<'_>| bound.admits(candidate.load);
+        let (bound, deferred) = self.shortage_bounds(service, engine, call, admission_class);
+        let admits =
+            |candidate: &Candidate<'_>| urgency::check(candidate.load, bound, deferred).is_ok();
         match candidates.iter().any(admits) {
             true => candidates.into_iter().filter(admits).collect(),
             false => candidates,
@@ -128,15 +134,26 @@
         class: AdmissionClass,
     ) -> Result<(), NoSlot> {
         let (service, call) = (applicant.service, applicant.call);
+        let (bound, deferred) = self.shortage_bounds(service, engine, call, class);
+        urgency::check(applicant.server_load, bound, deferred)
+            .map_err(|reason| applicant.refused(reason))
+    }
+
+    /// The bound for a request during a shortage, and the lower one that also holds if it is deferred.
+    pub(super) fn shortage_bounds(
+        &self,
+        service: &Service,
+        engine: &Engine,
+        call: &Call,
+        class: AdmissionClass,
+    ) -> (Bound, Option<Bound>) {
         let slo = self.latency_slo(service, call);
         let ordinary = Bound::of(slo, engine, class);
-        let (bound, deferred) = match self.deferral(service, call) {
+        match self.deferral(service, call) {
             Deferral::None => (ordinary, None),
             Deferral::Favoured => (Bound::favoured(slo, engine, class), None),
             Deferral::Deferred => (ordinary, Some(Bound::deferred(slo, engine, class))),
-        };
-        urgency::check(applicant.server_load, bound, deferred)
-            .map_err(|reason| applicant.refused(reason))
+        }
     }
 
     /// By how much the request's workspace holds more than its share of the pool, if it does.
@@ -147,9 +164,10 @@
         applicant: &Applicant<'_>,
     ) -> Option<Excess> {
         let name = &applicant.service.name;
-        let memory = servers.open(name).count() as u64 * u64::from(engine.memory);
+        let open = OpenServers::of(servers, name);
+        let memory = open.servers.len() as f64 * open.weight * f64::from(engine.memory);
         let tag = applicant.call.share_tag(name);
-        self.shares().excess(tag, applicant.load, memory)
+        self.shares().excess(tag, applicant.load, memory as u64)
     }
 
     /// Counts the decision about a request to an engine. Sends after the first one are not counted, nor are
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,7 +18,8 @@
 //!   to others
 //! - [`shares`]: fair shares of a pool's capacity between workspaces
 //! - [`returns`], `returning`: capacity reserved for callers that were refused during a shortage
-//! - [`core`], [`slot`]: the state that all requests of a daemon share, and the slots of requests at servers
+//! - [`core`], [`slot`], `candidates`: the state that all requests of a daemon share, the slots of requests at
+//!   servers, and which servers are examined for a request
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
 //! - [`buffers`]: bytes that are buffered for callers and servers
@@ -42,6 +43,7 @@
 pub mod announce;
 pub mod budget;
 pub mod buffers;
+mod candidates;
 pub mod cell;
 pub mod clock;
 pub mod cluster;
--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -1,6 +1,7 @@
 //! Reservations of engine capacity for refused callers, as requests arrive, are admitted, refused and end.
 
-use crate::gateway::admission::{AdmissionClass, Bound};
+use crate::gateway::admission::AdmissionClass;
+use crate::gateway::candidates::OpenServers;
 use crate::gateway::core::Gateway;
 use crate::gateway::crowded::{self, Applicant};
 use crate::gateway::request::Call;
@@ -147,17 +148,16 @@
         call: &Call,
         now: Instant,
     ) -> Option<Pool> {
-        let slo = self.latency_slo(service, call);
         let engine = service.engine.as_ref()?;
-        let bound = match self.deferral(service, call) {
-            Deferral::Deferred => Bound::deferred(slo, engine, AdmissionClass::Returned),
-            Deferral::Favoured | Deferral::None => Bound::of(slo, engine, AdmissionClass::Returned),
-        };
+        let (bound, deferred) =
+            self.shortage_bounds(service, engine, call, AdmissionClass::Returned);
+        let bound = deferred.unwrap_or(bound);
         let mut free = Tokens::default();
         let may_take = self.may_take(service, call, &[], now);
-        for (key, server) in servers.open(&service.name) {
+        let open = OpenServers::of(servers, &service.name);
+        for (key, server) in open.servers {
             if may_take(key, server) && !server.is_skipped(now) {
-                free += bound.room(server.load());
+                free += bound.room(server.load()).times(open.weight);
             }
         }
         let fraction = self.budget().request_fraction(&service.name, now);
--- a/src/gateway/returns.rs
+++ b/src/gateway/returns.rs
@@ -64,7 +64,8 @@
 }
 
 impl Tokens {
-    fn times(self, factor: f64) -> Tokens {
+    /// The tokens multiplied by a factor.
+    pub fn times(self, factor: f64) -> Tokens {
         Tokens { memory: self.memory * factor, prompt: self.prompt * factor }
     }
 
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -2,19 +2,20 @@
 
 use crate::gateway::admission::{AdmissionClass, Bound};
 use crate::gateway::budget::RetryKind;
+use crate::gateway::candidates::{MAX_EXAMINED, candidates};
 use crate::gateway::core::Gateway;
 use crate::gateway::crowded::Applicant;
 use crate::gateway::hopeless::Prospect;
 use crate::gateway::limited::has_quota;
 use crate::gateway::place::{
-    COPY_COST_TOLERANCE, COST_TOLERANCE, Candidate, PlacementRequest, REMOTE_HALL_COPY_COST,
-    REMOTE_HALL_COST, STALE_REMOTE_HALL_COST,
+    COPY_COST_TOLERANCE, COST_TOLERANCE, PlacementRequest, REMOTE_HALL_COPY_COST, REMOTE_HALL_COST,
+    STALE_REMOTE_HALL_COST,
 };
 use crate::gateway::port::Destination;
 use crate::gateway::request::Call;
 use crate::gateway::returns::Tokens;
 use crate::gateway::rollout::{Arm, Draw, Pick, Stratum};
-use crate::gateway::servers::{Load, Server, ServerKey, Servers};
+use crate::gateway::servers::{Load, Server, ServerKey};
 use crate::gateway::table::Service;
 use crate::gateway::tag::Tag;
 use crate::time;
@@ -377,7 +378,7 @@
         });
         let may_take = |key, server: &Server| may_take(key, server) && has_quota(server, may_use);
         let candidates = candidates(&servers, service, request.hall, may_take, now);
-        let candidates = self.admitting(candidates, service, terms.admission_class, terms.bound);
+        let candidates = self.admitting(candidates, service, call, terms.admission_class);
         // Unreported requests are spread over all servers, whether they are in the sample or not.
         let all = servers.count(&service.name);
         let sampled = all > MAX_EXAMINED;
@@ -456,48 +457,3 @@
         })
     }
 }
-
-/// Number of servers of a service up to which all are examined for each request. Of more servers, a sample
-/// is examined: its least loaded server differs from the least loaded of all by too little for a request to
-/// notice.
-pub(super) const MAX_EXAMINED: usize = 256;
-/// Sample size from the preferred hall, and from all other halls together.
-const SAMPLE_SIZE: usize = 64;
-
-/// The servers that a request may go to. For services with many servers this is a sample, unless no usable
-/// server is in the sample.
-fn candidates<'a>(
-    servers: &'a Servers,
-    service: &'a Service,
-    hall: &'a str,
-    may_take: impl Fn(ServerKey, &Server) -> bool,
-    now: Instant,
-) -> Vec<Candidate<'a>> {
-    let may_take = |(key, server): &(ServerKey, &Server)| {
-        servers.is_open(&service.name, server) && may_take(*key, server)
-    };
-    if servers.count(&service.name) > MAX_EXAMINED {
-        let drawn = servers.sample(&service.name, hall, SAMPLE_SIZE, &mut rand::rng());
-        let drawn = reachable_or_all(drawn.into_iter().filter(may_take), now);
-        if drawn.iter().any(|candidate| !candidate.server.is_skipped(now)) {
-            return drawn;
-        }
-    }
-    reachable_or_all(servers.listed(&service.name).filter(may_take), now)
-}
-
-/// The servers that can be reached, or all of them if none can.
-fn reachable_or_all<'a>(
-    open: impl Iterator<Item = (ServerKey, &'a Server)>,
-    now: Instant,
-) -> Vec<Candidate<'a>> {
-    let (passed_over, mut reached): (Vec<_>, Vec<_>) =
-        open.partition(|(_, server)| server.is_skipped(now));
-    if reached.is_empty() {
-        reached = passed_over;
-    }
-    reached
-        .into_iter()
-        .map(|(key, server)| Candidate { key, server, load: server.load() })
-        .collect()
-}
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -8,11 +8,11 @@
 //! at which less urgent requests leave headroom look free to more urgent ones.
 
 use crate::gateway::admission::Bound;
+use crate::gateway::candidates::OpenServers;
 use crate::gateway::core::Gateway;
 use crate::gateway::crowded::{CROWDED, YIELDS};
 use crate::gateway::request::Call;
-use crate::gateway::servers::{Load, Server, ServerKey, Servers};
-use crate::gateway::slot::MAX_EXAMINED;
+use crate::gateway::servers::{Load, Servers};
 use crate::gateway::table::{Engine, Service};
 use log::info;
 use std::collections::HashMap;
@@ -27,9 +27,6 @@
 const CALM_TIME: Duration = Duration::from_millis(1_000);
 /// Interval at which a pool is examined: about the age of other daemons' loads.
 const EXAMINE_INTERVAL: Duration = Duration::from_millis(100);
-/// Number of servers that are examined of a service with more than [`MAX_EXAMINED`]. The standard deviation
-/// of the fraction that refuses is then at most 0.04.
-const SAMPLE_SIZE: usize = 128;
 
 /// How many of a service's engines refuse newcomers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -250,20 +247,8 @@
     slo: Duration,
     now: Instant,
 ) -> PoolSample {
-    let newcomer = Bound::newcomer(slo, engine);
-    let takes_work = |(_, server): &(ServerKey, &Server)| {
-        let reachable = !server.is_skipped(now) && !server.is_backing_off(now);
-        reachable && servers.is_open(&service.name, server)
-    };
-    let count = |drawn: &mut dyn Iterator<Item = (ServerKey, &Server)>| {
-        let loads = drawn.filter(takes_work).map(|(_, server)| server.load());
-        PoolSample::of(loads, newcomer)
-    };
-    match servers.count(&service.name) > MAX_EXAMINED {
-        true => {
-            let drawn = servers.sample_all(&service.name, SAMPLE_SIZE, &mut rand::rng());
-            count(&mut drawn.into_iter())
-        }
-        false => count(&mut servers.listed(&service.name)),
-    }
+    let open = OpenServers::of(servers, &service.name).servers.into_iter();
+    let reachable =
+        open.filter(|(_, server)| !server.is_skipped(now) && !server.is_backing_off(now));
+    PoolSample::of(reachable.map(|(_, server)| server.load()), Bound::newcomer(slo, engine))
 }
