--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -99,12 +99,13 @@
 }
 
 impl SubAssign for Load {
+    /// Saturates like the sums that it is subtracted from.
     fn sub_assign(&mut self, other: Load) {
-        self.runs -= other.runs;
-        self.tokens -= other.tokens;
-        self.unread_prompt -= other.unread_prompt;
-        self.non_repeatable -= other.non_repeatable;
-        self.incoming_copies -= other.incoming_copies;
+        self.runs = self.runs.saturating_sub(other.runs);
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.unread_prompt = self.unread_prompt.saturating_sub(other.unread_prompt);
+        self.non_repeatable = self.non_repeatable.saturating_sub(other.non_repeatable);
+        self.incoming_copies = self.incoming_copies.saturating_sub(other.incoming_copies);
     }
 }
 
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -457,14 +457,14 @@
     /// Notes that prompt tokens have been processed.
     pub fn note_prompt_read(&mut self, key: ServerKey, tokens: u32) {
         if let Some(server) = self.arena.get_mut(key) {
-            server.own_load.unread_prompt -= tokens;
+            server.own_load -= Load { unread_prompt: tokens, ..Load::default() };
         }
     }
 
     /// Notes that a run's memory has been copied to the server.
     pub fn note_copy_arrived(&mut self, key: ServerKey, tokens: u32) {
         if let Some(server) = self.arena.get_mut(key) {
-            server.own_load.incoming_copies -= tokens;
+            server.own_load -= Load { incoming_copies: tokens, ..Load::default() };
         }
     }
 
--- a/tests/crowded.rs
+++ b/tests/crowded.rs
@@ -97,3 +97,17 @@
     let (few, many) = (decision_time(250), decision_time(10_000));
     assert!(many < few * 4, "{few:?} {many:?}");
 }
+
+/// Fails if sums that have saturated underflow when their parts end, or refuse everything from then on.
+#[test]
+fn loads_beyond_the_range_of_their_sum_can_be_removed() {
+    let gateway = gateway(&[]);
+    let largest = load(1, u32::MAX, u32::MAX);
+    let mut servers = gateway.servers();
+    let key = add_server(&mut servers, 0, "here", largest);
+    servers.add_load(key, largest);
+    servers.note_prompt_read(key, u32::MAX);
+    servers.remove_load(key, load(1, u32::MAX, 0));
+    servers.remove_load(key, largest);
+    assert_eq!(servers.load(key), IDLE);
+}
