--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -4,6 +4,7 @@
 //! refuses determines the reason and the time after which the caller should retry.
 
 use crate::gateway::admission::{self, AdmissionClass, Bound};
+use crate::gateway::candidates::OpenServers;
 use crate::gateway::core::Gateway;
 use crate::gateway::place::Candidate;
 use crate::gateway::request::Call;
@@ -66,16 +67,17 @@
         candidates: Vec<Candidate<'a>>,
         service: &Service,
         call: &Call,
-        class: AdmissionClass,
+        admission_class: AdmissionClass,
     ) -> Vec<Candidate<'a>> {
-        let (Some(engine), true) = (&service.engine, class == AdmissionClass::Returned) else {
+        let Some(engine) = &service.engine else {
             return candidates;
         };
-        if !self.in_shortage(&service.name) {
+        if admission_class != AdmissionClass::Returned || !self.in_shortage(&service.name) {
             return candidates;
         }
-        let (bound, deferred) = self.bounds_in_shortage(service, engine, call, class);
-        let admits = |c: &Candidate<'_>| urgency::check(c.load, bound, deferred).is_ok();
+        let (bound, deferred) = self.shortage_bounds(service, engine, call, admission_class);
+        let admits =
+            |candidate: &Candidate<'_>| urgency::check(candidate.load, bound, deferred).is_ok();
         match candidates.iter().any(admits) {
             true => candidates.into_iter().filter(admits).collect(),
             false => candidates,
@@ -112,18 +114,34 @@
             class => class,
         };
         self.within_bounds(engine, applicant, class)?;
-        if let Some(excess) = excess.filter(|_| class == AdmissionClass::Newcomer) {
-            log_excess(applicant, excess);
-            if applicant.admission_class == AdmissionClass::Newcomer {
-                return Err(applicant.refused(OVER_SHARE));
-            }
+        if let (Some(excess), AdmissionClass::Newcomer) = (excess, applicant.admission_class) {
+            self.within_share(engine, applicant, excess)?;
         }
-        match self.leaves_reserved(servers, applicant, now) {
+        // Most reservations are those of deferred callers, to which more urgent ones don't yield.
+        let yields = self.deferral(applicant.service, applicant.call) != Deferral::Favoured;
+        match !yields || self.leaves_reserved(servers, applicant, now) {
             true => Ok(()),
             false => Err(applicant.refused(PROMISED)),
         }
     }
 
+    /// Decides about a newcomer whose workspace holds more than its share: it leaves the same headroom as
+    /// deferred requests. It is not refused outright, as capacity that no other workspace needs would be lost.
+    fn within_share(
+        &self,
+        engine: &Engine,
+        applicant: &Applicant<'_>,
+        excess: Excess,
+    ) -> Result<(), NoSlot> {
+        let slo = self.latency_slo(applicant.service, applicant.call);
+        let bound = Bound::deferred(slo, engine, AdmissionClass::Newcomer);
+        if bound.admits(applicant.server_load) {
+            return Ok(());
+        }
+        log_excess(applicant, excess);
+        Err(applicant.refused(OVER_SHARE))
+    }
+
     /// Decides by the load at the server. Deferrable requests leave headroom to more urgent ones.
     fn within_bounds(
         &self,
@@ -131,13 +149,14 @@
         applicant: &Applicant<'_>,
         class: AdmissionClass,
     ) -> Result<(), NoSlot> {
-        let Applicant { service, call, server_load, .. } = *applicant;
-        let (bound, deferred) = self.bounds_in_shortage(service, engine, call, class);
-        urgency::check(server_load, bound, deferred).map_err(|reason| applicant.refused(reason))
+        let (service, call) = (applicant.service, applicant.call);
+        let (bound, deferred) = self.shortage_bounds(service, engine, call, class);
+        urgency::check(applicant.server_load, bound, deferred)
+            .map_err(|reason| applicant.refused(reason))
     }
 
-    /// The bound on the load at a server during a shortage, and the lower one of a deferred request.
-    fn bounds_in_shortage(
+    /// The bound for a request during a shortage, and the lower one that also holds if it is deferred.
+    pub(super) fn shortage_bounds(
         &self,
         service: &Service,
         engine: &Engine,
@@ -161,9 +180,10 @@
         applicant: &Applicant<'_>,
     ) -> Option<Excess> {
         let name = &applicant.service.name;
-        let memory = servers.open(name).count() as u64 * u64::from(engine.memory);
+        let open = OpenServers::of(servers, name);
+        let memory = open.servers.len() as f64 * open.weight * f64::from(engine.memory);
         let tag = applicant.call.share_tag(name);
-        self.shares().excess(tag, applicant.load, memory)
+        self.shares().excess(tag, applicant.load, memory as u64)
     }
 
     /// Counts the decision about a request to an engine. Sends after the first one are not counted, nor are
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -8,11 +8,11 @@
 //! at which less urgent requests leave headroom look free to more urgent ones.
 
 use crate::gateway::admission::Bound;
+use crate::gateway::candidates::OpenServers;
 use crate::gateway::core::Gateway;
 use crate::gateway::crowded::{CROWDED, YIELDS};
 use crate::gateway::request::Call;
-use crate::gateway::servers::{Load, Server, ServerKey, Servers};
-use crate::gateway::slot::MAX_EXAMINED;
+use crate::gateway::servers::{Load, Servers};
 use crate::gateway::table::{Engine, Service};
 use log::info;
 use std::collections::HashMap;
@@ -27,9 +27,6 @@
 const CALM_TIME: Duration = Duration::from_millis(1_000);
 /// Interval at which a pool is examined: about the age of other daemons' loads.
 const EXAMINE_INTERVAL: Duration = Duration::from_millis(100);
-/// Number of servers that are examined of a service with more than [`MAX_EXAMINED`]. The standard deviation
-/// of the fraction that refuses is then at most 0.04.
-const SAMPLE_SIZE: usize = 128;
 
 /// How many of a service's engines refuse newcomers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -163,8 +160,9 @@
     }
 
     /// Examines the pools that are short of capacity, so that a shortage also ends where no request arrives,
-    /// and forgets services that are no longer declared.
+    /// and removes the state of services that are no longer declared.
     pub(super) fn refresh_shortages(&self, now: Instant) {
+        self.remove_undeclared();
         let names: Vec<Arc<str>> = {
             let monitors = self.shortages();
             let short = monitors.iter().filter(|(_, monitor)| monitor.current().is_some());
@@ -174,21 +172,32 @@
             return;
         }
         self.merge_peer_stats(now);
-        let declared = self.in_force.get();
         for name in names {
-            let service = declared.as_ref().and_then(|declared| declared.table.service(&name));
-            match service.filter(|service| service.engine.is_some()) {
-                Some(service) => {
-                    self.shortage(&self.servers(), service, now);
-                }
-                None => {
-                    self.shortages().remove(&name);
-                    self.metrics.shortage.with_label_values(&[&name]).set(0);
-                }
+            let declared = self.in_force.get();
+            if let Some(service) = declared.as_ref().and_then(|d| d.table.service(&name)) {
+                self.shortage(&self.servers(), service, now);
             }
         }
     }
 
+    /// Removes the state of services that no longer have engines, and of shortages to which no route leads.
+    fn remove_undeclared(&self) {
+        let Some(declared) = self.in_force.get() else {
+            return;
+        };
+        let table = &declared.table;
+        let has_engines =
+            |name: &str| table.service(name).is_some_and(|service| service.engine.is_some());
+        self.shortages().retain(|name, monitor| {
+            let kept = has_engines(name) && table.latency_slo(name).is_some();
+            if !kept && monitor.current().is_some() {
+                self.metrics.shortage.with_label_values(&[name]).set(0);
+            }
+            kept
+        });
+        self.returns().retain_services(has_engines);
+    }
+
     /// Whether a shortage of a service's engines is in progress, as last determined.
     pub(super) fn in_shortage(&self, service: &str) -> bool {
         self.shortages().get(service).is_some_and(|monitor| monitor.current().is_some())
@@ -238,20 +247,8 @@
     slo: Duration,
     now: Instant,
 ) -> PoolSample {
-    let newcomer = Bound::newcomer(slo, engine);
-    let takes_work = |(_, server): &(ServerKey, &Server)| {
-        let reachable = !server.is_skipped(now) && !server.is_backing_off(now);
-        reachable && servers.is_open(&service.name, server)
-    };
-    let count = |drawn: &mut dyn Iterator<Item = (ServerKey, &Server)>| {
-        let loads = drawn.filter(takes_work).map(|(_, server)| server.load());
-        PoolSample::of(loads, newcomer)
-    };
-    match servers.count(&service.name) > MAX_EXAMINED {
-        true => {
-            let drawn = servers.sample_all(&service.name, SAMPLE_SIZE, &mut rand::rng());
-            count(&mut drawn.into_iter())
-        }
-        false => count(&mut servers.listed(&service.name)),
-    }
+    let open = OpenServers::of(servers, &service.name).servers.into_iter();
+    let reachable =
+        open.filter(|(_, server)| !server.is_skipped(now) && !server.is_backing_off(now));
+    PoolSample::of(reachable.map(|(_, server)| server.load()), Bound::newcomer(slo, engine))
 }
