--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -109,9 +109,6 @@
                 Ok(slot) => slot,
                 Err(why) => return self.give_up(proof, fallback, why),
             };
-            if self.tried.is_empty() {
-                self.count_returned("admitted");
-            }
             self.tried.push(slot.key());
             match self.send_with_timeout(slot, proof.take()).await {
                 SendOutcome::Answered(answer) => return Ok(answer),
@@ -288,14 +285,6 @@
         })
     }
 
-    /// Counts what became of a caller that returned after a refusal.
-    fn count_returned(&self, outcome: &str) {
-        if self.admission_class == AdmissionClass::Returned && self.service.engine.is_some() {
-            let labels = [&*self.service.name, outcome];
-            self.gateway.metrics.returned_callers.with_label_values(&labels).inc();
-        }
-    }
-
     fn count_failed_send(&self, what: &str, why: &str) {
         self.gateway.metrics.failed_sendings.with_label_values(&[why]).inc();
         self.log(what, why);
@@ -316,9 +305,6 @@
         fallback: Option<Answer>,
         why: NoSlot,
     ) -> Result<Answer, Failure> {
-        if self.tried.is_empty() {
-            self.count_returned("refused");
-        }
         let why = match &proof {
             Some(_) => self.gateway.schedule_return(&self.service, self.call, why, time::now()),
             None => why,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,8 +43,6 @@
     pub limited_sendings: IntCounter,
     /// Reservations for refused callers, by service and what became of them.
     pub reservations: IntCounterVec,
-    /// Callers that returned after a refusal, by service and outcome.
-    pub returned_callers: IntCounterVec,
     /// Number of servers that are backing off.
     pub resting_servers: IntGauge,
     /// Requests that were admitted at engines, by service and priority.
@@ -157,12 +155,6 @@
                 "Reservations of capacity for refused callers, by service and state",
                 &["service", "state"],
             ),
-            returned_callers: counters(
-                &r,
-                "tidestair_gateway_returned_callers_total",
-                "Callers that returned after a refusal, by service and outcome",
-                &["service", "outcome"],
-            ),
             resting_servers: gauge(
                 &r,
                 "tidestair_gateway_resting_servers",
