--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -152,8 +152,8 @@
         self.shares().excess(tag, applicant.load, memory)
     }
 
-    /// Counts the decision about a request to an engine. Sends after the first one are not counted, nor are
-    /// streams that continue.
+    /// Counts the decision about a request to an engine, which the caller reports once. Streams that continue
+    /// are not counted.
     pub(super) fn count_admission(
         &self,
         service: &Service,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -109,6 +109,9 @@
                 Ok(slot) => slot,
                 Err(why) => return self.give_up(proof, fallback, why),
             };
+            if self.tried.is_empty() {
+                self.count_decision(None);
+            }
             self.tried.push(slot.key());
             match self.send_with_timeout(slot, proof.take()).await {
                 SendOutcome::Answered(answer) => return Ok(answer),
@@ -285,6 +288,11 @@
         })
     }
 
+    /// Counts that the request was admitted, or the reason for which it was refused.
+    fn count_decision(&self, refused: Option<&'static str>) {
+        self.gateway.count_admission(&self.service, self.call, self.admission_class, refused);
+    }
+
     fn count_failed_send(&self, what: &str, why: &str) {
         self.gateway.metrics.failed_sendings.with_label_values(&[why]).inc();
         self.log(what, why);
@@ -309,6 +317,10 @@
             Some(_) => self.gateway.schedule_return(&self.service, self.call, why, time::now()),
             None => why,
         };
+        // The reason may have changed since the server was chosen, so a refusal is counted only here.
+        if self.tried.is_empty() {
+            self.count_decision(Some(why.reason));
+        }
         self.log("ended without success", why.reason);
         match proof {
             Some(proof) => {
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -285,19 +285,14 @@
         let pick = self.pick(&service.name, draw, now);
         let filter = ServerFilter { excluded: tried, pick: pick.as_ref() };
         let slot = self.choose_slot(service, &request, call, terms, filter, now);
-        let slot = match pick {
+        match pick {
             // The many old servers may have capacity where the few of the new version have none.
             Some(pick) if slot.is_err() && pick.arm == Arm::Candidate => {
                 let filter = ServerFilter { excluded: tried, pick: Some(&pick.baseline()) };
                 self.choose_slot(service, &request, call, terms, filter, now)
             }
             _ => slot,
-        };
-        if tried.is_empty() {
-            let refused = slot.as_ref().err().map(|why| why.reason);
-            self.count_admission(service, call, admission_class, refused);
         }
-        slot
     }
 
     /// Reserves a slot for a request that was sent before, if the shared budget allows a retry.
