--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -137,3 +137,28 @@
     let told = told.iter().map(|s| (s.request.as_str(), s.servers.len(), s.attempts.len(), s.last));
     assert_eq!(told.collect::<Vec<_>>(), [("f1", 3, 2, 3)]);
 }
+
+/// Guards against a loss under the reason for which the chosen server refused, where the request's final
+/// refusal had another one, and against two losses of one attempt.
+#[test]
+fn refusals_during_a_shortage_are_named_by_their_final_reason() {
+    let reasons = ["crowded", "yields", "over_share", "promised", "no_room_in_time", "hopeless"];
+    let mut lines = Vec::new();
+    for (id, at) in reasons.iter().zip(1..) {
+        let first = if *id == "no_room_in_time" { "crowded" } else { id };
+        let refused = |why: &str| format!(",\"route\":\"tags\",\"why\":\"{why}\"");
+        if *id != "hopeless" {
+            lines.push(of_run(at, "not admitted", id, &refused(first)));
+        }
+        lines.push(of_run(at, "ended without success", id, &refused(id)));
+    }
+    let expected = reasons.map(|reason| (reason, Cause::Ended(reason.into())));
+    let ledger = read(&lines);
+    assert_eq!(causes(&ledger), expected.each_ref().map(|(id, cause)| (*id, cause)));
+    let rows = ledger.rows(&BTreeMap::new());
+    let mut told: Vec<_> = rows.iter().map(|row| (row.cause.as_str(), row.count)).collect();
+    let mut counted = reasons.map(|reason| (reason, 1));
+    told.sort_unstable();
+    counted.sort_unstable();
+    assert_eq!(told, counted);
+}
