--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -110,7 +110,7 @@
                 Err(why) => return self.give_up(proof, fallback, why),
             };
             if self.tried.is_empty() {
-                self.count_returned("admitted");
+                self.count_decision(None);
             }
             self.tried.push(slot.key());
             match self.send_with_timeout(slot, proof.take()).await {
@@ -288,12 +288,9 @@
         })
     }
 
-    /// Counts what became of a caller that returned after a refusal.
-    fn count_returned(&self, outcome: &str) {
-        if self.admission_class == AdmissionClass::Returned && self.service.engine.is_some() {
-            let labels = [&*self.service.name, outcome];
-            self.gateway.metrics.returned_callers.with_label_values(&labels).inc();
-        }
+    /// Counts that the request was admitted, or the reason for which it was refused.
+    fn count_decision(&self, refused: Option<&'static str>) {
+        self.gateway.count_admission(&self.service, self.call, self.admission_class, refused);
     }
 
     fn count_failed_send(&self, what: &str, why: &str) {
@@ -316,13 +313,14 @@
         fallback: Option<Answer>,
         why: NoSlot,
     ) -> Result<Answer, Failure> {
-        if self.tried.is_empty() {
-            self.count_returned("refused");
-        }
         let why = match &proof {
             Some(_) => self.gateway.schedule_return(&self.service, self.call, why, time::now()),
             None => why,
         };
+        // The reason may have changed since the server was chosen, so a refusal is counted only here.
+        if self.tried.is_empty() {
+            self.count_decision(Some(why.reason));
+        }
         self.log("ended without success", why.reason);
         match proof {
             Some(proof) => {
