--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -36,8 +36,8 @@
 /// The same for a caller that was refused before.
 const MEMORY_FRACTION_RETURNED: f64 = 1.0;
 /// Fraction of the ordinary bounds for new callers up to which a deferrable one is admitted during a
-/// shortage. The rest is headroom for more urgent requests.
-const DEFERRED_FRACTION: f64 = 0.75;
+/// shortage. The rest is headroom for one more urgent request, which takes a tenth of a small engine's memory.
+const DEFERRED_FRACTION: f64 = 0.88;
 /// Prompt tokens that a crowded engine reads per millisecond: 112 in a step of some 16 ms, beside its runs.
 const READ_PER_MS: f64 = 6.0;
 /// The same for the slowest engine with a full batch: its step takes twice as long, on a server that is 1.3
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -107,7 +107,7 @@
     }
 }
 
-/// The sample of a stream's [`WINDOW_GAPS`] gaps between events, which took `actual` at a server that had
+/// The sample of a stream's four gaps between events, which took `actual` at a server that had
 /// these loads at their beginning and end. `None` if prompt was unread there: steps take twice as long while
 /// it is read, but some of it waits for memory, or has been read and shows in the next event only.
 pub fn stream_sample(
