--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -106,7 +106,7 @@
         let caller = Caller {
             key: call.fingerprint(),
             need: Load::of(call.size, call.route.repeatable()).into(),
-            less_urgent: self.deferral(service, call) == Deferral::Deferred,
+            deferred: self.deferral(service, call) == Deferral::Deferred,
             slo_end: call.arrived + call.route.latency_slo,
             deadline: call.deadline,
         };
@@ -117,7 +117,7 @@
             let peer_age_ms = advice.peer_age.map(|age| age.as_millis() as u64);
             info!(
                 id = id, request = caller.key.to_string().as_str(), service = &**name, after_ms = after_ms,
-                memory = caller.need.memory as i64, prompt = caller.need.prompt as i64, less_urgent = caller.less_urgent,
+                memory = caller.need.memory as i64, prompt = caller.need.prompt as i64, deferred = caller.deferred,
                 free_memory = pool.free.memory as i64, free_prompt = pool.free.prompt as i64,
                 freed_memory = advice.freed.memory as i64, freed_prompt = advice.freed.prompt as i64,
                 own_memory = advice.own.memory as i64, own_prompt = advice.own.prompt as i64,
--- a/src/gateway/returns.rs
+++ b/src/gateway/returns.rs
@@ -35,9 +35,9 @@
 /// Fraction of the measured rate that is planned with. Engines that leave take up to a sixth of it, and
 /// their figures are still included in the measured rate for a while.
 const PLANNED_FRACTION: f64 = 0.8;
-/// Fraction of the capacity that callers of less urgent routes may reserve. The rest remains for more urgent
+/// Fraction of the capacity that deferred callers may reserve. The rest remains for more urgent
 /// ones that are refused later, so that these find earlier times.
-const LESS_URGENT_FRACTION: f64 = 0.7;
+const DEFERRED_FRACTION: f64 = 0.7;
 /// The same for callers whose SLO is over by the time that they could return. The rest remains for those that
 /// can still be served in time: with all of it for late ones, 5,911 of 7,641 simulated requests began within
 /// their SLO, with 0.3 of it 6,122, and as many were served (`docs/design/returns.md`).
@@ -107,8 +107,8 @@
     pub key: Fingerprint,
     /// Tokens that the request needs.
     pub need: Tokens,
-    /// Whether the service has more urgent routes than that of the request.
-    pub less_urgent: bool,
+    /// Whether it is deferred in favour of more urgent requests.
+    pub deferred: bool,
     /// When its SLO, counted from its arrival, is over.
     pub slo_end: Instant,
     /// When its final response is due.
@@ -361,8 +361,8 @@
         now: Instant,
     ) -> Advice {
         let forecast = self.forecast(service, pool, now);
-        let forecast = match caller.less_urgent {
-            true => forecast.reduced_to(LESS_URGENT_FRACTION),
+        let forecast = match caller.deferred {
+            true => forecast.reduced_to(DEFERRED_FRACTION),
             false => forecast,
         };
         let on_time = caller.slo_end.saturating_duration_since(now).as_secs_f64();
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -53,7 +53,7 @@
     Caller {
         key: key(number),
         need: tokens(NEED),
-        less_urgent: false,
+        deferred: false,
         slo_end: now + left,
         deadline: now + left,
     }
@@ -111,14 +111,14 @@
     let mut both = [returns(now), returns(now)];
     for returns in &mut both {
         for i in 0..20 {
-            let yielding = Caller { less_urgent: true, ..caller(i, ms(39_000), now) };
+            let yielding = Caller { deferred: true, ..caller(i, ms(39_000), now) };
             assert!(refuse(returns, yielding, now).due.is_some());
         }
     }
     let urgent = caller(50, ms(39_000), now);
     let [mut first, mut second] = both;
     let urgent_due = refuse(&mut first, urgent, now).due.unwrap();
-    let other_due = refuse(&mut second, Caller { less_urgent: true, ..urgent }, now).due.unwrap();
+    let other_due = refuse(&mut second, Caller { deferred: true, ..urgent }, now).due.unwrap();
     assert!(other_due - urgent_due > ms(500), "{:?}", other_due - urgent_due);
 }
 
@@ -323,7 +323,7 @@
     per_ms: f64,
     prompt: u32,
     output: u32,
-    less_urgent: bool,
+    deferred: bool,
     timeout: u64,
     slo: u64,
 }
@@ -333,18 +333,11 @@
         per_ms: 0.0232,
         prompt: 3_079,
         output: 748,
-        less_urgent: true,
+        deferred: true,
         timeout: 39_000,
         slo: 4_000,
     },
-    Kind {
-        per_ms: 0.0452,
-        prompt: 2_550,
-        output: 12,
-        less_urgent: false,
-        timeout: 6_000,
-        slo: 1_500,
-    },
+    Kind { per_ms: 0.0452, prompt: 2_550, output: 12, deferred: false, timeout: 6_000, slo: 1_500 },
 ];
 
 #[derive(Debug, Clone, Copy)]
@@ -548,7 +541,7 @@
                 let caller = Caller {
                     key: key(request.number),
                     need: load.into(),
-                    less_urgent: kind.less_urgent,
+                    deferred: kind.deferred,
                     slo_end: self.start + ms(request.arrived + kind.slo),
                     deadline,
                 };
