--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -49,6 +49,17 @@
     }
 }
 
+/// How much of the budget of a service is used within the window, as far as this daemon knows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetUsage {
+    /// Retries of this daemon.
+    pub own: u32,
+    /// Retries that the reachable daemons report.
+    pub peers: u32,
+    /// Retries that all of them may make.
+    pub allowed: f64,
+}
+
 /// What is known of the other daemons that share the budget.
 #[derive(Debug, Default)]
 pub struct Others {
@@ -181,6 +192,12 @@
 
     /// Whether what all daemons have spent allows one more retry.
     pub fn allows(&mut self, service: &Arc<str>, kind: RetryKind, now: Instant) -> bool {
+        let usage = self.usage(service, now);
+        f64::from(usage.own + usage.peers + 1) <= usage.allowed * kind.budget_fraction()
+    }
+
+    /// How much of the budget of a service is used.
+    pub fn usage(&mut self, service: &Arc<str>, now: Instant) -> BudgetUsage {
         let number = self.slice_number(now);
         let all = self.others.daemons as f64 + 1.0;
         let unreachable = self.others.daemons.saturating_sub(self.others.reachable) as f64;
@@ -191,8 +208,14 @@
         let own = window.sum();
         let requests = f64::from(own.requests + reported.requests);
         let slack = bounds.slack * (1.0 - unreachable / all);
-        let spent = f64::from(own.retries + reported.retries + 1);
-        spent <= (bounds.ratio * requests + slack) * USED_FRACTION * kind.budget_fraction()
+        let allowed = (bounds.ratio * requests + slack) * USED_FRACTION;
+        BudgetUsage { own: own.retries, peers: reported.retries, allowed }
+    }
+
+    /// The same for each service for which this daemon has had requests.
+    pub fn usages(&mut self, now: Instant) -> Vec<(Arc<str>, BudgetUsage)> {
+        let services: Vec<Arc<str>> = self.services.keys().cloned().collect();
+        services.into_iter().map(|s| (s.clone(), self.usage(&s, now))).collect()
     }
 
     /// Requests per second for a service, at this daemon and all that are reachable.
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -269,6 +269,7 @@
             (servers.count_limited(), servers.count_backing_off(), servers.count_slow())
         };
         self.gateway.refresh_shortages(now);
+        self.publish_budget(now);
         let metrics = self.metrics();
         metrics.limited_servers.set(limited as i64);
         metrics.resting_servers.set(backing_off as i64);
@@ -278,6 +279,19 @@
         }
     }
 
+    /// Updates the gauges of the retry budget.
+    fn publish_budget(&self, now: Instant) {
+        let gauges = &self.metrics().retry_budget;
+        for (service, usage) in self.gateway.budget().usages(now) {
+            let set = |part: &str, value: i64| {
+                gauges.with_label_values(&[&*service, part]).set(value);
+            };
+            set("own", usage.own.into());
+            set("peers", usage.peers.into());
+            set("allowed", usage.allowed as i64);
+        }
+    }
+
     /// Addresses of the daemons that this one sends heartbeats to.
     fn heartbeat_targets(&self, now: Instant) -> Vec<SocketAddr> {
         let view = self.view();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -59,6 +59,8 @@
     pub slow_servers: IntGaugeVec,
     /// Requests sent to servers that had announced that they leave or back off, by announcement.
     pub unheeded_sendings: IntCounterVec,
+    /// Retries within the window by service: those of this daemon and of its peers, and the number allowed.
+    pub retry_budget: IntGaugeVec,
     /// Rollout states that came into force, by state.
     pub rollouts: IntCounterVec,
     /// Reads of the store, by outcome.
@@ -202,6 +204,12 @@
                 "Requests sent to backend servers that had said that they leave or rest",
                 &["said"],
             ),
+            retry_budget: gauges(
+                &r,
+                "tidestair_gateway_retry_budget",
+                "Retries within the budget's window by whom they are known of, and how many are allowed",
+                &["service", "part"],
+            ),
             rollouts: counters(
                 &r,
                 "tidestair_gateway_rollouts_total",
