Retry budget: what ended processes had spent counts until the window has passed

Callers of a service whose servers decline caused more retries than the shared budget allows once daemons were killed or replaced. Cause: spending was kept only by the process that spent; its last report was dropped with it, and its successor counted from zero. Class: a bound over a window whose state dies with its holder.

The daemons of a cell now keep the last report of a process that ended or fell silent, and tell each other and newcomers of it, as sums without daemons in the present heartbeat format. Reports are identified by process, so they count once. A process that nobody can tell of earlier spending, such as after all daemons lost power, uses a seventh part of the budget until it hears a daemon that ran for a whole window, or has run that long itself.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -4,7 +4,8 @@
 //! beyond the first attempt of each request) stays below a ratio of the requests plus a constant. Daemons
 //! report to each other what they have spent. An unreachable daemon is assumed to spend its equal part of
 //! the constant, and it assumes the same of the daemons that it can't reach. Daemons that lose contact with
-//! each other therefore can't spend anything twice.
+//! each other therefore can't spend anything twice. What a daemon had spent before it ended or became
+//! unreachable counts until the window has passed.
 
 use crate::gateway::tag::Tag;
 use serde::{Deserialize, Serialize};
@@ -13,9 +14,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Fraction of the allowance that is used. The rest is for what several daemons spend at the same moment,
-/// and for restarted daemons, which forget what they have spent.
+/// Fraction of the allowance that is used. The rest is for what several daemons spend at the same moment.
 const USED_FRACTION: f64 = 0.7;
+/// The same while nobody can tell what was spent before this process started, such as after all daemons have
+/// lost power. All of them may have used their fraction, so half of the rest is used.
+const USED_FRACTION_IF_UNKNOWN: f64 = (1.0 - USED_FRACTION) / 2.0;
 /// Requests that are added to each daemon's count within a window: while few have arrived, such as after a
 /// start, daemons get equal parts.
 const ASSUMED_REQUESTS: f64 = 3.0;
@@ -56,6 +59,8 @@
     pub own: u32,
     /// Retries that the reachable daemons report.
     pub peers: u32,
+    /// Retries of daemons that have ended or don't answer.
+    pub ended: u32,
     /// Retries that all of them may make.
     pub allowed: f64,
 }
@@ -69,6 +74,10 @@
     pub reachable: usize,
     /// Sum of what the reachable ones have spent, by service.
     pub spent: HashMap<Tag, Spent>,
+    /// Sum of what was spent by processes that have ended or don't answer, by service.
+    pub ended: HashMap<Tag, Spent>,
+    /// Whether this covers what was spent before this process started.
+    pub earlier_known: bool,
     /// The other daemons of this daemon's cell.
     pub cell_peers: CellPeers,
 }
@@ -161,6 +170,8 @@
     started: Instant,
     services: HashMap<Arc<str>, Window>,
     others: Others,
+    /// Whether daemons may have spent something before this process started that nobody has told it of.
+    earlier_unknown: bool,
 }
 
 impl SharedRetryBudget {
@@ -171,9 +182,16 @@
             started: now,
             services: HashMap::new(),
             others: Others::default(),
+            earlier_unknown: false,
         }
     }
 
+    /// For a process that is not part of the fleet's first start: until the other daemons have told what was
+    /// spent before, only a small fraction of the budget is used.
+    pub fn assume_earlier_spending(&mut self) {
+        self.earlier_unknown = true;
+    }
+
     /// Counts a request for a service.
     pub fn record_request(&mut self, service: &Arc<str>, now: Instant) {
         let number = self.slice_number(now);
@@ -193,7 +211,8 @@
     /// Whether what all daemons have spent allows one more retry.
     pub fn allows(&mut self, service: &Arc<str>, kind: RetryKind, now: Instant) -> bool {
         let usage = self.usage(service, now);
-        f64::from(usage.own + usage.peers + 1) <= usage.allowed * kind.budget_fraction()
+        f64::from(usage.own + usage.peers + usage.ended + 1)
+            <= usage.allowed * kind.budget_fraction()
     }
 
     /// How much of the budget of a service is used.
@@ -201,15 +220,18 @@
         let number = self.slice_number(now);
         let all = self.others.daemons as f64 + 1.0;
         let unreachable = self.others.daemons.saturating_sub(self.others.reachable) as f64;
-        let reported = self.others.spent.get(&Tag::of(service)).copied().unwrap_or_default();
+        let tag = Tag::of(service);
+        let reported = self.others.spent.get(&tag).copied().unwrap_or_default();
+        let ended = self.others.ended.get(&tag).copied().unwrap_or_default();
+        let fraction = if self.earlier_unknown { USED_FRACTION_IF_UNKNOWN } else { USED_FRACTION };
         let bounds = self.bounds;
         let window = self.window(service);
         window.slice(number);
         let own = window.sum();
         let requests = f64::from(own.requests + reported.requests);
         let slack = bounds.slack * (1.0 - unreachable / all);
-        let allowed = (bounds.ratio * requests + slack) * USED_FRACTION;
-        BudgetUsage { own: own.retries, peers: reported.retries, allowed }
+        let allowed = (bounds.ratio * requests + slack) * fraction;
+        BudgetUsage { own: own.retries, peers: reported.retries, ended: ended.retries, allowed }
     }
 
     /// The same for each service for which this daemon has had requests.
@@ -286,6 +308,11 @@
         sums.filter(|(_, spent)| *spent != Spent::default()).collect()
     }
 
+    /// The window over which requests and retries are counted.
+    pub fn window_length(&self) -> Duration {
+        self.bounds.window
+    }
+
     /// Replaces the bounds. If the window's length changes, all counts are reset.
     pub fn set_bounds(&mut self, bounds: BudgetBounds) {
         if bounds.window != self.bounds.window {
@@ -296,6 +323,7 @@
 
     /// Updates what is known of the other daemons.
     pub fn set_others(&mut self, others: Others) {
+        self.earlier_unknown &= !others.earlier_known;
         self.others = others;
     }
 
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -254,6 +254,7 @@
         let mut view = self.view();
         view.update_layout(&listing, |addr| tasks.get(&addr).copied(), now);
         view.set_interval_scale(interval_scale);
+        view.set_retry_window(self.gateway.budget().window_length());
         self.gateway.metrics.peers.set(view.count(now) as i64);
         self.gateway.set_others(view.spent(count, now));
         self.gateway.set_divided(view.layout().divided);
@@ -288,6 +289,7 @@
             };
             set("own", usage.own.into());
             set("peers", usage.peers.into());
+            set("ended", usage.ended.into());
             set("allowed", usage.allowed as i64);
         }
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -466,6 +466,12 @@
         self.budget().spent(now)
     }
 
+    /// For a process that is not part of the fleet's first start: see
+    /// [`SharedRetryBudget::assume_earlier_spending`].
+    pub fn assume_earlier_spending(&self) {
+        self.budget().assume_earlier_spending();
+    }
+
     /// Updates what is known of the other daemons that share the budget.
     pub fn set_others(&self, others: Others) {
         self.budget().set_others(others);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 //! - [`forward`], `relay`, `upstream`, [`events`], `moving`: forwarding requests, relaying event streams, and
 //!   moving runs between servers
 //! - [`buffers`]: bytes that are buffered for callers and servers
-//! - [`budget`]: the daemon's share of the retry budget
+//! - [`budget`], `ended`: the daemon's share of the retry budget, and what ended processes had spent of it
 //! - [`quarantine`], [`suspicion`]: requests that crash the servers that run them
 //! - [`mirror`], [`follow`], [`cluster`]: this daemon's copy of the store, read from the store or received
 //!   from peers
@@ -52,6 +52,7 @@
 pub mod condition;
 pub mod core;
 mod crowded;
+mod ended;
 pub mod events;
 pub mod fingerprint;
 pub mod follow;
--- a/src/gateway/sums.rs
+++ b/src/gateway/sums.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Adds what was spent of the retry budgets.
+    pub(crate) fn add_spent(&mut self, spent: &[(Tag, Spent)]) {
+        add(&mut self.spent, spent);
+    }
+
     /// Adds one daemon; `entry` is its address for callers, if it accepts them.
     pub(crate) fn add_daemon(&mut self, tag: Tag, stats: &DaemonStats, entry: Option<SocketAddr>) {
         self.add(stats);
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,14 +1,16 @@
 //! What a daemon knows of the others from their heartbeats: which are reachable and ready, what
 //! runs on which server, and how much of the retry budgets is spent.
 
-use crate::gateway::budget::{CellPeers, Others};
+mod spending;
+
 use crate::gateway::cell::{CellId, Layout, rank};
 use crate::gateway::clock::{Clock, Echo, micros_between, millis_between, minus_millis};
+use crate::gateway::ended::EndedProcesses;
 use crate::gateway::heartbeat::{DaemonStats, Heartbeat, Origin, Sum};
 use crate::gateway::partner::{self, IntervalScale, Relation, SumSchedule};
 use crate::gateway::roster::{Daemon, Listing};
 use crate::gateway::servers::{Load, Observations, PeerStats};
-use crate::gateway::sums::{MIN_ENTRIES, SumBuilder, SumSource, Sums, add, halls_of};
+use crate::gateway::sums::{MIN_ENTRIES, SumBuilder, SumSource, Sums, halls_of};
 use crate::gateway::tag::Tag;
 use log::info;
 use std::collections::{HashMap, HashSet};
@@ -30,6 +32,8 @@
 const HALLS_SUM_CACHE_MS: u64 = 100;
 /// Number of other daemons whose addresses are in a heartbeat.
 const MAX_PEER_ADDRS: usize = 3;
+/// Window of the retry budgets until it is set.
+const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// Maximum heartbeat interval that is accepted from a peer.
 const MAX_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -74,6 +78,12 @@
     /// Daemons that didn't answer, and when that was last observed.
     unanswered: HashMap<SocketAddr, Instant>,
     sums: Sums,
+    /// What ended processes of this cell had spent of the retry budgets.
+    ended: EndedProcesses,
+    /// The window of the retry budgets.
+    retry_window: Duration,
+    /// Whether a daemon that ran a whole window before has told of ended processes.
+    heard_elder: bool,
     /// The sum of the other halls that this daemon, as a relay, last computed for its cell.
     cached_halls_sum: Option<Sum>,
     /// The latest known read of the store by any daemon.
@@ -107,6 +117,9 @@
             peers: HashMap::new(),
             unanswered: HashMap::new(),
             sums: Sums::default(),
+            ended: EndedProcesses::default(),
+            retry_window: DEFAULT_RETRY_WINDOW,
+            heard_elder: false,
             cached_halls_sum: None,
             store_read: None,
             interval_scale: IntervalScale::NONE,
@@ -135,6 +148,7 @@
         now: Instant,
     ) {
         let is_listed = |addr: &SocketAddr| listing.peers.contains(addr);
+        self.keep_silent_spending(now);
         self.peers.retain(|addr, peer| {
             is_listed(addr) || elapsed(peer.last_seen, now) <= UNLISTED_LIFETIME
         });
@@ -207,11 +221,13 @@
         }
         if known.is_none_or(|known| known.boot != heartbeat.boot) {
             info!(peer = heartbeat.daemon.vm.as_str(), addr = addr.to_string().as_str(); "first heartbeat from peer");
+            self.keep_ended_spending(addr);
         }
         // What can't be dated is skipped: the next heartbeat repeats it with an echo.
         if let Some(sent) = self.clock.earliest_send_time(heartbeat.echo, now) {
             self.note_store_read(heartbeat.store_read_age_ms.and_then(|ms| minus_millis(sent, ms)));
             self.merge_sums(heartbeat, sent, now);
+            self.merge_ended(heartbeat, sent);
         }
         let peer = Peer {
             daemon: heartbeat.daemon.clone(),
@@ -458,6 +474,9 @@
             }
             Relation::SameCell | Relation::OtherHall | Relation::Unknown => {}
         }
+        if relation == Relation::SameCell {
+            sums.extend(self.ended_sums(now));
+        }
         sums
     }
 
@@ -468,6 +487,7 @@
         for peer in self.reachable_in_cell(now) {
             adder.add_daemon(peer.tag, &peer.stats, peer.ready.then_some(peer.daemon.callers));
         }
+        self.ended_spending(now).for_each(|spent| adder.add_spent(spent));
         adder.sum(Origin::Cell(self.layout.own_cell), &self.clock, now)
     }
 
@@ -519,28 +539,6 @@
         ahead
     }
 
-    /// What the reachable daemons have spent of the shared retry budgets. `listed` is the number of
-    /// other daemons that the store lists.
-    pub fn spent(&self, listed: usize, now: Instant) -> Others {
-        let mut spent = HashMap::new();
-        let mut near = CellPeers { own: self.tag, ..CellPeers::default() };
-        for peer in self.reachable_in_cell(now) {
-            near.others.push(peer.tag);
-            add(&mut near.spent, &peer.stats.spent);
-        }
-        let mut reachable = near.others.len();
-        for (service, own) in &near.spent {
-            spent.insert(*service, *own);
-        }
-        for sum in self.distant_sums(now) {
-            reachable += sum.daemons as usize;
-            add(&mut spent, &sum.stats.spent);
-        }
-        let recent =
-            self.peers.values().filter(|p| elapsed(p.last_seen, now) <= UNLISTED_LIFETIME).count();
-        Others { daemons: listed.max(recent).max(reachable), reachable, spent, cell_peers: near }
-    }
-
     /// The fraction of all daemons that are in other cells of this hall and known only through
     /// sums.
     pub fn summarized_fraction(&self, now: Instant) -> f64 {
--- a/tests/shared_budget.rs
+++ b/tests/shared_budget.rs
@@ -65,6 +65,7 @@
     fn restart(&mut self, i: usize) {
         self.fleet.restart(i);
         self.budgets[i] = SharedRetryBudget::new(BOUNDS, self.fleet.now);
+        self.budgets[i].assume_earlier_spending();
         self.report(i);
     }
 
