Retry budget: a run that returns after a failed move spends another repeat

A run that is stopped for a move and refused at its new server goes back to its old one. That is one more arrival there, which the shared budget didn't count. It may use a part of the reserve, since the run has been stopped already; where not even that is left, the request is placed anew if its route allows it.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -153,14 +153,17 @@
     Continuation,
     /// Sends a request again after a failure or a refusal.
     Retry,
+    /// Returns a run that was stopped for a move to the replica where it ran, after the move has failed.
+    Return,
 }
 
 impl RetryKind {
-    /// Fraction of the budget up to which retries of this kind are allowed.
+    /// Fraction of the used part of the budget up to which retries of this kind are allowed.
     fn budget_fraction(self) -> f64 {
         match self {
             RetryKind::Continuation => 1.0,
             RetryKind::Retry => 0.8,
+            RetryKind::Return => 1.2,
         }
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,6 +5,7 @@
 //! the run is moved to another one while its events continue.
 
 use crate::gateway::admission::AdmissionClass;
+use crate::gateway::budget::RetryKind;
 use crate::gateway::buffers::EventQueue;
 use crate::gateway::core::Gateway;
 use crate::gateway::events::Event;
@@ -484,7 +485,10 @@
             Err(why) => why,
         };
         warn!(id = self.call.id.as_str(), why = why.as_str(), elsewhere = elsewhere; "run not resumed");
-        if elsewhere { Box::pin(self.resume(copy, None)).await } else { self.restart(why).await }
+        // The failed continuation may have arrived, so the next one is another repeat.
+        let returns = elsewhere
+            && self.gateway.spend_retry(&self.service.name, RetryKind::Return, time::now());
+        if returns { Box::pin(self.resume(copy, None)).await } else { self.restart(why).await }
     }
 
     fn count_move_outcome(&self, outcome: &str) {
