--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -99,6 +99,18 @@
     }
 }
 
+impl Gateway {
+    /// Counts the connection that a request was sent on. It was established unless nothing was sent.
+    fn count_connection(&self, sent: &Result<Reply, SendError>) {
+        let outcome = match sent {
+            Err(SendError::Unsent { refused: true, .. }) => "refused",
+            Err(SendError::Unsent { .. }) => "failed",
+            Ok(_) | Err(SendError::Unanswered { .. }) => "established",
+        };
+        self.metrics.connections.with_label_values(&[outcome]).inc();
+    }
+}
+
 impl Attempts<'_> {
     async fn run(mut self, proof: NotSent) -> Result<Answer, Failure> {
         let mut proof = Some(proof);
@@ -212,7 +224,9 @@
             priority: self.gateway.engine_priority(&self.service, self.call),
         };
         self.gateway.log_server_remarks(self.call, slot.key(), now);
-        let reply = match self.gateway.wire.send(self.call, options, proof).await {
+        let sent = self.gateway.wire.send(self.call, options, proof).await;
+        self.gateway.count_connection(&sent);
+        let reply = match sent {
             Ok(reply) => reply,
             Err(error) => return self.handle_send_error(&slot, error).await,
         };
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,8 @@
     pub pause_seconds: HistogramVec,
     /// Requests sent to backend servers that gave no answer for the caller, by reason.
     pub failed_sendings: IntCounterVec,
+    /// Connections to backend servers for requests, by outcome.
+    pub connections: IntCounterVec,
     /// Age of this daemon's copy of the store whenever a request is sent to a backend server.
     pub knowledge_seconds: Histogram,
     /// Moves of runs, by outcome.
@@ -109,6 +111,12 @@
                 "Sendings to backend servers without an answer for the caller, by reason",
                 &["reason"],
             ),
+            connections: counters(
+                &r,
+                "tidestair_gateway_connections_total",
+                "Connections to backend servers for requests, by outcome",
+                &["outcome"],
+            ),
             knowledge_seconds: register(
                 &r,
                 Histogram::with_opts(
