--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -69,7 +69,7 @@
 pub enum SendError {
     /// No byte of the request was sent.
     Unsent {
-        /// The proof that was passed to [`BackendTransport::send`].
+        /// The proof that was passed to the transport.
         proof: Option<NotSent>,
         /// Whether the connection was refused: nothing listens at the address any more.
         refused: bool,
@@ -83,6 +83,15 @@
     },
 }
 
+/// Why a connection to a server was not established.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectFailure {
+    /// Nothing listens at the address.
+    Refused,
+    /// There was no answer in time, or another error.
+    Other,
+}
+
 /// A copy of a run's memory, made at its server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Copied {
@@ -170,9 +179,12 @@
         timeout: Duration,
     ) -> BoxFuture<'_, Result<Report, String>>;
 
-    /// Whether a connection to the server's address is refused within `timeout`: nothing listens there any
-    /// more.
-    fn refuses_connections(&self, server: SocketAddr, timeout: Duration) -> BoxFuture<'_, bool>;
+    /// Opens a connection to the server's address and closes it again.
+    fn connect(
+        &self,
+        server: SocketAddr,
+        timeout: Duration,
+    ) -> BoxFuture<'_, Result<(), ConnectFailure>>;
 
     /// Frees a copy that is not needed any more.
     fn free<'a>(&'a self, source: SocketAddr, handle: &'a str) -> BoxFuture<'a, ()>;
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -4,7 +4,7 @@
 use crate::gateway::core::Gateway;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::mirror::Mirror;
-use crate::gateway::port::{self, Schema, Store};
+use crate::gateway::port::{self, ConnectFailure, Schema, Store};
 use crate::gateway::quarantine::{QUARANTINE_TTL, RunProgress};
 use crate::gateway::request::Call;
 use crate::gateway::slot::Slot;
@@ -43,9 +43,11 @@
     /// may be the cause. A server that was known to leave ended for that reason. It is reported to peers at
     /// once that nothing listens at the address, together with the evidence against the request.
     pub(crate) async fn handle_lost_run(&self, call: &Call, slot: &Slot, run: RunProgress) {
-        if *slot.notice.borrow()
-            || !self.wire.refuses_connections(slot.place.destination.addr, PROBE_TIMEOUT).await
-        {
+        if *slot.notice.borrow() {
+            return;
+        }
+        let probe = self.wire.connect(slot.place.destination.addr, PROBE_TIMEOUT).await;
+        if probe != Err(ConnectFailure::Refused) {
             return;
         }
         let (request, now) = (call.fingerprint(), time::now());
--- a/tests/common/wire.rs
+++ b/tests/common/wire.rs
@@ -83,8 +83,8 @@
         Box::pin(ready(Err("no report".into())))
     }
 
-    fn refuses_connections(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, bool> {
-        Box::pin(ready(false))
+    fn connect(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<(), ConnectFailure>> {
+        Box::pin(async { Ok(()) })
     }
 
     fn free<'a>(&'a self, _: SocketAddr, _: &'a str) -> BoxFuture<'a, ()> {
--- a/tests/mirror/stand_ins.rs
+++ b/tests/mirror/stand_ins.rs
@@ -15,8 +15,8 @@
 use tidestair::gateway::mirror::Mirror;
 use tidestair::gateway::place::Headroom;
 use tidestair::gateway::port::{
-    BackendTransport, CopyAnswer, DecodeError, Destination, Health, NotCopied, Reply, Report,
-    Schema, SendError, SendOptions,
+    BackendTransport, ConnectFailure, CopyAnswer, DecodeError, Destination, Health, NotCopied,
+    Reply, Report, Schema, SendError, SendOptions,
 };
 use tidestair::gateway::regions::Regions;
 use tidestair::gateway::request::Call;
@@ -66,8 +66,8 @@
         Box::pin(async { Ok(Report::default()) })
     }
 
-    fn refuses_connections(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, bool> {
-        Box::pin(async { false })
+    fn connect(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<(), ConnectFailure>> {
+        Box::pin(async { Ok(()) })
     }
 
     fn free<'a>(&'a self, _: SocketAddr, _: &'a str) -> BoxFuture<'a, ()> {
