A VM that is cut off from all servers passes requests on to other daemons

Callers of a VM that had lost its links to the backend servers got 503 after 0.6 s, for as long as the cut lasted, though its peers reached all servers. Cause: unreachable servers were only ever known one by one, so each request tried four of them, and nothing led from one daemon to another's servers. Class: a fault of the observer is taken for many faults of the observed.

Two servers in a row that can't be reached, with no connection between, raise a suspicion; servers of all services are then probed, and one connection refutes it. A daemon that is cut off passes requests that have never run on to a ready peer, over the peer's listener for callers, and sends none again that may have arrived there. The peer counts and admits it like any caller's; it is not passed on twice. Where no peer is ready, callers are refused at once and told when the next probe is due. Meanwhile the daemon is not named in directory answers, and reports neither refused connections nor failed exchanges, and no request is held to have ended a server.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -415,7 +415,8 @@
         let evidence = self.gateway.quarantine().for_peers(now);
         let rollouts = self.gateway.rollouts().for_peers(now);
         let reserved = self.gateway.reservations_for_peers(now);
-        let (stats, observations) = {
+        let doubtful = self.gateway.isolation.is_doubtful();
+        let (stats, mut observations) = {
             let servers = self.gateway.servers();
             let (mut loads, mut outcomes) = (servers.own_loads(), servers.own_outcomes(now));
             if self.gateway.has_shortage() {
@@ -423,6 +424,9 @@
                 loads.extend(reserved);
             }
             outcomes.extend(servers.own_paces(now));
+            if doubtful {
+                outcomes.clear();
+            }
             let tallies = rollouts.tallies.into_iter().collect();
             let orders = rollouts.order_ages_ms.into_iter().collect();
             (
@@ -430,7 +434,11 @@
                 servers.observations(now),
             )
         };
-        let own = OwnState { stats, ready: (self.ready)() };
+        if doubtful {
+            observations.refusing.clear();
+        }
+        let ready = (self.ready)() && !self.gateway.isolation.is_cut_off();
+        let own = OwnState { stats, ready };
         Heartbeat {
             copy_status: self.mirror.copy_status(now),
             store_failure_age_ms: self.mirror.last_failure().map(|at| millis_between(at, now)),
@@ -547,6 +555,10 @@
         self.view().higher_ranked_load(server, now)
     }
 
+    fn ready_peers(&self, now: Instant) -> Vec<SocketAddr> {
+        self.entries(now)
+    }
+
     fn borrow_quota(&self, wanted: Vec<LimitedServer>) -> BoxFuture<'_, Option<Tag>> {
         Box::pin(self.request_quota(wanted))
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -4,9 +4,10 @@
 use crate::gateway::buffers::{BufferLimits, Buffers};
 use crate::gateway::cold::{ColdBounds, Rank};
 use crate::gateway::in_force::InForce;
+use crate::gateway::isolation::Isolation;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::place::PlacementPolicy;
-use crate::gateway::port::BackendTransport;
+use crate::gateway::port::{BackendTransport, DaemonTransport};
 use crate::gateway::promises::Promises;
 use crate::gateway::quarantine::Quarantine;
 use crate::gateway::refusals::Refusals;
@@ -69,6 +70,8 @@
     fn peer_stats(&self, now: Instant) -> Option<PeerStats>;
     /// Load at a server from those daemons of the same cell that rank before this one.
     fn higher_ranked_load(&self, server: Tag, now: Instant) -> Load;
+    /// Addresses for callers of the other daemons that are ready and reach backend servers.
+    fn ready_peers(&self, now: Instant) -> Vec<SocketAddr>;
     /// Asks other daemons for quota for one request at one of these limited servers. Returns the server for
     /// which quota was granted.
     fn borrow_quota(&self, wanted: Vec<LimitedServer>) -> BoxFuture<'_, Option<Tag>>;
@@ -91,6 +94,10 @@
     pub wire: Arc<dyn BackendTransport>,
     /// Metrics of this daemon's gateway.
     pub metrics: GatewayMetrics,
+    /// Whether this VM is cut off from all backend servers.
+    pub isolation: Isolation,
+    /// Transport to other daemons for callers' requests.
+    daemon_transport: OnceLock<Arc<dyn DaemonTransport>>,
     /// Bytes that are buffered for callers and servers.
     pub buffers: Arc<Buffers>,
     /// Hall of this daemon.
@@ -157,6 +164,8 @@
             in_force: InForce::default(),
             wire,
             metrics,
+            isolation: Isolation::default(),
+            daemon_transport: OnceLock::new(),
             buffers,
             hall: hall.into(),
             regions,
@@ -217,6 +226,15 @@
         self.peer_source.get_or_init(|| source);
     }
 
+    /// Sets the transport to other daemons; calls after the first have no effect.
+    pub fn set_daemon_transport(&self, transport: Arc<dyn DaemonTransport>) {
+        self.daemon_transport.get_or_init(|| transport);
+    }
+
+    pub(super) fn daemon_transport(&self) -> Option<&dyn DaemonTransport> {
+        self.daemon_transport.get().map(|transport| &**transport)
+    }
+
     pub(super) fn peer_source(&self) -> Option<Arc<dyn PeerSource>> {
         self.peer_source.get()?.upgrade()
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,5 +1,7 @@
 //! Forwards a request: picks a server, sends, retries where that is allowed, and answers the caller.
 
+mod through_peer;
+
 use crate::gateway::admission::{self, AdmissionClass};
 use crate::gateway::buffers::{BufferKind, Buffers, Reservation};
 use crate::gateway::core::Gateway;
@@ -90,7 +92,10 @@
         let Some(service) = self.draw_service(call) else {
             return Err(refused(proof, "no_service".into()));
         };
-        self.count_request(&service.name, time::now());
+        // Forwarded requests are counted by the daemon that they are forwarded to.
+        if !self.isolation.is_cut_off() {
+            self.count_request(&service.name, time::now());
+        }
         let admission_class = self.class_on_arrival(&service, call, time::now());
         let (tried, unreached, runs) = (Vec::new(), 0, 0);
         Attempts { gateway: self, call, service, admission_class, tried, unreached, runs }
@@ -117,8 +122,12 @@
         // The latest error response of a server.
         let mut fallback = None;
         loop {
+            if let Some(proof) = proof.take_if(|_| self.gateway.isolation.is_cut_off()) {
+                return self.answer_through_peer(proof).await;
+            }
             let slot = match self.next_slot_or_borrow_quota().await {
                 Ok(slot) => slot,
+                Err(_) if proof.is_some() && self.gateway.isolation.verdict().await => continue,
                 Err(why) => return self.give_up(proof, fallback, why),
             };
             if self.tried.is_empty() {
@@ -227,7 +236,10 @@
         let sent = self.gateway.wire.send(self.call, options, proof).await;
         self.gateway.count_connection(&sent);
         let reply = match sent {
-            Ok(reply) => reply,
+            Ok(reply) => {
+                self.gateway.note_connected();
+                reply
+            }
             Err(error) => return self.handle_send_error(&slot, error).await,
         };
         self.gateway.handle_remarks(slot.key(), &reply.remarks, now);
@@ -271,15 +283,18 @@
     }
 
     async fn handle_send_error(&self, slot: &Slot, error: SendError) -> SendOutcome {
-        slot.record_result(true);
         let (id, server) = (self.call.id.as_str(), slot.id());
         match error {
             SendError::Unsent { proof, refused, reason } => {
+                if !self.gateway.note_unreachable(slot.key()) {
+                    slot.record_result(true);
+                }
                 slot.record_connect_failure(refused);
                 warn!(id = id, server = server, reason = reason.as_str(); "could not reach server");
                 SendOutcome::NotReached(proof)
             }
             SendError::Unanswered { reason } => {
+                slot.record_result(true);
                 warn!(id = id, server = server, reason = reason.as_str(); "no response from server");
                 self.gateway.handle_lost_run(self.call, slot, RunProgress::NoEvents).await;
                 SendOutcome::Failed(None, "no_answer")
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,10 @@
     pub failed_sendings: IntCounterVec,
     /// Connections to backend servers for requests, by outcome.
     pub connections: IntCounterVec,
+    /// 1 while this VM is cut off from all backend servers.
+    pub cut_off: IntGauge,
+    /// Requests that were passed on to other daemons meanwhile, by outcome.
+    pub forwarded: IntCounterVec,
     /// Age of this daemon's copy of the store whenever a request is sent to a backend server.
     pub knowledge_seconds: Histogram,
     /// Moves of runs, by outcome.
@@ -117,6 +121,17 @@
                 "Connections to backend servers for requests, by outcome",
                 &["outcome"],
             ),
+            cut_off: gauge(
+                &r,
+                "tidestair_gateway_cut_off",
+                "1 while this VM is cut off from all backend servers",
+            ),
+            forwarded: counters(
+                &r,
+                "tidestair_gateway_forwarded_total",
+                "Requests passed on to other daemons while this VM was cut off, by outcome",
+                &["outcome"],
+            ),
             knowledge_seconds: register(
                 &r,
                 Histogram::with_opts(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! - [`pace`]: the relative latency of servers
 //! - `halls`, [`cold`], [`regions`]: closed halls, servers that are still warming up, and the regions that
 //!   requests must stay in
+//! - [`isolation`]: whether this VM is cut off from all backend servers
 //! - [`condition`], `remarks`: what servers say about themselves in their responses
 //! - [`rollout`]: rollout of a new version of a service's servers
 //! - [`limit`], `limited`, [`promises`]: servers that limit how many requests they accept, and the quota
@@ -62,6 +63,7 @@
 pub mod heartbeat;
 pub mod hopeless;
 pub mod in_force;
+pub mod isolation;
 pub mod limit;
 mod limited;
 pub mod listen;
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -2,7 +2,7 @@
 //! particular deployment.
 
 use crate::gateway::condition::Remarks;
-use crate::gateway::request::{AnswerBody, Call};
+use crate::gateway::request::{Answer, AnswerBody, Call};
 use crate::gateway::rollout::{Order, State};
 use crate::gateway::servers::ServerRecord;
 use crate::gateway::table::Table;
@@ -190,6 +190,19 @@
     fn free<'a>(&'a self, source: SocketAddr, handle: &'a str) -> BoxFuture<'a, ()>;
 }
 
+/// Passes callers' requests on to other daemons.
+pub trait DaemonTransport: Send + Sync {
+    /// Sends a request to the daemon that accepts callers at `to`, and returns its response. `proof` is present
+    /// if the request has never run; it is lost once the first byte is sent.
+    fn forward<'a>(
+        &'a self,
+        call: &'a Call,
+        to: SocketAddr,
+        time_left: Duration,
+        proof: Option<NotSent>,
+    ) -> BoxFuture<'a, Result<Answer, SendError>>;
+}
+
 /// A key of the store with its value.
 pub type Entry = platform::Entry<Position>;
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -87,6 +87,8 @@
     pub size: Size,
     /// Id of the last event that the caller has received, if it continues a stream.
     pub after: Option<u64>,
+    /// Whether another daemon passed the request on.
+    pub forwarded: bool,
     /// The fingerprint, computed on first use.
     pub cached_fingerprint: OnceLock<Fingerprint>,
 }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod paces;
 mod past;
+mod reachable;
 mod remarks;
 
 use crate::gateway::fingerprint::Fingerprint;
@@ -319,15 +320,6 @@
         }
     }
 
-    /// Notes that a connection to a server failed; `refused` says that nothing listens at its address.
-    pub fn note_unreachable(&mut self, key: ServerKey, refused: bool, now: Instant) {
-        if let Some(server) = self.arena.get_mut(key) {
-            server.reach.connect_failed(refused, now);
-            server.condition.cold.note_unreachable();
-            self.reportable.insert(key);
-        }
-    }
-
     /// Notes that a request is sent to a cold server.
     pub fn note_cold_request(&mut self, key: ServerKey, now: Instant) {
         if let Some(server) = self.arena.get_mut(key) {
--- a/src/gateway/servers/index.rs
+++ b/src/gateway/servers/index.rs
@@ -48,6 +48,11 @@
         rows.map(|row| (row.hall.as_str(), row.keys.as_slice()))
     }
 
+    /// The services that have servers.
+    pub(super) fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.services.keys()
+    }
+
     /// Draws random servers of a service: `count` in `hall` and `count` in all other halls, fewer where there
     /// are fewer. A server may be drawn more than once.
     pub(super) fn sample(
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -42,12 +42,17 @@
     /// Handles the loss of a run that had not begun or had just begun: if the server has ended, the request
     /// may be the cause. A server that was known to leave ended for that reason. It is reported to peers at
     /// once that nothing listens at the address, together with the evidence against the request.
-    pub(crate) async fn handle_lost_run(&self, call: &Call, slot: &Slot, run: RunProgress) {
+    pub(crate) async fn handle_lost_run(
+        self: &Arc<Self>,
+        call: &Call,
+        slot: &Slot,
+        run: RunProgress,
+    ) {
         if *slot.notice.borrow() {
             return;
         }
         let probe = self.wire.connect(slot.place.destination.addr, PROBE_TIMEOUT).await;
-        if probe != Err(ConnectFailure::Refused) {
+        if probe != Err(ConnectFailure::Refused) || self.note_unreachable(slot.key()) {
             return;
         }
         let (request, now) = (call.fingerprint(), time::now());
--- a/tests/common/wire.rs
+++ b/tests/common/wire.rs
@@ -137,6 +137,7 @@
         deadline: now + left,
         size: Size { prompt_tokens: prompt, max_tokens: 10, expected_tokens: None },
         after: None,
+        forwarded: false,
         cached_fingerprint: OnceLock::new(),
     }
 }
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -402,6 +402,7 @@
         deadline: now + SLO,
         size: Size { prompt_tokens: 100, max_tokens: 20, expected_tokens: None },
         after: None,
+        forwarded: false,
         cached_fingerprint: OnceLock::new(),
     };
     let engines = Service {
