Brittle servers get no more than they run, and nothing for a second after declining

Servers may say in all answers that they crash when they have to decline many requests in a second. Nothing read that word, and each daemon went on to send what such a server declined. While a server of a service says so, its servers are candidates only up to their slots, and not for a second after declining a request of this daemon or another; refusals name servers_full.

--- a/src/gateway/condition.rs
+++ b/src/gateway/condition.rs
@@ -19,6 +19,20 @@
     pub limit: LimitRemark,
     /// How long it stays cold.
     pub cold: Option<Duration>,
+    /// Whether it crashes when it has to decline many requests.
+    pub brittle: BrittleRemark,
+}
+
+/// What an answer says about whether its server crashes when it has to decline many requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum BrittleRemark {
+    /// Nothing.
+    #[default]
+    Unknown,
+    /// It doesn't.
+    Sound,
+    /// It does.
+    Brittle,
 }
 
 /// A time for which a server asked this daemon to send it nothing. Other daemons are not affected.
@@ -40,6 +54,10 @@
     pub(super) limit: Limit,
     /// What is known about whether it is cold.
     pub(super) cold: Cold,
+    /// When it last said that it is brittle; `None` if it is not.
+    pub(super) brittle_at: Option<Instant>,
+    /// Until when it gets nothing since it declined a request while it was brittle.
+    pub(super) full_until: Option<Instant>,
 }
 
 impl Condition {
@@ -65,7 +83,10 @@
 
     /// Whether it has said anything that has to outlast its entry in the store.
     pub(super) fn has_lasting_remarks(&self) -> bool {
-        self.leaving_since.is_some() || self.backoff.is_some() || self.limit.rate().is_some()
+        self.leaving_since.is_some()
+            || self.backoff.is_some()
+            || self.limit.rate().is_some()
+            || self.brittle_at.is_some()
     }
 
     /// Since when it is known to leave.
--- a/src/gateway/remarks.rs
+++ b/src/gateway/remarks.rs
@@ -1,7 +1,7 @@
 //! Applies what servers say about themselves in answers, and logs requests that are sent to such servers all
 //! the same.
 
-use crate::gateway::condition::Remarks;
+use crate::gateway::condition::{BrittleRemark, Remarks};
 use crate::gateway::core::Gateway;
 use crate::gateway::limit::LimitRemark;
 use crate::gateway::limited::SERVERS_IN_NEED;
@@ -37,6 +37,12 @@
         if let Some(backoff) = remarks.backoff.filter(|_| new.backs_off) {
             info!(server = &*id, ms = backoff.as_millis() as u64; "server asks this daemon to back off");
         }
+        if new.brittle {
+            match remarks.brittle {
+                BrittleRemark::Brittle => info!(server = &*id; "server says that it is brittle"),
+                _ => info!(server = &*id; "server is no longer brittle"),
+            }
+        }
         if new.limit {
             self.metrics.limited_servers.set(self.servers().count_limited() as i64);
             match remarks.limit {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -286,10 +286,16 @@
             || self.peer_pace != PaceSums::default()
             || self.relative_latency != 1.0
             || self.leaving_not_in_store()
-            || self.reach.for_peers(now).is_some()
+            || self.refused_for_peers(now).is_some()
             || self.condition.limit.for_peers(now).is_some()
     }
 
+    /// For how long peers should send it nothing, because it refuses connections or has no room.
+    pub(super) fn refused_for_peers(&self, now: Instant) -> Option<Duration> {
+        let full = self.condition.full_until.map(|until| until.saturating_duration_since(now));
+        self.reach.for_peers(now).max(full.filter(|left| !left.is_zero()))
+    }
+
     /// Marks it as leaving for good. Returns whether that is new.
     pub(super) fn mark_leaving(&mut self, now: Instant) -> bool {
         self.suspected = None;
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,6 +1,7 @@
 //! The backend servers that this daemon knows, with their entries in the store, load, outcomes, limits and
 //! backoffs, which of them are leaving or cold, and which halls are closed.
 
+pub(super) mod brittle;
 mod index;
 mod limits;
 mod paces;
@@ -88,6 +89,8 @@
     unlisted: Vec<ServerKey>,
     /// Servers that have a rate limit.
     limited: HashSet<ServerKey>,
+    /// Servers that crash when they have to decline many requests.
+    brittle: HashSet<ServerKey>,
     /// Servers that asked this daemon to back off.
     backing_off: HashSet<ServerKey>,
     /// Services in which the relative latency of some server differs from 1.
@@ -228,6 +231,7 @@
             self.by_pace_tag.remove(&server.pace_tag);
             self.reportable.remove(&key);
             self.limited.remove(&key);
+            self.brittle.remove(&key);
             self.past.keep(server.tag, server.condition);
         }
     }
@@ -332,7 +336,7 @@
         let listed = || self.reportable().filter(|(key, _)| self.is_listed(*key)).map(|(_, s)| s);
         let leaving = listed().filter(|s| s.leaving_not_in_store()).map(|s| s.tag);
         let refusing = listed().filter(|s| !*s.leaving.borrow()).filter_map(|s| {
-            let left = s.reach.for_peers(now)?;
+            let left = s.refused_for_peers(now)?;
             Some((s.tag, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
         });
         let limits =
@@ -361,9 +365,9 @@
             }
         }
         for (tag, left) in &observations.refusing {
-            if let (Some((key, server)), Some(sent)) = (self.not_known_to_leave(*tag), sent) {
-                server.reach.mark_refusing(sent + Duration::from_millis((*left).into()), now);
-                self.reportable.insert(key);
+            let key = self.not_known_to_leave(*tag).map(|(key, _)| key);
+            if let (Some(key), Some(sent)) = (key, sent) {
+                self.note_refusing(key, sent + Duration::from_millis((*left).into()), now);
             }
         }
         if !leaving.is_empty() {
--- a/src/gateway/servers/remarks.rs
+++ b/src/gateway/servers/remarks.rs
@@ -15,6 +15,8 @@
     pub backs_off: bool,
     /// A limit, a considerably different one, or the end of one.
     pub limit: bool,
+    /// That it is brittle, or no longer.
+    pub brittle: bool,
 }
 
 /// Backoffs of the servers of a service.
@@ -45,6 +47,7 @@
     ) -> NewRemarks {
         let limit = self.update_limit(key, remarks.limit, asked, now);
         let leaving = remarks.leaving && self.mark_leaving(key, now);
+        let brittle = self.update_brittle(key, remarks.brittle, asked, now);
         let Some(server) = self.arena.get_mut(key) else {
             return NewRemarks::default();
         };
@@ -56,7 +59,7 @@
         if backs_off {
             self.backing_off.insert(key);
         }
-        NewRemarks { leaving, backs_off, limit }
+        NewRemarks { leaving, backs_off, limit, brittle }
     }
 
     /// Whether a server has asked this daemon to back off, and the time is not over.
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -15,6 +15,7 @@
 use crate::gateway::request::Call;
 use crate::gateway::returns::Tokens;
 use crate::gateway::rollout::{Arm, Draw, Pick, Stratum};
+use crate::gateway::servers::brittle::has_room;
 use crate::gateway::servers::{Load, Server, ServerKey};
 use crate::gateway::table::Service;
 use crate::gateway::tag::Tag;
@@ -152,6 +153,9 @@
     /// doesn't count in a rollout.
     pub fn record_refusal(&self) {
         self.gateway.record_result(self.key(), true);
+        if self.gateway.servers().note_declined(self.key(), time::now()) {
+            self.gateway.signal_urgent_change();
+        }
     }
 }
 
@@ -371,7 +375,12 @@
         let may_use = quota.is_some_and(|quota| {
             self.may_use_quota(quota, &service.name, terms.admission_class, now)
         });
-        let may_take = |key, server: &Server| may_take(key, server) && has_quota(server, may_use);
+        let brittle = servers.is_brittle(&service.name, now);
+        let may_take = |key, server: &Server| {
+            may_take(key, server)
+                && has_quota(server, may_use)
+                && (!brittle || has_room(server, now))
+        };
         let candidates = candidates(&servers, service, request.hall, may_take, now);
         let candidates = self.admitting(candidates, service, call, terms.admission_class);
         // Unreported requests are spread over all servers, whether they are in the sample or not.
@@ -398,7 +407,8 @@
         let chosen = self.placement_policy.choose(&candidates, request, now, &mut rand::rng());
         let Some(key) = chosen else {
             let limited = quota.map(|quota| self.no_quota(quota, &service.name, call, now));
-            let no_slot = limited.unwrap_or("no_server".into());
+            let other = if brittle { "servers_full" } else { "no_server" };
+            let no_slot = limited.unwrap_or(other.into());
             return Err(self.after_backoff(no_slot, &servers, service, call, now));
         };
         let there = servers.get(key).map(Server::load).unwrap_or_default();
--- a/tests/remarks.rs
+++ b/tests/remarks.rs
@@ -5,12 +5,17 @@
 
 use servers::add_server;
 use std::time::{Duration, Instant};
-use tidestair::gateway::condition::Remarks;
+use tidestair::gateway::condition::{BrittleRemark, Remarks};
 use tidestair::gateway::limit::LimitRemark;
 use tidestair::gateway::servers::{Load, ServerKey, ServerRecord, Servers};
 
-const LEAVES: Remarks =
-    Remarks { leaving: true, backoff: None, limit: LimitRemark::Unknown, cold: None };
+const LEAVES: Remarks = Remarks {
+    leaving: true,
+    backoff: None,
+    limit: LimitRemark::Unknown,
+    cold: None,
+    brittle: BrittleRemark::Unknown,
+};
 
 /// A server on which this daemon has no runs.
 fn idle_server(servers: &mut Servers) -> ServerKey {
