--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -175,7 +175,7 @@
     started: Instant,
     services: HashMap<Arc<str>, Window>,
     others: Others,
-    /// Whether daemons may have spent something before this process started that nobody has told it of.
+    /// Whether earlier processes may have made retries that this one doesn't know of.
     earlier_unknown: bool,
 }
 
@@ -191,8 +191,8 @@
         }
     }
 
-    /// For a process that is not part of the fleet's first start: until the other daemons have told what was
-    /// spent before, only a small fraction of the budget is used.
+    /// For a process that is not part of the fleet's first start: only a small fraction of the budget is used
+    /// until the other daemons have reported what was spent before.
     pub fn assume_earlier_spending(&mut self) {
         self.earlier_unknown = true;
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -102,9 +102,7 @@
             .run(proof)
             .await
     }
-}
 
-impl Gateway {
     /// Counts the connection that a request was sent on. It was established unless nothing was sent.
     fn count_connection(&self, sent: &Result<Reply, SendError>) {
         let outcome = match sent {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,15 +1,16 @@
 //! What a daemon knows of the others from their heartbeats: which are reachable and ready, what
 //! runs on which server, and how much of the retry budgets is spent.
 
+mod sending;
 mod spending;
 
 use crate::gateway::cell::{CellId, Layout, rank};
-use crate::gateway::clock::{Clock, Echo, micros_between, millis_between, minus_millis};
+use crate::gateway::clock::{Clock, Echo, micros_between, minus_millis};
 use crate::gateway::ended::EndedProcesses;
 use crate::gateway::heartbeat::{DaemonStats, Heartbeat, Origin, Sum};
-use crate::gateway::partner::{self, IntervalScale, Relation, SumSchedule};
+use crate::gateway::partner::{self, IntervalScale, Relation};
 use crate::gateway::roster::{Daemon, Listing};
-use crate::gateway::servers::{Load, Observations, PeerStats};
+use crate::gateway::servers::{Load, PeerStats};
 use crate::gateway::sums::{MIN_ENTRIES, SumBuilder, SumSource, Sums, halls_of};
 use crate::gateway::tag::Tag;
 use log::info;
@@ -82,7 +83,7 @@
     ended: EndedProcesses,
     /// The window of the retry budgets.
     retry_window: Duration,
-    /// Whether a daemon that ran a whole window before has told of ended processes.
+    /// Whether a daemon that has run for a whole window has reported the ended processes that it knows.
     heard_elder: bool,
     /// The sum of the other halls that this daemon, as a relay, last computed for its cell.
     cached_halls_sum: Option<Sum>,
@@ -400,124 +401,6 @@
         reachable.map(|p| p.daemon.callers).chain(from_sums).collect()
     }
 
-    /// A heartbeat to a partner without the status of the store's copy and the observations of
-    /// servers, which the caller adds.
-    pub fn heartbeat(
-        &mut self,
-        to: SocketAddr,
-        relation: Relation,
-        own: OwnState,
-        schedule: &mut SumSchedule,
-        now: Instant,
-    ) -> Heartbeat {
-        let sums = self.sums_for(to, relation, &own, schedule, now);
-        let near = relation == Relation::SameCell;
-        let layout = &self.layout;
-        let chosen = layout.sibling_relays.contains(&to) || layout.hall_relays.contains(&to);
-        let peer_addrs = self.reachable_in_cell(now).map(|p| p.daemon.peers).take(MAX_PEER_ADDRS);
-        Heartbeat {
-            daemon: self.own.clone(),
-            boot: self.clock.boot(),
-            stamp: self.clock.stamp(now),
-            echo: self.echo(to, now),
-            ready: own.ready,
-            // The actual intervals vary by up to a tenth.
-            interval_ms: self.heartbeat_interval(to, relation, now).mul_f64(1.1).as_millis() as u32,
-            expects_reply: chosen || relation == Relation::Unknown,
-            copy_status: None,
-            store_read_age_ms: self.store_read.map(|at| millis_between(at, now)),
-            store_failure_age_ms: None,
-            cell: layout.own_cell,
-            peer_addrs: if near { peer_addrs.collect() } else { Vec::new() },
-            sums,
-            stats: if near { own.stats } else { DaemonStats::default() },
-            observations: Observations::default(),
-        }
-    }
-
-    /// The sums that are due with a heartbeat to a partner.
-    fn sums_for(
-        &mut self,
-        to: SocketAddr,
-        relation: Relation,
-        own: &OwnState,
-        schedule: &mut SumSchedule,
-        now: Instant,
-    ) -> Vec<Sum> {
-        let mut sums = Vec::new();
-        match relation {
-            Relation::SameCell if self.layout.is_relay() => {
-                let last = schedule.mark_forwarded(now);
-                sums.extend(self.sums.to_forward(|origin, _| is_cell(origin), last, now));
-                if schedule.is_due(relation, now) {
-                    sums.extend(self.halls_sum(now));
-                }
-            }
-            Relation::SameCell if self.layout.relay == Some(to) => {
-                let last = schedule.mark_forwarded(now);
-                sums.extend(self.sums.to_forward(
-                    |_, source| source != SumSource::OwnCell,
-                    last,
-                    now,
-                ));
-            }
-            Relation::SameHall => {
-                let last = schedule.mark_forwarded(now);
-                let wanted = |origin, source| is_hall(origin) && source != SumSource::OwnHall;
-                sums.extend(self.sums.to_forward(wanted, last, now));
-                if schedule.is_due(relation, now) {
-                    sums.push(self.cell_sum(own, now));
-                }
-            }
-            Relation::OtherHall if schedule.is_due(relation, now) => {
-                sums.push(self.hall_sum(own, now))
-            }
-            Relation::SameCell | Relation::OtherHall | Relation::Unknown => {}
-        }
-        if relation == Relation::SameCell {
-            sums.extend(self.ended_sums(now));
-        }
-        sums
-    }
-
-    /// The sum of this daemon's cell.
-    fn cell_sum(&self, own: &OwnState, now: Instant) -> Sum {
-        let mut adder = SumBuilder::default();
-        adder.add_daemon(self.tag, &own.stats, own.ready.then_some(self.own.callers));
-        for peer in self.reachable_in_cell(now) {
-            adder.add_daemon(peer.tag, &peer.stats, peer.ready.then_some(peer.daemon.callers));
-        }
-        self.ended_spending(now).for_each(|spent| adder.add_spent(spent));
-        adder.sum(Origin::Cell(self.layout.own_cell), &self.clock, now)
-    }
-
-    /// The sum of this daemon's hall.
-    fn hall_sum(&self, own: &OwnState, now: Instant) -> Sum {
-        let mut adder = SumBuilder::default();
-        for cell in self.other_cells(now).into_iter().chain([&self.cell_sum(own, now)]) {
-            adder.add_sum(cell);
-        }
-        adder.drop_light_loads(self.interval_scale.min_reported_runs());
-        adder.sum(Origin::Hall(self.layout.own_cell.hall), &self.clock, now)
-    }
-
-    /// The sum of the other halls, cached for a short time; `None` if none is known.
-    fn halls_sum(&mut self, now: Instant) -> Option<Sum> {
-        let age = |sum: &Sum| self.clock.stamp(now).saturating_sub(sum.stamp) / 1_000;
-        let recent = self.cached_halls_sum.take().filter(|sum| age(sum) < HALLS_SUM_CACHE_MS);
-        let sum = recent.or_else(|| self.make_halls_sum(now))?;
-        self.cached_halls_sum = Some(sum.clone());
-        // It is below `HALLS_SUM_CACHE_MS`.
-        Some(Sum { age_ms: age(&sum) as u32, ..sum })
-    }
-
-    fn make_halls_sum(&self, now: Instant) -> Option<Sum> {
-        let halls = self.other_halls(now);
-        let mut adder = SumBuilder::default();
-        halls.iter().for_each(|hall| adder.add_sum(hall));
-        (!halls.is_empty()).then(|| adder.sum(Origin::OtherHalls, &self.clock, now))
-    }
-
     /// The other daemons' figures on servers, on quarantined requests and on rollouts.
     pub fn peer_stats(&self, now: Instant) -> PeerStats {
         let mut adder = SumBuilder::default();
