--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -16,7 +16,7 @@
 
 /// Fraction of the allowance that is used. The rest is for what several daemons spend at the same moment.
 const USED_FRACTION: f64 = 0.7;
-/// The same while nobody can tell what was spent before this process started, such as after all daemons have
+/// The same while it is unknown what was spent before this process started, such as after all daemons have
 /// lost power. All of them may have used their fraction, so half of the rest is used.
 const USED_FRACTION_IF_UNKNOWN: f64 = (1.0 - USED_FRACTION) / 2.0;
 /// Requests that are added to each daemon's count within a window: while few have arrived, such as after a
@@ -24,7 +24,7 @@
 const ASSUMED_REQUESTS: f64 = 3.0;
 /// Number of slices of a window; counts expire by whole slices.
 const SLICES: u32 = 20;
-/// Number of latest slices whose retries other daemons may not have been told of.
+/// Number of latest slices whose retries may not have been reported to other daemons.
 const UNREPORTED_SLICES: u64 = 2;
 
 /// Bounds of the budget, as configured in the platform.
@@ -223,8 +223,8 @@
         f64::from(unreported + 1) <= self.part_of(rest, service) && f64::from(spent + 1) <= limit
     }
 
-    /// This daemon's equal part of what is left of a budget, so that daemons which have not heard of each
-    /// other's latest retries don't spend the same rest twice. Of less than one retry for each daemon, those
+    /// This daemon's equal part of what is left of a budget, so that daemons which have not received each
+    /// other's latest reports don't spend the same rest twice. Of less than one retry for each daemon, those
     /// that rank first get one.
     fn part_of(&self, rest: f64, service: &Arc<str>) -> f64 {
         let part = rest / (self.others.reachable as f64 + 1.0);
@@ -236,7 +236,7 @@
         if (cell.rank(Tag::of(service)) as f64) < in_cell { 1.0 } else { 0.0 }
     }
 
-    /// This daemon's retries that others may not have been told of.
+    /// This daemon's retries that may not have been reported to others.
     fn unreported_retries(&mut self, service: &Arc<str>, now: Instant) -> u32 {
         let number = self.slice_number(now);
         let window = self.window(service);
--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -89,7 +89,7 @@
     announced: Mutex<Vec<SocketAddr>>,
     /// Daemons with a running heartbeat task, and when it started.
     peer_tasks: Mutex<HashMap<SocketAddr, Instant>>,
-    /// Whether this daemon accepts callers.
+    /// Whether callers should be directed to this daemon.
     ready: Box<dyn Fn() -> bool + Send + Sync>,
     /// Whether any peer's figures changed or expired since they were last summed up.
     stats_changed: AtomicBool,
--- a/src/gateway/cluster/exchange.rs
+++ b/src/gateway/cluster/exchange.rs
@@ -107,8 +107,7 @@
         if doubtful {
             observations.refusing.clear();
         }
-        let ready = (self.ready)() && !self.gateway.isolation.is_cut_off();
-        let own = OwnState { stats, ready };
+        let own = OwnState { stats, ready: (self.ready)() };
         Heartbeat {
             copy_status: self.mirror.copy_status(now),
             store_failure_age_ms: self.mirror.last_failure().map(|at| millis_between(at, now)),
--- a/src/gateway/ended.rs
+++ b/src/gateway/ended.rs
@@ -1,8 +1,8 @@
 //! What processes that have ended or don't answer had spent of the retry budgets.
 //!
 //! Retries count until the budget's window has passed, also those of a process that has ended. The daemons
-//! of its cell therefore keep its last report, and tell each other and their successors of it. Each report
-//! is identified by its process, so it counts once however many daemons tell of it.
+//! of its cell therefore keep its last report, and send it to each other and to their successors. Each report
+//! is identified by its process, so it counts once however many daemons send it.
 
 use crate::gateway::budget::Spent;
 use crate::gateway::cell::CellId;
@@ -62,8 +62,7 @@
         &self,
         is_reachable: impl Fn(u64) -> bool,
     ) -> impl Iterator<Item = &[(Tag, Spent)]> {
-        let ended = self.by_boot.iter().filter(move |(boot, _)| !is_reachable(**boot));
-        ended.map(|(_, ended)| ended.spent.as_slice())
+        self.unreachable(is_reachable).map(|(_, ended)| ended.spent.as_slice())
     }
 
     /// The same as sums without daemons, for heartbeats to the daemons of `cell`.
@@ -73,10 +72,9 @@
         is_reachable: impl Fn(u64) -> bool,
         now: Instant,
     ) -> impl Iterator<Item = Sum> {
-        let ended = self.by_boot.iter().filter(move |(boot, _)| !is_reachable(**boot));
-        ended.map(move |(boot, ended)| Sum {
+        self.unreachable(is_reachable).map(move |(boot, ended)| Sum {
             origin: Origin::Cell(cell),
-            boot: *boot,
+            boot,
             stamp: 0,
             age_ms: millis_between(ended.last_seen, now),
             members: vec![ended.daemon],
@@ -86,7 +84,15 @@
         })
     }
 
-    /// Takes over what a daemon of the same cell tells of ended processes; other sums are ignored.
+    fn unreachable(
+        &self,
+        is_reachable: impl Fn(u64) -> bool,
+    ) -> impl Iterator<Item = (u64, &Ended)> {
+        let ended = self.by_boot.iter().map(|(boot, ended)| (*boot, ended));
+        ended.filter(move |(boot, _)| !is_reachable(*boot))
+    }
+
+    /// Takes over a report that a daemon of the same cell forwards; other sums are ignored.
     pub(crate) fn receive(&mut self, sum: &Sum, last_seen: Instant) {
         if let (0, [daemon]) = (sum.daemons, sum.members.as_slice()) {
             self.insert(sum.boot, *daemon, &sum.stats.spent, last_seen);
--- a/src/gateway/view/spending.rs
+++ b/src/gateway/view/spending.rs
@@ -56,7 +56,7 @@
         self.ended.remove_expired(self.retry_window, now);
     }
 
-    /// Takes over what a daemon of this cell tells of ended processes.
+    /// Takes over the reports of ended processes that a daemon of this cell forwards.
     pub(super) fn merge_ended(&mut self, heartbeat: &Heartbeat, sent: Instant) {
         let own_cell = self.layout.own_cell;
         if heartbeat.cell != own_cell {
