Reservations: drop a question nobody asks and a second look for the shortage

Returns::has_reservations had no caller since callers are recognized by refusals. leaves_reserved looked up the shortage that its only caller, admit_in_shortage, has established, with one more lock for each newcomer. Tests of returns, shortage and urgency pass.

--- a/src/gateway/returning.rs
+++ b/src/gateway/returning.rs
@@ -66,8 +66,7 @@
         known || self.returns().is_reported(tag)
     }
 
-    /// Whether a request leaves free what is reserved for others. Only newcomers have to, and only during a
-    /// shortage.
+    /// Whether a request during a shortage leaves free what is reserved for others. Only newcomers have to.
     pub(super) fn leaves_reserved(
         &self,
         servers: &Servers,
@@ -75,8 +74,7 @@
         now: Instant,
     ) -> bool {
         let Applicant { service, call, .. } = applicant;
-        if applicant.admission_class != AdmissionClass::Newcomer || !self.in_shortage(&service.name)
-        {
+        if applicant.admission_class != AdmissionClass::Newcomer {
             return true;
         }
         let Some(pool) = self.pool(servers, service, call, now) else {
--- a/src/gateway/returns.rs
+++ b/src/gateway/returns.rs
@@ -320,11 +320,6 @@
         self.forecast(service, pool, now).leaves_reserved(need)
     }
 
-    /// Whether this daemon has reservations for a service.
-    pub fn has_reservations(&self, service: &str) -> bool {
-        self.ledgers.get(service).is_some_and(|ledger| !ledger.reservations.is_empty())
-    }
-
     /// Matches an arriving request with the reservations. A reservation that is found is removed: either it
     /// is claimed, or the caller comes early and loses it.
     pub fn arrive(
