--- a/src/gateway/software.rs
+++ b/src/gateway/software.rs
@@ -7,7 +7,7 @@
 use crate::gateway::server::{Server, ServerRecord};
 use crate::gateway::tag::Tag;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -68,10 +68,10 @@
 /// Which software began each stream that a caller may take up again.
 #[derive(Debug, Default)]
 pub struct BegunStreams {
-    entries: HashMap<Tag, Entry>,
+    entries: BTreeMap<Tag, Entry>,
     by_expiry: BTreeSet<(Instant, Tag)>,
     /// Streams of this daemon that were not reported to others.
-    unreported: HashSet<Tag>,
+    unreported: BTreeSet<Tag>,
 }
 
 impl BegunStreams {
@@ -123,13 +123,13 @@
     }
 
     /// Group tags of the services with streams of this daemon that are still to be reported.
-    pub fn unreported_services(&self) -> HashSet<Tag> {
+    pub fn unreported_services(&self) -> BTreeSet<Tag> {
         let entries = self.unreported.iter().filter_map(|stream| self.entries.get(stream));
         entries.map(|entry| entry.software.service()).collect()
     }
 
     /// Takes the streams of this daemon that are still to be reported, of the services with these group tags.
-    pub fn take_unreported(&mut self, services: &HashSet<Tag>, now: Instant) -> Vec<BegunStream> {
+    pub fn take_unreported(&mut self, services: &BTreeSet<Tag>, now: Instant) -> Vec<BegunStream> {
         self.remove_expired(now);
         let entries = &self.entries;
         let report = |stream: &Tag| {
@@ -173,9 +173,9 @@
     /// Since when all versions are known; `None` if the process takes part in the fleet's first start.
     since: Option<Instant>,
     /// Number of listed servers.
-    listed: HashMap<Software, usize>,
+    listed: BTreeMap<Software, usize>,
     /// When the last server of a version left.
-    gone: HashMap<Software, Instant>,
+    gone: BTreeMap<Software, Instant>,
 }
 
 impl ServedVersions {
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -5,7 +5,7 @@
 use crate::gateway::software::service_tag;
 use crate::gateway::tag::Tag;
 use rand::RngExt;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
@@ -186,7 +186,7 @@
     /// The strictest SLO of the routes to each service.
     latency_slos: HashMap<Arc<str>, Duration>,
     /// The longest timeout of the resumable routes to each service, by group tag.
-    stream_timeouts: HashMap<Tag, Duration>,
+    stream_timeouts: BTreeMap<Tag, Duration>,
     /// The smallest and the largest priority of the routes to each service.
     priorities: HashMap<Arc<str>, RangeInclusive<u8>>,
     /// Services that have deferrable routes.
@@ -209,7 +209,7 @@
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut aims: HashMap<Arc<str>, Duration> = HashMap::new();
         let mut priorities: HashMap<Arc<str>, RangeInclusive<u8>> = HashMap::new();
-        let mut stream_timeouts: HashMap<Tag, Duration> = HashMap::new();
+        let mut stream_timeouts: BTreeMap<Tag, Duration> = BTreeMap::new();
         for route in routes {
             let own = route.priority;
             for target in &route.targets {
