A part of prompts that crashes servers is kept from them, whatever request has it

Callers saw requests of one kind crash servers one after the other: they share one part of their prompts and differ in everything else.

Change: the quarantine keeps the same evidence for each shared part of a prompt (all but the last), under fingerprints that can't be those of requests, in the messages and records that exist. Parts are judged once all of a run's parts have its server: one is not accused while one request accounts for all its servers, nor while a part with more explains them; with five servers instead of three while another part has met the same ones. Sound requests that share the other parts clear these. Requests with an accused part are refused at once, at every daemon, with the time until the quarantine ends; a line names the part.

--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -1,10 +1,13 @@
-//! Fingerprints that identify a request across its caller's attempts, at any daemon and after any restart.
+//! Fingerprints that identify a request or a part of a prompt across attempts, at any daemon and after any restart.
 
 use crate::gateway::request::Call;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
 
+/// Bits that are set in the fingerprints of parts of prompts, and never all in those of requests.
+const PART_BITS: u64 = 0xffff << 48;
+
 /// Identifies a request by its path, caller and body; everything else may differ between attempts. The
 /// caller is identified by its workspace; requests without a key have no distinguishable caller.
 ///
@@ -32,7 +35,18 @@
         let digest = hasher.finalize();
         let mut half = [0; 8];
         half.copy_from_slice(&digest[..8]);
-        Fingerprint(u64::from_be_bytes(half))
+        let value = u64::from_be_bytes(half);
+        Fingerprint(if value & PART_BITS == PART_BITS { value >> 1 } else { value })
+    }
+
+    /// The fingerprint of a part of a prompt, given its id.
+    pub fn of_part(id: &str) -> Fingerprint {
+        Fingerprint(Fingerprint::new("", "", id.as_bytes()).0 | PART_BITS)
+    }
+
+    /// Whether this identifies a part of a prompt rather than a request.
+    pub fn is_part(self) -> bool {
+        self.0 & PART_BITS == PART_BITS
     }
 
     /// The fingerprint as a number.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -280,7 +280,7 @@
             self.gateway.handle_lost_run(self.call, &slot, RunProgress::NoEvents).await;
             return SendOutcome::Failed(None, "broken_answer");
         };
-        self.gateway.note_survived(self.call);
+        self.gateway.note_survived(self.call, succeeded);
         match failed {
             true => SendOutcome::Failed(Some(answer), "server_error"),
             false => SendOutcome::Answered(answer),
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -54,6 +54,14 @@
     pub peer_addrs: Vec<SocketAddr>,
 }
 
+impl Heartbeat {
+    /// Whether it says anything about requests that may crash servers.
+    pub fn has_evidence(&self) -> bool {
+        let stats = self.sums.iter().map(|sum| &sum.stats).chain([&self.stats]);
+        stats.into_iter().any(|stats| !stats.evidence.is_empty())
+    }
+}
+
 /// The figures of one daemon or the sums of several.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct DaemonStats {
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine for requests that crash the servers which run them.
+//! Quarantine for requests that crash the servers which run them, and for parts of prompts that do.
 //!
 //! A caller that lost its response sends the request again, through any daemon, and each attempt tries as
 //! many servers as its route allows. One deadly request thus crashes servers as fast as they start: two for
@@ -12,6 +12,12 @@
 //! not count if a server, at any daemon, survived the request within the last few seconds. A deadly request
 //! has no survivors, while a frequent sound one has some every second. A server whose end another request
 //! explains does not count either: a frequent sound request is running wherever a deadly one arrives.
+//!
+//! A part of a prompt may crash servers whatever else the request holds, so that no two of the requests are
+//! alike. The same evidence is kept for each shared part of the prompts of lost runs, under a
+//! [fingerprint](Fingerprint::is_part) of its own. Sound requests that share the other parts survive and clear
+//! these. A part is not accused while one request accounts for all of its servers, and only by more servers
+//! while other parts have met the same ones.
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
@@ -25,6 +31,9 @@
 /// takes three or four servers. If each of them sends an event first, it takes six: at most three more than
 /// the third.
 const PROOF_BLAME: u32 = 6;
+/// The same for a part of prompts while another part has met the same servers: two more, under which either may
+/// show a survivor or a server of its own.
+const TIED_PROOF_BLAME: u32 = 10;
 /// Servers that must have ended under a request, in halves, before it explains the end of servers that had
 /// sent an event of another request: two, which is rarely a coincidence. The first heartbeats between daemons
 /// that have just started arrive up to 0.4 s late, so a daemon may know less about a deadly request than
@@ -42,13 +51,13 @@
 /// Time for which a survivor clears a request. A sound request that runs at three servers which end together
 /// arrives several times a second; a request that turns deadly crashes servers for this much longer.
 const SURVIVAL_TTL: Duration = Duration::from_secs(3);
-/// Highest number of requests with survivors that are remembered per [`SURVIVAL_TTL`]; 24 bytes each.
-const MAX_SURVIVORS: usize = 2_048;
+/// Highest number of requests and parts with survivors that are remembered per [`SURVIVAL_TTL`]; 24 bytes each.
+const MAX_SURVIVORS: usize = 8_192;
 /// Highest number of suspected requests that are remembered. The loss of a hall leaves a daemon with some of
-/// that hall's runs that had just begun.
-const MAX_SUSPICIONS: usize = 256;
-/// Highest number of suspected requests in a report of one daemon or in a sum of several, by the number of
-/// servers that ended; about 30 bytes each.
+/// that hall's runs that had just begun, each with the parts of its prompt.
+const MAX_SUSPICIONS: usize = 1_024;
+/// Highest number of suspected requests, and of suspected parts, in a report of one daemon or in a sum of
+/// several, by the number of servers that ended; about 30 bytes each.
 pub(crate) const MAX_REPORTED: usize = 32;
 
 /// What happened to the servers that ran a request.
@@ -101,6 +110,11 @@
         self.blame() >= SUSPECT_BLAME && !self.survived
     }
 
+    /// Whether this accounts for all servers of some other evidence.
+    fn covers(&self, other: &Evidence) -> bool {
+        other.ended.keys().all(|server| self.ended.contains_key(server))
+    }
+
     /// Adds the evidence of another daemon.
     pub fn merge(&mut self, other: &Evidence) {
         for (server, blame) in &other.ended {
@@ -193,6 +207,13 @@
         self.quarantined.remove(&request);
     }
 
+    /// Whether any daemon has evidence against a request or a part.
+    pub fn is_suspected(&self, suspect: Fingerprint) -> bool {
+        let by_peers =
+            self.peer_evidence.get(&suspect).is_some_and(|known| !known.ended.is_empty());
+        by_peers || self.suspicions.contains_key(&suspect)
+    }
+
     /// Records that a server ended just after starting to run a request; `server` is the tag of its process.
     /// Returns whether this proves that the request crashes servers.
     pub fn record_ended(
@@ -202,6 +223,33 @@
         progress: RunProgress,
         now: Instant,
     ) -> bool {
+        !self.record_crash(&[request], server, progress, now).is_empty()
+    }
+
+    /// Records that a server ended just after starting to run a request, given as all that may be the cause: the
+    /// request and the shared parts of its prompt. Returns what this proves.
+    pub fn record_crash(
+        &mut self,
+        suspects: &[Fingerprint],
+        server: Tag,
+        progress: RunProgress,
+        now: Instant,
+    ) -> Vec<Fingerprint> {
+        // None is judged before all have the server: they are compared with each other.
+        for suspect in suspects {
+            self.add_ended(*suspect, server, progress, now);
+        }
+        let proved = suspects.iter().filter(|suspect| self.quarantine_if_proved(**suspect, now));
+        proved.copied().collect()
+    }
+
+    fn add_ended(
+        &mut self,
+        request: Fingerprint,
+        server: Tag,
+        progress: RunProgress,
+        now: Instant,
+    ) {
         // With a recent survivor the blame is zero for good. If it were decided later, it would count once
         // the survivor has expired, which happens when a service has had no servers for longer than that.
         let blame = if self.survivors.contains_recent(request, now) { 0 } else { progress.blame() };
@@ -215,7 +263,6 @@
         if suspicion.servers.len() < PROOF_BLAME as usize {
             suspicion.servers.entry(server).or_insert(blame);
         }
-        self.quarantine_if_proved(request, now)
     }
 
     fn forget_oldest(&mut self) {
@@ -263,8 +310,39 @@
         proved
     }
 
-    /// Whether enough servers ended under a request that no other request explains.
-    fn is_proved(&self, request: Fingerprint, now: Instant) -> bool {
+    /// Whether enough servers ended under a request, or a part of prompts, that nothing else explains.
+    fn is_proved(&self, suspect: Fingerprint, now: Instant) -> bool {
+        match suspect.is_part() {
+            true => self.is_proved_part(suspect, now),
+            false => self.is_proved_request(suspect, now),
+        }
+    }
+
+    fn is_proved_part(&self, part: Fingerprint, now: Instant) -> bool {
+        let total = self.total_evidence(part, now);
+        if !total.is_proof() {
+            return false;
+        }
+        let (mut remaining, mut needed) = (total.clone(), PROOF_BLAME);
+        let suspected = self.suspicions.keys().chain(self.peer_evidence.keys());
+        for other in suspected.filter(|other| **other != part) {
+            let evidence = self.total_evidence(*other, now);
+            if !other.is_part() {
+                if evidence.covers(&total) {
+                    return false;
+                }
+            } else if self.quarantined_for(*other, now).is_some()
+                || (evidence.precedence() > total.precedence() && evidence.is_proof())
+            {
+                remaining.exclude_explained(&evidence);
+            } else if evidence.ended == total.ended && !evidence.survived {
+                needed = TIED_PROOF_BLAME;
+            }
+        }
+        remaining.blame() >= needed
+    }
+
+    fn is_proved_request(&self, request: Fingerprint, now: Instant) -> bool {
         let mut remaining = self.total_evidence(request, now);
         // Proof is rare, so the loop over all suspected requests below costs nothing in normal operation.
         if !remaining.is_proof() {
@@ -274,8 +352,9 @@
         let suspected = self.suspicions.keys().chain(self.peer_evidence.keys());
         for other in suspected.filter(|other| **other != request) {
             let evidence = self.total_evidence(*other, now);
-            let takes_precedence =
-                evidence.precedence() > precedence || self.quarantined_for(*other, now).is_some();
+            // A part with more blame than a request that has it may be innocent, unless it is proved.
+            let has_more = !other.is_part() && evidence.precedence() > precedence;
+            let takes_precedence = has_more || self.quarantined_for(*other, now).is_some();
             if takes_precedence && evidence.is_proof() {
                 remaining.exclude_explained(&evidence);
             } else if evidence.is_suspect() {
@@ -370,10 +449,16 @@
     }
 }
 
-/// The [`MAX_REPORTED`] requests with the most blame.
-pub(crate) fn top_suspects(
-    mut reported: Vec<(Fingerprint, Evidence)>,
-) -> Vec<(Fingerprint, Evidence)> {
+/// The [`MAX_REPORTED`] requests and as many parts with the most blame.
+pub(crate) fn top_suspects(reported: Vec<(Fingerprint, Evidence)>) -> Vec<(Fingerprint, Evidence)> {
+    let (parts, requests): (Vec<_>, Vec<_>) =
+        reported.into_iter().partition(|(suspect, _)| suspect.is_part());
+    let mut top = most_blamed(requests);
+    top.extend(most_blamed(parts));
+    top
+}
+
+fn most_blamed(mut reported: Vec<(Fingerprint, Evidence)>) -> Vec<(Fingerprint, Evidence)> {
     if reported.len() > MAX_REPORTED {
         reported.sort_by_key(|(request, evidence)| (Reverse(evidence.blame()), *request));
         reported.truncate(MAX_REPORTED);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -203,7 +203,7 @@
         match end {
             RelayEnd::Complete => {
                 let ms = time::since(self.call.arrived).as_millis() as u64;
-                self.gateway.note_survived(&self.call);
+                self.gateway.note_survived(&self.call, true);
                 info!(id = id, server = server, last = self.last_event_id, ms = ms; "stream complete");
             }
             RelayEnd::CallerLeft => {
@@ -300,7 +300,7 @@
         self.first_event_at.get_or_insert(now);
         if !self.survived && !self.is_starting_up(now) {
             self.survived = true;
-            self.gateway.note_survived(&self.call);
+            self.gateway.note_survived(&self.call, true);
         }
         if event.id.is_some() && event.id <= self.last_event_id {
             return Ok(());
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -88,6 +88,8 @@
     pub size: Size,
     /// Id of the last event that the caller has received, if it continues a stream.
     pub after: Option<u64>,
+    /// Fingerprints of the parts of the prompt that other requests may share, which are all but the last.
+    pub parts: Vec<Fingerprint>,
     /// Id of the caller's attempt that brought the first event of the stream, if it continues one.
     pub resumes: Option<String>,
     /// The software that began the stream, once it is known; the stream goes on only there.
@@ -116,6 +118,11 @@
         share_tag(service, self.credential.as_ref().map(|credential| &*credential.workspace))
     }
 
+    /// What a crash of its server may be due to: the request, or one of the shared parts of its prompt.
+    pub fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
+        [self.fingerprint()].into_iter().chain(self.parts.iter().copied())
+    }
+
     /// Whether the call continues a stream of an earlier attempt.
     pub fn continues(&self) -> bool {
         self.after.is_some() && self.route.kind == RouteKind::Streaming
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -267,8 +267,8 @@
         now: Instant,
     ) -> Result<Slot, NoSlot> {
         self.merge_peer_stats(now);
-        if let Some(left) = self.quarantine().quarantined_for(call.fingerprint(), now) {
-            return Err(NoSlot { reason: "ends_servers", retry_after: left, due: None });
+        if let Some(refusal) = self.quarantined(call, now) {
+            return Err(refusal);
         }
         let engine = service.engine.as_ref();
         let load = Load::of(call.size, call.route.repeatable());
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -7,13 +7,13 @@
 use crate::gateway::port::{self, ConnectFailure, Schema, Store};
 use crate::gateway::quarantine::{QUARANTINE_TTL, RunProgress};
 use crate::gateway::request::Call;
-use crate::gateway::slot::Slot;
+use crate::gateway::slot::{NoSlot, Slot};
 use crate::platform::PlatformResult;
 use crate::time;
 use log::{info, warn};
 use rand::RngExt;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
 /// Timeout of the connection by which a daemon checks whether a server still listens after losing a run: a
@@ -33,10 +33,42 @@
 /// cost.
 const RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Why a request is refused: servers crash under a part of its prompt.
+pub(super) const CRASHING_PART: &str = "crashing_part";
+
 impl Gateway {
-    /// Notes that a server survived a run of this request.
-    pub(crate) fn note_survived(&self, call: &Call) {
-        self.quarantine().record_survived(call.fingerprint(), time::now());
+    /// Notes that a server survived a run of this request. If it wrote an answer, it survived the parts of the
+    /// prompt, too.
+    pub(crate) fn note_survived(&self, call: &Call, answered: bool) {
+        let (mut quarantine, now) = (self.quarantine(), time::now());
+        quarantine.record_survived(call.fingerprint(), now);
+        let mut cleared = false;
+        for part in call.parts.iter().filter(|_| answered) {
+            cleared |= quarantine.is_suspected(*part);
+            quarantine.record_survived(*part, now);
+        }
+        drop(quarantine);
+        if cleared {
+            // Other daemons may be about to accuse the part, and heartbeats may be rare.
+            self.signal_urgent_change();
+        }
+    }
+
+    /// For how long a request is kept from servers, and whether for itself or for a part of its prompt.
+    pub(super) fn quarantined(&self, call: &Call, now: Instant) -> Option<NoSlot> {
+        let quarantine = self.quarantine();
+        if quarantine.count(now) == 0 {
+            return None;
+        }
+        let mut kept =
+            call.suspects().filter_map(|s| Some((s, quarantine.quarantined_for(s, now)?)));
+        let (suspect, left) = kept.next()?;
+        if !suspect.is_part() {
+            return Some(NoSlot { reason: "ends_servers", retry_after: left, due: None });
+        }
+        let left_ms = left.as_millis() as u64;
+        info!(id = call.id.as_str(), part = suspect.to_string().as_str(), left_ms = left_ms; "request refused: servers crash under a part of its prompt");
+        Some(NoSlot { reason: CRASHING_PART, retry_after: left, due: None })
     }
 
     /// Handles the loss of a run that had not begun or had just begun: if the server has ended, the request
@@ -56,11 +88,13 @@
             return;
         }
         let (request, now) = (call.fingerprint(), time::now());
-        let proved = self.quarantine().record_ended(request, slot.place.tag, run, now);
+        let suspects: Vec<Fingerprint> = call.suspects().collect();
+        let proved = self.quarantine().record_crash(&suspects, slot.place.tag, run, now);
         self.quarantine_changed.notify_one();
         self.metrics.ended_servers.inc();
         let name = request.to_string();
-        warn!(id = call.id.as_str(), request = name.as_str(), server = slot.id(), proved = proved; "server ended while it ran a request");
+        let proved: Vec<String> = proved.iter().map(Fingerprint::to_string).collect();
+        warn!(id = call.id.as_str(), request = name.as_str(), server = slot.id(), parts = call.parts.len(), proved = proved.join(",").as_str(); "server ended while it ran a request");
         slot.record_connect_failure(true);
     }
 }
--- a/tests/common/wire.rs
+++ b/tests/common/wire.rs
@@ -138,6 +138,7 @@
         size: Size { prompt_tokens: prompt, max_tokens: 10, expected_tokens: None },
         after: None,
         forwarded: false,
+        parts: Vec::new(),
         resumes: None,
         begun_by: OnceLock::new(),
         cached_fingerprint: OnceLock::new(),
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -403,6 +403,7 @@
         size: Size { prompt_tokens: 100, max_tokens: 20, expected_tokens: None },
         after: None,
         forwarded: false,
+        parts: Vec::new(),
         resumes: None,
         begun_by: OnceLock::new(),
         cached_fingerprint: OnceLock::new(),
