--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -264,7 +264,7 @@
         }
         let (failed, succeeded) = (reply.status.is_server_error(), reply.status.is_success());
         let status = reply.status.as_u16();
-        let answer = read_answer(reply, &self.gateway.buffers).await;
+        let answer = read_answer(reply, &self.gateway.buffers, self.call.deadline).await;
         slot.record_result(failed || answer.is_err());
         if succeeded && answer.is_ok() && self.service.engine.is_none() {
             let (done, slo) = (time::now(), self.call.route.latency_slo);
@@ -383,7 +383,11 @@
 
 /// Reads a plain response until it is complete. One that exceeds [`MAX_BUFFERED`], or for which the memory for
 /// responses is used up, is streamed to the caller.
-async fn read_answer(reply: Reply, buffers: &Buffers) -> Result<Answer, IncompleteBody> {
+async fn read_answer(
+    reply: Reply,
+    buffers: &Buffers,
+    deadline: Instant,
+) -> Result<Answer, IncompleteBody> {
     let Reply { status, headers, mut body, .. } = reply;
     let mut buffered = BytesMut::new();
     let mut held: Option<Reservation> = None;
@@ -401,7 +405,7 @@
         };
         if !has_room || buffered.len() > MAX_BUFFERED {
             let first = attach(buffered.freeze(), held);
-            return Ok(Answer { status, headers, body: with_first_part(first, body) });
+            return Ok(Answer { status, headers, body: with_first_part(first, body, deadline) });
         }
     }
     Ok(Answer { status, headers, body: full_body(attach(buffered.freeze(), held)) })
@@ -415,8 +419,19 @@
     }
 }
 
-/// Puts the part that has been read back in front of a body.
-fn with_first_part(first: Bytes, rest: AnswerBody) -> AnswerBody {
+/// Puts the part that has been read back in front of a body. The body ends at the deadline, as incomplete: it
+/// may come without end.
+fn with_first_part(first: Bytes, rest: AnswerBody, deadline: Instant) -> AnswerBody {
     let first = futures_util::stream::once(async { Ok(Frame::data(first)) });
-    StreamBody::new(first.chain(BodyStream::new(rest))).boxed_unsync()
+    let rest = futures_util::stream::unfold(Some(BodyStream::new(rest)), move |rest| async move {
+        let mut rest = rest?;
+        // Frames that never fail to be ready would hide the deadline.
+        let is_over = time::now() >= deadline;
+        let next = if is_over { None } else { time::timeout_at(deadline, rest.next()).await };
+        match next {
+            Some(frame) => frame.map(|frame| (frame, Some(rest))),
+            None => Some((Err(IncompleteBody { reason: "out of time".into() }), None)),
+        }
+    });
+    StreamBody::new(first.chain(rest)).boxed_unsync()
 }
