Parts that have met the same servers are accused together, not each by itself

Cause: parts that met exactly the same servers were accused each by itself once five had ended, and where deadly requests come before any sound one, all their common parts have met the same. Change: such parts are accused together, after three servers: only requests that have all of them are kept back. A run that clears one of them, or a server that only one has met, leaves the others accused; a part is written to the store only once it is accused alone, since the record names no company.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -16,14 +16,15 @@
 //! A part of a prompt may crash servers whatever else the request holds, so that no two of the requests are
 //! alike. The same evidence is kept for each shared part of the prompts of lost runs, under a
 //! [fingerprint](Fingerprint::is_part) of its own. Sound requests that share the other parts survive and clear
-//! these. A part is not accused while one request accounts for all of its servers, and only by more servers
-//! while other parts have met the same ones.
+//! these. A part is not accused while one request accounts for all of its servers. While other parts have met
+//! exactly the same servers, it is accused together with them: only requests that have all of them are kept
+//! back, until a run clears the others.
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Servers that must have ended under a request, in halves. Two may end under a sound request by chance, both
@@ -31,9 +32,6 @@
 /// takes three or four servers. If each of them sends an event first, it takes six: at most three more than
 /// the third.
 const PROOF_BLAME: u32 = 6;
-/// The same for a part of prompts while another part has met the same servers: two more, under which either may
-/// show a survivor or a server of its own.
-const TIED_PROOF_BLAME: u32 = 10;
 /// Servers that must have ended under a request, in halves, before it explains the end of servers that had
 /// sent an event of another request: two, which is rarely a coincidence. The first heartbeats between daemons
 /// that have just started arrive up to 0.4 s late, so a daemon may know less about a deadly request than
@@ -188,6 +186,8 @@
     peer_evidence: HashMap<Fingerprint, Evidence>,
     /// Requests that are in quarantine, and until when.
     quarantined: HashMap<Fingerprint, Instant>,
+    /// The other parts with which a part in quarantine is accused together; none if it is accused alone.
+    accomplices: HashMap<Fingerprint, Vec<Fingerprint>>,
     /// Requests with a record in the store, and until when it keeps them in quarantine.
     stored: HashMap<Fingerprint, Instant>,
     /// Requests that were released, and when.
@@ -203,8 +203,22 @@
     /// under it before did so for another reason.
     pub fn record_survived(&mut self, request: Fingerprint, now: Instant) {
         self.survivors.insert(request, now);
-        self.suspicions.remove(&request);
-        self.quarantined.remove(&request);
+        self.clear(request);
+    }
+
+    /// Drops the evidence against a request or a part. Parts that were accused together with it remain accused.
+    fn clear(&mut self, suspect: Fingerprint) {
+        self.suspicions.remove(&suspect);
+        self.quarantined.remove(&suspect);
+        self.accomplices.remove(&suspect);
+        for (part, others) in &mut self.accomplices {
+            let before = others.len();
+            others.retain(|other| *other != suspect);
+            if others.is_empty() && before > 0 && self.suspicions.contains_key(part) {
+                self.unsaved.push(*part);
+            }
+        }
+        self.accomplices.retain(|_, others| !others.is_empty());
     }
 
     /// Whether any daemon has evidence against a request or a part.
@@ -282,8 +296,7 @@
         self.peer_evidence.clone_from(peer_evidence);
         for (request, evidence) in peer_evidence {
             if evidence.survived {
-                self.suspicions.remove(request);
-                self.quarantined.remove(request);
+                self.clear(*request);
             }
             self.quarantine_if_proved(*request, now);
         }
@@ -298,18 +311,38 @@
 
     /// Puts a request in quarantine if it is newly proved. Returns whether it was.
     fn quarantine_if_proved(&mut self, request: Fingerprint, now: Instant) -> bool {
+        self.refresh_accomplices(request, now);
         let may_quarantine =
             self.quarantined_for(request, now).is_none() && !self.released.contains_key(&request);
         let proved = may_quarantine && self.is_proved(request, now);
         if proved {
             self.quarantined.insert(request, now + QUARANTINE_TTL);
-            if self.suspicions.contains_key(&request) {
+            let others = self.parts_like(request, now);
+            if !others.is_empty() {
+                self.accomplices.insert(request, others);
+            } else if self.suspicions.contains_key(&request) {
                 self.unsaved.push(request);
             }
         }
         proved
     }
 
+    /// A part that has met a server which others have not is accused without these.
+    fn refresh_accomplices(&mut self, part: Fingerprint, now: Instant) {
+        if !self.accomplices.contains_key(&part) {
+            return;
+        }
+        let others = self.parts_like(part, now);
+        if !others.is_empty() {
+            self.accomplices.insert(part, others);
+            return;
+        }
+        self.accomplices.remove(&part);
+        if self.suspicions.contains_key(&part) {
+            self.unsaved.push(part);
+        }
+    }
+
     /// Whether enough servers ended under a request, or a part of prompts, that nothing else explains.
     fn is_proved(&self, suspect: Fingerprint, now: Instant) -> bool {
         match suspect.is_part() {
@@ -323,7 +356,7 @@
         if !total.is_proof() {
             return false;
         }
-        let (mut remaining, mut needed) = (total.clone(), PROOF_BLAME);
+        let mut remaining = total.clone();
         let suspected = self.suspicions.keys().chain(self.peer_evidence.keys());
         for other in suspected.filter(|other| **other != part) {
             let evidence = self.total_evidence(*other, now);
@@ -331,15 +364,32 @@
                 if evidence.covers(&total) {
                     return false;
                 }
-            } else if self.quarantined_for(*other, now).is_some()
-                || (evidence.precedence() > total.precedence() && evidence.is_proof())
+            } else if evidence.ended != total.ended
+                && (self.quarantined_for(*other, now).is_some()
+                    || (evidence.precedence() > total.precedence() && evidence.is_proof()))
             {
                 remaining.exclude_explained(&evidence);
-            } else if evidence.ended == total.ended && !evidence.survived {
-                needed = TIED_PROOF_BLAME;
             }
         }
-        remaining.blame() >= needed
+        remaining.is_proof()
+    }
+
+    /// Other parts that have met exactly the servers of a part, and no survivor.
+    fn parts_like(&self, part: Fingerprint, now: Instant) -> Vec<Fingerprint> {
+        if !part.is_part() {
+            return Vec::new();
+        }
+        let ended = self.total_evidence(part, now).ended;
+        let suspected = self.suspicions.keys().chain(self.peer_evidence.keys());
+        let parts = suspected.filter(|other| other.is_part() && **other != part);
+        let alike: BTreeSet<Fingerprint> = parts
+            .filter(|other| {
+                let evidence = self.total_evidence(**other, now);
+                evidence.ended == ended && !evidence.survived
+            })
+            .copied()
+            .collect();
+        alike.into_iter().collect()
     }
 
     fn is_proved_request(&self, request: Fingerprint, now: Instant) -> bool {
@@ -373,6 +423,21 @@
         all
     }
 
+    /// What keeps a request from servers, of all that may be the cause of a crash, and for how long. A part that
+    /// is accused together with others counts only where all of them are present.
+    pub fn reason_to_refuse(
+        &self,
+        suspects: &[Fingerprint],
+        now: Instant,
+    ) -> Option<(Fingerprint, Duration)> {
+        suspects.iter().find_map(|suspect| {
+            let left = self.quarantined_for(*suspect, now)?;
+            let others = self.accomplices.get(suspect);
+            let applies = others.is_none_or(|others| others.iter().all(|o| suspects.contains(o)));
+            applies.then_some((*suspect, left))
+        })
+    }
+
     /// Remaining time in quarantine; `None` if the request may be sent.
     pub fn quarantined_for(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
         let until = self.quarantined.get(&request).max(self.stored.get(&request))?;
@@ -405,8 +470,7 @@
     pub fn release(&mut self, request: Fingerprint, now: Instant) {
         self.released.insert(request, now);
         self.stored.remove(&request);
-        self.quarantined.remove(&request);
-        self.suspicions.remove(&request);
+        self.clear(request);
         self.peer_evidence.remove(&request);
     }
 
@@ -440,6 +504,8 @@
         self.suspicions.retain(|_, suspicion| age(suspicion.last_ended) < SUSPICION_TTL);
         self.released.retain(|_, at| age(*at) < RELEASE_TTL);
         self.quarantined.retain(|_, until| *until > now);
+        let quarantined = &self.quarantined;
+        self.accomplices.retain(|part, _| quarantined.contains_key(part));
         let peer_only =
             self.peer_evidence.keys().filter(|request| !self.suspicions.contains_key(request));
         let survived = peer_only.filter(|request| self.survivors.contains_recent(**request, now));
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -60,9 +60,8 @@
         if quarantine.count(now) == 0 {
             return None;
         }
-        let mut kept =
-            call.suspects().filter_map(|s| Some((s, quarantine.quarantined_for(s, now)?)));
-        let (suspect, left) = kept.next()?;
+        let suspects: Vec<Fingerprint> = call.suspects().collect();
+        let (suspect, left) = quarantine.reason_to_refuse(&suspects, now)?;
         if !suspect.is_part() {
             return Some(NoSlot { reason: "ends_servers", retry_after: left, due: None });
         }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -405,3 +405,88 @@
         }
     }
 }
+
+fn part(n: u64) -> Fingerprint {
+    Fingerprint::of_part(&n.to_string())
+}
+
+/// A crash under a request of its own with these parts.
+fn crash(daemon: &mut Quarantine, n: u64, parts: &[Fingerprint], now: Instant) {
+    let suspects: Vec<Fingerprint> =
+        [request(n)].into_iter().chain(parts.iter().copied()).collect();
+    daemon.record_crash(&suspects, server(n), RunProgress::NoEvents, now);
+}
+
+fn refused(daemon: &Quarantine, n: u64, parts: &[Fingerprint], now: Instant) -> bool {
+    let suspects: Vec<Fingerprint> =
+        [request(n)].into_iter().chain(parts.iter().copied()).collect();
+    daemon.reason_to_refuse(&suspects, now).is_some()
+}
+
+/// Guards against a part that all prompts share and that is accused because no sound request has come yet.
+#[test]
+fn parts_that_met_the_same_servers_are_accused_together_until_one_of_them_is_cleared() {
+    let (mut daemon, now) = (Quarantine::default(), Instant::now());
+    let (shared, deadly) = (part(1), part(2));
+    for n in 0..3 {
+        assert!(!refused(&daemon, 9, &[shared, deadly], now), "{n} servers are no proof");
+        crash(&mut daemon, n, &[shared, deadly], now);
+    }
+    assert!(refused(&daemon, 9, &[shared, deadly], now));
+    assert!(!refused(&daemon, 9, &[shared], now), "a sound request has the shared part only");
+    assert!(
+        daemon.take_unsaved().is_empty(),
+        "the store would not tell that they are accused together"
+    );
+    daemon.record_survived(shared, now);
+    assert!(refused(&daemon, 9, &[deadly], now));
+    assert!(!refused(&daemon, 9, &[shared], now));
+    assert_eq!(daemon.take_unsaved(), [deadly]);
+}
+
+/// Guards against a deadly part that goes on crashing servers in other company.
+#[test]
+fn a_part_that_meets_a_server_of_its_own_is_accused_alone() {
+    let (mut daemon, now) = (Quarantine::default(), Instant::now());
+    let (shared, deadly) = (part(1), part(2));
+    for n in 0..3 {
+        crash(&mut daemon, n, &[shared, deadly], now);
+    }
+    assert!(!refused(&daemon, 9, &[deadly], now));
+    crash(&mut daemon, 3, &[deadly], now);
+    assert!(refused(&daemon, 9, &[deadly], now));
+    assert!(!refused(&daemon, 9, &[shared], now));
+}
+
+/// Guards against the parts of one deadly request, which is kept back by itself.
+#[test]
+fn the_parts_of_one_request_are_not_accused() {
+    let (mut daemon, now) = (Quarantine::default(), Instant::now());
+    for n in 0..4 {
+        let suspects = [request(1), part(1), part(2)];
+        daemon.record_crash(&suspects, server(n), RunProgress::NoEvents, now);
+    }
+    assert!(refused(&daemon, 1, &[], now));
+    assert!(!refused(&daemon, 2, &[part(1), part(2)], now));
+}
+
+/// Guards against sound parts that are accused because servers crash while they wait there, and when a hall is
+/// lost.
+#[test]
+fn sound_parts_beside_a_deadly_one_and_in_a_lost_hall_are_not_accused() {
+    let (mut daemon, now) = (Quarantine::default(), Instant::now());
+    for n in 0..5 {
+        crash(&mut daemon, n, &[part(1), part(2)], now);
+        // Another route's request that waited there.
+        let suspects = [request(100 + n), part(3)];
+        daemon.record_crash(&suspects, server(n), RunProgress::NoEvents, now);
+        daemon.record_survived(part(1), now);
+        daemon.record_survived(part(3), now);
+    }
+    assert!(refused(&daemon, 9, &[part(2)], now));
+    assert!(!refused(&daemon, 9, &[part(1), part(3)], now));
+    for n in 200..230 {
+        crash(&mut daemon, n, &[part(1), part(3)], now);
+    }
+    assert!(!refused(&daemon, 9, &[part(1), part(3)], now));
+}
