Heartbeats with evidence clear what was survived, instead of adding up all reports

While any daemon suspected a request or a part, which it does for up to nine minutes, each heartbeat that said so made its receiver add up the reports of all daemons; the trait that pulls these sums exists since that takes 0.5 ms in a large fleet and heartbeats come many times as often as requests. All that has to happen on arrival is to clear what a server has survived, which is reported for three seconds only: that is done directly. Proof is still found with the next request, as before the merge on arrival.

--- a/src/gateway/cluster/exchange.rs
+++ b/src/gateway/cluster/exchange.rs
@@ -124,10 +124,8 @@
             view.clock().earliest_send_time(heartbeat.echo, now)
         };
         self.stats_changed.store(true, Ordering::Release);
-        if heartbeat.has_evidence() {
-            // Survivors are reported for a short time, and figures are otherwise merged only for a request.
-            self.gateway.merge_peer_stats(now);
-        }
+        // Survivors are reported for a short time, and other figures are merged only for a request.
+        self.gateway.quarantine().clear_survived(heartbeat.evidence());
         self.gateway.servers().merge_observations(&heartbeat.observations, sent, now);
         self.merge_store_ages(&heartbeat, sent, now);
         self.announced.lock().expect("no holder panics").extend(heartbeat.peer_addrs);
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -55,10 +55,10 @@
 }
 
 impl Heartbeat {
-    /// Whether it says anything about requests that may crash servers.
-    pub fn has_evidence(&self) -> bool {
+    /// All evidence in it, of the sender and of others.
+    pub fn evidence(&self) -> impl Iterator<Item = &(Fingerprint, Evidence)> {
         let stats = self.sums.iter().map(|sum| &sum.stats).chain([&self.stats]);
-        stats.into_iter().any(|stats| !stats.evidence.is_empty())
+        stats.flat_map(|stats| &stats.evidence)
     }
 }
 
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -206,6 +206,15 @@
         self.clear(request);
     }
 
+    /// Clears what servers survived according to other daemons.
+    pub fn clear_survived<'a>(
+        &mut self,
+        reported: impl Iterator<Item = &'a (Fingerprint, Evidence)>,
+    ) {
+        let survived = reported.filter(|(_, evidence)| evidence.survived);
+        survived.for_each(|(suspect, _)| self.clear(*suspect));
+    }
+
     /// Drops the evidence against a request or a part. Parts that were accused together with it remain accused.
     fn clear(&mut self, suspect: Fingerprint) {
         self.suspicions.remove(&suspect);
