Quarantine: evidence in a file of its own, one walk over other suspects, one place that accuses

Found on reading the change again; behaviour stays. Suspects of a call are a list, as each user made one; a check that counted all records asks whether there is any.

tests/quarantine.rs (21), restored (16), formats (9) and shares (12) pass.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -102,7 +102,7 @@
     let (mut quarantine, now) = (Quarantine::default(), Instant::now());
     let requests = (0..256u64).map(|n| Fingerprint::new("/path", "caller", &n.to_be_bytes()));
     for request in requests {
-        quarantine.record_ended(request, Tag::of_number(1), RunProgress::NoEvents, now);
+        quarantine.record_crash(&[request], Tag::of_number(1), RunProgress::NoEvents, now);
     }
     let others = quarantine.for_peers(now).into_iter().collect();
     micros(20_000, || {
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -20,23 +20,16 @@
 //! exactly the same servers, it is accused together with them: only requests that have all of them are kept
 //! back, until a run clears the others.
 
+mod evidence;
+
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
-use serde::{Deserialize, Serialize};
-use std::cmp::Reverse;
+use evidence::PROOF_BLAME;
+pub(crate) use evidence::top_suspects;
+pub use evidence::{Evidence, RunProgress};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-/// Servers that must have ended under a request, in halves. Two may end under a sound request by chance, both
-/// in one attempt. With three, plus the retry that is already under way when the third ends, a deadly request
-/// takes three or four servers. If each of them sends an event first, it takes six: at most three more than
-/// the third.
-const PROOF_BLAME: u32 = 6;
-/// Servers that must have ended under a request, in halves, before it explains the end of servers that had
-/// sent an event of another request: two, which is rarely a coincidence. The first heartbeats between daemons
-/// that have just started arrive up to 0.4 s late, so a daemon may know less about a deadly request than
-/// about a sound one that runs at the same servers.
-const SUSPECT_BLAME: u32 = 4;
 /// Time for which a request stays in quarantine. This is the longest lease that the platform's store grants,
 /// so the record in the store expires at about the same time.
 pub const QUARANTINE_TTL: Duration = Duration::from_secs(600);
@@ -54,94 +47,6 @@
 /// Highest number of suspected requests that are remembered. The loss of a hall leaves a daemon with some of
 /// that hall's runs that had just begun, each with the parts of its prompt.
 const MAX_SUSPICIONS: usize = 1_024;
-/// Highest number of suspected requests, and of suspected parts, in a report of one daemon or in a sum of
-/// several, by the number of servers that ended; about 30 bytes each.
-pub(crate) const MAX_REPORTED: usize = 32;
-
-/// What happened to the servers that ran a request.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Evidence {
-    /// Servers that ended just after starting to run the request, since a server last survived it, each with
-    /// its blame in halves. The tag identifies one process of a server, so that a process which several
-    /// daemons saw counts once.
-    pub ended: BTreeMap<Tag, u32>,
-    /// Whether a server recently survived the request.
-    pub survived: bool,
-}
-
-impl Evidence {
-    /// Total blame of the request, in halves.
-    fn blame(&self) -> u32 {
-        self.ended.values().sum()
-    }
-
-    /// Rank among requests that the end of the same servers would prove; the highest is considered first. That
-    /// is the request with the most blame and, if equal, with the fewest servers, since its runs had then made
-    /// less progress at each of them.
-    fn precedence(&self) -> (u32, Reverse<usize>) {
-        (self.blame(), Reverse(self.ended.len()))
-    }
-
-    /// Whether this proves that the request crashes servers.
-    fn is_proof(&self) -> bool {
-        self.blame() >= PROOF_BLAME && !self.survived
-    }
-
-    /// Removes servers whose end another request explains, which had made no more progress there than this one.
-    fn exclude_explained(&mut self, explained: &Evidence) {
-        let counts = |server: &Tag, blame: &u32| explained.ended.get(server) < Some(blame);
-        self.ended.retain(|server, blame| counts(server, blame));
-    }
-
-    /// Removes servers that had sent an event of this request but none of `suspect`.
-    fn exclude_begun(&mut self, suspect: &Evidence) {
-        let counts = |server: &Tag, blame: &u32| {
-            *blame >= RunProgress::NoEvents.blame()
-                || suspect.ended.get(server) < Some(&RunProgress::NoEvents.blame())
-        };
-        self.ended.retain(|server, blame| counts(server, blame));
-    }
-
-    /// Whether this makes the request a likelier cause of a server's end than another one that had already had
-    /// an event from that server.
-    fn is_suspect(&self) -> bool {
-        self.blame() >= SUSPECT_BLAME && !self.survived
-    }
-
-    /// Whether this accounts for all servers of some other evidence.
-    fn covers(&self, other: &Evidence) -> bool {
-        other.ended.keys().all(|server| self.ended.contains_key(server))
-    }
-
-    /// Adds the evidence of another daemon.
-    pub fn merge(&mut self, other: &Evidence) {
-        for (server, blame) in &other.ended {
-            let known = self.ended.entry(*server).or_default();
-            *known = (*known).max(*blame);
-        }
-        self.survived |= other.survived;
-    }
-}
-
-/// Progress of a run when its server ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RunProgress {
-    /// No event of the response had arrived.
-    NoEvents,
-    /// The first events had arrived.
-    Begun,
-}
-
-impl RunProgress {
-    /// Blame for the server's end, in halves. All 42 servers that were observed to end under a deadly request
-    /// had sent no event of it. A run that has begun mostly loses its server by coincidence.
-    fn blame(self) -> u32 {
-        match self {
-            RunProgress::NoEvents => 2,
-            RunProgress::Begun => 1,
-        }
-    }
-}
 
 /// Servers that ended under a request at this daemon.
 #[derive(Debug)]
@@ -187,7 +92,7 @@
     /// Requests that are in quarantine, and until when.
     quarantined: HashMap<Fingerprint, Instant>,
     /// The other parts with which a part in quarantine is accused together; none if it is accused alone.
-    accomplices: HashMap<Fingerprint, Vec<Fingerprint>>,
+    accomplices: BTreeMap<Fingerprint, BTreeSet<Fingerprint>>,
     /// Requests with a record in the store, and until when it keeps them in quarantine.
     stored: HashMap<Fingerprint, Instant>,
     /// Requests that were released, and when.
@@ -220,14 +125,12 @@
         self.suspicions.remove(&suspect);
         self.quarantined.remove(&suspect);
         self.accomplices.remove(&suspect);
-        for (part, others) in &mut self.accomplices {
-            let before = others.len();
-            others.retain(|other| *other != suspect);
-            if others.is_empty() && before > 0 && self.suspicions.contains_key(part) {
-                self.unsaved.push(*part);
-            }
+        let parts: Vec<Fingerprint> = self.accomplices.keys().copied().collect();
+        for part in parts {
+            let mut others = self.accomplices.remove(&part).unwrap_or_default();
+            others.remove(&suspect);
+            self.accuse(part, others);
         }
-        self.accomplices.retain(|_, others| !others.is_empty());
     }
 
     /// Whether any daemon has evidence against a request or a part.
@@ -237,20 +140,8 @@
         by_peers || self.suspicions.contains_key(&suspect)
     }
 
-    /// Records that a server ended just after starting to run a request; `server` is the tag of its process.
-    /// Returns whether this proves that the request crashes servers.
-    pub fn record_ended(
-        &mut self,
-        request: Fingerprint,
-        server: Tag,
-        progress: RunProgress,
-        now: Instant,
-    ) -> bool {
-        !self.record_crash(&[request], server, progress, now).is_empty()
-    }
-
     /// Records that a server ended just after starting to run a request, given as all that may be the cause: the
-    /// request and the shared parts of its prompt. Returns what this proves.
+    /// request and the shared parts of its prompt. `server` is the tag of its process. Returns what this proves.
     pub fn record_crash(
         &mut self,
         suspects: &[Fingerprint],
@@ -320,35 +211,27 @@
 
     /// Puts a request in quarantine if it is newly proved. Returns whether it was.
     fn quarantine_if_proved(&mut self, request: Fingerprint, now: Instant) -> bool {
-        self.refresh_accomplices(request, now);
+        // A part that has met a server which others have not is accused without these.
+        if self.accomplices.remove(&request).is_some() {
+            self.accuse(request, self.parts_like(request, now));
+        }
         let may_quarantine =
             self.quarantined_for(request, now).is_none() && !self.released.contains_key(&request);
         let proved = may_quarantine && self.is_proved(request, now);
         if proved {
             self.quarantined.insert(request, now + QUARANTINE_TTL);
-            let others = self.parts_like(request, now);
-            if !others.is_empty() {
-                self.accomplices.insert(request, others);
-            } else if self.suspicions.contains_key(&request) {
-                self.unsaved.push(request);
-            }
+            self.accuse(request, self.parts_like(request, now));
         }
         proved
     }
 
-    /// A part that has met a server which others have not is accused without these.
-    fn refresh_accomplices(&mut self, part: Fingerprint, now: Instant) {
-        if !self.accomplices.contains_key(&part) {
-            return;
-        }
-        let others = self.parts_like(part, now);
+    /// Sets what a suspect is accused together with. One that is accused alone, and of which this daemon has
+    /// evidence, is to be written to the store.
+    fn accuse(&mut self, suspect: Fingerprint, others: BTreeSet<Fingerprint>) {
         if !others.is_empty() {
-            self.accomplices.insert(part, others);
-            return;
-        }
-        self.accomplices.remove(&part);
-        if self.suspicions.contains_key(&part) {
-            self.unsaved.push(part);
+            self.accomplices.insert(suspect, others);
+        } else if self.suspicions.contains_key(&suspect) {
+            self.unsaved.push(suspect);
         }
     }
 
@@ -366,15 +249,13 @@
             return false;
         }
         let mut remaining = total.clone();
-        let suspected = self.suspicions.keys().chain(self.peer_evidence.keys());
-        for other in suspected.filter(|other| **other != part) {
-            let evidence = self.total_evidence(*other, now);
+        for (other, evidence) in self.others(part, now) {
             if !other.is_part() {
                 if evidence.covers(&total) {
                     return false;
                 }
             } else if evidence.ended != total.ended
-                && (self.quarantined_for(*other, now).is_some()
+                && (self.quarantined_for(other, now).is_some()
                     || (evidence.precedence() > total.precedence() && evidence.is_proof()))
             {
                 remaining.exclude_explained(&evidence);
@@ -383,22 +264,26 @@
         remaining.is_proof()
     }
 
-    /// Other parts that have met exactly the servers of a part, and no survivor.
-    fn parts_like(&self, part: Fingerprint, now: Instant) -> Vec<Fingerprint> {
+    /// Other parts that have met exactly the servers of a part, and no survivor; none for a request.
+    fn parts_like(&self, part: Fingerprint, now: Instant) -> BTreeSet<Fingerprint> {
         if !part.is_part() {
-            return Vec::new();
+            return BTreeSet::new();
         }
         let ended = self.total_evidence(part, now).ended;
-        let suspected = self.suspicions.keys().chain(self.peer_evidence.keys());
-        let parts = suspected.filter(|other| other.is_part() && **other != part);
-        let alike: BTreeSet<Fingerprint> = parts
-            .filter(|other| {
-                let evidence = self.total_evidence(**other, now);
-                evidence.ended == ended && !evidence.survived
-            })
-            .copied()
-            .collect();
-        alike.into_iter().collect()
+        let others = self.others(part, now).filter(|(other, _)| other.is_part());
+        let alike = others.filter(|(_, evidence)| evidence.ended == ended && !evidence.survived);
+        alike.map(|(other, _)| other).collect()
+    }
+
+    /// All other suspects with the evidence of all daemons. One that several daemons suspect may come twice.
+    fn others(
+        &self,
+        suspect: Fingerprint,
+        now: Instant,
+    ) -> impl Iterator<Item = (Fingerprint, Evidence)> {
+        let all = self.suspicions.keys().chain(self.peer_evidence.keys()).copied();
+        all.filter(move |other| *other != suspect)
+            .map(move |other| (other, self.total_evidence(other, now)))
     }
 
     fn is_proved_request(&self, request: Fingerprint, now: Instant) -> bool {
@@ -408,12 +293,10 @@
             return false;
         }
         let precedence = remaining.precedence();
-        let suspected = self.suspicions.keys().chain(self.peer_evidence.keys());
-        for other in suspected.filter(|other| **other != request) {
-            let evidence = self.total_evidence(*other, now);
+        for (other, evidence) in self.others(request, now) {
             // A part with more blame than a request that has it may be innocent, unless it is proved.
             let has_more = !other.is_part() && evidence.precedence() > precedence;
-            let takes_precedence = has_more || self.quarantined_for(*other, now).is_some();
+            let takes_precedence = has_more || self.quarantined_for(other, now).is_some();
             if takes_precedence && evidence.is_proof() {
                 remaining.exclude_explained(&evidence);
             } else if evidence.is_suspect() {
@@ -523,20 +406,3 @@
         top_suspects(reported.collect())
     }
 }
-
-/// The [`MAX_REPORTED`] requests and as many parts with the most blame.
-pub(crate) fn top_suspects(reported: Vec<(Fingerprint, Evidence)>) -> Vec<(Fingerprint, Evidence)> {
-    let (parts, requests): (Vec<_>, Vec<_>) =
-        reported.into_iter().partition(|(suspect, _)| suspect.is_part());
-    let mut top = most_blamed(requests);
-    top.extend(most_blamed(parts));
-    top
-}
-
-fn most_blamed(mut reported: Vec<(Fingerprint, Evidence)>) -> Vec<(Fingerprint, Evidence)> {
-    if reported.len() > MAX_REPORTED {
-        reported.sort_by_key(|(request, evidence)| (Reverse(evidence.blame()), *request));
-        reported.truncate(MAX_REPORTED);
-    }
-    reported
-}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -119,8 +119,8 @@
     }
 
     /// What a crash of its server may be due to: the request, or one of the shared parts of its prompt.
-    pub fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
-        [self.fingerprint()].into_iter().chain(self.parts.iter().copied())
+    pub fn suspects(&self) -> Vec<Fingerprint> {
+        [self.fingerprint()].into_iter().chain(self.parts.iter().copied()).collect()
     }
 
     /// Whether the call continues a stream of an earlier attempt.
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -57,11 +57,10 @@
     /// For how long a request is kept from servers, and whether for itself or for a part of its prompt.
     pub(super) fn quarantined(&self, call: &Call, now: Instant) -> Option<NoSlot> {
         let quarantine = self.quarantine();
-        if quarantine.count(now) == 0 {
+        if quarantine.is_empty() {
             return None;
         }
-        let suspects: Vec<Fingerprint> = call.suspects().collect();
-        let (suspect, left) = quarantine.reason_to_refuse(&suspects, now)?;
+        let (suspect, left) = quarantine.reason_to_refuse(&call.suspects(), now)?;
         if !suspect.is_part() {
             return Some(NoSlot { reason: "ends_servers", retry_after: left, due: None });
         }
@@ -87,8 +86,7 @@
             return;
         }
         let (request, now) = (call.fingerprint(), time::now());
-        let suspects: Vec<Fingerprint> = call.suspects().collect();
-        let proved = self.quarantine().record_crash(&suspects, slot.place.tag, run, now);
+        let proved = self.quarantine().record_crash(&call.suspects(), slot.place.tag, run, now);
         self.quarantine_changed.notify_one();
         self.metrics.ended_servers.inc();
         let name = request.to_string();
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -22,6 +22,30 @@
     Duration::from_secs(n)
 }
 
+/// Ends of servers under a request without parts.
+trait RecordEnded {
+    /// Returns whether this proves that the request ends servers.
+    fn record_ended(
+        &mut self,
+        request: Fingerprint,
+        server: Tag,
+        run: RunProgress,
+        now: Instant,
+    ) -> bool;
+}
+
+impl RecordEnded for Quarantine {
+    fn record_ended(
+        &mut self,
+        request: Fingerprint,
+        server: Tag,
+        run: RunProgress,
+        now: Instant,
+    ) -> bool {
+        !self.record_crash(&[request], server, run, now).is_empty()
+    }
+}
+
 /// Daemons that tell each other everything.
 struct Fleet {
     daemons: Vec<Quarantine>,
