Messages about streams: call what is there instead of a second copy

The ranking of a cell's daemons by a hash stood in quota_holders_in_cell already; both now use rank_cell. Each answer to a peer was sent and finished by the same three lines; send() takes any message. Two functions asked the same question about services with streams to report; one asks it now. find_begun only wrapped ask_about, and ServedVersions::is_listed had no caller.

--- a/src/gateway/cluster.rs
+++ b/src/gateway/cluster.rs
@@ -14,7 +14,7 @@
 
 use crate::error::Result;
 use crate::gateway::clock::{Clock, minus_millis};
-use crate::gateway::continuation::StreamAnswer;
+use crate::gateway::continuation::{Scope, StreamAnswer, StreamQuestion};
 use crate::gateway::core::{Gateway, LimitedServer, PeerSource};
 use crate::gateway::heartbeat::Request;
 use crate::gateway::metrics::GatewayMetrics;
@@ -433,7 +433,7 @@
     }
 
     fn find_stream(&self, stream: Tag, service: Tag) -> BoxFuture<'_, StreamAnswer> {
-        Box::pin(self.find_begun(stream, service))
+        Box::pin(self.ask_about(StreamQuestion { stream, service, scope: Scope::Hall }))
     }
 
     fn borrow_quota(&self, wanted: Vec<LimitedServer>) -> BoxFuture<'_, Option<Tag>> {
--- a/src/gateway/cluster/answering.rs
+++ b/src/gateway/cluster/answering.rs
@@ -1,15 +1,15 @@
-//! Handles messages from peers: heartbeats, requests for missing changes of the store, and requests
-//! for quota.
+//! Handles messages from peers: heartbeats, requests for missing changes of the store and for quota, and reports and
+//! questions about streams.
 
 use super::Cluster;
 use crate::gateway::heartbeat::{Heartbeat, Request};
-use crate::gateway::update::Update;
 use crate::message;
 use crate::peer::{Handler, PeerStream};
 use crate::platform::Position;
 use crate::time;
 use futures_util::future::BoxFuture;
 use log::warn;
+use serde::Serialize;
 use std::sync::Arc;
 
 /// Handles messages from peers for a [`Cluster`].
@@ -21,7 +21,7 @@
     async fn send_small_values(&self, position: Position, peer_stream: &mut PeerStream) {
         let now = time::now();
         match self.0.mirror.small_update_after(position, now).filter(|update| !update.full) {
-            Some(update) => send(Some(update), peer_stream).await,
+            Some(update) => send(&Some(update), peer_stream).await,
             None => self.send_all_values(position, peer_stream).await,
         }
     }
@@ -34,12 +34,13 @@
             Ok(_) => self.0.mirror.complete_update_after(position, time::now()),
             Err(_) => None,
         };
-        send(update, peer_stream).await;
+        send(&update, peer_stream).await;
     }
 }
 
-async fn send(update: Option<Update>, peer_stream: &mut PeerStream) {
-    if peer_stream.send(&update).await.is_ok() {
+/// Sends the whole answer to a request.
+async fn send(answer: &impl Serialize, peer_stream: &mut PeerStream) {
+    if peer_stream.send(answer).await.is_ok() {
         peer_stream.finish().await;
     }
 }
@@ -63,24 +64,18 @@
                 }
                 Ok(Request::Quota(wanted)) => {
                     let given = self.0.gateway.lend_quota(&wanted, time::now());
-                    if peer_stream.send(&given).await.is_ok() {
-                        peer_stream.finish().await;
-                    }
+                    send(&given, &mut peer_stream).await;
                 }
                 Ok(Request::Begun(begun)) => {
                     self.0.receive_streams(&begun, time::now());
-                    if peer_stream.send(&true).await.is_ok() {
-                        peer_stream.finish().await;
-                    }
+                    send(&true, &mut peer_stream).await;
                 }
                 Ok(Request::FindStream(question)) => {
                     let mut answer = self.0.gateway.answer_question(&question, time::now());
                     if answer.begun_by.is_none() {
                         answer.merge(self.0.ask_about(question).await);
                     }
-                    if peer_stream.send(&answer).await.is_ok() {
-                        peer_stream.finish().await;
-                    }
+                    send(&answer, &mut peer_stream).await;
                 }
                 Err(e) => warn!(why = format!("{e:?}").as_str(); "cannot decode request from peer"),
             }
--- a/src/gateway/cluster/streams.rs
+++ b/src/gateway/cluster/streams.rs
@@ -8,7 +8,6 @@
 use crate::gateway::continuation::{Scope, StreamAnswer, StreamQuestion};
 use crate::gateway::heartbeat::Request;
 use crate::gateway::software::BegunStream;
-use crate::gateway::tag::Tag;
 use crate::peer::NoAnswer;
 use crate::time;
 use futures_util::StreamExt;
@@ -154,11 +153,6 @@
         view.layout().cell_peers.iter().filter(|peer| !view.can_reach(**peer, now)).count()
     }
 
-    /// Which software of a service began a stream, as far as other daemons know.
-    pub(super) async fn find_begun(&self, stream: Tag, service: Tag) -> StreamAnswer {
-        self.ask_about(StreamQuestion { stream, service, scope: Scope::Hall }).await
-    }
-
     /// Stores what another daemon reports.
     pub(super) fn receive_streams(&self, begun: &[BegunStream], now: Instant) {
         let mut streams = self.gateway.begun_streams();
--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -10,6 +10,7 @@
 use crate::time;
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// How much longer than its route's timeout a stream may be taken up again: callers wait after a refusal, and
@@ -179,15 +180,20 @@
 
     /// Streams of this daemon that others have to know because several versions of their service serve.
     pub(super) fn streams_to_report(&self, now: Instant) -> Vec<BegunStream> {
-        let mut services = self.begun_streams().unreported_services();
-        services.retain(|service| self.is_mixed(*service, now));
+        let services = self.services_to_report(now);
         self.begun_streams().take_unreported(&services, now)
     }
 
     /// Whether any streams are to be reported to others.
     pub(super) fn has_streams_to_report(&self, now: Instant) -> bool {
-        let services = self.begun_streams().unreported_services();
-        services.into_iter().any(|service| self.is_mixed(service, now))
+        !self.services_to_report(now).is_empty()
+    }
+
+    /// Group tags of the services with streams to report.
+    fn services_to_report(&self, now: Instant) -> BTreeSet<Tag> {
+        let mut services = self.begun_streams().unreported_services();
+        services.retain(|service| self.is_mixed(*service, now));
+        services
     }
 
     /// Whether several versions of a service served lately.
--- a/src/gateway/software.rs
+++ b/src/gateway/software.rs
@@ -203,11 +203,6 @@
         }
     }
 
-    /// Whether the store lists a server of this software.
-    pub fn is_listed(&self, software: Software) -> bool {
-        self.listed.contains_key(&software)
-    }
-
     /// What is known of the versions of a service that served within the last `window`.
     pub fn within(&self, service: Tag, window: Duration, now: Instant) -> Served {
         let recent = |at: &Instant| now.saturating_duration_since(*at) < window;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -384,23 +384,24 @@
         count: usize,
         now: Instant,
     ) -> Vec<SocketAddr> {
-        let mut all: Vec<(Tag, Option<&Peer>)> =
-            self.reachable_in_cell(now).map(|p| (p.tag.combined_with(server), Some(p))).collect();
-        all.push((self.tag.combined_with(server), None));
-        all.sort_unstable_by_key(|(place, _)| *place);
-        let others = all.into_iter().take(count).filter_map(|(_, peer)| peer);
+        let others = self.rank_cell(server, now).take(count).flatten();
         others.filter(|p| p.ready).map(|p| p.daemon.peers).collect()
     }
 
     /// The addresses for daemons of the reachable peers in this cell, in an order that depends on `tag` and is
     /// the same for all of them.
     pub fn ranked_in_cell(&self, tag: Tag, now: Instant) -> Vec<SocketAddr> {
-        let mut ranked: Vec<(Tag, SocketAddr)> = self
-            .reachable_in_cell(now)
-            .map(|p| (p.tag.combined_with(tag), p.daemon.peers))
-            .collect();
-        ranked.sort_unstable();
-        ranked.into_iter().map(|(_, addr)| addr).collect()
+        self.rank_cell(tag, now).flatten().map(|p| p.daemon.peers).collect()
+    }
+
+    /// The reachable daemons of this cell in an order that depends on `tag` and is the same for all of them;
+    /// `None` stands for this one.
+    fn rank_cell(&self, tag: Tag, now: Instant) -> impl Iterator<Item = Option<&Peer>> {
+        let mut all: Vec<(Tag, Option<&Peer>)> =
+            self.reachable_in_cell(now).map(|p| (p.tag.combined_with(tag), Some(p))).collect();
+        all.push((self.tag.combined_with(tag), None));
+        all.sort_unstable_by_key(|(place, _)| *place);
+        all.into_iter().map(|(_, peer)| peer)
     }
 
     /// Addresses for callers in other cells and halls, as far as these are reachable.
