A part that the store records is accused alone at every daemon

Cause: a daemon that had accused a part together with others kept to that when another daemon, with more evidence, had accused it alone and written it to the store. It let requests through that held the part without the others.

Change: a record of the store ends what the part is accused together with.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -346,8 +346,9 @@
         all.filter(|(_, until)| **until > now).count()
     }
 
-    /// Records that the store holds a record of the request.
+    /// Records that the store holds a record of the request. Only parts that are accused alone are written there.
     pub fn mark_stored(&mut self, request: Fingerprint, now: Instant) {
+        self.accomplices.remove(&request);
         self.stored.entry(request).or_insert(now + QUARANTINE_TTL);
     }
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -482,6 +482,20 @@
     assert!(!refused(&daemon, 9, &[shared], now));
 }
 
+/// Guards against a daemon that learnt of a part in company, and that goes on to want all of it.
+#[test]
+fn a_part_that_the_store_records_is_accused_alone() {
+    let (mut daemon, now) = (Quarantine::default(), Instant::now());
+    let (shared, deadly) = (part(1), part(2));
+    for n in 0..3 {
+        crash(&mut daemon, n, &[shared, deadly], now);
+    }
+    assert!(!refused(&daemon, 9, &[deadly], now));
+    daemon.mark_stored(deadly, now);
+    assert!(refused(&daemon, 9, &[deadly], now));
+    assert!(!refused(&daemon, 9, &[shared], now));
+}
+
 /// Guards against the parts of one deadly request, which is kept back by itself.
 #[test]
 fn the_parts_of_one_request_are_not_accused() {
