A part stays accused in company of those that explain its servers

Cause: a daemon judged a part in company anew with each report, and took all from its company that no longer had exactly the same servers. Once a peer reported one more server of the deadly part, a sound part that had been accused together with it stood alone, was refused in all requests, and was written to the store for ten minutes.

Change: the company of a part are all others that have met each of its servers, and no survivor, whether or not they have met more.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -17,8 +17,8 @@
 //! alike. The same evidence is kept for each shared part of the prompts of lost runs, under a
 //! [fingerprint](Fingerprint::is_part) of its own. Sound requests that share the other parts survive and clear
 //! these. A part is not accused while one request accounts for all of its servers. While other parts have met
-//! exactly the same servers, it is accused together with them: only requests that have all of them are kept
-//! back, until a run clears the others.
+//! the same servers, it is accused together with them: only requests that have all of them are kept back, until
+//! a run clears the others.
 
 mod evidence;
 
@@ -127,9 +127,10 @@
         self.accomplices.remove(&suspect);
         let parts: Vec<Fingerprint> = self.accomplices.keys().copied().collect();
         for part in parts {
-            let mut others = self.accomplices.remove(&part).unwrap_or_default();
-            others.remove(&suspect);
-            self.accuse(part, others);
+            let mut others = self.accomplices[&part].clone();
+            if others.remove(&suspect) {
+                self.accuse(part, others);
+            }
         }
     }
 
@@ -211,16 +212,16 @@
 
     /// Puts a request in quarantine if it is newly proved. Returns whether it was.
     fn quarantine_if_proved(&mut self, request: Fingerprint, now: Instant) -> bool {
-        // A part that has met a server which others have not is accused without these.
-        if self.accomplices.remove(&request).is_some() {
-            self.accuse(request, self.parts_like(request, now));
+        // What explains the end of its servers depends on all reports.
+        if self.accomplices.contains_key(&request) {
+            self.accuse(request, self.explaining_parts(request, now));
         }
         let may_quarantine =
             self.quarantined_for(request, now).is_none() && !self.released.contains_key(&request);
         let proved = may_quarantine && self.is_proved(request, now);
         if proved {
             self.quarantined.insert(request, now + QUARANTINE_TTL);
-            self.accuse(request, self.parts_like(request, now));
+            self.accuse(request, self.explaining_parts(request, now));
         }
         proved
     }
@@ -228,6 +229,7 @@
     /// Sets what a suspect is accused together with. One that is accused alone, and of which this daemon has
     /// evidence, is to be written to the store.
     fn accuse(&mut self, suspect: Fingerprint, others: BTreeSet<Fingerprint>) {
+        self.accomplices.remove(&suspect);
         if !others.is_empty() {
             self.accomplices.insert(suspect, others);
         } else if self.suspicions.contains_key(&suspect) {
@@ -264,15 +266,16 @@
         remaining.is_proof()
     }
 
-    /// Other parts that have met exactly the servers of a part, and no survivor; none for a request.
-    fn parts_like(&self, part: Fingerprint, now: Instant) -> BTreeSet<Fingerprint> {
+    /// Other parts that have met all servers of a part, and no survivor; none for a request.
+    fn explaining_parts(&self, part: Fingerprint, now: Instant) -> BTreeSet<Fingerprint> {
         if !part.is_part() {
             return BTreeSet::new();
         }
-        let ended = self.total_evidence(part, now).ended;
+        let total = self.total_evidence(part, now);
         let others = self.others(part, now).filter(|(other, _)| other.is_part());
-        let alike = others.filter(|(_, evidence)| evidence.ended == ended && !evidence.survived);
-        alike.map(|(other, _)| other).collect()
+        let explaining =
+            others.filter(|(_, evidence)| !evidence.survived && evidence.explains(&total));
+        explaining.map(|(other, _)| other).collect()
     }
 
     /// All other suspects with the evidence of all daemons. One that several daemons suspect may come twice.
--- a/src/gateway/quarantine/evidence.rs
+++ b/src/gateway/quarantine/evidence.rs
@@ -55,6 +55,11 @@
         self.ended.retain(|server, blame| counts(server, blame));
     }
 
+    /// Whether this explains the end of all servers of some other evidence.
+    pub(super) fn explains(&self, other: &Evidence) -> bool {
+        other.ended.iter().all(|(server, blame)| self.ended.get(server) >= Some(blame))
+    }
+
     /// Removes servers that had sent an event of this request but none of `suspect`.
     pub(super) fn exclude_begun(&mut self, suspect: &Evidence) {
         let counts = |server: &Tag, blame: &u32| {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -482,6 +482,25 @@
     assert!(!refused(&daemon, 9, &[shared], now));
 }
 
+/// Guards against a sound part that loses its company where a peer reports more about the others.
+#[test]
+fn a_part_whose_company_meets_more_servers_is_not_accused_alone() {
+    let mut fleet = Fleet::new(2);
+    let (now, shared, deadly) = (fleet.now, part(1), part(2));
+    for n in 0..3 {
+        crash(&mut fleet.daemons[0], n, &[shared, deadly], now);
+    }
+    fleet.tell();
+    crash(&mut fleet.daemons[1], 3, &[deadly], now);
+    for _ in 0..2 {
+        fleet.tell();
+        for daemon in &fleet.daemons {
+            assert!(refused(daemon, 9, &[deadly], now));
+            assert!(!refused(daemon, 9, &[shared], now));
+        }
+    }
+}
+
 /// Guards against a daemon that learnt of a part in company, and that goes on to want all of it.
 #[test]
 fn a_part_that_the_store_records_is_accused_alone() {
