What a part is accused together with follows each report

Cause: reports of one crash arrive one after the other, and a daemon remembered six servers for each suspect. A sound part that was under way beside a deadly one had a server for a moment that the deadly one lacked, or for good where more than six had crashed: it was then accused alone, and the company it had lost was never looked up again.

Change: the company of all parts in quarantine is determined anew with each crash and each changed report; a part that is in company again is not written to the store. A daemon remembers up to 16 servers a suspect.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -24,7 +24,6 @@
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
-use evidence::PROOF_BLAME;
 pub(crate) use evidence::top_suspects;
 pub use evidence::{Evidence, RunProgress};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -47,6 +46,9 @@
 /// Highest number of suspected requests that are remembered. The loss of a hall leaves a daemon with some of
 /// that hall's runs that had just begun, each with the parts of its prompt.
 const MAX_SUSPICIONS: usize = 1_024;
+/// Highest number of servers that a daemon counts against a suspect. It exceeds what is needed as proof, since
+/// other runs are under way by then: a server that is missing here would count against their other parts only.
+const MAX_SERVERS: usize = 16;
 
 /// Servers that ended under a request at this daemon.
 #[derive(Debug)]
@@ -155,7 +157,9 @@
             self.add_ended(*suspect, server, progress, now);
         }
         let proved = suspects.iter().filter(|suspect| self.quarantine_if_proved(**suspect, now));
-        proved.copied().collect()
+        let proved = proved.copied().collect();
+        self.update_accomplices(now);
+        proved
     }
 
     fn add_ended(
@@ -174,8 +178,7 @@
         let suspicion = || Suspicion { servers: BTreeMap::new(), last_ended: now };
         let suspicion = self.suspicions.entry(request).or_insert_with(suspicion);
         suspicion.last_ended = now;
-        // Servers beyond those needed as proof need not be reported.
-        if suspicion.servers.len() < PROOF_BLAME as usize {
+        if suspicion.servers.len() < MAX_SERVERS {
             suspicion.servers.entry(server).or_insert(blame);
         }
     }
@@ -194,6 +197,7 @@
         peer_evidence: &HashMap<Fingerprint, Evidence>,
         now: Instant,
     ) {
+        let changed = self.peer_evidence != *peer_evidence;
         self.peer_evidence.clone_from(peer_evidence);
         for (request, evidence) in peer_evidence {
             if evidence.survived {
@@ -201,6 +205,9 @@
             }
             self.quarantine_if_proved(*request, now);
         }
+        if changed {
+            self.update_accomplices(now);
+        }
     }
 
     /// Evidence of this daemon.
@@ -212,10 +219,6 @@
 
     /// Puts a request in quarantine if it is newly proved. Returns whether it was.
     fn quarantine_if_proved(&mut self, request: Fingerprint, now: Instant) -> bool {
-        // What explains the end of its servers depends on all reports.
-        if self.accomplices.contains_key(&request) {
-            self.accuse(request, self.explaining_parts(request, now));
-        }
         let may_quarantine =
             self.quarantined_for(request, now).is_none() && !self.released.contains_key(&request);
         let proved = may_quarantine && self.is_proved(request, now);
@@ -226,6 +229,22 @@
         proved
     }
 
+    /// Determines anew what the parts in quarantine are accused together with. The same crash is reported for one
+    /// run after the other, so a part that explains it may seem to lack a server at first.
+    fn update_accomplices(&mut self, now: Instant) {
+        let quarantined = self.quarantined.keys().filter(|suspect| suspect.is_part());
+        let parts: Vec<Fingerprint> =
+            quarantined.filter(|part| !self.stored.contains_key(part)).copied().collect();
+        for part in parts {
+            let others = self.explaining_parts(part, now);
+            if self.total_evidence(part, now).is_proof()
+                && self.accomplices.get(&part).cloned().unwrap_or_default() != others
+            {
+                self.accuse(part, others);
+            }
+        }
+    }
+
     /// Sets what a suspect is accused together with. One that is accused alone, and of which this daemon has
     /// evidence, is to be written to the store.
     fn accuse(&mut self, suspect: Fingerprint, others: BTreeSet<Fingerprint>) {
@@ -388,10 +407,11 @@
         std::mem::take(&mut self.lost)
     }
 
-    /// Whether a request still has to be written to the store.
+    /// Whether a request, or a part that is accused alone, still has to be written to the store.
     pub fn is_unsaved(&self, request: Fingerprint, now: Instant) -> bool {
         self.quarantined.get(&request).is_some_and(|until| *until > now)
             && !self.stored.contains_key(&request)
+            && !self.accomplices.contains_key(&request)
     }
 
     /// This daemon's evidence on suspected requests, for its peers.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -501,6 +501,23 @@
     }
 }
 
+/// Guards against servers that are no longer counted against the deadly part, and so against others only.
+#[test]
+fn crashes_beyond_proof_are_explained_by_the_part_that_is_proved() {
+    let (mut daemon, now) = (Quarantine::default(), Instant::now());
+    let (deadly, first, second) = (part(1), part(2), part(3));
+    // Runs that are under way when the proof is complete.
+    for n in 0..8 {
+        crash(&mut daemon, n, &[deadly, first], now);
+    }
+    for n in 8..12 {
+        crash(&mut daemon, n, &[deadly, second], now);
+    }
+    assert!(refused(&daemon, 99, &[deadly], now));
+    assert!(!refused(&daemon, 99, &[first], now));
+    assert!(!refused(&daemon, 99, &[second], now));
+}
+
 /// Guards against a daemon that learnt of a part in company, and that goes on to want all of it.
 #[test]
 fn a_part_that_the_store_records_is_accused_alone() {
