Servers that a proved request crashed do not count against parts

A stream with the part that all prompts share was under way at a server that another request, deadly as a whole and proved, crashed. That half a server more made the shared part explain all crashes of the deadly part, so that it was accused alone.

Change: the servers of a proved request count against a part only where the request may have the part itself, which is where it never crashed a server without it.

Measured: what_a_proved_request_explains_does_not_count_against_parts failed before; the 25 tests of the file pass.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -25,6 +25,7 @@
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
 pub(crate) use evidence::top_suspects;
+use evidence::without_explained;
 pub use evidence::{Evidence, RunProgress};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
@@ -269,13 +270,16 @@
         if !total.is_proof() {
             return false;
         }
+        let mut requests = self.others(part, now).filter(|(other, _)| !other.is_part());
+        if requests.any(|(_, evidence)| evidence.covers(&total)) {
+            return false;
+        }
+        let proved = self.proved_requests(now);
+        let total = without_explained(total, &proved);
         let mut remaining = total.clone();
-        for (other, evidence) in self.others(part, now) {
-            if !other.is_part() {
-                if evidence.covers(&total) {
-                    return false;
-                }
-            } else if evidence.ended != total.ended
+        for (other, evidence) in self.others(part, now).filter(|(other, _)| other.is_part()) {
+            let evidence = without_explained(evidence, &proved);
+            if evidence.ended != total.ended
                 && (self.quarantined_for(other, now).is_some()
                     || (evidence.precedence() > total.precedence() && evidence.is_proof()))
             {
@@ -285,12 +289,20 @@
         remaining.is_proof()
     }
 
+    /// Evidence of the requests that are proved to crash servers.
+    fn proved_requests(&self, now: Instant) -> Vec<Evidence> {
+        let all = self.suspicions.keys().chain(self.peer_evidence.keys()).copied();
+        let requests = all.filter(|suspect| !suspect.is_part());
+        let evidence = requests.map(|request| self.total_evidence(request, now));
+        evidence.filter(Evidence::is_proof).collect()
+    }
+
     /// Other parts that have met all servers of a part, and no survivor; none for a request.
     fn explaining_parts(&self, part: Fingerprint, now: Instant) -> BTreeSet<Fingerprint> {
         if !part.is_part() {
             return BTreeSet::new();
         }
-        let total = self.total_evidence(part, now);
+        let total = without_explained(self.total_evidence(part, now), &self.proved_requests(now));
         let others = self.others(part, now).filter(|(other, _)| other.is_part());
         let explaining =
             others.filter(|(_, evidence)| !evidence.survived && evidence.explains(&total));
--- a/src/gateway/quarantine/evidence.rs
+++ b/src/gateway/quarantine/evidence.rs
@@ -90,6 +90,16 @@
     }
 }
 
+/// The evidence against a part without the servers that one of these requests crashed. A request that never ran
+/// without the part may have crashed them because of it.
+pub(super) fn without_explained(mut part: Evidence, requests: &[Evidence]) -> Evidence {
+    let total = part.clone();
+    for request in requests.iter().filter(|request| !total.covers(request)) {
+        part.exclude_explained(request);
+    }
+    part
+}
+
 /// Progress of a run when its server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunProgress {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -518,6 +518,24 @@
     assert!(!refused(&daemon, 99, &[second], now));
 }
 
+/// Guards against a sound part that was under way at a server which a deadly request of another kind crashed.
+#[test]
+fn what_a_proved_request_explains_does_not_count_against_parts() {
+    let (mut daemon, now) = (Quarantine::default(), Instant::now());
+    let (shared, deadly) = (part(1), part(2));
+    daemon.record_crash(&[request(50), shared], server(0), RunProgress::Begun, now);
+    for n in 0..3 {
+        daemon.record_crash(&[request(60)], server(n), RunProgress::NoEvents, now);
+    }
+    for n in 3..6 {
+        crash(&mut daemon, n, &[shared, deadly], now);
+    }
+    assert!(refused(&daemon, 99, &[shared, deadly], now));
+    assert!(!refused(&daemon, 99, &[shared], now));
+    daemon.record_survived(shared, now);
+    assert!(refused(&daemon, 99, &[deadly], now));
+}
+
 /// Guards against a daemon that learnt of a part in company, and that goes on to want all of it.
 #[test]
 fn a_part_that_the_store_records_is_accused_alone() {
