A proved request explains servers while it is in quarantine

Cause: a request's proof is the sum of what the daemons report. Once one of them stopped, the rest of it no longer explained the servers that it had crashed, and a part that had been under way at one was accused alone.

Change: what is in quarantine explains the servers still known of it.

Measured: a_proved_request_goes_on_to_explain_servers_once_a_witness_is_silent failed before; the 26 tests of the file pass.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -289,12 +289,14 @@
         remaining.is_proof()
     }
 
-    /// Evidence of the requests that are proved to crash servers.
+    /// Evidence of the requests that are proved to crash servers, as far as it is still known.
     fn proved_requests(&self, now: Instant) -> Vec<Evidence> {
         let all = self.suspicions.keys().chain(self.peer_evidence.keys()).copied();
-        let requests = all.filter(|suspect| !suspect.is_part());
-        let evidence = requests.map(|request| self.total_evidence(request, now));
-        evidence.filter(Evidence::is_proof).collect()
+        let evidence = all.filter(|suspect| !suspect.is_part()).map(|request| {
+            (self.quarantined_for(request, now).is_some(), self.total_evidence(request, now))
+        });
+        let proved = evidence.filter(|(quarantined, evidence)| *quarantined || evidence.is_proof());
+        proved.map(|(_, evidence)| evidence).collect()
     }
 
     /// Other parts that have met all servers of a part, and no survivor; none for a request.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -536,6 +536,25 @@
     assert!(refused(&daemon, 99, &[deadly], now));
 }
 
+/// Guards against a daemon that stops, and with it half of what proved the request.
+#[test]
+fn a_proved_request_goes_on_to_explain_servers_once_a_witness_is_silent() {
+    let mut fleet = Fleet::new(2);
+    let (now, shared, deadly) = (fleet.now, part(1), part(2));
+    fleet.daemons[0].record_crash(&[request(50), shared], server(0), RunProgress::Begun, now);
+    for n in 0..4 {
+        let witness = &mut fleet.daemons[n as usize / 2];
+        witness.record_crash(&[request(60)], server(n), RunProgress::NoEvents, now);
+    }
+    fleet.tell();
+    for n in 4..7 {
+        crash(&mut fleet.daemons[0], n, &[shared, deadly], now);
+    }
+    fleet.daemons[0].set_peer_reports(&HashMap::new(), now);
+    assert!(refused(&fleet.daemons[0], 99, &[shared, deadly], now));
+    assert!(!refused(&fleet.daemons[0], 99, &[shared], now));
+}
+
 /// Guards against a daemon that learnt of a part in company, and that goes on to want all of it.
 #[test]
 fn a_part_that_the_store_records_is_accused_alone() {
