What a proved request explains is discounted from parts for good

Cause: a daemon compared the servers of a part with what is reported of proved requests at that moment. After other daemons had stopped, the rest of a request's servers were all among the part's, as if the request had the part, and explained nothing any more.

Change: a daemon takes the servers that a proved request explains out of its own evidence against parts. Requests are judged before parts, and explain servers as long as they are in quarantine.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -157,6 +157,7 @@
         for suspect in suspects {
             self.add_ended(*suspect, server, progress, now);
         }
+        self.discount_explained(suspects, now);
         let proved = suspects.iter().filter(|suspect| self.quarantine_if_proved(**suspect, now));
         let proved = proved.copied().collect();
         self.update_accomplices(now);
@@ -200,17 +201,39 @@
     ) {
         let changed = self.peer_evidence != *peer_evidence;
         self.peer_evidence.clone_from(peer_evidence);
-        for (request, evidence) in peer_evidence {
-            if evidence.survived {
-                self.clear(*request);
-            }
-            self.quarantine_if_proved(*request, now);
+        let survived = peer_evidence.iter().filter(|(_, evidence)| evidence.survived);
+        survived.for_each(|(suspect, _)| self.clear(*suspect));
+        // Proved requests explain servers that parts have met.
+        let (parts, requests): (Vec<_>, Vec<_>) =
+            peer_evidence.keys().copied().partition(|suspect: &Fingerprint| suspect.is_part());
+        for suspect in requests.into_iter().chain(parts) {
+            self.quarantine_if_proved(suspect, now);
         }
         if changed {
+            let suspects: Vec<Fingerprint> = self.suspicions.keys().copied().collect();
+            self.discount_explained(&suspects, now);
             self.update_accomplices(now);
         }
     }
 
+    /// Discounts servers that proved requests crashed from this daemon's evidence against parts, for good: what
+    /// other daemons report of a request is lost when they stop.
+    fn discount_explained(&mut self, suspects: &[Fingerprint], now: Instant) {
+        let proved = self.proved_requests(now);
+        if proved.is_empty() {
+            return;
+        }
+        for part in suspects.iter().filter(|suspect| suspect.is_part()) {
+            let unexplained = without_explained(self.total_evidence(*part, now), &proved);
+            let explained = |server: &Tag| !unexplained.ended.contains_key(server);
+            let servers = self.suspicions.get_mut(part).map(|suspicion| &mut suspicion.servers);
+            for (_, blame) in servers.into_iter().flatten().filter(|(server, _)| explained(server))
+            {
+                *blame = 0;
+            }
+        }
+    }
+
     /// Evidence of this daemon.
     fn own_evidence(&self, request: Fingerprint, now: Instant) -> Evidence {
         let ended = self.suspicions.get(&request).map(|suspicion| suspicion.servers.clone());
@@ -279,7 +302,8 @@
         let mut remaining = total.clone();
         for (other, evidence) in self.others(part, now).filter(|(other, _)| other.is_part()) {
             let evidence = without_explained(evidence, &proved);
-            if evidence.ended != total.ended
+            let is_tied = evidence.explains(&total) && total.explains(&evidence);
+            if !is_tied
                 && (self.quarantined_for(other, now).is_some()
                     || (evidence.precedence() > total.precedence() && evidence.is_proof()))
             {
@@ -289,14 +313,11 @@
         remaining.is_proof()
     }
 
-    /// Evidence of the requests that are proved to crash servers, as far as it is still known.
+    /// Evidence of the requests in quarantine, as far as it is still known.
     fn proved_requests(&self, now: Instant) -> Vec<Evidence> {
-        let all = self.suspicions.keys().chain(self.peer_evidence.keys()).copied();
-        let evidence = all.filter(|suspect| !suspect.is_part()).map(|request| {
-            (self.quarantined_for(request, now).is_some(), self.total_evidence(request, now))
-        });
-        let proved = evidence.filter(|(quarantined, evidence)| *quarantined || evidence.is_proof());
-        proved.map(|(_, evidence)| evidence).collect()
+        let known = self.quarantined.keys().chain(self.stored.keys());
+        let requests = known.filter(|suspect| !suspect.is_part());
+        requests.map(|request| self.total_evidence(*request, now)).collect()
     }
 
     /// Other parts that have met all servers of a part, and no survivor; none for a request.
--- a/src/gateway/quarantine/evidence.rs
+++ b/src/gateway/quarantine/evidence.rs
@@ -57,7 +57,8 @@
 
     /// Whether this explains the end of all servers of some other evidence.
     pub(super) fn explains(&self, other: &Evidence) -> bool {
-        other.ended.iter().all(|(server, blame)| self.ended.get(server) >= Some(blame))
+        let mut blamed = other.ended.iter().filter(|(_, blame)| **blame > 0);
+        blamed.all(|(server, blame)| self.ended.get(server) >= Some(blame))
     }
 
     /// Removes servers that had sent an event of this request but none of `suspect`.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -555,6 +555,36 @@
     assert!(!refused(&fleet.daemons[0], 99, &[shared], now));
 }
 
+/// Guards against a daemon that starts again and hears only what is left of a proved request.
+#[test]
+fn what_a_proved_request_explained_is_discounted_for_good() {
+    let mut fleet = Fleet::new(3);
+    let (now, shared, deadly) = (fleet.now, part(1), part(2));
+    for n in 0..4 {
+        let witness = &mut fleet.daemons[n as usize / 2];
+        witness.record_crash(&[request(60)], server(n), RunProgress::NoEvents, now);
+    }
+    for n in 0..2 {
+        crash(&mut fleet.daemons[0], n, &[shared], now);
+    }
+    fleet.tell();
+    crash(&mut fleet.daemons[0], 5, &[shared, deadly], now);
+    // The others start again.
+    fleet.daemons[1..].fill_with(Quarantine::default);
+    fleet.tell();
+    crash(&mut fleet.daemons[2], 6, &[shared, deadly], now);
+    for _ in 0..2 {
+        fleet.tell();
+        assert!(fleet.daemons.iter().all(|daemon| !refused(daemon, 99, &[shared], now)));
+    }
+    crash(&mut fleet.daemons[2], 7, &[shared, deadly], now);
+    fleet.tell();
+    for daemon in &fleet.daemons {
+        assert!(refused(daemon, 99, &[shared, deadly], now));
+        assert!(!refused(daemon, 99, &[shared], now));
+    }
+}
+
 /// Guards against a daemon that learnt of a part in company, and that goes on to want all of it.
 #[test]
 fn a_part_that_the_store_records_is_accused_alone() {
