A part is released once a proved request explains the crashes

Change: a daemon keeps the evidence on which a part is in quarantine, and releases the part if proved requests explain too much of it. Parts are recorded 2 s later than before, once all daemons have reported, and reports are merged meanwhile though no request comes.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -96,6 +96,8 @@
     quarantined: HashMap<Fingerprint, Instant>,
     /// The other parts with which a part in quarantine is accused together; none if it is accused alone.
     accomplices: BTreeMap<Fingerprint, BTreeSet<Fingerprint>>,
+    /// The evidence on which each part is in quarantine.
+    grounds: BTreeMap<Fingerprint, Evidence>,
     /// Requests with a record in the store, and until when it keeps them in quarantine.
     stored: HashMap<Fingerprint, Instant>,
     /// Requests that were released, and when.
@@ -128,6 +130,7 @@
         self.suspicions.remove(&suspect);
         self.quarantined.remove(&suspect);
         self.accomplices.remove(&suspect);
+        self.grounds.remove(&suspect);
         let parts: Vec<Fingerprint> = self.accomplices.keys().copied().collect();
         for part in parts {
             let mut others = self.accomplices[&part].clone();
@@ -210,6 +213,7 @@
             self.quarantine_if_proved(suspect, now);
         }
         if changed {
+            self.release_explained(now);
             let suspects: Vec<Fingerprint> = self.suspicions.keys().copied().collect();
             self.discount_explained(&suspects, now);
             self.update_accomplices(now);
@@ -248,11 +252,29 @@
         let proved = may_quarantine && self.is_proved(request, now);
         if proved {
             self.quarantined.insert(request, now + QUARANTINE_TTL);
+            if request.is_part() {
+                self.grounds.insert(request, self.total_evidence(request, now));
+            }
             self.accuse(request, self.explaining_parts(request, now));
         }
         proved
     }
 
+    /// Releases parts that were put in quarantine before it was proved that a request explains the crashes.
+    fn release_explained(&mut self, now: Instant) {
+        let proved = self.proved_requests(now);
+        let is_explained =
+            |evidence: &Evidence| !without_explained(evidence.clone(), &proved).is_proof();
+        let grounds = self.grounds.iter().filter(|(part, _)| !self.stored.contains_key(part));
+        let explained: Vec<Fingerprint> =
+            grounds.filter(|(_, evidence)| is_explained(evidence)).map(|(part, _)| *part).collect();
+        for part in explained {
+            self.quarantined.remove(&part);
+            self.accomplices.remove(&part);
+            self.grounds.remove(&part);
+        }
+    }
+
     /// Determines anew what the parts in quarantine are accused together with. The same crash is reported for one
     /// run after the other, so a part that explains it may seem to lack a server at first.
     fn update_accomplices(&mut self, now: Instant) {
@@ -457,6 +479,7 @@
         self.quarantined.retain(|_, until| *until > now);
         let quarantined = &self.quarantined;
         self.accomplices.retain(|part, _| quarantined.contains_key(part));
+        self.grounds.retain(|part, _| quarantined.contains_key(part));
         let peer_only =
             self.peer_evidence.keys().filter(|request| !self.suspicions.contains_key(request));
         let survived = peer_only.filter(|request| self.survivors.contains_recent(**request, now));
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -26,6 +26,8 @@
 /// write it, and those with longer delays may find it written already. Short, since a power failure before
 /// the write loses the record.
 const MAX_RECORD_DELAY: Duration = Duration::from_millis(300);
+/// Delay before a part is recorded: until the reports of all daemons have arrived, which may explain its servers.
+const PART_RECORD_DELAY: Duration = Duration::from_secs(2);
 /// Upper bound of the random delay before a record that the store has lost is written again; all daemons know
 /// of it.
 const MAX_RESTORE_DELAY: Duration = Duration::from_secs(5);
@@ -109,6 +111,8 @@
             gateway.quarantine_changed.notified().await;
         }
         sleep(CHECK_INTERVAL).await;
+        // Reports may release what is in quarantine, and no request may come.
+        gateway.merge_peer_stats(time::now());
         let (proved, lost, count) = {
             let mut quarantine = gateway.quarantine();
             let (proved, lost) = (quarantine.take_unsaved(), quarantine.take_lost());
@@ -120,7 +124,8 @@
         for (request, spread) in proved.chain(lost) {
             let key = format!("{}{request}", schema.quarantine());
             let (gateway, store, mirror) = (gateway.clone(), store.clone(), mirror.clone());
-            let pause = rand::rng().random_range(Duration::ZERO..spread);
+            let least = if request.is_part() { PART_RECORD_DELAY } else { Duration::ZERO };
+            let pause = least + rand::rng().random_range(Duration::ZERO..spread);
             tokio::spawn(async move {
                 sleep(pause).await;
                 record_one(gateway, store, mirror, request, key).await;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -585,6 +585,40 @@
     }
 }
 
+/// Guards against a sound part that is accused in the moment before a request is proved that explains it.
+#[test]
+fn a_part_is_released_once_a_proved_request_explains_it() {
+    let mut fleet = Fleet::new(3);
+    let (now, shared, deadly) = (fleet.now, part(1), part(2));
+    let deadly_request = [request(60)];
+    crash(&mut fleet.daemons[0], 0, &[shared, deadly], now);
+    crash(&mut fleet.daemons[1], 2, &[shared], now);
+    fleet.tell();
+    crash(&mut fleet.daemons[0], 3, &[shared], now);
+    assert!(refused(&fleet.daemons[0], 99, &[shared], now));
+    fleet.daemons[2].record_crash(&deadly_request, server(2), RunProgress::NoEvents, now);
+    for n in 3..7 {
+        fleet.daemons[1].record_crash(&deadly_request, server(n), RunProgress::NoEvents, now);
+    }
+    for _ in 0..2 {
+        fleet.tell();
+    }
+    for daemon in &mut fleet.daemons {
+        assert!(refused(daemon, 99, &deadly_request, now));
+        assert!(!refused(daemon, 99, &[shared], now));
+        let unsaved = daemon.take_unsaved();
+        assert!(
+            !unsaved.iter().any(|suspect| daemon.is_unsaved(*suspect, now) && suspect.is_part())
+        );
+    }
+    // What is left of the evidence counts.
+    for n in 7..9 {
+        crash(&mut fleet.daemons[2], n, &[shared, deadly], now);
+    }
+    fleet.tell();
+    assert!(fleet.daemons.iter().all(|daemon| refused(daemon, 99, &[shared, deadly], now)));
+}
+
 /// Guards against a daemon that learnt of a part in company, and that goes on to want all of it.
 #[test]
 fn a_part_that_the_store_records_is_accused_alone() {
