Streams: one place decides what counts as not continued

Cause: two callers compared a refusal's reason before they counted it, and the reporting loop carried a list over that it only exchanged.

Change: count_not_continued passes over other reasons; the list is gone. Behaviour is as before.

--- a/src/gateway/cluster/streams.rs
+++ b/src/gateway/cluster/streams.rs
@@ -49,7 +49,6 @@
 
     /// Reports streams to their holders, and those of a holder that does not answer to the next daemon.
     async fn report(&self, begun: &[BegunStream]) {
-        let mut unconfirmed: Vec<(BegunStream, usize)> = Vec::new();
         let mut rank = HOLDERS;
         let first = begun.iter().flat_map(|stream| (0..HOLDERS).map(|rank| (*stream, rank)));
         let mut due: Vec<(BegunStream, usize)> = first.collect();
@@ -57,9 +56,8 @@
             let reports = self.by_holder(&due, time::now());
             let sent = reports.into_iter().map(|(to, streams)| self.send_report(to, streams));
             let failed = futures_util::future::join_all(sent).await;
-            unconfirmed.extend(failed.into_iter().flatten().map(|stream| (stream, rank)));
+            due = failed.into_iter().flatten().map(|stream| (stream, rank)).collect();
             rank += 1;
-            due = std::mem::take(&mut unconfirmed);
         }
         if !due.is_empty() {
             warn!(streams = due.len(); "streams not reported to enough daemons");
--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -22,7 +22,7 @@
 const UNDECLARED_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Why a stream does not go on: nobody can tell which software began it.
-pub(super) const VERSION_UNKNOWN: &str = "version_unknown";
+const VERSION_UNKNOWN: &str = "version_unknown";
 /// Why a stream does not go on: no server of the software that began it takes work.
 pub(super) const NO_SERVER_OF_VERSION: &str = "no_server_of_version";
 
@@ -165,9 +165,11 @@
         answer.begun_by.or_else(|| answer.only_software(own, is_recent))
     }
 
-    /// Counts a stream that does not go on.
+    /// Counts a stream that does not go on, if that is because of its software version.
     pub(super) fn count_not_continued(&self, reason: &str) {
-        self.metrics.not_continued.with_label_values(&[reason]).inc();
+        if matches!(reason, VERSION_UNKNOWN | NO_SERVER_OF_VERSION) {
+            self.metrics.not_continued.with_label_values(&[reason]).inc();
+        }
     }
 
     /// This daemon's answer to a question about a stream.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,7 +4,6 @@
 
 use crate::gateway::admission::{self, AdmissionClass};
 use crate::gateway::buffers::{BufferKind, Buffers, Reservation};
-use crate::gateway::continuation::NO_SERVER_OF_VERSION;
 use crate::gateway::core::Gateway;
 use crate::gateway::limited::SERVERS_IN_NEED;
 use crate::gateway::port::{Reply, SendError, SendOptions};
@@ -355,9 +354,7 @@
         if self.tried.is_empty() {
             self.count_decision(Some(why.reason));
         }
-        if why.reason == NO_SERVER_OF_VERSION {
-            self.gateway.count_not_continued(why.reason);
-        }
+        self.gateway.count_not_continued(why.reason);
         self.log("ended without success", why.reason);
         match proof {
             Some(proof) => {
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -3,7 +3,6 @@
 use super::{Relay, RelayEnd};
 use crate::gateway::admission::AdmissionClass;
 use crate::gateway::budget::RetryKind;
-use crate::gateway::continuation::NO_SERVER_OF_VERSION;
 use crate::gateway::port::{RunCopy, SendOptions};
 use crate::gateway::slot::Slot;
 use crate::gateway::upstream::reopen;
@@ -79,9 +78,7 @@
         let slot =
             self.gateway.slot_for_retry(&self.service, &self.call, admission_class, &tried, now);
         let slot = slot.map_err(|no_slot| {
-            if no_slot.reason == NO_SERVER_OF_VERSION {
-                self.gateway.count_not_continued(no_slot.reason);
-            }
+            self.gateway.count_not_continued(no_slot.reason);
             RelayEnd::Broken(format!("{why}; not continued: {}", no_slot.reason))
         })?;
         self.runs += 1;
