--- a/src/gateway/quarantine/evidence.rs
+++ b/src/gateway/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! What speaks for and against a request or a part of prompts that may crash servers.
+//! Evidence that a request or a part of prompts crashes servers, or that it does not.
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::tag::Tag;
@@ -10,14 +10,14 @@
 /// in one attempt. With three, plus the retry that is already under way when the third ends, a deadly request
 /// takes three or four servers. If each of them sends an event first, it takes six: at most three more than
 /// the third.
-pub(super) const PROOF_BLAME: u32 = 6;
+const PROOF_BLAME: u32 = 6;
 /// Servers that must have ended under a request, in halves, before it explains the end of servers that had
 /// sent an event of another request: two, which is rarely a coincidence. The first heartbeats between daemons
 /// that have just started arrive up to 0.4 s late, so a daemon may know less about a deadly request than
 /// about a sound one that runs at the same servers.
 const SUSPECT_BLAME: u32 = 4;
 /// Highest number of suspected requests, and of suspected parts, in a report of one daemon or in a sum of
-/// several, by the number of servers that ended; about 30 bytes each.
+/// several, by the number of servers that ended; some 10 bytes for each server.
 pub(crate) const MAX_REPORTED: usize = 32;
 
 /// What happened to the servers that ran a request.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -434,17 +434,17 @@
     Fingerprint::of_part(&n.to_string())
 }
 
-/// A crash under a request of its own with these parts.
+/// A request of its own with these parts.
+fn suspects(n: u64, parts: &[Fingerprint]) -> Vec<Fingerprint> {
+    [request(n)].into_iter().chain(parts.iter().copied()).collect()
+}
+
 fn crash(daemon: &mut Quarantine, n: u64, parts: &[Fingerprint], now: Instant) {
-    let suspects: Vec<Fingerprint> =
-        [request(n)].into_iter().chain(parts.iter().copied()).collect();
-    daemon.record_crash(&suspects, server(n), RunProgress::NoEvents, now);
+    daemon.record_crash(&suspects(n, parts), server(n), RunProgress::NoEvents, now);
 }
 
 fn refused(daemon: &Quarantine, n: u64, parts: &[Fingerprint], now: Instant) -> bool {
-    let suspects: Vec<Fingerprint> =
-        [request(n)].into_iter().chain(parts.iter().copied()).collect();
-    daemon.reason_to_refuse(&suspects, now).is_some()
+    daemon.reason_to_refuse(&suspects(n, parts), now).is_some()
 }
 
 /// Guards against a part that all prompts share and that is accused because no sound request has come yet.
