--- a/review/kit/client.rs
+++ b/review/kit/client.rs
@@ -47,8 +47,33 @@
     pub took: Duration,
 }
 
-/// Sends a request and reads the answer.
+/// A channel to a gateway, which may carry several requests one after the other.
+pub struct Channel {
+    stream: TcpStream,
+    from: BufReader<TcpStream>,
+}
+
+impl Channel {
+    /// Opens a channel within a second.
+    pub fn open(to: SocketAddr) -> std::io::Result<Channel> {
+        let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        let from = BufReader::new(stream.try_clone()?);
+        Ok(Channel { stream, from })
+    }
+
+    /// Sends a request on this channel and reads the answer.
+    pub fn send(&mut self, ask: &Ask) -> Seen {
+        watch(|began, seen| exchange(self, ask, began, seen))
+    }
+}
+
+/// Sends a request on a new channel and reads the answer.
 pub fn send(ask: &Ask) -> Seen {
+    watch(|began, seen| exchange(&mut Channel::open(ask.to)?, ask, began, seen))
+}
+
+fn watch(exchange: impl FnOnce(Instant, &mut Seen) -> std::io::Result<()>) -> Seen {
     let began = Instant::now();
     let mut seen = Seen {
         status: None,
@@ -58,7 +83,7 @@
         end: End::Whole,
         took: Duration::ZERO,
     };
-    if let Err(e) = exchange(ask, began, &mut seen) {
+    if let Err(e) = exchange(began, &mut seen) {
         seen.end = match e.kind() {
             ErrorKind::WouldBlock | ErrorKind::TimedOut => End::GaveUp,
             _ => End::Cut(e.to_string()),
@@ -68,9 +93,13 @@
     seen
 }
 
-fn exchange(ask: &Ask, began: Instant, seen: &mut Seen) -> std::io::Result<()> {
-    let mut stream = TcpStream::connect_timeout(&ask.to, Duration::from_secs(1))?;
-    stream.set_nodelay(true)?;
+fn exchange(
+    channel: &mut Channel,
+    ask: &Ask,
+    began: Instant,
+    seen: &mut Seen,
+) -> std::io::Result<()> {
+    let Channel { stream, from } = channel;
     let mut head = format!(
         "{} {} HTTP/1.1\r\nhost: {}\r\nx-request-id: {}\r\nx-deadline-remaining: {}\r\n{}",
         ask.method,
@@ -89,28 +118,26 @@
     head.push_str("\r\n");
     stream.write_all(head.as_bytes())?;
     stream.write_all(&ask.body)?;
-    let clock = stream.try_clone()?;
-    let mut from = BufReader::new(stream);
     // A read waits for the gap at most, and never beyond the time budget.
     let arm = || {
         let left = ask.budget.saturating_sub(began.elapsed()).min(ask.gap);
         match left.is_zero() {
             true => Err(ErrorKind::TimedOut.into()),
-            false => clock.set_read_timeout(Some(left)),
+            false => stream.set_read_timeout(Some(left)),
         }
     };
     arm()?;
-    let head = read_head(&mut from)?;
+    let head = read_head(from)?;
     seen.status = Some(head.status);
     seen.seal = header(&head.headers, "x-replica-seal").map(str::to_string);
     if header(&head.headers, "transfer-encoding").is_none() {
         arm()?;
-        return read_body(&mut from, &head, |part| seen.body.extend_from_slice(part));
+        return read_body(from, &head, |part| seen.body.extend_from_slice(part));
     }
     let mut searched = 0;
     loop {
         arm()?;
-        let part = chunk(&mut from)?;
+        let part = chunk(from)?;
         if part.is_empty() {
             return Ok(());
         }
