--- a/review/kit/replica.rs
+++ b/review/kit/replica.rs
@@ -4,7 +4,7 @@
 use super::json::Json;
 use super::record::Record;
 use super::sleep_ms;
-use super::socket::reset_on_close;
+use super::socket::{reset, reset_on_close};
 use super::store::Store;
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
@@ -26,6 +26,8 @@
     Events { first_ms: u64, gap_ms: u64, count: u64, break_after: Option<u64> },
     /// Runs it and answers after a time.
     Plain { work_ms: u64 },
+    /// The same as `Events` after the prompt has been read, with which the run begins.
+    Read { prompt_ms: u64, first_ms: u64, gap_ms: u64, count: u64 },
     /// Takes it and never answers; ends when the channel is closed.
     Hang,
     /// Runs it, and the answer is lost: the channel is reset once the run has ended.
@@ -138,6 +140,7 @@
 struct Channel {
     stream: TcpStream,
     request: String,
+    is_reset: bool,
 }
 
 /// One replica; clones share one state.
@@ -258,14 +261,21 @@
 
     /// Resets the channels whose request `picks`. Returns their number.
     pub fn reset_channels(&self, mut picks: impl FnMut(&str) -> bool) -> usize {
+        let mut channels = self.channels.lock().unwrap();
+        let in_use = channels.values_mut().filter(|channel| !channel.request.is_empty());
+        let mut count = 0;
+        for channel in in_use.filter(|channel| picks(&channel.request)) {
+            channel.is_reset = true;
+            reset(&channel.stream);
+            count += 1;
+        }
+        count
+    }
+
+    /// Whether the channel of a request was reset.
+    fn is_reset(&self, request: &str) -> bool {
         let channels = self.channels.lock().unwrap();
-        let picked = channels.values().filter(|c| !c.request.is_empty() && picks(&c.request));
-        picked
-            .map(|channel| {
-                reset_on_close(&channel.stream);
-                let _ = channel.stream.shutdown(Shutdown::Both);
-            })
-            .count()
+        channels.values().any(|channel| channel.request == request && channel.is_reset)
     }
 
     fn accept(&self, listener: &TcpListener) {
@@ -278,7 +288,7 @@
             let (replica, number) = (self.clone(), number);
             std::thread::spawn(move || {
                 if let Ok(kept) = stream.try_clone() {
-                    let channel = Channel { stream: kept, request: String::new() };
+                    let channel = Channel { stream: kept, request: String::new(), is_reset: false };
                     replica.channels.lock().unwrap().insert(number, channel);
                 }
                 let _ = replica.serve(stream, number);
@@ -416,8 +426,20 @@
         out: &mut TcpStream,
     ) -> std::io::Result<bool> {
         let act = (self.pool.decide)(self, request);
+        let act = match act {
+            Act::Read { prompt_ms, first_ms, gap_ms, count } => {
+                sleep_ms(prompt_ms);
+                if self.is_reset(id) {
+                    self.pool.record.line(format!("replica {} drops {id} before its run", self.id));
+                    return Ok(false);
+                }
+                Act::Events { first_ms, gap_ms, count, break_after: None }
+            }
+            act => act,
+        };
         let seal = format!("seal-of-{}", self.id);
         match act {
+            Act::Read { .. } => unreachable!("replaced above"),
             Act::Plain { work_ms } => {
                 self.note_run(request, id);
                 sleep_ms(work_ms);
--- a/review/kit/socket.rs
+++ b/review/kit/socket.rs
@@ -1,4 +1,4 @@
-//! Closing a connection with a reset, and signals. The standard library has neither.
+//! Resets of connections, and signals. The standard library has neither.
 
 use std::ffi::c_int;
 use std::net::TcpStream;
@@ -10,9 +10,17 @@
     seconds: c_int,
 }
 
+/// A socket address without a family.
+#[repr(C)]
+struct Address {
+    family: u16,
+    data: [u8; 14],
+}
+
 unsafe extern "C" {
     fn setsockopt(fd: c_int, level: c_int, name: c_int, value: *const Linger, len: u32) -> c_int;
     fn kill(pid: c_int, signal: c_int) -> c_int;
+    fn connect(fd: c_int, address: *const Address, len: u32) -> c_int;
 }
 
 const SOL_SOCKET: c_int = 1;
@@ -26,6 +34,14 @@
     unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, size) };
 }
 
+/// Resets a connection at once, also while other handles of it are open: that is what connecting it to an address
+/// without a family does.
+pub fn reset(stream: &TcpStream) {
+    let address = Address { family: 0, data: [0; 14] };
+    let size = std::mem::size_of::<Address>() as u32;
+    unsafe { connect(stream.as_raw_fd(), &address, size) };
+}
+
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
