--- a/review/kit/gateway.rs
+++ b/review/kit/gateway.rs
@@ -2,7 +2,7 @@
 
 use super::http::{Head, read_head};
 use super::record::Record;
-use super::socket::{SIGKILL, signal};
+use super::socket::{SIGKILL, kill_with_parent, signal};
 use super::store::Store;
 use std::fs::{File, create_dir_all};
 use std::io::{BufReader, Write};
@@ -134,7 +134,9 @@
     pub fn run(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).expect("a log file");
         let errors = log.try_clone().expect("a second handle");
-        let process = Command::new("target/release/tidestair-gateway")
+        let mut command = Command::new("target/release/tidestair-gateway");
+        kill_with_parent(&mut command);
+        let process = command
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
             .env("TIDESTAIR_NODE_FILE", &self.settings)
--- a/review/kit/socket.rs
+++ b/review/kit/socket.rs
@@ -1,8 +1,10 @@
 //! Resets of connections, and signals. The standard library has neither.
 
-use std::ffi::c_int;
+use std::ffi::{c_int, c_ulong};
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
+use std::process::Command;
 
 #[repr(C)]
 struct Linger {
@@ -20,6 +22,7 @@
 unsafe extern "C" {
     fn setsockopt(fd: c_int, level: c_int, name: c_int, value: *const Linger, len: u32) -> c_int;
     fn kill(pid: c_int, signal: c_int) -> c_int;
+    fn prctl(option: c_int, ...) -> c_int;
     fn connect(fd: c_int, address: *const Address, len: u32) -> c_int;
 }
 
@@ -47,6 +50,17 @@
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 
+/// Has the kernel kill a child process when the case ends, however it ends.
+pub fn kill_with_parent(command: &mut Command) {
+    const PR_SET_PDEATHSIG: c_int = 1;
+    let ask = || match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as c_ulong) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    };
+    // Between fork and exec, only this call is made.
+    unsafe { command.pre_exec(ask) };
+}
+
 /// Sends a signal to a process that the case has started.
 pub fn signal(pid: u32, signal: i32) {
     unsafe { kill(pid as c_int, signal) };
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -16,19 +16,26 @@
     lease: u64,
 }
 
+#[derive(Clone)]
 struct Change {
     key: String,
     revision: u64,
     value: Option<Item>,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     until: Instant,
 }
 
-#[derive(Default)]
-struct State {
+/// The store's data.
+#[derive(Default, Clone)]
+pub struct State {
+    /// Number of times that it was restored from a copy.
+    era: u64,
+    /// Whether it is away: all calls get 503.
+    away: bool,
     revision: u64,
     items: BTreeMap<String, Item>,
     changes: Vec<Change>,
@@ -117,6 +124,25 @@
         self.state.1.notify_all();
     }
 
+    /// A copy of all data.
+    pub fn copy(&self) -> State {
+        self.state.0.lock().unwrap().clone()
+    }
+
+    /// The store is away from now on.
+    pub fn go_away(&self) {
+        self.state.0.lock().unwrap().away = true;
+    }
+
+    /// The store is back, with the data of an earlier copy.
+    pub fn come_back(&self, copy: State) {
+        let mut state = self.state.0.lock().unwrap();
+        let era = state.era + 1;
+        *state = State { era, away: false, ..copy };
+        drop(state);
+        self.state.1.notify_all();
+    }
+
     /// The keys below a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.0.lock().unwrap();
@@ -129,8 +155,13 @@
         let mut from = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut from) {
             let (status, body) = self.answer(&request);
-            let json = [("content-type", "application/json")];
-            if write_answer(&mut out, status, &json, &body).is_err() {
+            let (era, away) = {
+                let state = self.state.0.lock().unwrap();
+                (state.era.to_string(), state.away)
+            };
+            let status = if away { "503 Service Unavailable" } else { status };
+            let headers = [("content-type", "application/json"), ("store-era", era.as_str())];
+            if write_answer(&mut out, status, &headers, &body).is_err() {
                 return;
             }
         }
@@ -179,6 +210,9 @@
         let until = Instant::now() + wait;
         let mut state = self.state.0.lock().unwrap();
         loop {
+            if after > state.revision {
+                return ("410 Gone", "{}".into());
+            }
             let new = |change: &&Change| change.revision > after && change.key.starts_with(prefix);
             let rows: Vec<String> = state
                 .changes
