The deadline of a stream bounds all that its relay waits for

Callers saw: streams that broke off or were moved, and whose next server did not answer, stood still until the callers gave up, beyond their route's timeout and beyond the callers' own time.

Cause: the relay checked its deadline where it waits for the next event. The response of the server that continues the stream was awaited in the handler of an event, outside that check. An answer that another daemon relays had no limit here at all.

Change: the whole relay is bounded by the deadline, which is unchanged; whatever is in progress is dropped with it. The body of another daemon's answer ends at the deadline like those of plain services, by the same function.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -402,7 +402,8 @@
         };
         if !has_room || buffered.len() > MAX_BUFFERED {
             let first = attach(buffered.freeze(), held);
-            return Ok(Answer { status, headers, body: with_first_part(first, body, deadline) });
+            let rest = until_deadline(body, deadline);
+            return Ok(Answer { status, headers, body: with_first_part(first, rest) });
         }
     }
     Ok(Answer { status, headers, body: full_body(attach(buffered.freeze(), held)) })
@@ -416,19 +417,24 @@
     }
 }
 
-/// Puts the part that has been read back in front of a body. The body ends at the deadline, as incomplete: it
-/// may come without end.
-fn with_first_part(first: Bytes, rest: AnswerBody, deadline: Instant) -> AnswerBody {
+/// Puts the part that has been read back in front of a body.
+fn with_first_part(first: Bytes, rest: AnswerBody) -> AnswerBody {
     let first = futures_util::stream::once(async { Ok(Frame::data(first)) });
-    let rest = futures_util::stream::unfold(Some(BodyStream::new(rest)), move |rest| async move {
-        let mut rest = rest?;
-        // Frames that never fail to be ready would hide the deadline.
-        let is_over = time::now() >= deadline;
-        let next = if is_over { None } else { time::timeout_at(deadline, rest.next()).await };
-        match next {
-            Some(frame) => frame.map(|frame| (frame, Some(rest))),
-            None => Some((Err(IncompleteBody { reason: "out of time".into() }), None)),
-        }
-    });
-    StreamBody::new(first.chain(rest)).boxed_unsync()
+    StreamBody::new(first.chain(BodyStream::new(rest))).boxed_unsync()
+}
+
+/// Ends a body at the deadline, as incomplete: it may come without end, or stop coming.
+fn until_deadline(body: AnswerBody, deadline: Instant) -> AnswerBody {
+    let frames =
+        futures_util::stream::unfold(Some(BodyStream::new(body)), move |body| async move {
+            let mut body = body?;
+            // Frames that never fail to be ready would hide the deadline.
+            let is_over = time::now() >= deadline;
+            let next = if is_over { None } else { time::timeout_at(deadline, body.next()).await };
+            match next {
+                Some(frame) => frame.map(|frame| (frame, Some(body))),
+                None => Some((Err(IncompleteBody { reason: "out of time".into() }), None)),
+            }
+        });
+    StreamBody::new(frames).boxed_unsync()
 }
--- a/src/gateway/forward/through_peer.rs
+++ b/src/gateway/forward/through_peer.rs
@@ -1,6 +1,6 @@
 //! Forwards a request to another daemon while this one can't reach any backend server.
 
-use super::Attempts;
+use super::{Attempts, until_deadline};
 use crate::gateway::budget::RetryKind;
 use crate::gateway::core::Gateway;
 use crate::gateway::isolation::PROBE_INTERVAL;
@@ -53,7 +53,8 @@
                     self.count_forwarded("answered");
                     let status = answer.status.as_u16();
                     info!(id = id, peer = to.as_str(), status = status; "answered by another daemon");
-                    return Ok(answer);
+                    let body = until_deadline(answer.body, self.call.deadline);
+                    return Ok(Answer { body, ..answer });
                 }
                 Err(SendError::Unsent { proof: returned, reason, .. }) => {
                     self.count_forwarded("not_reached");
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -175,8 +175,6 @@
 
 /// What the relay has to handle next.
 enum Wakeup {
-    /// The deadline has passed.
-    OutOfTime,
     /// The server is about to leave.
     Notice,
     /// The stream has been silent for long enough to probe the server.
@@ -192,11 +190,12 @@
 impl Relay {
     /// Relays the whole stream and logs how it ended.
     async fn run(mut self, first: Event) {
-        let caller = self.event_sender.clone();
+        let (caller, deadline) = (self.event_sender.clone(), self.call.deadline);
+        // Both of the first two drop everything in progress, whatever it waits for.
         let end = tokio::select! {
             biased;
-            // If the caller closes the connection, everything in progress is dropped.
             () = caller.closed() => RelayEnd::CallerLeft,
+            () = time::sleep_until(deadline) => RelayEnd::Broken("out of time".into()),
             end = self.relay_all(first) => end,
         };
         let (id, server) = (self.call.id.as_str(), self.slot.id());
@@ -232,8 +231,6 @@
 
     /// Relays events until the stream ends, moving or restarting the run where needed.
     async fn relay_events(&mut self) -> RelayEnd {
-        let deadline = time::sleep_until(self.call.deadline);
-        tokio::pin!(deadline);
         let mut moving: Option<Moving> = None;
         loop {
             // No timer is needed for the end of `MOVE_RETRY_PAUSE`: each event comes back here, and events
@@ -244,7 +241,6 @@
             let probe_timer = time::sleep_until(self.next_probe());
             let wakeup = tokio::select! {
                 biased;
-                () = &mut deadline => Wakeup::OutOfTime,
                 moved = wait_for_move(&mut moving) => Wakeup::Moved(Box::new(moved)),
                 () = wait_for_notice(&mut self.slot), if may_move_now => Wakeup::Notice,
                 () = self.queue.wait_for_room(), if !may_read => Wakeup::Room,
@@ -252,7 +248,6 @@
                 () = probe_timer, if may_probe => Wakeup::Silence,
             };
             let result = match wakeup {
-                Wakeup::OutOfTime => return RelayEnd::Broken("out of time".into()),
                 Wakeup::Notice => {
                     moving = Some(self.start_move("server is leaving"));
                     continue;
--- a/tests/common/wire.rs
+++ b/tests/common/wire.rs
@@ -28,11 +28,20 @@
 type Bodies = Box<dyn FnMut(&str) -> AnswerBody + Send>;
 
 /// A transport whose servers answer each request with a scripted body.
-pub struct Wire(Mutex<Bodies>);
+pub struct Wire {
+    bodies: Mutex<Bodies>,
+    reachable: bool,
+}
 
 impl Wire {
     pub fn new(bodies: impl FnMut(&str) -> AnswerBody + Send + 'static) -> Arc<Wire> {
-        Arc::new(Wire(Mutex::new(Box::new(bodies))))
+        Arc::new(Wire { bodies: Mutex::new(Box::new(bodies)), reachable: true })
+    }
+
+    /// A transport whose servers refuse all connections.
+    pub fn refusing() -> Arc<Wire> {
+        let unused = Box::new(|path: &str| -> AnswerBody { panic!("{path} was sent") });
+        Arc::new(Wire { bodies: Mutex::new(unused), reachable: false })
     }
 
     /// A transport that no request may reach.
@@ -48,8 +57,12 @@
         _: SendOptions,
         proof: Option<NotSent>,
     ) -> BoxFuture<'a, Result<Reply, SendError>> {
+        if !self.reachable {
+            let error = SendError::Unsent { proof, refused: true, reason: "cut".into() };
+            return Box::pin(ready(Err(error)));
+        }
         proof.into_iter().for_each(NotSent::spend);
-        let body = (self.0.lock().unwrap())(&call.path);
+        let body = (self.bodies.lock().unwrap())(&call.path);
         Box::pin(ready(Ok(Reply {
             status: StatusCode::OK,
             headers: HeaderMap::new(),
@@ -84,7 +97,7 @@
     }
 
     fn connect(&self, _: SocketAddr, _: Duration) -> BoxFuture<'_, Result<(), ConnectFailure>> {
-        Box::pin(async { Ok(()) })
+        Box::pin(ready(if self.reachable { Ok(()) } else { Err(ConnectFailure::Refused) }))
     }
 
     fn free<'a>(&'a self, _: SocketAddr, _: &'a str) -> BoxFuture<'a, ()> {
