A stopping daemon accepts what it can answer before it ends

Cause: can_finish let every request pass that may run again, and judged the others by a fixed time per token.

Evidence: the cut streams are all of a resumable route, on servers that take 25 ms per token where 12 ms were assumed; no line said that the daemon leaves.

Change: the time of an answer is estimated from its token counts and the time per token that the daemon has measured. A request that may run again is refused early on only if its expected length does not fit, and in the last part of the addresses' lifetime unless a slow answer of full length fits; others as before. A stream that is still running when the process ends is cut with a line that says so, and the log is written out before the exit.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -4,6 +4,7 @@
 use crate::gateway::buffers::{BufferLimits, Buffers};
 use crate::gateway::cold::{ColdBounds, Rank};
 use crate::gateway::continuation::StreamAnswer;
+use crate::gateway::finish::{Shutdown, TokenTimes};
 use crate::gateway::in_force::InForce;
 use crate::gateway::isolation::Isolation;
 use crate::gateway::metrics::GatewayMetrics;
@@ -54,9 +55,6 @@
 /// time between this check and the moment a backend server begins to work.
 const FRESH_FRACTION: f64 = 0.7;
 
-/// Answers should be complete this long before the process ends.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
-
 /// Size of a request, in tokens, from which its start and end are reported to other daemons at once.
 /// Smaller requests, such as those of plain services, are reported with the next heartbeat.
 const REPORTED_TOKENS: u32 = 100;
@@ -141,7 +139,8 @@
     /// sums.
     pub(super) delayed_share: Mutex<f64>,
     /// When the process ends, once a planned stop has begun.
-    shutdown_deadline: Mutex<Option<Instant>>,
+    shutdown: watch::Sender<Option<Shutdown>>,
+    token_times: Mutex<TokenTimes>,
     /// Counts changes that other daemons should learn of at once.
     urgent_changes: watch::Sender<u64>,
     /// Counts changes to this daemon's copy of the store.
@@ -200,7 +199,8 @@
             refusals: Mutex::new(Refusals::new(now)),
             divided: AtomicBool::new(false),
             delayed_share: Mutex::new(0.0),
-            shutdown_deadline: Mutex::default(),
+            shutdown: watch::Sender::new(None),
+            token_times: Mutex::default(),
             urgent_changes: watch::Sender::new(0),
             copy_changes: watch::Sender::new(0),
             era: watch::Sender::new(0),
@@ -266,20 +266,31 @@
         self.cold.lock().expect("no holder panics").1 = rank;
     }
 
-    /// Begins a planned stop: sets when the process ends, and lets other daemons know.
-    pub fn set_shutdown_deadline(&self, end: Instant) {
-        *self.shutdown_deadline.lock().expect("no holder panics") = Some(end);
+    /// Begins a planned stop, and lets other daemons know.
+    pub fn begin_shutdown(&self, shutdown: Shutdown) {
+        self.shutdown.send_replace(Some(shutdown));
         self.signal_urgent_change();
     }
 
-    /// Whether a request can be answered before the process ends. A stream that could run longer has to be
-    /// started by another daemon.
-    pub fn can_finish(&self, call: &Call, now: Instant) -> bool {
-        let deadline = *self.shutdown_deadline.lock().expect("no holder panics");
-        deadline.is_none_or(|end| {
-            let left = end.saturating_duration_since(now).saturating_sub(SHUTDOWN_MARGIN);
-            call.route.repeatable() || call.size.max_duration() <= left
-        })
+    /// When the process ends; `None` while no stop is planned.
+    pub(super) fn shutdown(&self) -> Option<Shutdown> {
+        *self.shutdown.borrow()
+    }
+
+    /// Returns when the process is about to end.
+    pub(super) async fn wait_for_end(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        // The sender lives as long as this gateway.
+        let planned = shutdown.wait_for(Option::is_some).await.ok().and_then(|planned| *planned);
+        match planned {
+            Some(planned) => time::sleep_until(planned.end).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Locks the measured times per output token.
+    pub(super) fn token_times(&self) -> MutexGuard<'_, TokenTimes> {
+        self.token_times.lock().expect("no holder panics")
     }
 
     /// Signals a change that other daemons should learn of at once.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -181,7 +181,7 @@
         if !self.gateway.is_authorized(self.call, now) {
             return Err("key_not_confirmed".into());
         }
-        if !self.gateway.can_finish(self.call, now) {
+        if !self.gateway.can_finish(&self.service, self.call, now) {
             return Err("daemon_leaves".into());
         }
         let arrived = self.tried.len() - self.unreached;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,7 +37,8 @@
 //! - [`cell`], [`partner`], [`heartbeat`]: which daemons exchange which messages, and how often
 //! - [`view`], `sums`, [`clock`]: what other daemons reported, and how old it is
 //! - [`health_check`]: health checks of servers while the store is unavailable
-//! - [`listen`], [`stop`]: callers' connections, and graceful shutdown
+//! - [`listen`], [`stop`], [`finish`]: callers' connections, graceful shutdown, and which requests a stopping daemon
+//!   accepts
 //! - [`tag`]: short names in messages between daemons
 //! - [`metrics`]: counters and latencies
 //! - [`port`]: traits that an adapter implements
@@ -60,6 +61,7 @@
 mod ended;
 pub mod events;
 pub mod fingerprint;
+pub mod finish;
 pub mod follow;
 pub mod forward;
 mod halls;
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -28,7 +28,7 @@
 const RUN_MS: f64 = 0.12;
 /// Number of gaps between events in one sample. Single gaps vary with the daemon's turns on its CPU; four
 /// take 0.1 to 0.3 s.
-const WINDOW_GAPS: u32 = 4;
+pub const WINDOW_GAPS: u32 = 4;
 /// Gap from which a stream counts as stalled. The slowest engine needs 0.2 s between events.
 const STALL: Duration = Duration::from_millis(300);
 /// Gaps that are left out after a stall or where a stream is resumed: events that have queued up arrive at
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use crate::gateway::events::Event;
 use crate::gateway::forward::SendOutcome;
 use crate::gateway::moving::{self, MoveOutcome};
-use crate::gateway::pace::{EventTimer, Step};
+use crate::gateway::pace::{EventTimer, Step, WINDOW_GAPS};
 use crate::gateway::port::Reply;
 use crate::gateway::quarantine::RunProgress;
 use crate::gateway::request::{Answer, Call, IncompleteBody};
@@ -191,11 +191,13 @@
     /// Relays the whole stream and logs how it ended.
     async fn run(mut self, first: Event) {
         let (caller, deadline) = (self.event_sender.clone(), self.call.deadline);
-        // Both of the first two drop everything in progress, whatever it waits for.
+        let gateway = self.gateway.clone();
+        // The first three drop everything in progress, whatever it waits for.
         let end = tokio::select! {
             biased;
             () = caller.closed() => RelayEnd::CallerLeft,
             () = time::sleep_until(deadline) => RelayEnd::Broken("out of time".into()),
+            () = gateway.wait_for_end() => RelayEnd::Broken("the daemon stops".into()),
             end = self.relay_all(first) => end,
         };
         let (id, server) = (self.call.id.as_str(), self.slot.id());
@@ -325,6 +327,8 @@
             Step::None => {}
             Step::Begun => self.window_load = self.gateway.servers().load(key),
             Step::Ended(actual) => {
+                let tokens = WINDOW_GAPS * engine.event_tokens.max(1);
+                self.gateway.token_times().record(&self.service.name, actual, tokens);
                 let mut servers = self.gateway.servers();
                 servers.record_gaps(key, actual, engine, self.window_load, now);
                 self.window_load = servers.load(key);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -33,21 +33,6 @@
     }
 }
 
-/// Assumed time per output token. A busy engine takes 8 to 10 ms, with prompts being read at the same time.
-const TOKEN_TIME: Duration = Duration::from_millis(12);
-/// Assumed time until the first token. The first event arrives within 1.5 s in 99 of 100 cases.
-const FIRST_TOKEN_TIME: Duration = Duration::from_millis(1_500);
-
-impl Size {
-    /// Longest time that the generation is expected to take; zero for plain services.
-    pub fn max_duration(&self) -> Duration {
-        match self.max_tokens {
-            0 => Duration::ZERO,
-            most => FIRST_TOKEN_TIME + TOKEN_TIME.saturating_mul(most),
-        }
-    }
-}
-
 /// The workspace that sent the request, and the API key that proves it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Credential {
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -2,10 +2,13 @@
 //! then the process exits.
 
 use crate::gateway::core::Gateway;
+use crate::gateway::finish::{Estimate, MARGIN, Shutdown};
 use crate::gateway::listen::{OpenConnections, Phase};
+use crate::gateway::request::Call;
+use crate::gateway::table::{RouteKind, Service};
 use crate::time;
 use log::info;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -13,6 +16,11 @@
 const REQUEST_CUTOFF: Duration = Duration::from_millis(1_500);
 /// How long before the end of the grace period the process exits, even with requests still running.
 const EXIT_MARGIN: Duration = Duration::from_millis(200);
+/// Part of the addresses' lifetime at its end in which only callers that are late still know no other daemon: the last
+/// answer's time on the way, and some for the signal and the request.
+const LATE_CALLERS: Duration = Duration::from_millis(600);
+/// How long after the end connections are waited for whose streams were cut then.
+const CLOSE_TIME: Duration = Duration::from_millis(30);
 /// Interval between checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -27,14 +35,36 @@
 ) {
     let began = time::now();
     let end = began + grace.saturating_sub(EXIT_MARGIN);
-    gateway.set_shutdown_deadline(end);
+    let strict = began + address_lifetime.saturating_sub(LATE_CALLERS);
+    gateway.begin_shutdown(Shutdown { end, strict });
     phase.send_replace(Phase::Leaving);
     info!(connections = open.count(); "leaving");
     let last_requests = grace.saturating_sub(REQUEST_CUTOFF);
     time::sleep_until(began + address_lifetime.min(last_requests)).await;
     phase.send_replace(Phase::Closing);
-    while open.count() > 0 && time::now() < end {
+    while open.count() > 0 && time::now() < end + CLOSE_TIME {
         sleep(POLL_INTERVAL).await;
     }
     info!(connections = open.count(); "stopped");
 }
+
+impl Gateway {
+    /// Whether a request can be answered before the process ends.
+    pub fn can_finish(&self, service: &Service, call: &Call, now: Instant) -> bool {
+        let Some(shutdown) = self.shutdown() else { return true };
+        let (repeatable, left) = (call.route.repeatable(), call.time_left(now));
+        if repeatable && call.deadline + MARGIN <= shutdown.end {
+            return true;
+        }
+        let soon = call.route.latency_slo.min(left);
+        let estimate = match (call.route.kind, call.size.max_tokens) {
+            (RouteKind::Streaming, 1..) => {
+                Estimate::of_generation(call.size, self.token_times().mean(&service.name))
+            }
+            // Nothing limits its length but its deadline.
+            (RouteKind::Streaming, 0) => Estimate { expected: soon, slow: left },
+            _ => Estimate { expected: soon, slow: soon },
+        };
+        shutdown.can_finish(estimate, repeatable, now)
+    }
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -23,8 +23,14 @@
 /// Pause of the writer thread after each write, so that it writes lines in batches.
 const BATCH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval of checks whether all lines are written.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Number of dropped lines that no log line has reported yet.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+/// Number of lines that were put into the queue, and of those that were written.
+static QUEUED_LINES: AtomicU64 = AtomicU64::new(0);
+static WRITTEN_LINES: AtomicU64 = AtomicU64::new(0);
 static START_TIME: OnceLock<Instant> = OnceLock::new();
 
 /// Installs the program's logger and starts its writer thread. The level is `info` unless `RUST_LOG` sets
@@ -57,6 +63,16 @@
         .init();
 }
 
+/// Waits until all lines are written, for `limit` at most. For the end of the process.
+pub fn flush(limit: Duration) {
+    let until = time::now() + limit;
+    let is_written =
+        || WRITTEN_LINES.load(Ordering::Acquire) >= QUEUED_LINES.load(Ordering::Acquire);
+    while !is_written() && time::now() < until {
+        std::thread::sleep(FLUSH_POLL_INTERVAL);
+    }
+}
+
 fn uptime() -> Duration {
     time::since(*START_TIME.get_or_init(time::now))
 }
@@ -116,11 +132,12 @@
 
 impl Write for QueueWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
-            self.0.try_send(line.to_vec())
-        {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
-        }
+        match self.0.try_send(line.to_vec()) {
+            Ok(()) => QUEUED_LINES.fetch_add(1, Ordering::Release),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                DROPPED_LINES.fetch_add(1, Ordering::Relaxed)
+            }
+        };
         Ok(line.len())
     }
 
@@ -132,8 +149,10 @@
 /// Writes queued lines to `out` until all senders are gone or a write fails.
 fn write_all(queue: &Receiver<Vec<u8>>, mut out: impl Write) {
     while let Ok(mut batch) = queue.recv() {
+        let mut lines = 1;
         while let Ok(line) = queue.try_recv() {
             batch.extend(line);
+            lines += 1;
         }
         let dropped = DROPPED_LINES.swap(0, Ordering::Relaxed);
         if dropped > 0 {
@@ -144,6 +163,7 @@
             // Standard output is closed. The daemon keeps serving requests without a log.
             return;
         }
+        WRITTEN_LINES.fetch_add(lines, Ordering::Release);
         std::thread::sleep(BATCH_INTERVAL);
     }
 }
