Daemons wait longer for answers about a stream

Callers saw: 503 for streams that other daemons know, at daemons of a busy machine.

Cause: a question about a stream was given up after 100 ms, and one that is passed on after 300 ms. A busy VM takes some hundred milliseconds for its turn, and a question without any answer turns the caller away.

Change: 1 s and 2.5 s. All daemons are asked at once and the first that knows the stream ends the wait, so only a question that nobody can answer takes longer. Reports keep 100 ms, after which the next daemon is told.

--- a/src/gateway/cluster/streams.rs
+++ b/src/gateway/cluster/streams.rs
@@ -27,10 +27,13 @@
 /// Time for which streams are collected into one report. A caller needs longer to notice a break and to come
 /// back.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
-/// Timeout for a daemon to confirm a report or to answer a question: several round trips within a region.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout for a daemon to confirm a report, before it goes to the next one: several round trips within a region.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout for a daemon to answer a question: a busy VM takes some hundred milliseconds, and the caller is turned away
+/// if nobody answers. All daemons are asked at once, and the first that knows the stream ends the wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Timeout of a question that the receiver passes on.
-const PASSED_ON_TIMEOUT: Duration = Duration::from_millis(300);
+const PASSED_ON_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum number of streams in one report.
 const MAX_REPORTED: usize = 1_024;
 
@@ -84,8 +87,7 @@
     async fn send_report(&self, to: SocketAddr, streams: Vec<BegunStream>) -> Vec<BegunStream> {
         let Some(cluster) = self.weak_self.upgrade() else { return Vec::new() };
         let request = Request::Begun(streams.clone());
-        let answer =
-            self.links.ask::<bool>(to, &request, EXCHANGE_TIMEOUT, &cluster.handler()).await;
+        let answer = self.links.ask::<bool>(to, &request, REPORT_TIMEOUT, &cluster.handler()).await;
         if answer == Ok(true) { Vec::new() } else { streams }
     }
 
@@ -100,7 +102,7 @@
             let ranked = self.view().ranked_in_cell(question.stream, time::now());
             ranked.into_iter().take(MAX_ASKED).collect()
         };
-        answer.merge(self.ask_all(cell, asked, EXCHANGE_TIMEOUT).await);
+        answer.merge(self.ask_all(cell, asked, ANSWER_TIMEOUT).await);
         answer.silent += self.unreachable_in_cell(time::now());
         if answer.begun_by.is_some() || question.scope == Scope::Cell {
             return answer;
