A stream is remembered for its caller's time, and its past uncertain for longer

Cause: the life of a stream was taken to be one attempt at the route's present timeout. Callers retry within their own time, which may be longer, and a new configuration may shorten the timeout.

Change: records live for the time that the caller named. A daemon that started later is unsure of the past for ten minutes; while it is, its streams are reported to others. A daemon that starts asks the others which versions served, so that a fleet restarted one by one stays sure. The line of a refusal tells how many daemons answered.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -11,15 +11,21 @@
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// How much longer than its route's timeout a stream may be taken up again: callers wait after a refusal, and
-/// the next attempt may arrive at the end of the one before.
+/// How much longer than its caller's time or its route's timeout a stream may be taken up again: the next attempt may
+/// arrive at the end of the one before.
 const RETURN_SLACK: Duration = Duration::from_secs(3);
+/// How long ago a stream of unknown origin may have begun. No request tells for how long its caller has been waiting,
+/// which may be several times the route's timeout; this is far beyond the patience of a reader.
+const MAX_STREAM_AGE: Duration = Duration::from_secs(600);
+/// Delay before a daemon that started later asks others for the versions that served before, and between such
+/// questions at first and at most.
+const FIRST_CONFIRM_DELAY: Duration = Duration::from_millis(500);
+const MAX_CONFIRM_DELAY: Duration = Duration::from_secs(60);
 /// Age of the copy of the store from which another daemon may know of versions that this one does not.
 const MAX_COPY_AGE: Duration = Duration::from_millis(1_500);
-/// The lifetime of streams of services that are not declared any more.
-const UNDECLARED_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Why a stream does not go on: nobody can tell which software began it.
 const VERSION_UNKNOWN: &str = "version_unknown";
@@ -116,9 +122,9 @@
         if !call.route.repeatable() {
             return;
         }
-        let until = now + call.route.timeout + RETURN_SLACK;
+        let until = (now + call.route.timeout).max(call.arrived + call.caller_time) + RETURN_SLACK;
         self.begun_streams().record_own(call.stream(), software, until, now);
-        if self.is_mixed(software.service(), now) {
+        if self.must_report(software.service(), now) {
             self.streams_begun.notify_one();
         }
     }
@@ -131,14 +137,15 @@
     ) -> Result<(), NoSlot> {
         let now = time::now();
         let known = self.begun_streams().get(call.stream(), now);
-        let found = match known {
-            Some(software) => Some(software),
+        let (id, stream) = (call.id.as_str(), call.resumes.as_deref());
+        let (found, asked) = match known {
+            Some(software) => (Some(software), StreamAnswer::NONE),
             None => self.find_software(call, service, now).await,
         };
-        let (id, stream) = (call.id.as_str(), call.resumes.as_deref());
         let Some(software) = found else {
             self.count_not_continued(VERSION_UNKNOWN);
-            warn!(id = id, stream = stream, service = &*service.name, why = VERSION_UNKNOWN; "stream not continued");
+            let ms = time::since(now).as_millis() as u64;
+            warn!(id = id, stream = stream, service = &*service.name, answered = asked.served.len(), silent = asked.silent, ms = ms, why = VERSION_UNKNOWN; "stream not continued");
             // Nothing that is learnt later would tell.
             let retry_after = call.time_left(time::now());
             return Err(NoSlot { reason: VERSION_UNKNOWN, retry_after, due: None });
@@ -148,21 +155,66 @@
         Ok(())
     }
 
-    /// What other daemons know of a call's stream, or else the only software that served lately.
+    /// What other daemons know of a call's stream, or else the only software that served lately. Also returns their
+    /// answers.
     async fn find_software(
         &self,
         call: &Call,
         service: &Service,
         now: Instant,
-    ) -> Option<Software> {
+    ) -> (Option<Software>, StreamAnswer) {
         let tag = service_tag(&service.name);
-        let own = self.served(tag, call.route.timeout, now);
+        let (answer, only) = self.ask_peers(call.stream(), tag, call.caller_time, now).await;
+        (answer.begun_by.or(only), answer)
+    }
+
+    /// Asks other daemons about a stream. Returns their answers, and the only software of the service that served
+    /// within the time in which a stream may have begun whose caller still waits for `left`.
+    async fn ask_peers(
+        &self,
+        stream: Tag,
+        service: Tag,
+        left: Duration,
+        now: Instant,
+    ) -> (StreamAnswer, Option<Software>) {
+        let window = self.stream_age(service).max(left);
+        let own = self.served_within(service, window, now);
         let is_recent = self.in_force.age(now).is_some_and(|age| age <= MAX_COPY_AGE);
         let answer = match self.peer_source() {
-            Some(source) => source.find_stream(call.stream(), tag).await,
+            Some(source) => source.find_stream(stream, service).await,
             None => StreamAnswer::NONE,
         };
-        answer.begun_by.or_else(|| answer.only_software(own, is_recent))
+        let only = answer.only_software(own, is_recent);
+        (answer, only)
+    }
+
+    /// Asks other daemons for the versions of each service that served before this process started, until they are
+    /// known. A daemon that replaces another so learns what that one knew, and so does the next one.
+    pub async fn confirm_versions(self: Arc<Self>) {
+        let mut delay = FIRST_CONFIRM_DELAY;
+        loop {
+            time::sleep(delay).await;
+            for service in self.unsure_services(time::now()) {
+                let now = time::now();
+                let nothing = Tag::of_number(0);
+                let (_, only) = self.ask_peers(nothing, service, Duration::ZERO, now).await;
+                if let Some(software) = only {
+                    let since = now.checked_sub(self.stream_age(service)).unwrap_or(now);
+                    self.servers().confirm_versions(service, since);
+                    self.metrics.confirmed_services.inc();
+                    let (software, version) = (software.to_string(), service.value());
+                    info!(service = version, software = software.as_str(); "earlier versions known from other daemons");
+                }
+            }
+            delay = (delay * 2).min(MAX_CONFIRM_DELAY);
+        }
+    }
+
+    /// Group tags of the services with streams that may be taken up again, and whose earlier versions are not known.
+    fn unsure_services(&self, now: Instant) -> Vec<Tag> {
+        let declared = self.in_force.get();
+        let services = declared.iter().flat_map(|declared| declared.table.resumable_services());
+        services.filter(|service| matches!(self.served(*service, now), Served::Unsure(_))).collect()
     }
 
     /// Counts a stream that does not go on, if that is because of its software version.
@@ -175,12 +227,11 @@
     /// This daemon's answer to a question about a stream.
     pub(super) fn answer_question(&self, question: &StreamQuestion, now: Instant) -> StreamAnswer {
         let begun_by = self.begun_streams().get(question.stream, now);
-        let timeout = self.longest_timeout(question.service);
-        let served = vec![self.served(question.service, timeout, now)];
+        let served = vec![self.served(question.service, now)];
         StreamAnswer { begun_by, served, silent: 0 }
     }
 
-    /// Streams of this daemon that others have to know because several versions of their service serve.
+    /// Streams of this daemon that others have to know because other versions of their service serve or may have.
     pub(super) fn streams_to_report(&self, now: Instant) -> Vec<BegunStream> {
         let services = self.services_to_report(now);
         self.begun_streams().take_unreported(&services, now)
@@ -194,24 +245,29 @@
     /// Group tags of the services with streams to report.
     fn services_to_report(&self, now: Instant) -> BTreeSet<Tag> {
         let mut services = self.begun_streams().unreported_services();
-        services.retain(|service| self.is_mixed(*service, now));
+        services.retain(|service| self.must_report(*service, now));
         services
     }
 
-    /// Whether several versions of a service served lately.
-    fn is_mixed(&self, service: Tag, now: Instant) -> bool {
-        self.served(service, self.longest_timeout(service), now) == Served::Several
+    /// Whether others have to know the streams of a service: without that knowledge, a daemon that is asked to
+    /// continue one can't tell its version.
+    fn must_report(&self, service: Tag, now: Instant) -> bool {
+        !matches!(self.served(service, now), Served::Only(_))
+    }
+
+    /// The versions of a service that served as long ago as one of its streams may have begun.
+    fn served(&self, service: Tag, now: Instant) -> Served {
+        self.served_within(service, self.stream_age(service), now)
     }
 
-    /// The versions of a service that served as long ago as a stream with this timeout may have begun.
-    fn served(&self, service: Tag, timeout: Duration, now: Instant) -> Served {
-        self.servers().versions().within(service, timeout + RETURN_SLACK, now)
+    fn served_within(&self, service: Tag, window: Duration, now: Instant) -> Served {
+        self.servers().versions().within(service, window, now)
     }
 
-    /// The longest timeout of a service's streams that may be taken up again.
-    fn longest_timeout(&self, service: Tag) -> Duration {
+    /// How long ago a stream of a service may have begun that is taken up again.
+    fn stream_age(&self, service: Tag) -> Duration {
         let declared = self.in_force.get();
         let timeout = declared.and_then(|declared| declared.table.stream_timeout(service));
-        timeout.unwrap_or(UNDECLARED_TIMEOUT)
+        timeout.map_or(MAX_STREAM_AGE, |timeout| MAX_STREAM_AGE.max(timeout + RETURN_SLACK))
     }
 }
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -43,10 +43,12 @@
 }
 
 impl Estimate {
-    /// The estimate for an answer of this size, given the measured time per output token.
-    pub fn of_generation(size: Size, token_time: Option<Duration>) -> Estimate {
+    /// The estimate for an answer of this size, given the number of tokens in an event and the measured time per
+    /// output token. The tokens of the first event arrive together.
+    pub fn of_generation(size: Size, event_tokens: u32, token_time: Option<Duration>) -> Estimate {
         let most = size.max_tokens;
         let expected = size.expected_tokens.map_or(most, |hint| hint.min(most));
+        let expected = expected.saturating_sub(event_tokens);
         let slow = token_time.map_or(BUSY_TOKEN_TIME, |time| time.mul_f64(SLOW_SERVER));
         Estimate {
             expected: token_time.unwrap_or(IDLE_TOKEN_TIME).saturating_mul(expected),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -41,6 +41,8 @@
     pub cut_streams: IntCounter,
     /// Streams that did not go on because of their software version, by reason.
     pub not_continued: IntCounterVec,
+    /// Services of which other daemons told which versions served before this process started.
+    pub confirmed_services: IntCounter,
     /// Servers that crashed while one of this daemon's runs had just begun there.
     pub ended_servers: IntCounter,
     /// Number of quarantined requests.
@@ -166,6 +168,11 @@
                 "Streams that did not go on because of the software version that began them, by reason",
                 &["reason"],
             ),
+            confirmed_services: counter(
+                &r,
+                "tidestair_gateway_confirmed_services_total",
+                "Services of which other daemons told which versions served before this process started",
+            ),
             ended_servers: counter(
                 &r,
                 "tidestair_gateway_ended_servers_total",
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -69,6 +69,8 @@
     pub arrived: Instant,
     /// When the final response is due.
     pub deadline: Instant,
+    /// For how long the caller waited when the request arrived; it may send further attempts within this time.
+    pub caller_time: Duration,
     /// The expected size of the generation.
     pub size: Size,
     /// Id of the last event that the caller has received, if it continues a stream.
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -163,6 +163,11 @@
         self.versions.assume_earlier_versions(now);
     }
 
+    /// Notes that other daemons know of no other version of a service, given by its group tag, since `since`.
+    pub fn confirm_versions(&mut self, service: Tag, since: Instant) {
+        self.versions.confirm(service, since);
+    }
+
     /// Servers of a service that the store lists, whether or not they take work.
     pub fn listed<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (ServerKey, &'a Server)> {
         let halls = self.index.halls(service);
--- a/src/gateway/software.rs
+++ b/src/gateway/software.rs
@@ -172,6 +172,8 @@
 pub struct ServedVersions {
     /// Since when all versions are known; `None` if the process takes part in the fleet's first start.
     since: Option<Instant>,
+    /// The same for services, given by their group tags, of which other daemons know more.
+    confirmed: BTreeMap<Tag, Instant>,
     /// Number of listed servers.
     listed: BTreeMap<Software, usize>,
     /// When the last server of a version left.
@@ -184,6 +186,19 @@
         self.since = Some(now);
     }
 
+    /// Notes that other daemons know of no other version of a service since `since`.
+    pub fn confirm(&mut self, service: Tag, since: Instant) {
+        let known = self.confirmed.entry(service).or_insert(since);
+        *known = since.min(*known);
+    }
+
+    /// Whether other versions of a service may have served within the last `window`, before this process started.
+    fn is_unsure(&self, service: Tag, window: Duration, now: Instant) -> bool {
+        let Some(since) = self.since else { return false };
+        let since = self.confirmed.get(&service).map_or(since, |confirmed| since.min(*confirmed));
+        now.saturating_duration_since(since) < window
+    }
+
     pub(super) fn add(&mut self, software: Software) {
         *self.listed.entry(software).or_default() += 1;
         self.gone.remove(&software);
@@ -211,7 +226,7 @@
             self.listed.keys().chain(gone).filter(|software| software.service() == service);
         match (all.next(), all.next()) {
             (Some(_), Some(_)) => Served::Several,
-            (Some(only), None) if !self.since.as_ref().is_some_and(recent) => Served::Only(*only),
+            (Some(only), None) if !self.is_unsure(service, window, now) => Served::Only(*only),
             (only, _) => Served::Unsure(only.copied()),
         }
     }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -59,7 +59,9 @@
         let soon = call.route.latency_slo.min(left);
         let estimate = match (call.route.kind, call.size.max_tokens) {
             (RouteKind::Streaming, 1..) => {
-                Estimate::of_generation(call.size, self.token_times().mean(&service.name))
+                let event_tokens = service.engine.as_ref().map_or(1, |engine| engine.event_tokens);
+                let token_time = self.token_times().mean(&service.name);
+                Estimate::of_generation(call.size, event_tokens, token_time)
             }
             // Nothing limits its length but its deadline.
             (RouteKind::Streaming, 0) => Estimate { expected: soon, slow: left },
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -285,6 +285,11 @@
         self.stream_timeouts.get(&service).copied()
     }
 
+    /// Group tags of the services with streams that can be resumed.
+    pub fn resumable_services(&self) -> impl Iterator<Item = Tag> + '_ {
+        self.stream_timeouts.keys().copied()
+    }
+
     /// The smallest and the largest priority of the routes to a service.
     pub fn priorities(&self, service: &str) -> Option<&RangeInclusive<u8>> {
         self.priorities.get(service)
--- a/tests/common/wire.rs
+++ b/tests/common/wire.rs
@@ -148,6 +148,7 @@
         credential: None,
         arrived: now,
         deadline: now + left,
+        caller_time: left,
         size: Size { prompt_tokens: prompt, max_tokens: 10, expected_tokens: None },
         after: None,
         forwarded: false,
--- a/tests/finish.rs
+++ b/tests/finish.rs
@@ -38,10 +38,10 @@
 
 #[test]
 fn a_hint_of_the_length_counts_for_the_expected_time_only() {
-    let estimate = Estimate::of_generation(size(240, Some(100)), Some(ms(25)));
-    assert_eq!(estimate.expected, ms(2_500));
+    let estimate = Estimate::of_generation(size(240, Some(100)), 4, Some(ms(25)));
+    assert_eq!(estimate.expected, ms(25 * 96));
     assert_eq!(estimate.slow, ms(1_500) + ms(25).mul_f64(1.3) * 240);
-    let unmeasured = Estimate::of_generation(size(240, None), None);
+    let unmeasured = Estimate::of_generation(size(240, None), 4, None);
     assert!(unmeasured.expected < unmeasured.slow);
 }
 
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -390,6 +390,7 @@
         allowed_regions: RegionList::default(),
     };
     let call = Call {
+        caller_time: Duration::from_secs(60),
         id: "call".into(),
         method: Method::POST,
         path: "/".into(),
