--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -6,7 +6,7 @@
 //! again, one is accepted only if even a slow answer is complete in time.
 
 use crate::gateway::request::Size;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -70,7 +70,7 @@
 
 /// This daemon's measurements of the time per output token, by service.
 #[derive(Debug, Default)]
-pub struct TokenTimes(HashMap<Arc<str>, Measured>);
+pub struct TokenTimes(BTreeMap<Arc<str>, Measured>);
 
 /// A mean in which later measurements replace earlier ones.
 #[derive(Debug, Default, Clone, Copy)]
