Planned stops and questions about streams: each piece where it is used

No change of behaviour. The state of a planned stop is set and read in stop.rs, not through three methods of core.rs, which is 22 lines shorter. identify_stream asks the other daemons itself; find_software only passed pairs on. The tokens of a window of gaps are counted by one function for both of its users. A variable that held a service's tag was named version, and the comment of confirm_versions said that it ends.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -138,11 +138,14 @@
         let now = time::now();
         let known = self.begun_streams().get(call.stream(), now);
         let (id, stream) = (call.id.as_str(), call.resumes.as_deref());
-        let (found, asked) = match known {
-            Some(software) => (Some(software), StreamAnswer::NONE),
-            None => self.find_software(call, service, now).await,
+        let (asked, only) = match known {
+            Some(_) => (StreamAnswer::NONE, None),
+            None => {
+                let tag = service_tag(&service.name);
+                self.ask_peers(call.stream(), tag, call.caller_time, now).await
+            }
         };
-        let Some(software) = found else {
+        let Some(software) = known.or(asked.begun_by).or(only) else {
             self.count_not_continued(VERSION_UNKNOWN);
             let ms = time::since(now).as_millis() as u64;
             warn!(id = id, stream = stream, service = &*service.name, answered = asked.served.len(), silent = asked.silent, ms = ms, why = VERSION_UNKNOWN; "stream not continued");
@@ -155,19 +158,6 @@
         Ok(())
     }
 
-    /// What other daemons know of a call's stream, or else the only software that served lately. Also returns their
-    /// answers.
-    async fn find_software(
-        &self,
-        call: &Call,
-        service: &Service,
-        now: Instant,
-    ) -> (Option<Software>, StreamAnswer) {
-        let tag = service_tag(&service.name);
-        let (answer, only) = self.ask_peers(call.stream(), tag, call.caller_time, now).await;
-        (answer.begun_by.or(only), answer)
-    }
-
     /// Asks other daemons about a stream. Returns their answers, and the only software of the service that served
     /// within the time in which a stream may have begun whose caller still waits for `left`.
     async fn ask_peers(
@@ -188,8 +178,9 @@
         (answer, only)
     }
 
-    /// Asks other daemons for the versions of each service that served before this process started, until they are
-    /// known. A daemon that replaces another so learns what that one knew, and so does the next one.
+    /// Asks other daemons for the versions that served before this process started, of each service of which they
+    /// are not known, until the process ends. A daemon that replaces another so learns what that one knew, and so
+    /// does the next one.
     pub async fn confirm_versions(self: Arc<Self>) {
         let mut delay = FIRST_CONFIRM_DELAY;
         loop {
@@ -202,8 +193,8 @@
                     let since = now.checked_sub(self.stream_age(service)).unwrap_or(now);
                     self.servers().confirm_versions(service, since);
                     self.metrics.confirmed_services.inc();
-                    let (software, version) = (software.to_string(), service.value());
-                    info!(service = version, software = software.as_str(); "earlier versions known from other daemons");
+                    let (software, tag) = (software.to_string(), service.value());
+                    info!(service = tag, software = software.as_str(); "earlier versions known from other daemons");
                 }
             }
             delay = (delay * 2).min(MAX_CONFIRM_DELAY);
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -139,7 +139,7 @@
     /// sums.
     pub(super) delayed_share: Mutex<f64>,
     /// When the process ends, once a planned stop has begun.
-    shutdown: watch::Sender<Option<Shutdown>>,
+    pub(super) shutdown: watch::Sender<Option<Shutdown>>,
     token_times: Mutex<TokenTimes>,
     /// Counts changes that other daemons should learn of at once.
     urgent_changes: watch::Sender<u64>,
@@ -266,28 +266,6 @@
         self.cold.lock().expect("no holder panics").1 = rank;
     }
 
-    /// Begins a planned stop, and lets other daemons know.
-    pub fn begin_shutdown(&self, shutdown: Shutdown) {
-        self.shutdown.send_replace(Some(shutdown));
-        self.signal_urgent_change();
-    }
-
-    /// When the process ends; `None` while no stop is planned.
-    pub(super) fn shutdown(&self) -> Option<Shutdown> {
-        *self.shutdown.borrow()
-    }
-
-    /// Returns when the process is about to end.
-    pub(super) async fn wait_for_end(&self) {
-        let mut shutdown = self.shutdown.subscribe();
-        // The sender lives as long as this gateway.
-        let planned = shutdown.wait_for(Option::is_some).await.ok().and_then(|planned| *planned);
-        match planned {
-            Some(planned) => time::sleep_until(planned.end).await,
-            None => std::future::pending().await,
-        }
-    }
-
     /// Locks the measured times per output token.
     pub(super) fn token_times(&self) -> MutexGuard<'_, TokenTimes> {
         self.token_times.lock().expect("no holder panics")
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -41,7 +41,7 @@
     pub cut_streams: IntCounter,
     /// Streams that did not go on because of their software version, by reason.
     pub not_continued: IntCounterVec,
-    /// Services of which other daemons told which versions served before this process started.
+    /// Services whose versions before this process started were learned from other daemons.
     pub confirmed_services: IntCounter,
     /// Servers that crashed while one of this daemon's runs had just begun there.
     pub ended_servers: IntCounter,
@@ -171,7 +171,7 @@
             confirmed_services: counter(
                 &r,
                 "tidestair_gateway_confirmed_services_total",
-                "Services of which other daemons told which versions served before this process started",
+                "Services whose versions before the start were learned from other daemons",
             ),
             ended_servers: counter(
                 &r,
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -28,7 +28,7 @@
 const RUN_MS: f64 = 0.12;
 /// Number of gaps between events in one sample. Single gaps vary with the daemon's turns on its CPU; four
 /// take 0.1 to 0.3 s.
-pub const WINDOW_GAPS: u32 = 4;
+const WINDOW_GAPS: u32 = 4;
 /// Gap from which a stream counts as stalled. The slowest engine needs 0.2 s between events.
 const STALL: Duration = Duration::from_millis(300);
 /// Gaps that are left out after a stall or where a stream is resumed: events that have queued up arrive at
@@ -107,6 +107,11 @@
     }
 }
 
+/// Number of tokens that a stream brings in a window of gaps.
+pub fn window_tokens(engine: &Engine) -> u32 {
+    WINDOW_GAPS * engine.event_tokens.max(1)
+}
+
 /// The sample of a stream's four gaps between events, which took `actual` at a server that had
 /// these loads at their beginning and end. `None` if prompt was unread there: steps take twice as long while
 /// it is read, but some of it waits for memory, or has been read and shows in the next event only.
@@ -119,7 +124,7 @@
     if before.unread_prompt > 0 || after.unread_prompt > 0 {
         return None;
     }
-    let steps = f64::from(WINDOW_GAPS * engine.event_tokens.max(1));
+    let steps = f64::from(window_tokens(engine));
     let runs = f64::from(before.runs.max(1)) / 2.0 + f64::from(after.runs.max(1)) / 2.0;
     let step = STEP_MS + RUN_MS * runs;
     let actual = actual.as_secs_f64() * 1_000.0 / (steps * step);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use crate::gateway::events::Event;
 use crate::gateway::forward::SendOutcome;
 use crate::gateway::moving::{self, MoveOutcome};
-use crate::gateway::pace::{EventTimer, Step, WINDOW_GAPS};
+use crate::gateway::pace::{EventTimer, Step, window_tokens};
 use crate::gateway::port::Reply;
 use crate::gateway::quarantine::RunProgress;
 use crate::gateway::request::{Answer, Call, IncompleteBody};
@@ -327,7 +327,7 @@
             Step::None => {}
             Step::Begun => self.window_load = self.gateway.servers().load(key),
             Step::Ended(actual) => {
-                let tokens = WINDOW_GAPS * engine.event_tokens.max(1);
+                let tokens = window_tokens(engine);
                 self.gateway.token_times().record(&self.service.name, actual, tokens);
                 let mut servers = self.gateway.servers();
                 servers.record_gaps(key, actual, engine, self.window_load, now);
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -36,7 +36,8 @@
     let began = time::now();
     let end = began + grace.saturating_sub(EXIT_MARGIN);
     let strict = began + address_lifetime.saturating_sub(LATE_CALLERS);
-    gateway.begin_shutdown(Shutdown { end, strict });
+    gateway.shutdown.send_replace(Some(Shutdown { end, strict }));
+    gateway.signal_urgent_change();
     phase.send_replace(Phase::Leaving);
     info!(connections = open.count(); "leaving");
     let last_requests = grace.saturating_sub(REQUEST_CUTOFF);
@@ -49,9 +50,20 @@
 }
 
 impl Gateway {
+    /// Returns when the process is about to end.
+    pub(super) async fn wait_for_end(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        // The sender lives as long as this gateway.
+        let planned = shutdown.wait_for(Option::is_some).await.ok().and_then(|planned| *planned);
+        match planned {
+            Some(planned) => time::sleep_until(planned.end).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Whether a request can be answered before the process ends.
     pub fn can_finish(&self, service: &Service, call: &Call, now: Instant) -> bool {
-        let Some(shutdown) = self.shutdown() else { return true };
+        let Some(shutdown) = *self.shutdown.borrow() else { return true };
         let (repeatable, left) = (call.route.repeatable(), call.time_left(now));
         if repeatable && call.deadline + MARGIN <= shutdown.end {
             return true;
