--- a/tests/passed_on.rs
+++ b/tests/passed_on.rs
@@ -6,7 +6,6 @@
 mod wire;
 
 use bytes::Bytes;
-
 use futures_util::StreamExt;
 use futures_util::future::{BoxFuture, ready};
 use futures_util::stream::{once, pending};
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -390,7 +390,6 @@
         allowed_regions: RegionList::default(),
     };
     let call = Call {
-        caller_time: Duration::from_secs(60),
         id: "call".into(),
         method: Method::POST,
         path: "/".into(),
@@ -401,6 +400,7 @@
         credential: None,
         arrived: now,
         deadline: now + SLO,
+        caller_time: Duration::from_secs(60),
         size: Size { prompt_tokens: 100, max_tokens: 20, expected_tokens: None },
         after: None,
         forwarded: false,
