End a read of the store whose pages don't advance

What callers saw: nothing was served by a daemon that started, while it asked the store for the same page again and again; its memory grew with each page.

Cause: a read went on until a page said that no more follow. Nothing checked that a page brought a new last key. With an empty page the last key of the page before was asked for once more.

Change: a page that has no last key, or one that a page of this read had before, fails the read, and so does page 4,097.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -11,6 +11,7 @@
 use crate::time;
 use futures_util::future::BoxFuture;
 use log::{debug, info, warn};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
@@ -38,6 +39,8 @@
 const MAX_PAUSE_STEPS: u32 = 8;
 /// Pause between two checks whether this daemon has to read.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Most pages that are read of all keys.
+const MAX_PAGES: usize = 4_096;
 /// The empty prefix matches all keys: one request covers configuration, servers and daemons, since every
 /// call is billed.
 const ALL_KEYS: &str = "";
@@ -197,16 +200,24 @@
         // The pages are no snapshot: the range has the revision of the first page, so later changes are
         // read again.
         let mut range = Range { entries: Vec::new(), revision: page.revision };
+        let mut ends = BTreeSet::new();
         loop {
+            let last = page.entries.last().map(|entry| entry.key.clone());
             range.entries.append(&mut page.entries);
-            let Some(last) = range.entries.last().filter(|_| page.more) else {
+            if !page.more {
                 return Ok(Some(range));
+            }
+            let is_new = |last: &String| ends.len() < MAX_PAGES && ends.insert(last.clone());
+            let Some(last) = last.filter(is_new) else {
+                let reason = "the pages of its keys have no end".into();
+                return Err(PlatformError::NoAnswer { reason });
             };
-            page = self.store.page(ALL_KEYS, Some(&last.key)).await?;
+            page = self.store.page(ALL_KEYS, Some(&last)).await?;
             if page.revision.era != range.revision.era {
                 // The pages read so far belong to an era that the store has left.
                 page = self.store.page(ALL_KEYS, None).await?;
                 range = Range { entries: Vec::new(), revision: page.revision };
+                ends.clear();
             }
         }
     }
