--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -75,6 +75,8 @@
     pub rollouts: IntCounterVec,
     /// Reads of the store, by outcome.
     pub store_reads: IntCounterVec,
+    /// Entries of the store that can't be parsed, by kind. Each counts once until its content changes.
+    pub unreadable_entries: IntCounterVec,
     /// Store revision of the configuration in force.
     pub config_revision: IntGauge,
     /// Time for which this daemon's copy of the store has been behind its peers' copies, in milliseconds.
@@ -258,6 +260,12 @@
                 "States that roll-outs came to, by state",
                 &["state"],
             ),
+            unreadable_entries: counters(
+                &r,
+                "tidestair_gateway_unreadable_entries_total",
+                "Entries of the store that can't be parsed and are not used, by kind",
+                &["kind"],
+            ),
             store_reads: counters(
                 &r,
                 "tidestair_gateway_store_reads_total",
--- a/src/gateway/mirror/activate.rs
+++ b/src/gateway/mirror/activate.rs
@@ -73,7 +73,8 @@
         match value.map(|value| self.schema.rollout(service, value)).transpose() {
             Ok(order) => self.gateway.apply_rollout_order(service, revision, order, now),
             Err(e) => {
-                warn!(service = service, why = e.0.as_str(); "cannot parse roll-out order: write it again")
+                warn!(service = service, why = e.0.as_str(); "cannot parse roll-out order: write it again");
+                self.count_unreadable("rollout");
             }
         }
     }
@@ -89,7 +90,8 @@
             Ok(Some(record)) => self.gateway.apply_rollout_record(service, revision, record, now),
             Ok(None) => {}
             Err(e) => {
-                warn!(service = service, why = e.to_string().as_str(); "cannot parse roll-out record")
+                warn!(service = service, why = e.to_string().as_str(); "cannot parse roll-out record");
+                self.count_unreadable("rollout_record");
             }
         }
     }
@@ -104,7 +106,10 @@
                     info!(version = version, revision = revision, bytes = value.len(); "configuration in force");
                 }
             }
-            Err(e) => warn!(revision = revision, why = e.0.as_str(); "cannot parse configuration"),
+            Err(e) => {
+                warn!(revision = revision, why = e.0.as_str(); "cannot parse configuration");
+                self.count_unreadable("configuration");
+            }
         }
     }
 
@@ -122,6 +127,7 @@
         state.lapsed.remove(key);
         let why = self.schema.server(key, value).err().map_or_else(String::new, |e| e.0);
         warn!(key = key, why = why.as_str(); "cannot parse backend server's entry: server not used");
+        self.count_unreadable("server");
         self.gateway.servers().mark_unreadable(self.id(key));
     }
 
@@ -158,6 +164,7 @@
     fn update_quarantine(&self, request: &str, quarantined: bool, now: Instant) {
         let Some(fingerprint) = Fingerprint::parse(request) else {
             warn!(key = request; "key is not a request fingerprint: nothing quarantined");
+            self.count_unreadable("quarantine");
             return;
         };
         info!(request = request, held = quarantined; "request quarantined or released");
@@ -170,11 +177,16 @@
         self.gateway.quarantine_changed.notify_one();
     }
 
+    fn count_unreadable(&self, kind: &str) {
+        self.gateway.metrics.unreadable_entries.with_label_values(&[kind]).inc();
+    }
+
     fn update_daemon(&self, key: &str, value: Option<&[u8]>) {
         match value.map(serde_json::from_slice).transpose() {
             Ok(daemon) => self.roster.update(key, daemon),
             Err(e) => {
                 warn!(key = key, why = e.to_string().as_str(); "cannot parse daemon's entry");
+                self.count_unreadable("daemon");
                 self.roster.update(key, None);
             }
         }
