Escape names of resources on the command line

What callers saw: `tidestair get trafficclass "a b"` ended with a panic. With a resource of such a name in the store, which the API refuses but another writer can leave, a list of more than a page did the same, began again or passed over some.

Cause: names were put into paths, and the last name of a page into the next query, as they are.

Evidence: the first of nine names, `a b`, made both tests panic (`checked method and path: InvalidUriChar`).

Change: names are escaped.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -2,6 +2,7 @@
 
 use crate::adapter::request;
 use crate::error::{Error, ReadSnafu, Result};
+use crate::escape;
 use crate::outcome::NotSent;
 use crate::resource::{Kind, Resource};
 use crate::status::FleetStatus;
@@ -133,7 +134,7 @@
         let mut all = Vec::new();
         let mut after = String::new();
         loop {
-            let page = format!("/apis/tidestair/v1/{kind}?continue={after}");
+            let page = format!("/apis/tidestair/v1/{kind}?continue={}", escape::query(&after));
             let list: List = self.parse(&self.ask(Method::GET, &page, Bytes::new()).await?)?;
             all.extend(list.items);
             match list.metadata.next {
@@ -236,7 +237,7 @@
 }
 
 fn path(kind: Kind, name: &str) -> String {
-    format!("/apis/tidestair/v1/{kind}/{name}")
+    format!("/apis/tidestair/v1/{kind}/{}", escape::segment(name))
 }
 
 fn version(resource: &Resource) -> u64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod engine;
 pub mod entries;
 pub mod error;
+pub mod escape;
 pub mod etcd;
 pub mod faults;
 pub mod fleet;
