Pass on the path of a call to a service unchanged

What callers saw: a call to a service with an escape in its path got a 500, or ran with another path: `/status/a%2Fb` came as `/status/a/b`.

Cause: the path was taken from the router, which decodes it, and put into the request as it is. Where it can't stand there, the task panicked.

Evidence: `/status/a%20b` got a 500 (`checked method and path: InvalidUriChar`), where the test stopped.

Change: the path is taken from the caller's target. The route is still looked up by the decoded name.

--- a/src/plain.rs
+++ b/src/plain.rs
@@ -57,6 +57,13 @@
 
 type Called = Result<calls::ServiceAnswer, Failure>;
 
+/// The path of a call at its service, as the caller sent it: without `v1/services/` and the service.
+fn path_at_service(path: &str) -> &str {
+    (0..3).fold(path, |rest, _| {
+        rest.trim_start_matches('/').split_once('/').map_or("", |(_, rest)| rest)
+    })
+}
+
 async fn service_call(req: &mut Request, depot: &Depot) -> Result<Called, Reason> {
     let caller = Caller::known(req, depot)?;
     let name = req.param::<String>("service").unwrap_or_default();
@@ -69,8 +76,9 @@
     };
     let pool = caller.snapshot.service_pool(&name).ok_or_else(unknown)?.clone();
     let backends = caller.app.service(&name).ok_or_else(unknown)?;
-    let path = req.param::<String>("path").unwrap_or_default();
-    let first = path.split('/').next().unwrap_or_default();
+    let path = path_at_service(req.uri().path()).to_string();
+    let decoded = req.param::<String>("path").unwrap_or_default();
+    let first = decoded.split('/').next().unwrap_or_default();
     let route = pool.routes.iter().find(|r| r.path == first).cloned();
     let RouteSpec { repeatable, timeout_ms, .. } = route.unwrap_or_else(|| RouteSpec {
         path: first.into(),
--- a/tests/odd_names.rs
+++ b/tests/odd_names.rs
@@ -1,8 +1,10 @@
-//! Names with characters that mean something in a URL: they arrive as they were given.
+//! Names and paths with characters that mean something in a URL: they arrive as they were given.
 
 mod common;
 
-use common::{admin, eventually, fleet};
+use bytes::Bytes;
+use common::{admin, client, eventually, fleet};
+use hyper::Method;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tidestair::error::Error;
@@ -54,3 +56,16 @@
         assert!(message.contains(&format!("`{name}`")), "{message}");
     }
 }
+
+/// Guards against a service that gets another path than the caller's.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_gets_the_path_that_the_caller_sent() {
+    let fleet = fleet(1, 1).await;
+    for path in ["/status/a%20b", "/status/a%2Fb", "/status/a%3Fb", "/status/%2e%2e", "/status/%zz"]
+    {
+        let sent = format!("/v1/services/filing{path}?c=%20d");
+        let called = client(&fleet).call(Method::GET, &sent, Bytes::new(), &[]).await;
+        let body: serde_json::Value = serde_json::from_slice(&called.body).expect("its answer");
+        assert_eq!((called.status, body["path"].as_str()), (200, Some(path)));
+    }
+}
