End a list on the command line whose pages don't advance

What callers saw: `tidestair get` asked a daemon for the same page without end, and kept each answer.

Cause: the name to continue after was taken as it came. Change: a name that doesn't come after the one before is an error. Result: the list ends at once.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -94,18 +94,14 @@
             |_| Error::Usage { message: "the key holds characters that a header cannot".into() };
         req.headers_mut()
             .insert("authorization", format!("Bearer {}", self.key).parse().map_err(wrong)?);
-        let unreachable =
-            |_| Error::Unreachable { server: self.addr.to_string(), reason: "no answer".into() };
-        self.wire.send(self.addr, req, NotSent::begin(), LIMIT).await.map_err(unreachable)
+        let sent = self.wire.send(self.addr, req, NotSent::begin(), LIMIT).await;
+        sent.map_err(|_| self.unreachable("no answer"))
     }
 
     async fn ask(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes> {
         let answer = self.send(method, path, body).await?;
         let status = answer.status;
-        let broken = |_| Error::Unreachable {
-            server: self.addr.to_string(),
-            reason: "the answer broke off".into(),
-        };
+        let broken = |_| self.unreachable("the answer broke off");
         let bytes = answer.read_to_end(BODY_LIMIT, LIMIT).await.map_err(broken)?;
         if status.is_success() {
             return Ok(bytes);
@@ -115,11 +111,12 @@
         Err(Error::Refused { server: self.addr.to_string(), status: status.as_u16(), message })
     }
 
+    fn unreachable(&self, reason: impl Into<String>) -> Error {
+        Error::Unreachable { server: self.addr.to_string(), reason: reason.into() }
+    }
+
     fn parse<T: for<'de> Deserialize<'de>>(&self, bytes: &[u8]) -> Result<T> {
-        let refused = |e: serde_json::Error| Error::Unreachable {
-            server: self.addr.to_string(),
-            reason: format!("unexpected answer: {e}"),
-        };
+        let refused = |e: serde_json::Error| self.unreachable(format!("unexpected answer: {e}"));
         serde_json::from_slice(bytes).map_err(refused)
     }
 
@@ -138,7 +135,8 @@
             let list: List = self.parse(&self.ask(Method::GET, &page, Bytes::new()).await?)?;
             all.extend(list.items);
             match list.metadata.next {
-                Some(next) => after = next,
+                Some(next) if next > after => after = next,
+                Some(_) => return Err(self.unreachable("the pages of the list have no end")),
                 None => return Ok(all),
             }
         }
--- a/tests/odd_names.rs
+++ b/tests/odd_names.rs
@@ -7,8 +7,11 @@
 use hyper::Method;
 use std::collections::BTreeSet;
 use std::time::Duration;
+use tidestair::admin::Admin;
 use tidestair::error::Error;
 use tidestair::resource::{Kind, Resource, Spec, TrafficClassSpec};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::time::timeout;
 
 const NAMES: [&str; 9] = ["a b", "a&b", "a+b", "a#b", "a%41", "%zz", "a/b", "a?b", "é"];
@@ -57,6 +60,28 @@
     }
 }
 
+/// Guards against a list that is read without end from a daemon whose pages don't advance.
+#[tokio::test]
+async fn a_list_whose_pages_do_not_advance_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        let page = r#"{"items":[],"metadata":{"continue":"a"}}"#;
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{page}", page.len());
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                while stream.read(&mut [0; 4_096]).await.is_ok_and(|bytes| bytes > 0) {
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    let admin = Admin::new(&addr, "key").expect("an address");
+    let listed = timeout(PATIENCE, admin.list(Kind::TrafficClass)).await.expect("it ends");
+    assert!(matches!(listed, Err(Error::Unreachable { .. })), "{listed:?}");
+}
+
 /// Guards against a service that gets another path than the caller's.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_service_gets_the_path_that_the_caller_sent() {
