Review cases 9 and 10: the leaving replicas end

Looked for: what the late request costs the caller. In case 10 only the first last copy finds no room.

--- a/review/stands-2/cases.rs
+++ b/review/stands-2/cases.rs
@@ -58,6 +58,16 @@
     Err(format!("no replica runs {id}"))
 }
 
+/// How long a replica serves on after it has said that it leaves: `drainMs` and some seconds.
+const LIFE: Duration = Duration::from_millis(4_000);
+
+/// Ends a replica at a time.
+fn end_at(record: &Record, replica: &mut fleet::Process, at: Duration) {
+    sleep(at.saturating_sub(record.now()));
+    replica.kill();
+    record.note(&format!("{} has ended", replica.name));
+}
+
 fn note_answer(record: &Record, id: &str, answer: &Answer) {
     let Answer { status, seal, body, complete, why, pause } = answer;
     let seal = seal.as_deref().unwrap_or("-");
@@ -194,9 +204,10 @@
     if runner > 1 {
         return Err("the stream runs in another zone".into());
     }
+    let addrs: Vec<_> = replicas.iter().map(|(addr, _)| *addr).collect();
     sleep(SECOND);
     let drain = |i: usize| {
-        let (addr, id) = (replicas[i].0, &replicas[i].1.name);
+        let (addr, id) = (addrs[i], &names[i]);
         fleet::entry(&store, id, "vakya", zones[i], addr, 48, "draining");
         record.note(&format!("{id} is draining (acknowledged)"));
         record.now()
@@ -208,11 +219,14 @@
         sleep(SECOND);
         acked.push((other, drain(other)));
     }
+    for (i, acked) in &acked {
+        end_at(record, &mut replicas[*i].1, *acked + LIFE);
+    }
     let answer = asking.join().map_err(|_| "the client failed")?;
     note_answer(record, "r1", &answer);
     let mut held = true;
     for (i, acked) in acked {
-        let beginning = format!("{} continues ", replicas[i].1.name);
+        let beginning = format!("{} continues ", names[i]);
         for (at, line) in record.lines() {
             if line.starts_with(&beginning) && at > acked + ms(2_000) {
                 record.note(&format!(
@@ -230,7 +244,8 @@
 fn returned_run(record: &Record, trouble: bool) -> Verdict {
     let store = Store::start();
     store.put("op/config", &fleet::configuration(3, 16_384));
-    let parameters = ["events=100", "gap_ms=100", "copy_ms=1150", "last_ms=1150", "last=no_room"];
+    let parameters =
+        ["events=100", "gap_ms=100", "copy_ms=1150", "last_ms=1150", "last=first_no_room"];
     let mut replicas = Vec::new();
     let zones = ["kakkanad", "edappally", "kalamassery"];
     for (i, zone) in zones.into_iter().enumerate() {
@@ -256,6 +271,9 @@
         record.note(&format!("{id} is draining (acknowledged)"));
     }
     let acked = record.now();
+    if trouble {
+        end_at(record, &mut replicas[runner].1, acked + LIFE);
+    }
     let answer = asking.join().map_err(|_| "the client failed")?;
     note_answer(record, "r1", &answer);
     let beginning = format!("{id} continues ");
--- a/review/stands-2/replica.rs
+++ b/review/stands-2/replica.rs
@@ -30,6 +30,8 @@
     used: Mutex<HashSet<String>>,
     /// Number of copies made.
     copies: AtomicU64,
+    /// Whether a last copy has found no room.
+    refused: AtomicBool,
 }
 
 pub fn run(words: &[&str]) {
@@ -38,8 +40,8 @@
     let parameters =
         parameters.map(|(name, value)| (name.to_string(), value.to_string())).collect();
     let listener = TcpListener::bind(addr).expect("the address is free");
-    let (runs, used, copies) = Default::default();
-    let replica = Arc::new(Replica { id: id.to_string(), parameters, runs, used, copies });
+    let (runs, used, copies, refused) = Default::default();
+    let replica = Arc::new(Replica { id: id.to_string(), parameters, runs, used, copies, refused });
     say(&format!("listens {addr}"));
     for stream in listener.incoming().flatten() {
         let replica = replica.clone();
@@ -131,7 +133,13 @@
             "{{\"handle\":\"h{copy}-{id}\",\"made\":{}}}",
             run.made.load(Ordering::Relaxed)
         );
-        (if last && self.is("last", "no_room") { 503 } else { 200 }, body)
+        // The replica that is named with the first last copy has no room for it.
+        let refuses = last && self.is("last", "first_no_room");
+        let refuses = refuses && !self.refused.swap(true, Ordering::Relaxed);
+        if refuses {
+            say(&format!("found no room for {id}"));
+        }
+        (if refuses { 503 } else { 200 }, body)
     }
 
     fn answer(&self, channel: &mut Channel, request: &Request) -> io::Result<bool> {
