--- a/review/stands-2/cases.rs
+++ b/review/stands-2/cases.rs
@@ -84,7 +84,10 @@
     store.put("op/config", &fleet::configuration(3, 16_384));
     let bytes = format!("bytes={BYTES}");
     let mut replicas = Vec::new();
-    for (i, zone) in ["kakkanad", "edappally", "kalamassery", "vyttila"].into_iter().enumerate() {
+    for (i, zone) in ["kakkanad", "edappally", "kalamassery", "vyttila", "kakkanad", "edappally"]
+        .into_iter()
+        .enumerate()
+    {
         let (id, addr) = (format!("i-{i}"), fleet::free_addr());
         replicas.push(fleet::replica(
             record,
@@ -138,7 +141,14 @@
             "ready",
         );
     }
-    let gateway = fleet::gateway(record, "edge-kakkanad-1", "kakkanad", &store);
+    let mut gateways = Vec::new();
+    for zone in ["kakkanad", "edappally", "kalamassery"] {
+        for i in 1..=2 {
+            gateways.push(fleet::gateway(record, &format!("edge-{zone}-{i}"), zone, &store));
+        }
+    }
+    gateways.push(fleet::gateway(record, "edge-vyttila-1", "vyttila", &store));
+    let gateway = &gateways[0];
     sleep(SECOND);
     let front = gateway.front;
     let more =
@@ -184,7 +194,7 @@
     store.put("op/config", &fleet::configuration(3, 16_384));
     let parameters = ["events=100", "gap_ms=100", "copy_ms=1150", "last_ms=1150"];
     let mut replicas = Vec::new();
-    let zones = ["kakkanad", "kakkanad", "edappally"];
+    let zones = ["kakkanad", "kakkanad", "edappally", "kalamassery", "vyttila"];
     for (i, zone) in zones.into_iter().enumerate() {
         let (id, addr) = (format!("i-{i}"), fleet::free_addr());
         replicas.push((addr, fleet::replica(record, &id, addr, &parameters)));
@@ -247,7 +257,7 @@
     let parameters =
         ["events=100", "gap_ms=100", "copy_ms=1150", "last_ms=1150", "last=first_no_room"];
     let mut replicas = Vec::new();
-    let zones = ["kakkanad", "edappally", "kalamassery"];
+    let zones = ["kakkanad", "edappally", "kalamassery", "vyttila"];
     for (i, zone) in zones.into_iter().enumerate() {
         let (id, addr) = (format!("i-{i}"), fleet::free_addr());
         replicas.push((addr, fleet::replica(record, &id, addr, &parameters)));
