--- a/review/stands-2/cases.rs
+++ b/review/stands-2/cases.rs
@@ -1,7 +1,7 @@
 //! The cases. Each returns whether the rule held, or why it couldn't run.
 
 use crate::client::{self, Answer};
-use crate::fleet::{self, Record};
+use crate::fleet::{self, Record, Signal};
 use crate::store::Store;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -158,7 +158,7 @@
     sleep(2 * SECOND);
     let mut successor = None;
     if trouble {
-        gateway.process.signal("STOP");
+        gateway.process.signal(Signal::Stop);
         record.note("edge-kakkanad-1 frozen");
         sleep(ms(200));
         let (addr, replica) = &mut replicas[runner];
@@ -170,7 +170,7 @@
         fleet::entry(&store, "i-new", "samarpan", "kakkanad", addr, 6, "ready");
         store.remove(&format!("servers/{id}"));
         sleep(ms(500));
-        gateway.process.signal("CONT");
+        gateway.process.signal(Signal::Continue);
         record.note("edge-kakkanad-1 wakes");
     }
     let answer = asking.join().map_err(|_| "the client failed")?;
@@ -229,7 +229,7 @@
     sleep(7 * SECOND);
     let signalled = record.now();
     if trouble {
-        gateways[0].process.signal("TERM");
+        gateways[0].process.signal(Signal::Terminate);
         record.note("SIGTERM to edge-kakkanad-1");
     }
     sleep(ms(3_020));
--- a/review/stands-2/fleet.rs
+++ b/review/stands-2/fleet.rs
@@ -69,17 +69,28 @@
     thread::spawn(move || {
         sleep(limit);
         for pid in RUNNING.lock().unwrap().iter() {
-            send_signal(*pid, "KILL");
+            send_signal(*pid, Signal::Kill);
         }
         std::process::exit(2);
     });
 }
 
-fn send_signal(pid: u32, signal: &str) {
-    let _ = Command::new("kill")
-        .args([format!("-{signal}"), pid.to_string()])
-        .stderr(Stdio::null())
-        .status();
+/// Signals, with their numbers on Linux.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    Kill = 9,
+    Terminate = 15,
+    Continue = 18,
+    Stop = 19,
+}
+
+fn send_signal(pid: u32, signal: Signal) {
+    extern "C" {
+        fn kill(pid: i32, signal: i32) -> i32;
+    }
+    // The process was started here and has not been waited for, so the id is still its own.
+    let sent = unsafe { kill(pid as i32, signal as i32) };
+    assert_eq!(sent, 0, "the signal was sent");
 }
 
 /// A process that is killed when this is dropped.
@@ -90,7 +101,7 @@
 
 impl Process {
     /// Sends a signal to a process that has not been killed.
-    pub fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: Signal) {
         send_signal(self.child.id(), signal);
     }
 
